--- /dev/null
+++ b/internal/backend/backend.go
@@ -0,0 +1,167 @@
+// Package backend is the contract of a backend server, which runs tasks, and the HTTP adapter to it.
+package backend
+
+import (
+	"context"
+	"errors"
+	"hash/crc32"
+	"time"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/ident"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/resource"
+)
+
+// Millis is a duration in milliseconds in messages.
+type Millis int64
+
+// Duration converts to time.Duration.
+func (m Millis) Duration() time.Duration { return time.Duration(m) * time.Millisecond }
+
+// ToMillis converts from time.Duration, rounding down.
+func ToMillis(d time.Duration) Millis { return Millis(d / time.Millisecond) }
+
+var (
+	// ErrStaleEpoch reports that the backend server accepted a higher epoch, or the same one from another owner.
+	ErrStaleEpoch = errors.New("stale epoch")
+	// ErrLeaving reports that the backend server takes no new work.
+	ErrLeaving = errors.New("backend server is leaving")
+	// ErrLeaseLapsed reports that the lease lapsed; the owner must attach again.
+	ErrLeaseLapsed = errors.New("lease of the backend server lapsed")
+	// ErrStopped reports that the attempt was stopped before its start arrived; it never ran and never will.
+	ErrStopped = errors.New("attempt was stopped before its start")
+	// ErrDuplicate reports that the attempt is already known; it isn't started again.
+	ErrDuplicate = errors.New("attempt is already known")
+	// ErrUnsupported reports that the task can't be checkpointed or throttled.
+	ErrUnsupported = errors.New("operation isn't supported by the task")
+	// ErrUnreachable reports that the connection could not be made; the call had no effect.
+	ErrUnreachable = errors.New("backend server unreachable")
+	// ErrUnknownOutcome reports that the reply was lost; the call may have taken effect.
+	ErrUnknownOutcome = errors.New("outcome of the backend call is unknown")
+)
+
+// Fence identifies the commanding owner; commands below the highest accepted epoch are refused.
+type Fence struct {
+	Epoch ident.Epoch    `json:"epoch"`
+	Owner ident.MemberID `json:"owner"`
+}
+
+// Task is a start command's description of one attempt.
+type Task struct {
+	Attempt       ident.AttemptID `json:"attempt"`
+	Job           ident.JobID     `json:"job"`
+	Index         int             `json:"index"` // number of the task inside its job
+	Team          ident.TeamID    `json:"team"`
+	Queue         ident.QueueID   `json:"queue"`
+	Request       ident.RequestID `json:"request,omitempty"`
+	Origin        ident.MemberID  `json:"origin"` // daemon that holds the caller or the job record
+	Demand        resource.Vector `json:"demand"`
+	NonIdempotent bool            `json:"non-idempotent,omitempty"`
+	Priority      int             `json:"priority,omitempty"`
+	Payload       []byte          `json:"payload,omitempty"`
+	RunTime       Millis          `json:"run-time-ms,omitempty"` // declared run time; 0 runs until stopped
+}
+
+// ExitState says how a finished attempt ended.
+type ExitState string
+
+// Ends of an attempt.
+const (
+	ExitSucceeded    ExitState = "succeeded"
+	ExitFailed       ExitState = "failed"
+	ExitStopped      ExitState = "stopped"
+	ExitCheckpointed ExitState = "checkpointed"
+	ExitLeaseLapsed  ExitState = "lease-lapsed"
+)
+
+// Result is a finished attempt that the owner hasn't acknowledged yet.
+type Result struct {
+	Attempt  ident.AttemptID `json:"attempt"`
+	Job      ident.JobID     `json:"job"`
+	Index    int             `json:"index"`
+	Team     ident.TeamID    `json:"team"`
+	Queue    ident.QueueID   `json:"queue"`
+	Request  ident.RequestID `json:"request,omitempty"`
+	Origin   ident.MemberID  `json:"origin"`
+	Exit     ExitState       `json:"exit"`
+	Answer   []byte          `json:"answer,omitempty"`
+	Length   int             `json:"length"`   // length of Answer in bytes
+	Checksum uint32          `json:"checksum"` // CRC-32C of Answer
+	Message  string          `json:"message,omitempty"`
+	Ran      Millis          `json:"ran-ms"`
+}
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// Checksum returns the CRC-32C of an answer.
+func Checksum(answer []byte) uint32 { return crc32.Checksum(answer, castagnoli) }
+
+// Whole reports whether the answer has its announced length and checksum.
+func (r Result) Whole() bool {
+	return len(r.Answer) == r.Length && Checksum(r.Answer) == r.Checksum
+}
+
+// Running is an attempt that runs at the time of the inventory.
+type Running struct {
+	Task
+	Throttled bool   `json:"throttled,omitempty"`
+	Ran       Millis `json:"ran-ms"`
+}
+
+// Inventory is a backend server's answer to an attach.
+type Inventory struct {
+	Boot     string          `json:"boot"` // changes when the server restarts
+	Capacity resource.Vector `json:"capacity"`
+	Leaving  bool            `json:"leaving"`
+	Running  []Running       `json:"running,omitempty"`
+	Finished []Result        `json:"finished,omitempty"`
+}
+
+// Usage is a lagging report of what an attempt really uses.
+type Usage struct {
+	Attempt ident.AttemptID `json:"attempt"`
+	Used    resource.Vector `json:"used"`
+}
+
+// PollRequest renews the lease, acknowledges results and waits for news.
+type PollRequest struct {
+	Fence
+	Lease       Millis            `json:"lease-ms"`
+	Wait        Millis            `json:"wait-ms"`
+	Acknowledge []ident.AttemptID `json:"acknowledge,omitempty"`
+	Caretaker   bool              `json:"caretaker,omitempty"`
+}
+
+// PollReply carries what changed since the last poll.
+type PollReply struct {
+	Boot     string          `json:"boot"`
+	Capacity resource.Vector `json:"capacity"`
+	Leaving  bool            `json:"leaving"`
+	Finished []Result        `json:"finished,omitempty"`
+	Usage    []Usage         `json:"usage,omitempty"`
+}
+
+// StopState says what a stop found.
+type StopState string
+
+// Answers to a stop.
+const (
+	StopNeverStarted StopState = "never-started"
+	StopStopped      StopState = "stopped"
+	StopFinished     StopState = "finished"
+)
+
+// Server is one backend server. Every method may return ErrStaleEpoch, ErrUnreachable or ErrUnknownOutcome.
+type Server interface {
+	// Attach takes ownership at an epoch and returns the inventory. The lease starts with the attach.
+	Attach(ctx context.Context, f Fence, lease Millis) (Inventory, error)
+	// Poll renews the lease and returns finished attempts, usage and state.
+	Poll(ctx context.Context, r PollRequest) (PollReply, error)
+	// Start runs an attempt; it may return ErrLeaving, ErrLeaseLapsed, ErrStopped or ErrDuplicate.
+	Start(ctx context.Context, f Fence, t Task) error
+	// Stop ends an attempt. An unknown attempt is remembered, so that a late start of it is refused.
+	Stop(ctx context.Context, f Fence, attempt ident.AttemptID) (StopState, error)
+	// Checkpoint saves and ends an attempt, which finishes as ExitCheckpointed; or returns ErrUnsupported.
+	Checkpoint(ctx context.Context, f Fence, attempt ident.AttemptID) error
+	// Throttle limits an attempt to a share of its demand in percent; or returns ErrUnsupported.
+	Throttle(ctx context.Context, f Fence, attempt ident.AttemptID, percent int) error
+}
--- /dev/null
+++ b/internal/peer/wire/wire.go
@@ -0,0 +1,311 @@
+// Package wire holds the messages between daemons.
+package wire
+
+import (
+	"github.com/rosemaryspoke/rosemaryspoke/internal/backend"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/ident"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/resource"
+)
+
+// Method names of the peer protocol.
+const (
+	MethodProbe         = "member.probe"
+	MethodSummary       = "summary.push"
+	MethodForward       = "task.forward"
+	MethodAnswer        = "task.answer"
+	MethodQuery         = "task.query"
+	MethodCancel        = "task.cancel"
+	MethodAdoptOrigin   = "task.adopt-origin"
+	MethodGangReserve   = "gang.reserve"
+	MethodGangCommit    = "gang.commit"
+	MethodGangCancel    = "gang.cancel"
+	MethodLimitRequest  = "limit.request"
+	MethodClaimAcquire  = "claim.acquire"
+	MethodClaimComplete = "claim.complete"
+	MethodClaimRelease  = "claim.release"
+	MethodClaimLookup   = "claim.lookup"
+	MethodClaimTransfer = "claim.transfer"
+	MethodConfigPull    = "config.pull"
+	MethodConfigVersion = "config.version"
+	MethodHandover      = "queue.handover"
+	MethodJobGet        = "job.get"
+	MethodJobCancel     = "job.cancel"
+	MethodJobList       = "job.list"
+)
+
+// Sender identifies the sending daemon in every message.
+type Sender struct {
+	Member      ident.MemberID    `json:"member"`
+	Incarnation ident.Incarnation `json:"incarnation"`
+	Epoch       ident.Epoch       `json:"epoch"`
+}
+
+// ProbeRequest asks a member whether it is alive.
+type ProbeRequest struct{ Sender }
+
+// ProbeReply names the answering member.
+type ProbeReply struct{ Sender }
+
+// TeamUsage is the running amount of one team on one member.
+type TeamUsage struct {
+	Team    ident.TeamID    `json:"t"`
+	Running int             `json:"n"`
+	Used    resource.Vector `json:"u"`
+}
+
+// Room is the largest free host and the total free capacity of a member in one data centre.
+type Room struct {
+	DataCentre ident.DataCentre `json:"dc"`
+	Region     ident.Region     `json:"region"`
+	Total      resource.Vector  `json:"total"`
+	Largest    resource.Vector  `json:"largest"`
+	Capacity   resource.Vector  `json:"capacity"`
+}
+
+// Summary is what a member tells its peers about its load. Teams holds changes only, unless Full is set.
+type Summary struct {
+	Sender
+	Full    bool          `json:"full,omitempty"`
+	Teams   []TeamUsage   `json:"teams,omitempty"`
+	Rooms   []Room        `json:"rooms,omitempty"`
+	Backlog int           `json:"backlog"`
+	Version ident.Version `json:"version"`
+}
+
+// SummaryReply tells whether the receiver needs a full summary.
+type SummaryReply struct {
+	WantFull bool          `json:"want-full,omitempty"`
+	Version  ident.Version `json:"version"`
+}
+
+// Forward asks the owner of backend servers to start a task.
+type Forward struct {
+	Sender
+	Task   backend.Task   `json:"task"`
+	Kind   string         `json:"kind"`
+	Urgent bool           `json:"urgent,omitempty"`
+	Hops   int            `json:"hops"`
+	Avoid  []ident.HostID `json:"avoid,omitempty"`
+}
+
+// ForwardReply says whether the task was taken. Refused means that it never starts here.
+type ForwardReply struct {
+	Taken  bool         `json:"taken"`
+	Host   ident.HostID `json:"host,omitempty"`
+	Reason string       `json:"reason,omitempty"`
+}
+
+// AnswerPush delivers the result of an attempt to its origin.
+type AnswerPush struct {
+	Sender
+	Host   ident.HostID   `json:"host"`
+	Result backend.Result `json:"result"`
+}
+
+// AnswerReply confirms that the origin keeps the result (or has no use for it), so that it may be acknowledged.
+type AnswerReply struct {
+	Kept bool `json:"kept"`
+}
+
+// Query asks what a member knows of an attempt.
+type Query struct {
+	Sender
+	Attempt ident.AttemptID `json:"attempt"`
+}
+
+// QueryReply is authoritative only if Complete is set: every owned server was attached at Epoch or above.
+type QueryReply struct {
+	Known    bool         `json:"known"`
+	Host     ident.HostID `json:"host,omitempty"`
+	Complete bool         `json:"complete"`
+	Epoch    ident.Epoch  `json:"epoch"`
+}
+
+// Cancel asks the owner of a server to stop an attempt.
+type Cancel struct {
+	Sender
+	Attempt ident.AttemptID `json:"attempt"`
+	Host    ident.HostID    `json:"host"`
+}
+
+// CancelReply says what the stop found.
+type CancelReply struct {
+	State backend.StopState `json:"state"`
+	Known bool              `json:"known"`
+}
+
+// AdoptOrigin asks for the attempts of a dead origin and redirects their results to the sender.
+type AdoptOrigin struct {
+	Sender
+	Origin ident.MemberID `json:"origin"`
+	Jobs   []ident.JobID  `json:"jobs"`
+}
+
+// AdoptedAttempt is an attempt found for an adopting origin.
+type AdoptedAttempt struct {
+	Attempt ident.AttemptID `json:"attempt"`
+	Job     ident.JobID     `json:"job"`
+	Index   int             `json:"index"`
+	Host    ident.HostID    `json:"host"`
+}
+
+// AdoptOriginReply lists the attempts; it is authoritative only if Complete is set.
+type AdoptOriginReply struct {
+	Attempts []AdoptedAttempt `json:"attempts,omitempty"`
+	Complete bool             `json:"complete"`
+	Epoch    ident.Epoch      `json:"epoch"`
+}
+
+// GangReserve asks a member to hold room for up to Tasks tasks of an all-at-once job.
+type GangReserve struct {
+	Sender
+	Gang   string          `json:"gang"`
+	Team   ident.TeamID    `json:"team"`
+	Demand resource.Vector `json:"demand"`
+	Tasks  int             `json:"tasks"`
+	Expiry backend.Millis  `json:"expiry-ms"`
+	Avoid  []ident.HostID  `json:"avoid,omitempty"`
+}
+
+// GangReserveReply says for how many tasks room is held.
+type GangReserveReply struct {
+	Held   int    `json:"held"`
+	Reason string `json:"reason,omitempty"`
+}
+
+// GangCommit starts the tasks of a reservation; the number must not exceed what is held.
+type GangCommit struct {
+	Sender
+	Gang  string         `json:"gang"`
+	Tasks []backend.Task `json:"tasks"`
+}
+
+// GangCommitReply gives the host of each task, in order.
+type GangCommitReply struct {
+	Taken  bool           `json:"taken"`
+	Hosts  []ident.HostID `json:"hosts,omitempty"`
+	Reason string         `json:"reason,omitempty"`
+}
+
+// GangCancel frees a reservation.
+type GangCancel struct {
+	Sender
+	Gang string `json:"gang"`
+}
+
+// LimitRequest asks a member to give up an unused part of a team's limit.
+type LimitRequest struct {
+	Sender
+	Team ident.TeamID `json:"team"`
+	Want int          `json:"want"`
+}
+
+// LimitReply says how much was given up in the store.
+type LimitReply struct {
+	Given int `json:"given"`
+}
+
+// ClaimKey identifies a non-idempotent request.
+type ClaimKey struct {
+	Team    ident.TeamID    `json:"team"`
+	Request ident.RequestID `json:"request"`
+}
+
+// ClaimState is the state of a claim at one holder.
+type ClaimState string
+
+// States of a claim.
+const (
+	ClaimHeld     ClaimState = "held"
+	ClaimComplete ClaimState = "complete"
+	ClaimReleased ClaimState = "released"
+)
+
+// Claim is what a holder keeps about a non-idempotent request.
+type Claim struct {
+	ClaimKey
+	Claimer     ident.MemberID    `json:"claimer"`
+	Incarnation ident.Incarnation `json:"incarnation"`
+	Nonce       string            `json:"nonce"`
+	State       ClaimState        `json:"state"`
+	Answer      []byte            `json:"answer,omitempty"` // encoded api.Answer once complete
+}
+
+// ClaimRequest acquires, completes, releases or looks up a claim at a holder.
+type ClaimRequest struct {
+	Sender
+	Claim Claim `json:"claim"`
+}
+
+// ClaimReply carries the vote and the claim that the holder keeps.
+type ClaimReply struct {
+	Granted bool  `json:"granted"`
+	Known   bool  `json:"known"`
+	Stale   bool  `json:"stale,omitempty"` // the holder is at another epoch or has not finished its transfer
+	Claim   Claim `json:"claim"`
+}
+
+// ClaimTransfer asks for the claims that the sender must hold at its epoch, a page at a time.
+type ClaimTransfer struct {
+	Sender
+	Cursor string `json:"cursor,omitempty"`
+}
+
+// ClaimTransferReply is one page of claims.
+type ClaimTransferReply struct {
+	Claims []Claim `json:"claims,omitempty"`
+	Cursor string  `json:"cursor,omitempty"` // empty on the last page
+}
+
+// Segment is a named part of the configuration.
+type Segment struct {
+	Name  string `json:"name"`
+	Hash  string `json:"hash"`
+	Value []byte `json:"value"`
+}
+
+// ConfigPull asks for the index and the segments that differ from the hashes in Have.
+type ConfigPull struct {
+	Sender
+	Version ident.Version `json:"version"`
+}
+
+// ConfigPullReply carries the newest index and the segments changed since the asked version.
+type ConfigPullReply struct {
+	Version  ident.Version `json:"version"`
+	Index    []byte        `json:"index,omitempty"` // encoded index with sign-offs; empty when nothing is newer
+	Segments []Segment     `json:"segments,omitempty"`
+	Removed  []string      `json:"removed,omitempty"`
+}
+
+// ConfigVersion asks for the version in force; it serves freshness and acknowledgements.
+type ConfigVersion struct{ Sender }
+
+// ConfigVersionReply names the version in force and whether the member confirmed it with the store lately.
+type ConfigVersionReply struct {
+	Version ident.Version `json:"version"`
+}
+
+// Handover moves queued work of a draining member to the receiver.
+type Handover struct {
+	Sender
+	Batches []string `json:"batches"` // store keys of job batches to adopt
+}
+
+// HandoverReply confirms the batches that the receiver adopted.
+type HandoverReply struct {
+	Adopted []string `json:"adopted"`
+}
+
+// JobCall asks the owner of a job about it.
+type JobCall struct {
+	Sender
+	Job  ident.JobID  `json:"job,omitempty"`
+	Team ident.TeamID `json:"team,omitempty"`
+}
+
+// JobReply carries an encoded api.Job, a list of them, or an api.Explanation.
+type JobReply struct {
+	Found bool   `json:"found"`
+	Body  []byte `json:"body,omitempty"`
+}
--- /dev/null
+++ b/test.sh
@@ -0,0 +1,23 @@
+#!/usr/bin/env bash
+# Checks format and lint, then runs every test with the race detector.
+set -euo pipefail
+cd "$(dirname "$0")"
+
+echo "== format"
+unformatted=$(git ls-files -co --exclude-standard '*.go' | xargs -r go tool gofumpt -l)
+if [ -n "$unformatted" ]; then
+	echo "not formatted with gofumpt:"
+	echo "$unformatted"
+	exit 1
+fi
+
+echo "== vet and lint"
+go vet ./...
+go tool staticcheck ./...
+go tool revive -config revive.toml ./...
+
+echo "== models"
+if [ -x spec/check.sh ]; then spec/check.sh; fi
+
+echo "== tests"
+go test -race -count=1 -timeout 240s ./...
