--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -7,8 +7,8 @@
 	"hash/crc32"
 	"time"
 
-	"github.com/rosemaryspoke/rosemaryspoke/internal/ident"
-	"github.com/rosemaryspoke/rosemaryspoke/internal/resource"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/resource"
 )
 
 // Millis is a duration in milliseconds in messages.
--- a/internal/peer/wire/wire.go
+++ b/internal/peer/wire/wire.go
@@ -3,8 +3,8 @@
 
 import (
 	"github.com/rosemaryspoke/rosemaryspoke/internal/backend"
-	"github.com/rosemaryspoke/rosemaryspoke/internal/ident"
-	"github.com/rosemaryspoke/rosemaryspoke/internal/resource"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/resource"
 )
 
 // Method names of the peer protocol.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -6,7 +6,7 @@
 	"errors"
 	"time"
 
-	"github.com/rosemaryspoke/rosemaryspoke/internal/ident"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 )
 
 // MaxValueBytes is the largest value that the store accepts.
--- a/pkg/api/api.go
+++ b/pkg/api/api.go
@@ -6,8 +6,8 @@
 	"net/http"
 	"time"
 
-	"github.com/rosemaryspoke/rosemaryspoke/internal/ident"
-	"github.com/rosemaryspoke/rosemaryspoke/internal/resource"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/resource"
 )
 
 // Limits on what a caller may send.
