--- /dev/null
+++ b/internal/blame/blame.go
@@ -0,0 +1,329 @@
+// Package blame tells failing hosts from failing jobs: it compares one job's failures over several hosts with one
+// host's failures over several jobs.
+package blame
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+// Defaults of the tracker.
+const (
+	// DefaultHostFailures and DefaultHostJobs quarantine a host after three failures without a success between them
+	// that come from two jobs. Failures of a single job say nothing about the host.
+	DefaultHostFailures = 3
+	DefaultHostJobs     = 2
+	// DefaultJobHosts stops a job that failed on three hosts where other jobs succeed and has never succeeded.
+	DefaultJobHosts = 3
+	// DefaultCooldown is the first wait before a probe; it doubles with every failed probe up to DefaultMaxCooldown.
+	DefaultCooldown    = 30 * time.Second
+	DefaultMaxCooldown = 30 * time.Minute
+	// DefaultMaxFraction bounds the hosts in quarantine: when more fail at the same time the cause is shared
+	// (a network, a dependency), and removing hosts would only remove capacity.
+	DefaultMaxFraction = 0.25
+	// DefaultMaxHosts and DefaultMaxJobs bound the records kept; the least recently used one is dropped.
+	DefaultMaxHosts = 8192
+	DefaultMaxJobs  = 4096
+	// maxLinks bounds the failing jobs kept per host and the failing hosts kept per job.
+	maxLinks = 16
+)
+
+// Config configures a Tracker; zero values mean the defaults.
+type Config struct {
+	HostFailures int
+	HostJobs     int
+	JobHosts     int
+	Cooldown     time.Duration
+	MaxCooldown  time.Duration
+	MaxFraction  float64
+	MaxHosts     int
+	MaxJobs      int
+	Now          func() time.Time
+}
+
+func (c *Config) setDefaults() {
+	setDefault(&c.HostFailures, DefaultHostFailures)
+	setDefault(&c.HostJobs, DefaultHostJobs)
+	setDefault(&c.JobHosts, DefaultJobHosts)
+	setDefault(&c.Cooldown, DefaultCooldown)
+	setDefault(&c.MaxCooldown, DefaultMaxCooldown)
+	setDefault(&c.MaxFraction, DefaultMaxFraction)
+	setDefault(&c.MaxHosts, DefaultMaxHosts)
+	setDefault(&c.MaxJobs, DefaultMaxJobs)
+}
+
+func setDefault[V comparable](field *V, value V) {
+	var zero V
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Tracker keeps failure statistics per host and per job. It is safe for concurrent use.
+type Tracker struct {
+	config Config
+
+	mu          sync.Mutex
+	hosts       *recent[ident.HostID, *hostRecord]
+	jobs        *recent[ident.JobID, *jobRecord]
+	quarantined int
+}
+
+// hostRecord is a host's failures since its last success. The quarantine is a circuit breaker with failure threshold
+// and cooldown (Model Routes, circuit breaker): closed, open during the cooldown, then half open for one probe.
+type hostRecord struct {
+	id          ident.HostID
+	failures    map[ident.JobID]int // failures per job since the last success
+	total       int
+	succeeded   ident.JobID // job of the last success; empty when there was none
+	open        bool
+	probing     bool
+	until       time.Time // end of the cooldown, or of the wait for the probe's result
+	cooldown    time.Duration
+	quarantines int
+}
+
+// jobRecord is a job's failing hosts; it is dropped at the job's first success.
+type jobRecord struct {
+	hosts     map[ident.HostID]int
+	failures  int
+	succeeded bool
+	stopped   string
+}
+
+// New returns an empty tracker.
+func New(c Config) (*Tracker, error) {
+	if c.Now == nil {
+		return nil, errors.New("blame: Now isn't set")
+	}
+	c.setDefaults()
+	if c.HostFailures < 1 || c.HostJobs < 1 || c.JobHosts < 2 || c.Cooldown < 0 || c.MaxCooldown < c.Cooldown ||
+		c.MaxFraction < 0 || c.MaxFraction > 1 || c.MaxHosts < 1 || c.MaxJobs < 1 {
+		return nil, fmt.Errorf("blame: a bound is out of range: %+v", c)
+	}
+	t := &Tracker{config: c}
+	t.hosts = newRecent[ident.HostID, *hostRecord](c.MaxHosts)
+	t.jobs = newRecent[ident.JobID, *jobRecord](c.MaxJobs)
+	return t, nil
+}
+
+func (t *Tracker) host(id ident.HostID) *hostRecord {
+	h, ok := t.hosts.get(id)
+	if !ok {
+		h = &hostRecord{id: id, failures: map[ident.JobID]int{}}
+		if dropped, any := t.hosts.put(id, h); any && dropped.open {
+			t.quarantined--
+		}
+	}
+	return h
+}
+
+func (t *Tracker) job(id ident.JobID) *jobRecord {
+	j, ok := t.jobs.get(id)
+	if !ok {
+		j = &jobRecord{hosts: map[ident.HostID]int{}}
+		t.jobs.put(id, j)
+	}
+	return j
+}
+
+// Success records that a task of the job succeeded on the host. It ends the host's quarantine.
+func (t *Tracker) Success(host ident.HostID, job ident.JobID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.host(host)
+	h.total = 0
+	clear(h.failures)
+	h.succeeded = job
+	h.cooldown = 0
+	t.close(h)
+	j := t.job(job)
+	j.succeeded = true
+	j.failures = 0
+	clear(j.hosts)
+}
+
+// Failure records that a task of the job failed on the host.
+func (t *Tracker) Failure(host ident.HostID, job ident.JobID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h, j := t.host(host), t.job(job)
+	j.failures++
+	if len(j.hosts) < maxLinks || j.hosts[host] > 0 {
+		j.hosts[host]++
+	}
+	if j.stopped == "" && t.jobAtFault(j, job) {
+		j.stopped = fmt.Sprintf("failed %d times on %d hosts where other jobs succeed", j.failures, len(j.hosts))
+		t.acquit(j, job)
+	}
+	if j.stopped != "" {
+		t.endProbe(h)
+		return
+	}
+	h.total++
+	if len(h.failures) < maxLinks || h.failures[job] > 0 {
+		h.failures[job]++
+	}
+	t.judge(h)
+}
+
+// jobAtFault reports whether the job failed on enough hosts where the last success was another job's.
+func (t *Tracker) jobAtFault(j *jobRecord, id ident.JobID) bool {
+	if j.succeeded || len(j.hosts) < t.config.JobHosts {
+		return false
+	}
+	sound := 0
+	for host := range j.hosts {
+		if h, ok := t.hosts.peek(host); ok && h.succeeded != "" && h.succeeded != id && !h.open {
+			sound++
+		}
+	}
+	return sound >= t.config.JobHosts
+}
+
+// acquit takes a stopped job's failures off the hosts' records and ends the quarantines that rested on them.
+func (t *Tracker) acquit(j *jobRecord, id ident.JobID) {
+	for host := range j.hosts {
+		h, ok := t.hosts.peek(host)
+		if !ok {
+			continue
+		}
+		h.total -= h.failures[id]
+		delete(h.failures, id)
+		if h.open && !t.hostAtFault(h) {
+			t.close(h)
+		}
+	}
+	clear(j.hosts)
+}
+
+func (t *Tracker) hostAtFault(h *hostRecord) bool {
+	return h.total >= t.config.HostFailures && len(h.failures) >= t.config.HostJobs
+}
+
+// judge quarantines the host when its record asks for it, or prolongs the quarantine after a failed probe.
+func (t *Tracker) judge(h *hostRecord) {
+	now := t.config.Now()
+	switch {
+	case h.open && h.probing:
+		h.probing = false
+		h.cooldown = min(2*h.cooldown, t.config.MaxCooldown)
+		h.until = now.Add(h.cooldown)
+	case !h.open && t.hostAtFault(h):
+		if t.quarantined >= max(1, int(t.config.MaxFraction*float64(t.hosts.len()))) {
+			return
+		}
+		h.open = true
+		h.quarantines++
+		t.quarantined++
+		h.cooldown = t.config.Cooldown
+		h.until = now.Add(h.cooldown)
+	}
+}
+
+func (t *Tracker) close(h *hostRecord) {
+	if h.open {
+		h.open = false
+		t.quarantined--
+	}
+	h.probing = false
+}
+
+// endProbe lets the next task probe the host: the failed one said nothing about it.
+func (t *Tracker) endProbe(h *hostRecord) {
+	if h.open && h.probing {
+		h.probing = false
+		h.until = t.config.Now()
+	}
+}
+
+// Blocked returns why the host takes no work now, or an empty string. A quarantined host whose cooldown has passed
+// isn't blocked while no probe runs; the caller then asks Probe before it starts a task there.
+func (t *Tracker) Blocked(host ident.HostID) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h, ok := t.hosts.peek(host)
+	if !ok || !h.open {
+		return ""
+	}
+	if wait := h.until.Sub(t.config.Now()); wait > 0 {
+		if h.probing {
+			return "quarantined: a probe runs"
+		}
+		return fmt.Sprintf("quarantined after %d failures over %d jobs, next probe in %v",
+			h.total, len(h.failures), wait.Round(time.Second))
+	}
+	return ""
+}
+
+// Probe reports whether a task may be started on the host. On a quarantined host it lets one task through after the
+// cooldown; the next one waits for its result, or for another cooldown if the result never comes.
+func (t *Tracker) Probe(host ident.HostID) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h, ok := t.hosts.peek(host)
+	if !ok || !h.open {
+		return true
+	}
+	now := t.config.Now()
+	if now.Before(h.until) {
+		return false
+	}
+	h.probing = true
+	h.until = now.Add(max(h.cooldown, t.config.Cooldown))
+	return true
+}
+
+// StopJob reports whether the job is at fault and must not be tried again, and why.
+func (t *Tracker) StopJob(job ident.JobID) (reason string, stop bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	j, ok := t.jobs.peek(job)
+	if !ok {
+		return "", false
+	}
+	return j.stopped, j.stopped != ""
+}
+
+// HostDump is the state of a host with failures.
+type HostDump struct {
+	Host        ident.HostID `json:"host"`
+	Failures    int          `json:"failures"`
+	Jobs        int          `json:"jobs"`
+	Quarantined bool         `json:"quarantined"`
+	Probing     bool         `json:"probing"`
+	Until       time.Time    `json:"until,omitzero"`
+}
+
+// Dump is the state of the tracker.
+type Dump struct {
+	Hosts       []HostDump             `json:"hosts"` // hosts with failures since their last success
+	Stopped     map[ident.JobID]string `json:"stopped"`
+	KnownHosts  int                    `json:"known-hosts"`
+	KnownJobs   int                    `json:"known-jobs"`
+	Quarantined int                    `json:"quarantined"`
+}
+
+// Dump returns the state for the state dump and the metrics.
+func (t *Tracker) Dump() Dump {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	d := Dump{Stopped: map[ident.JobID]string{}, KnownHosts: t.hosts.len(), KnownJobs: t.jobs.len(), Quarantined: t.quarantined}
+	t.hosts.each(func(id ident.HostID, h *hostRecord) {
+		if h.total > 0 || h.open {
+			d.Hosts = append(d.Hosts, HostDump{
+				Host: id, Failures: h.total, Jobs: len(h.failures), Quarantined: h.open, Probing: h.probing, Until: h.until,
+			})
+		}
+	})
+	t.jobs.each(func(id ident.JobID, j *jobRecord) {
+		if j.stopped != "" {
+			d.Stopped[id] = j.stopped
+		}
+	})
+	return d
+}
