Add fair queues per team

Items are ordered by urgency, weighted dominant-resource fairness, priority and time of arrival. Removal is by key in constant time; a call of Next is bounded by the teams with items.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -87,7 +87,7 @@
 	quarantines int
 }
 
-// jobRecord is a job's failing hosts; it is dropped at the job's first success.
+// jobRecord is a job's failing hosts. It is created by the first failure; a success after that clears the job for good.
 type jobRecord struct {
 	hosts     map[ident.HostID]int
 	failures  int
@@ -141,10 +141,13 @@
 	h.succeeded = job
 	h.cooldown = 0
 	t.close(h)
-	j := t.job(job)
-	j.succeeded = true
-	j.failures = 0
-	clear(j.hosts)
+	// Only jobs that failed before have a record: thousands of single-task requests succeed each second, and their
+	// records would push out those of the failing jobs.
+	if j, ok := t.jobs.get(job); ok {
+		j.succeeded = true
+		j.failures = 0
+		clear(j.hosts)
+	}
 }
 
 // Failure records that a task of the job failed on the host.
--- /dev/null
+++ b/internal/queue/queue.go
@@ -0,0 +1,296 @@
+// Package queue holds waiting work in bounded queues per team and offers it in weighted fair order.
+package queue
+
+import (
+	"errors"
+	"fmt"
+	"hash/maphash"
+	"sync"
+	"time"
+
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/resource"
+)
+
+var (
+	// ErrFull reports that the team's bound is reached.
+	ErrFull = errors.New("queue of the team is full")
+	// ErrDuplicate reports that an item with the key is queued already.
+	ErrDuplicate = errors.New("item is queued already")
+	// ErrTooLate reports that the expected wait passes the item's deadline.
+	ErrTooLate = errors.New("expected wait passes the deadline")
+)
+
+// Defaults and bounds.
+const (
+	DefaultShards = 8
+	// DefaultHoldAfter is the wait after which an item that was skipped holds back the work behind it.
+	DefaultHoldAfter = 10 * time.Second
+	// DefaultHoldFor bounds one hold, so that an item that can never be placed costs at most HoldFor out of
+	// HoldAfter + HoldFor of the free capacity.
+	DefaultHoldFor = 5 * time.Second
+	// MaxOffers bounds the items offered by one call of Next.
+	MaxOffers = 1024
+	// MaxSkips bounds the items of one team that one call of Next offers in vain.
+	MaxSkips = 8
+	// maxExamined bounds the items of one team that one call looks at, offered or not.
+	maxExamined = 64
+	// maxInsertSteps bounds the search for the place of an item that is older than the last one of its priority.
+	maxInsertSteps = 64
+)
+
+// defaultTotal is the capacity of one of today's fleets (35 hosts of 32 cores, 13 of 64 cores with 8 GPUs).
+// It scales the charges of taken items when Config.Total isn't set.
+var defaultTotal = resource.Vector{
+	CPU: resource.Cores(1952), Memory: resource.Gigabytes(3904), GPUs: 104, Slots: 384, Connections: 3072,
+}
+
+// Verdict is the answer to an offered item.
+type Verdict int
+
+// Verdicts.
+const (
+	// Taken removes the item from the queue.
+	Taken Verdict = iota
+	// Skip leaves the item; the team's next one is offered.
+	Skip
+	// SkipLarger is Skip for lack of room: during this call no item of any team that demands at least as much of
+	// every resource is offered, except urgent ones after a skip of one that isn't.
+	SkipLarger
+	// SkipTeam ends the team's turn in this call.
+	SkipTeam
+	// Stop ends the call.
+	Stop
+)
+
+// Item is one piece of waiting work.
+type Item[T any] struct {
+	Key      string // unique in the queue
+	Team     ident.TeamID
+	Queue    ident.QueueID
+	Kind     api.Kind
+	Demand   resource.Vector
+	Priority int // larger first, inside the team
+	Urgent   bool
+	Enqueued time.Time // zero means now
+	Deadline time.Time // zero means none
+	Value    T
+}
+
+// Config configures a Queue.
+type Config struct {
+	PerTeam func(ident.TeamID) int     // most items of the team
+	Share   func(ident.TeamID) float64 // weight of the team, above 0
+	Usage   func(ident.TeamID) float64 // dominant share of the fleet that the team uses now
+	// Total is the capacity of the fleet, which scales the charge of a taken item until Usage contains it.
+	// Without it the charges are scaled by a fleet of 48 hosts.
+	Total     func() resource.Vector
+	Shards    int           // 0 means DefaultShards
+	HoldAfter time.Duration // 0 means DefaultHoldAfter
+	HoldFor   time.Duration // 0 means DefaultHoldFor
+	Now       func() time.Time
+}
+
+// Queue holds the waiting work of all teams. It is safe for concurrent use.
+//
+// Locks are taken in the order nextMu, shard, keys. No lock but nextMu is held while an item is offered.
+type Queue[T any] struct {
+	config Config
+	seed   maphash.Seed
+	shards []shard[T]
+	keys   []keyShard[T]
+
+	nextMu  sync.Mutex
+	order   []*turn[T]        // scratch of Next
+	blocked []resource.Vector // scratch of Next
+	hold    holdState
+	overall rate    // guarded by overallMu
+	shares  float64 // of all teams with items, guarded by overallMu
+
+	overallMu sync.Mutex
+	length    int // guarded by overallMu
+}
+
+type shard[T any] struct {
+	mu     sync.Mutex
+	done   *sync.Cond // signalled when an offered item got its verdict
+	teams  map[ident.TeamID]*team[T]
+	active []*team[T] // teams with items
+	wheel  wheel[T]
+}
+
+type keyShard[T any] struct {
+	mu      sync.Mutex
+	entries map[string]*entry[T]
+}
+
+// New returns an empty queue.
+func New[T any](c Config) (*Queue[T], error) {
+	if c.PerTeam == nil || c.Share == nil || c.Usage == nil || c.Now == nil {
+		return nil, errors.New("queue: PerTeam, Share, Usage and Now must be set")
+	}
+	if c.Shards == 0 {
+		c.Shards = DefaultShards
+	}
+	if c.HoldAfter == 0 {
+		c.HoldAfter = DefaultHoldAfter
+	}
+	if c.HoldFor == 0 {
+		c.HoldFor = DefaultHoldFor
+	}
+	if c.Shards < 0 || c.HoldAfter < 0 || c.HoldFor < 0 {
+		return nil, fmt.Errorf("queue: %d shards, hold after %v for %v: must not be negative", c.Shards, c.HoldAfter, c.HoldFor)
+	}
+	if c.Total == nil {
+		c.Total = func() resource.Vector { return defaultTotal }
+	}
+	q := &Queue[T]{config: c, seed: maphash.MakeSeed()}
+	q.shards = make([]shard[T], c.Shards)
+	q.keys = make([]keyShard[T], c.Shards)
+	for i := range q.shards {
+		s := &q.shards[i]
+		s.done = sync.NewCond(&s.mu)
+		s.teams = map[ident.TeamID]*team[T]{}
+		s.wheel.buckets = map[int64]*entry[T]{}
+		q.keys[i].entries = map[string]*entry[T]{}
+	}
+	return q, nil
+}
+
+func (q *Queue[T]) shard(t ident.TeamID) *shard[T] {
+	return &q.shards[maphash.String(q.seed, string(t))%uint64(len(q.shards))]
+}
+
+func (q *Queue[T]) key(key string) *keyShard[T] {
+	return &q.keys[maphash.String(q.seed, key)%uint64(len(q.keys))]
+}
+
+// Push adds an item. It returns ErrFull, ErrDuplicate or ErrTooLate, wrapped with the figures.
+func (q *Queue[T]) Push(i Item[T]) error { return q.push(i, true) }
+
+// Restore puts back an item that Next gave out and that could not be started after all. The team's bound and the
+// expected wait aren't checked; the item keeps its place by its time of arrival. It may return ErrDuplicate.
+func (q *Queue[T]) Restore(i Item[T]) error { return q.push(i, false) }
+
+func (q *Queue[T]) push(i Item[T], check bool) error {
+	now := q.config.Now()
+	if i.Enqueued.IsZero() {
+		i.Enqueued = now
+	}
+	s := q.shard(i.Team)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.team(i.Team)
+	if check {
+		if bound := q.config.PerTeam(i.Team); t.length >= bound {
+			return fmt.Errorf("%w: %d items of team %s, at most %d allowed", ErrFull, t.length, i.Team, bound)
+		}
+		if !i.Deadline.IsZero() {
+			if wait := q.expectedWait(t, i.Priority, i.Urgent, now); now.Add(wait).After(i.Deadline) {
+				return fmt.Errorf("%w: about %v, the deadline is in %v", ErrTooLate, wait.Round(time.Millisecond), i.Deadline.Sub(now))
+			}
+		}
+	}
+	e := &entry[T]{Item: i, team: t}
+	k := q.key(i.Key)
+	k.mu.Lock()
+	if _, ok := k.entries[i.Key]; ok {
+		k.mu.Unlock()
+		return fmt.Errorf("%w: %s", ErrDuplicate, i.Key)
+	}
+	k.entries[i.Key] = e
+	k.mu.Unlock()
+	s.link(e, now)
+	q.grow(1, now)
+	return nil
+}
+
+// grow changes the total length and starts the overall rate's clock when the first item arrives.
+func (q *Queue[T]) grow(n int, now time.Time) {
+	q.overallMu.Lock()
+	defer q.overallMu.Unlock()
+	if q.length == 0 {
+		q.overall.busyFrom(now)
+	}
+	q.length += n
+	if q.length == 0 {
+		q.overall.idleFrom(now)
+	}
+}
+
+// Remove takes an item out of the queue in constant time. It returns false when the key isn't queued or the item was
+// taken; after true the item is never offered. While the item is being offered it waits for the verdict, so the
+// function given to Next must not call it for the offered key.
+func (q *Queue[T]) Remove(key string) bool {
+	k := q.key(key)
+	k.mu.Lock()
+	e, ok := k.entries[key]
+	k.mu.Unlock()
+	if !ok {
+		return false
+	}
+	s := q.shard(e.Team)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for e.offered {
+		s.done.Wait()
+	}
+	if e.gone {
+		return false
+	}
+	q.drop(s, e)
+	return true
+}
+
+// drop unlinks an entry and forgets its key; the shard is locked.
+func (q *Queue[T]) drop(s *shard[T], e *entry[T]) {
+	now := q.config.Now()
+	s.unlink(e, now)
+	k := q.key(e.Key)
+	k.mu.Lock()
+	delete(k.entries, e.Key)
+	k.mu.Unlock()
+	q.grow(-1, now)
+}
+
+// Expired removes and returns the items whose deadline has passed. It also forgets teams that have been idle.
+func (q *Queue[T]) Expired(now time.Time) []Item[T] {
+	var items []Item[T]
+	for i := range q.shards {
+		s := &q.shards[i]
+		s.mu.Lock()
+		for _, e := range s.wheel.due(now) {
+			if e.offered {
+				s.wheel.rewind(e)
+				continue
+			}
+			q.drop(s, e)
+			items = append(items, e.Item)
+		}
+		s.forgetIdle(now)
+		s.mu.Unlock()
+	}
+	return items
+}
+
+// Len returns the number of items.
+func (q *Queue[T]) Len() int {
+	q.overallMu.Lock()
+	defer q.overallMu.Unlock()
+	return q.length
+}
+
+// Lengths returns the number of items of every team that has some.
+func (q *Queue[T]) Lengths() map[ident.TeamID]int {
+	lengths := map[ident.TeamID]int{}
+	for i := range q.shards {
+		s := &q.shards[i]
+		s.mu.Lock()
+		for _, t := range s.active {
+			lengths[t.id] = t.length
+		}
+		s.mu.Unlock()
+	}
+	return lengths
+}
