--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -115,7 +115,7 @@
 	h, ok := t.hosts.get(id)
 	if !ok {
 		h = &hostRecord{id: id, failures: map[ident.JobID]int{}}
-		if dropped, any := t.hosts.put(id, h); any && dropped.open {
+		if dropped, full := t.hosts.put(id, h); full && dropped.open {
 			t.quarantined--
 		}
 	}
--- a/internal/blame/recent.go
+++ b/internal/blame/recent.go
@@ -42,7 +42,7 @@
 }
 
 // put adds a new key and returns the value that was dropped for it, if any.
-func (r *recent[K, V]) put(key K, value V) (dropped V, any bool) {
+func (r *recent[K, V]) put(key K, value V) (dropped V, full bool) {
 	r.entries[key] = r.order.PushFront(pair[K, V]{key, value})
 	if len(r.entries) <= r.bound {
 		return dropped, false
--- /dev/null
+++ b/internal/placement/host.go
@@ -0,0 +1,322 @@
+package placement
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/backend"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/platform"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/resource"
+)
+
+// host is an owned backend server. What it uses is the sum of its attempts' charges and of the reservations on it.
+type host struct {
+	free     resource.Vector // capacity minus used; negative after the capacity shrank under running work
+	capacity resource.Vector
+	class    class
+	position int // in the list of its class
+	at       int // in the list of its shard
+	leaving  bool
+	info     platform.Host
+	attempts map[ident.AttemptID]*Placed
+	holds    map[*gang]*hold // reservations
+	marked   time.Time       // until then its victims are being preempted
+}
+
+// hold is the room reserved on one host for tasks of a gang.
+type hold struct {
+	demand resource.Vector // per task
+	tasks  int
+}
+
+// charge is what an attempt takes from its host: the declared demand, or what it uses where that is more. Of a
+// throttled one only the allowed part of the CPU counts.
+func (t *Placed) charge() resource.Vector {
+	c := t.Task.Demand.Max(t.Used)
+	if t.Throttled > 0 {
+		c.CPU = min(c.CPU, (t.Task.Demand.CPU*resource.MilliCPU(t.Throttled)+99)/100)
+	}
+	return c
+}
+
+// usage is what a team has on one shard.
+type usage struct {
+	running int
+	used    resource.Vector
+}
+
+// shard is a part of the hosts with their index.
+type shard struct {
+	mu         sync.Mutex
+	hosts      map[ident.HostID]*host
+	list       []*host // the same hosts
+	index      index
+	teams      map[ident.TeamID]*usage
+	capacities map[resource.Vector]int // hosts per capacity, without leaving ones
+	leaving    int
+}
+
+func newShard() *shard {
+	return &shard{
+		hosts: map[ident.HostID]*host{}, teams: map[ident.TeamID]*usage{}, capacities: map[resource.Vector]int{},
+	}
+}
+
+// setFree changes the free capacity and moves the host in the index; the shard is locked.
+func (s *shard) setFree(h *host, free resource.Vector) {
+	h.free = free
+	if h.leaving {
+		return
+	}
+	s.index.update(h)
+}
+
+// account adds n tasks and an amount to a team's usage; the shard is locked.
+func (s *shard) account(team ident.TeamID, n int, amount resource.Vector) {
+	u, ok := s.teams[team]
+	if !ok {
+		u = &usage{}
+		s.teams[team] = u
+	}
+	u.running += n
+	u.used = u.used.Add(amount)
+	if u.running == 0 {
+		delete(s.teams, team)
+	}
+}
+
+// add places an attempt on the host; the shard is locked.
+func (s *shard) add(h *host, t *Placed) {
+	h.attempts[t.Task.Attempt] = t
+	c := t.charge()
+	s.setFree(h, h.free.Sub(c))
+	s.account(t.Task.Team, 1, c)
+}
+
+// remove takes an attempt off the host; the shard is locked.
+func (s *shard) remove(h *host, t *Placed) {
+	delete(h.attempts, t.Task.Attempt)
+	c := t.charge()
+	s.setFree(h, h.free.Add(c))
+	s.account(t.Task.Team, -1, resource.Vector{}.Sub(c))
+}
+
+// recharge applies a change to an attempt that alters its charge; the shard is locked.
+func (s *shard) recharge(h *host, t *Placed, change func(*Placed)) {
+	before := t.charge()
+	change(t)
+	grown := t.charge().Sub(before)
+	if grown.IsZero() {
+		return
+	}
+	s.setFree(h, h.free.Sub(grown))
+	s.account(t.Task.Team, 0, grown)
+}
+
+// setState sets capacity and leaving flag; the shard is locked.
+func (s *shard) setState(h *host, capacity resource.Vector, leaving bool) {
+	used := h.capacity.Sub(h.free)
+	s.forget(h)
+	h.capacity, h.leaving, h.free = capacity, leaving, capacity.Sub(used)
+	s.learn(h)
+}
+
+// learn counts a host and adds it to the index.
+func (s *shard) learn(h *host) {
+	h.class = noClass
+	if h.leaving {
+		s.leaving++
+		return
+	}
+	s.capacities[h.capacity]++
+	s.index.update(h)
+}
+
+// forget undoes learn.
+func (s *shard) forget(h *host) {
+	if h.leaving {
+		s.leaving--
+		return
+	}
+	if s.capacities[h.capacity]--; s.capacities[h.capacity] == 0 {
+		delete(s.capacities, h.capacity)
+	}
+	s.index.remove(h)
+}
+
+// detach removes a host and returns its attempts; the shard is locked.
+func (s *shard) detach(id ident.HostID) (*host, []Placed) {
+	h, ok := s.hosts[id]
+	if !ok {
+		return nil, nil
+	}
+	placed := make([]Placed, 0, len(h.attempts))
+	for _, t := range h.attempts {
+		placed = append(placed, *t)
+		s.account(t.Task.Team, -1, resource.Vector{}.Sub(t.charge()))
+	}
+	s.forget(h)
+	delete(s.hosts, id)
+	end := len(s.list) - 1
+	s.list[h.at] = s.list[end]
+	s.list[h.at].at = h.at
+	s.list[end] = nil
+	s.list = s.list[:end]
+	return h, placed
+}
+
+// Attach replaces everything known of a host by its inventory. Attempts that were placed and aren't in the inventory
+// are forgotten, and so are reservations on the host.
+func (p *Pool) Attach(info platform.Host, inventory backend.Inventory) {
+	p.Detach(info.ID)
+	now := p.config.Now()
+	h := &host{
+		info: info, capacity: inventory.Capacity, free: inventory.Capacity,
+		leaving:  inventory.Leaving || info.State == platform.HostLeaving,
+		attempts: make(map[ident.AttemptID]*Placed, len(inventory.Running)),
+	}
+	s := p.shardOf(info.ID)
+	s.mu.Lock()
+	s.hosts[info.ID] = h
+	h.at = len(s.list)
+	s.list = append(s.list, h)
+	s.learn(h)
+	for _, r := range inventory.Running {
+		t := &Placed{
+			Host: info.ID, Kind: p.config.KindOf(r.Queue), Task: r.Task, Running: true,
+			Since: now.Add(-r.Ran.Duration()),
+		}
+		t.Task.Payload = nil
+		s.add(h, t)
+		p.relocate(t.Task.Attempt, info.ID)
+	}
+	s.mu.Unlock()
+	for _, r := range inventory.Running {
+		p.spreadAdd(p.config.KindOf(r.Queue), r.Job, &info, 1)
+	}
+}
+
+// relocate records the attempt on the host even if it was recorded elsewhere: the inventory is the better source.
+func (p *Pool) relocate(id ident.AttemptID, host ident.HostID) {
+	a := p.attemptShard(id)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.hosts[id] = host
+}
+
+// Detach forgets a host and returns the attempts that were on it.
+func (p *Pool) Detach(id ident.HostID) []Placed {
+	s := p.shardOf(id)
+	s.mu.Lock()
+	h, placed := s.detach(id)
+	s.mu.Unlock()
+	if h == nil {
+		return nil
+	}
+	for i := range placed {
+		p.disclaim(placed[i].Task.Attempt, id)
+		p.spreadAdd(placed[i].Kind, placed[i].Task.Job, &h.info, -1)
+	}
+	return placed
+}
+
+// Update sets the capacity and the leaving flag of a host. A leaving host takes no new work. A capacity below what is
+// used leaves the work in place; nothing more fits until enough of it has ended.
+func (p *Pool) Update(id ident.HostID, capacity resource.Vector, leaving bool) {
+	s := p.shardOf(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if h, ok := s.hosts[id]; ok && (h.capacity != capacity || h.leaving != leaving) {
+		s.setState(h, capacity, leaving)
+	}
+}
+
+// Usage records what attempts really use. What exceeds the declaration counts against the host until the attempt
+// ends, also when a later report is lower.
+func (p *Pool) Usage(id ident.HostID, reports []backend.Usage) {
+	s := p.shardOf(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h, ok := s.hosts[id]
+	if !ok {
+		return
+	}
+	for _, r := range reports {
+		if t, ok := h.attempts[r.Attempt]; ok {
+			s.recharge(h, t, func(t *Placed) { t.Used = t.Used.Max(r.Used) })
+		}
+	}
+}
+
+// Throttled records that an attempt may use percent of its demanded CPU; 100 ends the throttling.
+func (p *Pool) Throttled(id ident.HostID, attempt ident.AttemptID, percent int) {
+	s := p.shardOf(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h, ok := s.hosts[id]
+	if !ok {
+		return
+	}
+	if t, ok := h.attempts[attempt]; ok && percent > 0 {
+		s.recharge(h, t, func(t *Placed) {
+			if t.Throttled = percent; percent >= 100 {
+				t.Throttled = 0
+			}
+		})
+	}
+}
+
+// Release frees the room of an attempt that ended or was never started. It returns false when it isn't there.
+func (p *Pool) Release(id ident.HostID, attempt ident.AttemptID) bool {
+	s := p.shardOf(id)
+	s.mu.Lock()
+	h, ok := s.hosts[id]
+	if !ok {
+		s.mu.Unlock()
+		return false
+	}
+	t, ok := h.attempts[attempt]
+	if ok {
+		s.remove(h, t)
+	}
+	s.mu.Unlock()
+	if !ok {
+		return false
+	}
+	p.disclaim(attempt, id)
+	p.spreadAdd(t.Kind, t.Task.Job, &h.info, -1)
+	return true
+}
+
+// Running records that the host confirmed the start. It returns false when the attempt isn't there.
+func (p *Pool) Running(id ident.HostID, attempt ident.AttemptID) bool {
+	s := p.shardOf(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h, ok := s.hosts[id]
+	if !ok {
+		return false
+	}
+	t, ok := h.attempts[attempt]
+	if ok {
+		t.Running = true
+	}
+	return ok
+}
+
+// Attempts returns the attempts on a host.
+func (p *Pool) Attempts(id ident.HostID) []Placed {
+	s := p.shardOf(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h, ok := s.hosts[id]
+	if !ok {
+		return nil
+	}
+	placed := make([]Placed, 0, len(h.attempts))
+	for _, t := range h.attempts {
+		placed = append(placed, *t)
+	}
+	return placed
+}
--- /dev/null
+++ b/internal/placement/pick.go
@@ -0,0 +1,265 @@
+package placement
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/resource"
+)
+
+// Bounds of one search. They keep the cost of a choice independent of the number of hosts.
+const (
+	perGroup      = 4  // candidates per class and shard
+	perShard      = 12 // candidates per shard
+	perShardQuick = 3  // the same for requests, which take a quick fit
+	pickAttempts  = 3  // searches over all shards before the first fit is taken
+)
+
+// quarantineAge is the longest age of the number of quarantined hosts in a NoRoomError. It is counted by a scan.
+const quarantineAge = time.Second
+
+// score orders candidates, smaller is better. The fields are compared in order.
+type score [4]float64
+
+func (a score) less(b score) bool {
+	for i := range a {
+		if a[i] != b[i] {
+			return a[i] < b[i]
+		}
+	}
+	return false
+}
+
+var worst = score{math.Inf(1)}
+
+// choice is a search for one task.
+type choice struct {
+	request *Request
+	spread  *spread // of the job; nil when the kind doesn't use it
+	bounds  search
+	best    *host
+	shard   *shard
+	score   score
+}
+
+// Pick chooses a host for a task and reserves the room. It returns a *NoRoomError, or ErrDuplicate. The placed task
+// has the request's payload.
+//
+// Services go where the job has the fewest tasks on the rack, the host and the data centre; batch work goes where the
+// least is left over; requests go to the least loaded of a few hosts; single tasks of all-at-once jobs go to the racks
+// that have most of the job. A few candidates per class of free capacity are compared; all hosts that the index
+// doesn't rule out are searched only when none of them has room.
+func (p *Pool) Pick(r Request) (Placed, error) {
+	if r.Demand.Negative() {
+		return Placed{}, fmt.Errorf("demand %v is negative", r.Demand)
+	}
+	if r.Kind == api.KindService || r.Kind == api.KindAllAtOnce {
+		ss := p.spreadShard(r.Job)
+		ss.mu.Lock()
+		defer ss.mu.Unlock()
+		placed, info, err := p.pick(&r, ss.jobs[r.Job])
+		if err == nil {
+			ss.add(r.Job, info, 1)
+		}
+		return placed, err
+	}
+	placed, _, err := p.pick(&r, nil)
+	return placed, err
+}
+
+func (p *Pool) pick(r *Request, job *spread) (Placed, *place, error) {
+	for range pickAttempts {
+		c := p.choose(r, job, false)
+		if c.best == nil {
+			break
+		}
+		if placed, ok, err := p.reserve(c.shard, c.best, r); ok || err != nil {
+			return placed, placeOf(&c.best.info), err
+		}
+	}
+	// Either the bounded search found nothing, or other choices took the room each time.
+	for {
+		c := p.choose(r, job, true)
+		if c.best == nil {
+			return Placed{}, nil, p.noRoom(r.Demand)
+		}
+		if placed, ok, err := p.reserve(c.shard, c.best, r); ok || err != nil {
+			return placed, placeOf(&c.best.info), err
+		}
+	}
+}
+
+// choose searches all shards, each under its lock, and keeps the best candidate. With full it takes the first shard
+// that has one and doesn't bound the search inside a group.
+func (p *Pool) choose(r *Request, job *spread, full bool) *choice {
+	start := p.next()
+	c := &choice{request: r, spread: job, score: worst, bounds: boundsOf(r)}
+	c.bounds.start = start >> 16
+	if full {
+		c.bounds.perGroup = 0
+	}
+	for i := range p.shards {
+		s := p.shards[(start+uint64(i))%uint64(len(p.shards))]
+		s.mu.Lock()
+		c.search(p, s)
+		s.mu.Unlock()
+		if full && c.best != nil {
+			break
+		}
+	}
+	return c
+}
+
+func boundsOf(r *Request) search {
+	q := search{demand: r.Demand, perGroup: perGroup, total: perShard}
+	switch r.Kind {
+	case api.KindRequest:
+		q.roomy = true
+		q.total = perShardQuick
+	case api.KindService:
+		q.roomy = true
+		q.perGroup = perShard
+	}
+	return q
+}
+
+// search compares the shard's candidates with the best one so far; the shard is locked.
+func (c *choice) search(p *Pool, s *shard) {
+	c.bounds.visit(&s.index, func(h *host) bool {
+		if slices.Contains(c.request.Avoid, h.info.ID) || p.config.Blocked(h.info.ID) != "" {
+			return false
+		}
+		if v := c.rate(h); v.less(c.score) {
+			c.best, c.shard, c.score = h, s, v
+		}
+		return true
+	})
+}
+
+func (q search) visit(x *index, accept func(*host) bool) { x.find(q, accept) }
+
+// rate returns the score of a host with room.
+func (c *choice) rate(h *host) score {
+	r := c.request
+	gpus := 0.0 // GPUs that work without GPUs would keep company
+	if r.Demand.GPUs == 0 && h.capacity.GPUs > 0 {
+		gpus = 1 + float64(h.free.GPUs)
+	}
+	left := h.free.Sub(r.Demand).DominantShare(h.capacity)
+	switch r.Kind {
+	case api.KindService:
+		rack, dc := c.spread.counts(&h.info)
+		return score{gpus, float64(rack)*1024 + float64(h.tasksOf(r.Job)), float64(dc), -left}
+	case api.KindRequest:
+		return score{gpus, h.capacity.Sub(h.free).Add(r.Demand).DominantShare(h.capacity)}
+	case api.KindAllAtOnce:
+		rack, _ := c.spread.counts(&h.info)
+		return score{gpus, -float64(rack), left}
+	}
+	return score{gpus, left}
+}
+
+// tasksOf returns the number of the job's tasks on the host.
+func (h *host) tasksOf(job ident.JobID) int {
+	n := 0
+	for _, t := range h.attempts {
+		if t.Task.Job == job {
+			n++
+		}
+	}
+	return n
+}
+
+// reserve places the task on the host if it is still there, takes work and has room.
+func (p *Pool) reserve(s *shard, h *host, r *Request) (placed Placed, ok bool, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.hosts[h.info.ID] != h || h.leaving || !r.Demand.Fits(h.free) {
+		return Placed{}, false, nil
+	}
+	if !p.claim(r.Attempt, h.info.ID) {
+		return Placed{}, false, fmt.Errorf("%w: %s", ErrDuplicate, r.Attempt)
+	}
+	t := &Placed{Host: h.info.ID, Kind: r.Kind, Urgent: r.Urgent, Task: r.task(), Since: p.config.Now()}
+	placed = *t
+	t.Task.Payload = nil
+	s.add(h, t)
+	return placed, true, nil
+}
+
+// noRoom counts why no host has room.
+func (p *Pool) noRoom(demand resource.Vector) *NoRoomError {
+	e := &NoRoomError{Quarantined: p.countQuarantined()}
+	hosts, enough := 0, 0
+	for _, s := range p.shards {
+		s.mu.Lock()
+		hosts += len(s.hosts)
+		e.Leaving += s.leaving
+		for capacity, n := range s.capacities {
+			if demand.Fits(capacity) {
+				enough += n
+			} else {
+				e.TooSmall += n
+			}
+		}
+		s.mu.Unlock()
+	}
+	e.Full = max(enough-e.Quarantined, 0)
+	switch {
+	case hosts == 0:
+		e.Reason = NoHosts
+	case e.TooSmall == hosts:
+		e.Reason = TooLarge
+	default:
+		e.Reason = AllFull
+	}
+	return e
+}
+
+// countQuarantined returns the number of hosts that are blocked and not leaving, at most quarantineAge old.
+func (p *Pool) countQuarantined() int {
+	now := p.config.Now()
+	p.quarantineMu.Lock()
+	defer p.quarantineMu.Unlock()
+	if now.Before(p.quarantineUntil) {
+		return p.quarantined
+	}
+	n := 0
+	for _, s := range p.shards {
+		s.mu.Lock()
+		for id, h := range s.hosts {
+			if !h.leaving && p.config.Blocked(id) != "" {
+				n++
+			}
+		}
+		s.mu.Unlock()
+	}
+	p.quarantined, p.quarantineUntil = n, now.Add(quarantineAge)
+	return n
+}
+
+// CouldFit reports whether a host that isn't leaving has the capacity for the demand when empty, and if not, why.
+func (p *Pool) CouldFit(demand resource.Vector) (bool, string) {
+	hosts := 0
+	var largest resource.Vector
+	for _, s := range p.shards {
+		s.mu.Lock()
+		for capacity, n := range s.capacities {
+			if demand.Fits(capacity) {
+				s.mu.Unlock()
+				return true, ""
+			}
+			hosts += n
+			largest = largest.Max(capacity)
+		}
+		s.mu.Unlock()
+	}
+	if hosts == 0 {
+		return false, string(NoHosts)
+	}
+	return false, fmt.Sprintf("%s: demand %v, at most %v on %d backend servers", TooLarge, demand, largest, hosts)
+}
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,90 @@
+package placement
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/backend"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/platform"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/resource"
+)
+
+var (
+	cpuHost = resource.Vector{CPU: resource.Cores(16), Memory: resource.Gigabytes(32), Slots: 8, Connections: 64}
+	gpuHost = resource.Vector{CPU: resource.Cores(64), Memory: resource.Gigabytes(128), GPUs: 8, Slots: 8, Connections: 64}
+	small   = resource.Vector{CPU: resource.Cores(2), Memory: resource.Gigabytes(2), Slots: 1, Connections: 1}
+)
+
+// fixture is a pool with a clock and quarantines that the test sets.
+type fixture struct {
+	now     time.Time
+	blocked map[ident.HostID]string
+	*Pool
+}
+
+func newFixture(tb testing.TB) *fixture {
+	tb.Helper()
+	f := &fixture{now: time.Unix(1_000_000, 0), blocked: map[ident.HostID]string{}}
+	p, err := New(Config{
+		Blocked: func(h ident.HostID) string { return f.blocked[h] },
+		KindOf:  func(q ident.QueueID) api.Kind { return api.Kind(q) },
+		Seed:    1,
+		Now:     func() time.Time { return f.now },
+	})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	f.Pool = p
+	return f
+}
+
+func hostID(i int) ident.HostID { return ident.HostID(fmt.Sprintf("host-%04d", i)) }
+
+// info puts five hosts on a rack and racks in turn in three data centres.
+func info(i int) platform.Host {
+	return platform.Host{
+		ID: hostID(i), Region: "r", DataCentre: ident.DataCentre(fmt.Sprintf("dc-%d", i/5%3)),
+		Rack: ident.Rack(fmt.Sprintf("rack-%d", i/5)), State: platform.HostLive,
+	}
+}
+
+// fleet attaches n hosts, of which every fourth has GPUs.
+func (f *fixture) fleet(n int) {
+	for i := range n {
+		capacity := cpuHost
+		if i%4 == 3 {
+			capacity = gpuHost
+		}
+		f.Attach(info(i), backend.Inventory{Capacity: capacity})
+	}
+}
+
+func request(i int, kind api.Kind, demand resource.Vector) Request {
+	return Request{
+		Attempt: ident.AttemptID(fmt.Sprintf("attempt-%d", i)), Job: "job", Index: i, Team: "team",
+		Queue: ident.QueueID(kind), Kind: kind, Demand: demand,
+	}
+}
+
+func TestPickFillsTheFleet(t *testing.T) {
+	for _, kind := range []api.Kind{api.KindRequest, api.KindService, api.KindBatch, api.KindAllAtOnce} {
+		t.Run(string(kind), func(t *testing.T) {
+			f := newFixture(t)
+			f.fleet(48)
+			for i := range 48 * 8 {
+				if _, err := f.Pick(request(i, kind, small)); err != nil {
+					t.Fatalf("task %d of %d: %v", i, 48*8, err)
+				}
+			}
+			_, err := f.Pick(request(-1, kind, small))
+			var full *NoRoomError
+			if !errors.As(err, &full) || full.Reason != AllFull || full.Full != 48 {
+				t.Fatalf("got %v, want a full fleet", err)
+			}
+		})
+	}
+}
