--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -33,16 +33,21 @@
 	ErrDuplicate = errors.New("attempt is already known")
 	// ErrUnsupported reports that the task can't be checkpointed or throttled.
 	ErrUnsupported = errors.New("operation isn't supported by the task")
+	// ErrRefused reports that the backend server refused the call for another reason; it had no effect.
+	ErrRefused = errors.New("backend server refused the call")
 	// ErrUnreachable reports that the connection could not be made; the call had no effect.
 	ErrUnreachable = errors.New("backend server unreachable")
 	// ErrUnknownOutcome reports that the reply was lost; the call may have taken effect.
 	ErrUnknownOutcome = errors.New("outcome of the backend call is unknown")
 )
 
-// Fence identifies the commanding owner; commands below the highest accepted epoch are refused.
+// Fence identifies the commanding owner; commands below the highest accepted epoch are refused. A command with the
+// number of an earlier attach is refused too: a start that waited in a paused server's socket must not take effect
+// after its owner saw the lease lapse, attached again at the same epoch and restarted the task elsewhere.
 type Fence struct {
-	Epoch ident.Epoch    `json:"epoch"`
-	Owner ident.MemberID `json:"owner"`
+	Epoch  ident.Epoch    `json:"epoch"`
+	Owner  ident.MemberID `json:"owner"`
+	Attach uint64         `json:"attach,omitempty"` // grows with every attach of the owner
 }
 
 // Task is a start command's description of one attempt.
@@ -112,8 +117,9 @@
 	Boot     string          `json:"boot"` // changes when the server restarts
 	Capacity resource.Vector `json:"capacity"`
 	Leaving  bool            `json:"leaving"`
-	Running  []Running       `json:"running,omitempty"`
+	Running  []Running       `json:"running,omitempty"` // without payloads
 	Finished []Result        `json:"finished,omitempty"`
+	Cursor   uint64          `json:"cursor,omitempty"` // number of the last finished attempt listed
 }
 
 // Usage is a lagging report of what an attempt really uses.
@@ -127,17 +133,20 @@
 	Fence
 	Lease       Millis            `json:"lease-ms"`
 	Wait        Millis            `json:"wait-ms"`
+	After       uint64            `json:"after,omitempty"` // cursor of the last reply received
 	Acknowledge []ident.AttemptID `json:"acknowledge,omitempty"`
 	Caretaker   bool              `json:"caretaker,omitempty"`
 }
 
-// PollReply carries what changed since the last poll.
+// PollReply carries the finished attempts after the request's cursor and what changed since the last poll. Attempts
+// that aren't acknowledged are sent again only when the cursor shows that a reply was lost, or at an attach.
 type PollReply struct {
 	Boot     string          `json:"boot"`
 	Capacity resource.Vector `json:"capacity"`
 	Leaving  bool            `json:"leaving"`
 	Finished []Result        `json:"finished,omitempty"`
 	Usage    []Usage         `json:"usage,omitempty"`
+	Cursor   uint64          `json:"cursor,omitempty"` // number of the last finished attempt listed
 }
 
 // StopState says what a stop found.
--- /dev/null
+++ b/internal/standin/worker/commands.go
@@ -0,0 +1,242 @@
+package worker
+
+import (
+	"context"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/backend"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/resource"
+)
+
+// staleLocked reports whether the fence is below the accepted one.
+func (w *Worker) staleLocked(f backend.Fence) bool {
+	c := w.fence
+	return f.Epoch < c.Epoch || f.Epoch == c.Epoch && (f.Owner != c.Owner || f.Attach < c.Attach)
+}
+
+// commandLocked checks the fence of a command and, when it needs one, the lease.
+func (w *Worker) commandLocked(f backend.Fence, lease bool) error {
+	w.expireLocked()
+	if w.staleLocked(f) {
+		return backend.StaleEpoch{Current: w.fence}
+	}
+	if f != w.fence || lease && w.leaseEnd.IsZero() {
+		return backend.ErrLeaseLapsed
+	}
+	return nil
+}
+
+func (w *Worker) attach(f backend.Fence, lease backend.Millis) (backend.Inventory, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.expireLocked()
+	switch {
+	case lease <= 0 || f.Owner == "" || f.Epoch == 0:
+		return backend.Inventory{}, backend.ErrRefused
+	case w.staleLocked(f) && !w.faults.fenceIgnored():
+		return backend.Inventory{}, backend.StaleEpoch{Current: w.fence}
+	}
+	w.fence = f
+	w.renewLocked(lease.Duration())
+	w.wakeLocked() // ends the polls of the previous owner
+	inventory := backend.Inventory{Boot: w.boot, Capacity: w.capacity, Leaving: w.leaving}
+	for _, r := range w.running {
+		r.reported = false
+		t := r.task
+		t.Payload = nil
+		inventory.Running = append(inventory.Running, backend.Running{
+			Task: t, Throttled: r.percent < fullShare, Ran: backend.ToMillis(w.config.Now().Sub(r.started)),
+		})
+	}
+	inventory.Finished, inventory.Cursor = w.newsLocked(0)
+	w.told = w.state
+	return inventory, nil
+}
+
+// poll renews the lease at once, and answers when there is news, after the wait, or when ctx ends.
+func (w *Worker) poll(ctx context.Context, r backend.PollRequest) (backend.PollReply, error) {
+	if r.Lease <= 0 || r.Wait < 0 {
+		return backend.PollReply{}, backend.ErrRefused
+	}
+	timeout := make(chan struct{})
+	stop := w.config.AfterFunc(r.Wait.Duration(), func() { close(timeout) })
+	defer stop()
+	waited := r.Wait == 0
+	for first := true; ; first = false {
+		w.mu.Lock()
+		if err := w.pollLocked(r, first); err != nil {
+			w.mu.Unlock()
+			return backend.PollReply{}, err
+		}
+		if waited || w.told != w.state || w.newsAfterLocked(r.After) {
+			reply := w.replyLocked(r)
+			w.mu.Unlock()
+			return reply, nil
+		}
+		wake := w.wake
+		w.mu.Unlock()
+		select {
+		case <-wake:
+		case <-timeout:
+			waited = true
+		case <-ctx.Done():
+			return backend.PollReply{}, backend.ErrUnknownOutcome
+		}
+	}
+}
+
+// pollLocked checks a poll's fence; the first time it also takes the acknowledgements and renews the lease.
+func (w *Worker) pollLocked(r backend.PollRequest, first bool) error {
+	w.expireLocked()
+	switch {
+	case w.fence.Epoch == 0:
+		return backend.ErrLeaseLapsed
+	case r.Caretaker && r.Epoch != w.fence.Epoch:
+		return backend.StaleEpoch{Current: w.fence}
+	case !r.Caretaker:
+		if err := w.commandLocked(r.Fence, true); err != nil {
+			return err
+		}
+	}
+	if !first {
+		return nil
+	}
+	w.acknowledgeLocked(r.Acknowledge)
+	// A caretaker may still collect results after the lease lapsed, but it can't bring back the lease.
+	if !w.leaseEnd.IsZero() && w.config.Now().Add(r.Lease.Duration()).After(w.leaseEnd) {
+		w.renewLocked(r.Lease.Duration())
+	}
+	return nil
+}
+
+func (w *Worker) replyLocked(r backend.PollRequest) backend.PollReply {
+	reply := backend.PollReply{Boot: w.boot, Capacity: w.capacity, Leaving: w.leaving, Cursor: r.After}
+	if finished, cursor := w.newsLocked(r.After); len(finished) > 0 {
+		reply.Finished, reply.Cursor = finished, cursor
+	}
+	if r.Caretaker {
+		return reply
+	}
+	reply.Usage = w.usageLocked()
+	w.told = w.state
+	return reply
+}
+
+func (w *Worker) start(f backend.Fence, t backend.Task) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := w.commandLocked(f, true); err != nil {
+		if !w.faults.fenceIgnored() {
+			return err
+		}
+		w.config.Ledger.stale(w.config.Host, t.Attempt, f, w.fence)
+	}
+	if _, ok := w.running[t.Attempt]; ok {
+		return backend.ErrDuplicate
+	}
+	if e, ok := w.known[t.Attempt]; ok {
+		if e.state == backend.StopNeverStarted {
+			return backend.ErrStopped
+		}
+		return backend.ErrDuplicate
+	}
+	if w.leaving {
+		return backend.ErrLeaving
+	}
+	w.runLocked(t)
+	return nil
+}
+
+func (w *Worker) stop(f backend.Fence, attempt ident.AttemptID) (backend.StopState, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := w.commandLocked(f, false); err != nil {
+		return "", err
+	}
+	if _, ok := w.running[attempt]; ok {
+		w.finishLocked(attempt, backend.ExitStopped, nil, "stopped by its owner")
+		return backend.StopStopped, nil
+	}
+	if e, ok := w.known[attempt]; ok {
+		return e.state, nil
+	}
+	w.rememberLocked(attempt, backend.StopNeverStarted)
+	return backend.StopNeverStarted, nil
+}
+
+func (w *Worker) checkpoint(f backend.Fence, attempt ident.AttemptID) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := w.commandLocked(f, true); err != nil {
+		return err
+	}
+	r, ok := w.running[attempt]
+	if !ok {
+		return backend.ErrRefused
+	}
+	if w.config.Unsupported(r.task) {
+		return backend.ErrUnsupported
+	}
+	w.finishLocked(attempt, backend.ExitCheckpointed, nil, "checkpointed")
+	return nil
+}
+
+func (w *Worker) throttle(f backend.Fence, attempt ident.AttemptID, percent int) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := w.commandLocked(f, true); err != nil {
+		return err
+	}
+	r, ok := w.running[attempt]
+	if !ok || percent < 1 || percent > fullShare {
+		return backend.ErrRefused
+	}
+	if w.config.Unsupported(r.task) {
+		return backend.ErrUnsupported
+	}
+	r.percent, r.reported = percent, false
+	return nil
+}
+
+// usageLocked returns the reports that are due and weren't sent yet.
+func (w *Worker) usageLocked() []backend.Usage {
+	var due []backend.Usage
+	for attempt, r := range w.running {
+		if r.reported || w.config.Now().Sub(r.started) < w.config.UsageLag {
+			continue
+		}
+		r.reported = true
+		due = append(due, backend.Usage{
+			Attempt: attempt, Used: scale(r.task.Demand, w.config.UsageFactor*float64(r.percent)/fullShare),
+		})
+	}
+	return due
+}
+
+// scale multiplies the amounts that a task can exceed or be throttled in; slots, connections and GPUs are fixed.
+func scale(v resource.Vector, factor float64) resource.Vector {
+	v.CPU = resource.MilliCPU(float64(v.CPU) * factor)
+	v.Memory = resource.Megabytes(float64(v.Memory) * factor)
+	return v
+}
+
+// call runs a command of the in-process server apart from its caller: as over a network, the command takes effect
+// although the caller gave up, and the caller learns nothing of it.
+func call[T any](ctx context.Context, command func() (T, error)) (T, error) {
+	type outcome struct {
+		value T
+		err   error
+	}
+	done := make(chan outcome, 1)
+	go func() {
+		value, err := command()
+		done <- outcome{value, err}
+	}()
+	select {
+	case o := <-done:
+		return o.value, o.err
+	case <-ctx.Done():
+		var zero T
+		return zero, backend.ErrUnknownOutcome
+	}
+}
--- /dev/null
+++ b/internal/standin/worker/task.go
@@ -0,0 +1,116 @@
+package worker
+
+import (
+	"github.com/rosemaryspoke/rosemaryspoke/internal/backend"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/resource"
+)
+
+// fullShare is the throttle of a task that isn't throttled, in percent.
+const fullShare = 100
+
+// runLocked begins an attempt, whatever the capacity allows.
+func (w *Worker) runLocked(t backend.Task) {
+	now := w.config.Now()
+	r := &running{task: t, started: now, percent: fullShare, run: len(w.runs), stop: func() bool { return true }}
+	w.runs = append(w.runs, Run{Attempt: t.Attempt, Job: t.Job, Index: t.Index, Request: t.Request, Started: now})
+	w.running[t.Attempt] = r
+	w.config.Ledger.start(w.config.Host, t)
+	var used resource.Vector
+	for _, other := range w.running {
+		used = used.Add(other.task.Demand)
+	}
+	if !used.Fits(w.capacity) {
+		w.config.Ledger.overcommit(w.config.Host, t.Attempt, used, w.capacity)
+	}
+	if t.RunTime > 0 {
+		r.stop = w.config.AfterFunc(t.RunTime.Duration(), func() { w.complete(t) })
+	} else if w.faults.taskFails(t.Job) {
+		r.stop = w.config.AfterFunc(0, func() { w.complete(t) })
+	}
+}
+
+// complete ends an attempt whose run time is over, with the handler's answer or the failure that a fault asks for.
+func (w *Worker) complete(t backend.Task) {
+	w.faults.waitPaused()
+	exit, message := backend.ExitSucceeded, ""
+	var answer []byte
+	if w.faults.taskFails(t.Job) {
+		exit, message = backend.ExitFailed, "failed by fault injection"
+	} else {
+		var err error
+		if answer, err = w.config.Handler(t); err != nil {
+			exit, message = backend.ExitFailed, err.Error()
+		}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.expireLocked()
+	w.finishLocked(t.Attempt, exit, answer, message)
+}
+
+// finishLocked moves a running attempt to the results; it does nothing when the attempt ended before.
+func (w *Worker) finishLocked(attempt ident.AttemptID, exit backend.ExitState, answer []byte, message string) {
+	r, ok := w.running[attempt]
+	if !ok {
+		return
+	}
+	r.stop()
+	delete(w.running, attempt)
+	w.config.Ledger.end(r.task)
+	w.runs[r.run].Exit = exit
+	t := r.task
+	w.sequence++
+	w.finished = append(w.finished, finished{sequence: w.sequence, result: backend.Result{
+		Attempt: t.Attempt, Job: t.Job, Index: t.Index, Team: t.Team, Queue: t.Queue, Request: t.Request, Origin: t.Origin,
+		Exit: exit, Answer: answer, Length: len(answer), Checksum: backend.Checksum(answer), Message: message,
+		Ran: backend.ToMillis(w.config.Now().Sub(r.started)),
+	}})
+	state := backend.StopFinished
+	if exit == backend.ExitStopped || exit == backend.ExitLeaseLapsed {
+		state = backend.StopStopped
+	}
+	w.rememberLocked(attempt, state)
+	w.wakeLocked()
+}
+
+// newsAfterLocked reports whether there are results after the cursor.
+func (w *Worker) newsAfterLocked(after uint64) bool {
+	return len(w.finished) > 0 && w.finished[len(w.finished)-1].sequence > after
+}
+
+// newsLocked returns the results after the cursor, within replyAnswerBytes, and the cursor behind the last one.
+func (w *Worker) newsLocked(after uint64) ([]backend.Result, uint64) {
+	var results []backend.Result
+	size := 0
+	for _, f := range w.finished {
+		if f.sequence <= after {
+			continue
+		}
+		size += len(f.result.Answer)
+		if len(results) > 0 && size > replyAnswerBytes {
+			break
+		}
+		results = append(results, f.result)
+		after = f.sequence
+	}
+	return results, after
+}
+
+// acknowledgeLocked drops results that their origin has.
+func (w *Worker) acknowledgeLocked(attempts []ident.AttemptID) {
+	if len(attempts) == 0 {
+		return
+	}
+	gone := make(map[ident.AttemptID]bool, len(attempts))
+	for _, attempt := range attempts {
+		gone[attempt] = true
+	}
+	kept := w.finished[:0:0]
+	for _, f := range w.finished {
+		if !gone[f.result.Attempt] {
+			kept = append(kept, f)
+		}
+	}
+	w.finished = kept
+}
