Add the ownership table of backend servers

Cause: each backend server needs one owner that renews its lease, fences others off and learns what runs there. Renewals are paced by the number of polled hosts. A lapse is reported only when no own, earlier or caretaker lease can be left and the store has been healthy, because otherwise another owner may keep the tasks running unseen.

--- /dev/null
+++ b/internal/ownership/caretaker.go
@@ -0,0 +1,112 @@
+package ownership
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/member"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+const (
+	// suspectProbes is the number of failed probes in a row after which a member counts as dead; one may be lost.
+	suspectProbes = 2
+	// probeTimeout is far above a round trip between regions, 16 ms.
+	probeTimeout = time.Second
+)
+
+// care polls a backend server whose owner is dead while the store is down: it renews the lease under the server's
+// present epoch and collects results.
+func (t *Table) care(ctx context.Context, e *entry) error {
+	e.lock.Lock()
+	if e.fence.Epoch == 0 {
+		e.fence.Epoch = t.config.View().Epoch // a refusal names the epoch in force
+	}
+	e.fence.Owner = t.config.Self().ID
+	e.lock.Unlock()
+	callCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	request := t.request(e, cancel)
+	reply, err := t.send(callCtx, e, request)
+	e.lock.Lock()
+	e.interrupt = nil
+	e.lock.Unlock()
+	if err != nil && callCtx.Err() != nil && ctx.Err() == nil {
+		return nil
+	}
+	if err != nil {
+		return fmt.Errorf("poll %s as caretaker: %w", e.id, err)
+	}
+	t.acknowledged(e, request.Acknowledge, reply)
+	t.finished(e, reply.Finished)
+	return nil
+}
+
+// watchOwners probes the other members while the store is down, because then no dead member leaves the view.
+func (t *Table) watchOwners(ctx context.Context) error {
+	ticker := time.NewTicker(t.config.HostsInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+		var failed map[ident.MemberID]bool
+		if !t.config.StoreHealthy() {
+			failed = t.probeAll(ctx)
+		}
+		t.setFailed(failed)
+	}
+}
+
+// probeAll returns which of the other members don't answer.
+func (t *Table) probeAll(ctx context.Context) map[ident.MemberID]bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	self := t.config.Self().ID
+	failed := map[ident.MemberID]bool{}
+	var mu sync.Mutex
+	var probes sync.WaitGroup
+	for _, m := range t.config.View().Filter(member.Active, member.Unreachable) {
+		if m.ID == self {
+			continue
+		}
+		probes.Go(func() {
+			err := t.config.Probe(ctx, m.ID)
+			mu.Lock()
+			defer mu.Unlock()
+			failed[m.ID] = err != nil
+		})
+	}
+	probes.Wait()
+	return failed
+}
+
+// setFailed counts the failed probes in a row of each member; nil means that the store is healthy and nobody is
+// suspected.
+func (t *Table) setFailed(failed map[ident.MemberID]bool) {
+	now := t.config.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if failed != nil {
+		t.unhealthy = now
+	}
+	next := map[ident.MemberID]int{}
+	changed := false
+	for id, down := range failed {
+		if down {
+			next[id] = t.suspects[id] + 1
+		}
+		changed = changed || next[id] == suspectProbes || !down && t.suspects[id] >= suspectProbes
+	}
+	for id, count := range t.suspects {
+		changed = changed || count >= suspectProbes && next[id] == 0
+	}
+	t.suspects = next
+	if changed {
+		t.ViewChanged()
+	}
+}
--- /dev/null
+++ b/internal/ownership/command.go
@@ -0,0 +1,200 @@
+package ownership
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/backend"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+// fenced returns the entry of an attached host and the fence for a command.
+func (t *Table) fenced(host ident.HostID) (*entry, backend.Fence, error) {
+	s := t.shard(host)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.entries[host]
+	if e == nil || !e.attached {
+		return nil, backend.Fence{}, fmt.Errorf("%s: %w", host, ErrNotOwner)
+	}
+	return e, e.fence, nil
+}
+
+// startable returns the entry of a host that may take new work. ErrNotOwner, backend.ErrLeaving and
+// backend.ErrLeaseLapsed mean that nothing was sent.
+func (t *Table) startable(host ident.HostID) (*entry, backend.Fence, error) {
+	e, fence, err := t.fenced(host)
+	if err != nil {
+		return nil, fence, err
+	}
+	now := t.config.Now()
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	switch {
+	case e.leaving || e.listLeaving:
+		return nil, fence, fmt.Errorf("%s: %w", host, backend.ErrLeaving)
+	case !now.Before(e.validUntil):
+		return nil, fence, fmt.Errorf("%s: %w", host, backend.ErrLeaseLapsed)
+	}
+	return e, fence, nil
+}
+
+// Start sends the attempt to an owned backend server. The task certainly doesn't run after any error but
+// backend.ErrUnknownOutcome, which a Stop resolves, and backend.ErrDuplicate. It isn't retried here: after a restart
+// of the backend server a repeated start would run the attempt a second time.
+func (t *Table) Start(ctx context.Context, host ident.HostID, task backend.Task) error {
+	e, fence, err := t.startable(host)
+	if err != nil {
+		return err
+	}
+	return t.note(e, fence, e.server.Start(ctx, fence, task))
+}
+
+// Stop ends an attempt; backend.StopNeverStarted says that it never ran and never will.
+func (t *Table) Stop(ctx context.Context, host ident.HostID, attempt ident.AttemptID) (backend.StopState, error) {
+	e, fence, err := t.fenced(host)
+	if err != nil {
+		return "", err
+	}
+	state, err := e.server.Stop(ctx, fence, attempt)
+	return state, t.note(e, fence, err)
+}
+
+// Checkpoint saves and ends an attempt, or returns backend.ErrUnsupported.
+func (t *Table) Checkpoint(ctx context.Context, host ident.HostID, attempt ident.AttemptID) error {
+	e, fence, err := t.fenced(host)
+	if err != nil {
+		return err
+	}
+	return t.note(e, fence, e.server.Checkpoint(ctx, fence, attempt))
+}
+
+// Throttle limits an attempt to a share of its demand in percent, or returns backend.ErrUnsupported.
+func (t *Table) Throttle(ctx context.Context, host ident.HostID, attempt ident.AttemptID, percent int) error {
+	e, fence, err := t.fenced(host)
+	if err != nil {
+		return err
+	}
+	return t.note(e, fence, e.server.Throttle(ctx, fence, attempt, percent))
+}
+
+// note draws the conclusions from a command's refusal: a leaving server gets no more starts, and after a stale epoch
+// or a lapsed lease the next poll finds out at once whether to attach again.
+func (t *Table) note(e *entry, fence backend.Fence, err error) error {
+	if err == nil {
+		return nil
+	}
+	e.lock.Lock()
+	if e.fence == fence {
+		switch {
+		case errors.Is(err, backend.ErrLeaving):
+			e.leaving = true
+		case errors.Is(err, backend.ErrStaleEpoch), errors.Is(err, backend.ErrLeaseLapsed):
+			e.interruptLocked()
+		}
+	}
+	e.lock.Unlock()
+	return fmt.Errorf("%s: %w", e.id, err)
+}
+
+// Acknowledge says that the result of an attempt has reached its origin. It rides on the next poll, which goes out
+// soon when many acknowledgements wait. A new owner gets the result again, so nothing is lost with the table.
+func (t *Table) Acknowledge(host ident.HostID, attempt ident.AttemptID) {
+	s := t.shard(host)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.entries[host]
+	if e == nil {
+		return
+	}
+	e.acknowledge = append(e.acknowledge, attempt)
+	if len(e.acknowledge) == acknowledgeSoon {
+		e.interruptLocked()
+	}
+}
+
+// AttachedAll reports whether every owned host is attached at the epoch or above, or its last lease is certainly
+// over.
+func (t *Table) AttachedAll(epoch ident.Epoch) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.loaded && t.epoch >= epoch && t.attachedLocked(epoch)
+}
+
+// Complete returns the epoch of the view that the table reflects, and whether this member knows every task of its
+// hosts at that epoch. A host that was attached at an older epoch counts when this member was its owner in every
+// view since, because then nobody else can have attached.
+func (t *Table) Complete() (epoch ident.Epoch, complete bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.epoch, t.loaded && t.epoch > 0 && t.attachedLocked(t.epoch)
+}
+
+func (t *Table) attachedLocked(epoch ident.Epoch) bool {
+	all := true
+	t.each(func(e *entry) {
+		known := e.attached && e.confirmed >= epoch && e.blocked == 0
+		all = all && (e.caretaker || known || e.lapsed)
+	})
+	return all
+}
+
+// Owned returns the hosts that this member owns, attached or not, in order.
+func (t *Table) Owned() []ident.HostID {
+	var owned []ident.HostID
+	t.each(func(e *entry) {
+		if !e.caretaker {
+			owned = append(owned, e.id)
+		}
+	})
+	slices.Sort(owned)
+	return owned
+}
+
+// HostDump is the state of one host in a dump.
+type HostDump struct {
+	Host             ident.HostID  `json:"host"`
+	Caretaker        bool          `json:"caretaker,omitempty"`
+	Attached         bool          `json:"attached"`
+	Fence            backend.Fence `json:"fence"`
+	Confirmed        ident.Epoch   `json:"confirmed-epoch"`
+	Blocked          ident.Epoch   `json:"blocked-epoch,omitempty"`
+	Boot             string        `json:"boot,omitempty"`
+	ValidFor         string        `json:"valid-for,omitempty"`
+	Lapsed           bool          `json:"lapsed,omitempty"`
+	Leaving          bool          `json:"leaving,omitempty"`
+	Acknowledgements int           `json:"acknowledgements,omitempty"`
+}
+
+// Dump is the state of the table.
+type Dump struct {
+	Epoch    ident.Epoch            `json:"epoch"`
+	Interval string                 `json:"renewal-interval"`
+	Suspects map[ident.MemberID]int `json:"suspects,omitempty"` // failed probes in a row while the store is down
+	Hosts    []HostDump             `json:"hosts"`              // in id order
+}
+
+// Dump returns the state for the operator's state dump.
+func (t *Table) Dump() Dump {
+	now := t.config.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	d := Dump{Epoch: t.epoch, Interval: t.interval().String(), Suspects: t.suspects}
+	t.each(func(e *entry) {
+		h := HostDump{
+			Host: e.id, Caretaker: e.caretaker, Attached: e.attached, Fence: e.fence, Confirmed: e.confirmed,
+			Blocked: e.blocked, Boot: e.boot, Lapsed: e.lapsed, Leaving: e.leaving || e.listLeaving,
+			Acknowledgements: len(e.acknowledge),
+		}
+		if e.attached {
+			h.ValidFor = e.validUntil.Sub(now).Round(time.Millisecond).String()
+		}
+		d.Hosts = append(d.Hosts, h)
+	})
+	slices.SortFunc(d.Hosts, func(a, b HostDump) int { return cmp.Compare(a.Host, b.Host) })
+	return d
+}
--- /dev/null
+++ b/internal/ownership/entry.go
@@ -0,0 +1,136 @@
+package ownership
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/backend"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/platform"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+// entry is one backend server that is owned or cared for. One goroutine polls it.
+type entry struct {
+	id        ident.HostID
+	server    backend.Server
+	caretaker bool
+	cancel    context.CancelFunc
+	previous  <-chan struct{} // closed when the host's previous goroutine has ended; nil if there was none
+	done      chan struct{}
+	wake      chan struct{} // ends a wait between two tries
+
+	lock        *sync.Mutex // of the shard; guards the fields below
+	host        platform.Host
+	fence       backend.Fence // of the last attach that succeeded
+	attached    bool
+	reattach    bool        // attach again after the present poll
+	confirmed   ident.Epoch // no other member can be owner in any view from the fence's epoch up to this one
+	blocked     ident.Epoch // another member attached at this epoch; wait for a newer view
+	boot        string
+	cursor      uint64
+	validUntil  time.Time // starts are allowed before it; from the time before the last renewal was sent
+	leaseOver   time.Time // the last lease that a renewal of this member may have set ends before it
+	othersOver  time.Time // the last lease of an earlier owner ends before it; zero after an attach
+	lapsed      bool      // the last possible lease is certainly over
+	leaving     bool      // said by the server
+	listLeaving bool      // leaving in the host list, or gone from it
+	acknowledge []ident.AttemptID
+	flush       bool   // the next poll returns at once
+	interrupt   func() // ends the poll in flight; nil when there is none
+	removed     bool
+	reason      DetachReason // of the removal
+
+	// Used by the entry's goroutine only.
+	reported bool // Attached was reported and Detached wasn't
+	failures int
+}
+
+// interruptLocked ends the poll in flight, so that the next one goes out at once and returns at once.
+func (e *entry) interruptLocked() {
+	e.flush = true
+	if e.interrupt != nil {
+		e.interrupt()
+	}
+	poke(e.wake)
+}
+
+// interval returns the renewal interval that keeps the renewals of all polled hosts within the control budget.
+func (t *Table) interval() time.Duration {
+	paced := time.Duration(t.polled.Load()) * BytesPerExchange * time.Second / time.Duration(t.config.ControlBytesPerSecond)
+	return min(max(paced, t.config.MinRenewal), t.config.MaxRenewal)
+}
+
+// maxLease is the longest lease that any member gives.
+func (t *Table) maxLease() time.Duration { return leaseIntervals * t.config.MaxRenewal }
+
+// loop polls the entry's backend server until the entry is removed or ctx ends.
+func (t *Table) loop(ctx context.Context, e *entry) {
+	defer close(e.done)
+	t.polled.Add(1)
+	defer t.polled.Add(-1)
+	if e.previous != nil {
+		<-e.previous // keeps the order of the host's events
+	}
+	for ctx.Err() == nil {
+		wait := t.step(ctx, e)
+		if wait <= 0 {
+			continue
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-timer.C:
+		case <-e.wake:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+	e.lock.Lock()
+	reason := e.reason
+	e.lock.Unlock()
+	if reason != "" {
+		t.report(e, reason)
+	}
+}
+
+// report tells that the entry's inventory is no longer known.
+func (t *Table) report(e *entry, reason DetachReason) {
+	if !e.reported {
+		return
+	}
+	e.reported = false
+	t.config.Log.V(1).Info("backend server detached", "host", e.id, "reason", reason)
+	t.config.Events.Detached(e.id, reason)
+}
+
+// step makes one call to the backend server and returns how long to wait before the next.
+func (t *Table) step(ctx context.Context, e *entry) time.Duration {
+	e.lock.Lock()
+	attach := !e.attached || e.reattach
+	e.lock.Unlock()
+	var err error
+	switch {
+	case e.caretaker:
+		err = t.care(ctx, e)
+	case attach:
+		err = t.attach(ctx, e)
+	default:
+		err = t.poll(ctx, e)
+	}
+	if err == nil {
+		e.failures = 0
+		return 0
+	}
+	if ctx.Err() != nil {
+		return 0
+	}
+	return t.failed(e, err)
+}
+
+// backoff returns a jittered wait that doubles with every failure in a row, up to one renewal interval.
+func (t *Table) backoff(e *entry) time.Duration {
+	const shortest = 100 * time.Millisecond
+	wait := min(shortest<<min(e.failures, 16), t.interval())
+	e.failures++
+	return wait/2 + time.Duration(float64(wait/2)*t.config.Jitter())
+}
--- /dev/null
+++ b/internal/ownership/reconcile.go
@@ -0,0 +1,218 @@
+package ownership
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/member"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/platform"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+// role is what this member does for a host.
+type role int
+
+const (
+	roleNone role = iota
+	roleOwner
+	roleCaretaker
+)
+
+// Run keeps the table until ctx ends, and returns after all of its goroutines have ended. No Detached is reported at
+// the end: the next owner attaches, or the leases lapse.
+func (t *Table) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return t.readHosts(ctx) })
+	group.Go(func() error { return t.watchOwners(ctx) })
+	group.Go(func() error {
+		for {
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-t.wake:
+				t.reconcile(ctx)
+			}
+		}
+	})
+	err := group.Wait()
+	t.mu.Lock()
+	t.clearLocked("")
+	t.mu.Unlock()
+	t.loops.Wait()
+	return fmt.Errorf("ownership: %w", err)
+}
+
+// readHosts reads the host list in its interval. The last list stays in force when a read fails.
+func (t *Table) readHosts(ctx context.Context) error {
+	ticker := time.NewTicker(t.config.HostsInterval)
+	defer ticker.Stop()
+	for {
+		if hosts, err := t.config.Hosts(ctx); err == nil {
+			t.setHosts(hosts)
+		} else if ctx.Err() == nil {
+			t.config.Log.Info("host list can't be read", "error", err.Error())
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+// setHosts takes over a host list and asks for a reconciliation when it differs.
+func (t *Table) setHosts(hosts []platform.Host) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	same := t.loaded && len(hosts) == len(t.hosts)
+	next := make(map[ident.HostID]platform.Host, len(hosts))
+	for _, h := range hosts {
+		next[h.ID] = h
+		same = same && t.hosts[h.ID] == h
+	}
+	if same {
+		return
+	}
+	t.hosts, t.loaded = next, true
+	t.ViewChanged()
+}
+
+// reconcile makes the entries match the view, the host list and the members that don't answer.
+func (t *Table) reconcile(ctx context.Context) {
+	drops := t.drops.Load()
+	view, self := t.config.View(), t.config.Self()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.loaded || ctx.Err() != nil {
+		return
+	}
+	if drops != t.drops.Load() {
+		t.ViewChanged() // view and self may be from before the drop
+		return
+	}
+	t.member = self.Incarnation
+	if !view.Has(self.ID, self.Incarnation) || t.dropped > 0 && self.Incarnation <= t.dropped {
+		t.clearLocked(Dropped)
+		t.epoch = view.Epoch
+		return
+	}
+	// After a missed view another member may have been owner in between, or may still attach with its epoch.
+	gapless := view.Epoch == t.epoch || view.Epoch == t.epoch+1
+	known := map[ident.HostID]platform.Host{}
+	t.each(func(e *entry) {
+		h, listed := t.hosts[e.id]
+		if !listed {
+			h = e.host
+		}
+		if listed || !e.lapsed && !e.caretaker {
+			known[e.id] = h
+		}
+	})
+	for id, h := range t.hosts {
+		known[id] = h
+	}
+	t.each(func(e *entry) {
+		if _, ok := known[e.id]; !ok {
+			t.removeLocked(e, Lapsed)
+		}
+	})
+	for id, h := range known {
+		_, listed := t.hosts[id]
+		t.settleLocked(ctx, h, listed, t.roleLocked(view, self.ID, h), view.Epoch, gapless)
+	}
+	t.epoch = view.Epoch
+}
+
+// roleLocked returns this member's role for the host.
+func (t *Table) roleLocked(view member.View, self ident.MemberID, h platform.Host) role {
+	owner, ok := Owner(view, h)
+	if ok && owner == self {
+		return roleOwner
+	}
+	for ok && t.suspects[owner] >= suspectProbes {
+		if owner, ok = Successor(view, h, owner); ok && owner == self {
+			return roleCaretaker
+		}
+	}
+	return roleNone
+}
+
+// settleLocked creates, keeps or removes the entry of one host.
+func (t *Table) settleLocked(ctx context.Context, h platform.Host, listed bool, r role, epoch ident.Epoch, gapless bool) {
+	s := t.shard(h.ID)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.entries[h.ID]
+	if e != nil && (r == roleNone || e.caretaker != (r == roleCaretaker) || e.host.Address != h.Address) {
+		t.removeLocked(e, Moved)
+		e = nil
+	}
+	if r == roleNone {
+		return
+	}
+	if e == nil {
+		e = t.createLocked(ctx, s, h, r)
+	}
+	e.host = h
+	e.listLeaving = !listed || h.State == platform.HostLeaving
+	switch {
+	case e.caretaker:
+	case e.blocked > 0 && epoch > e.blocked, !gapless && epoch > e.confirmed:
+		e.othersOver, e.lapsed, e.blocked = t.config.Now().Add(t.maxLease()), false, 0
+		e.reattach = true
+	case gapless && e.confirmed > 0 && e.confirmed == t.epoch:
+		e.confirmed = epoch
+	}
+	if !e.attached {
+		poke(e.wake)
+	}
+}
+
+// createLocked adds an entry and starts its goroutine.
+func (t *Table) createLocked(ctx context.Context, s *shard, h platform.Host, r role) *entry {
+	ctx, cancel := context.WithCancel(ctx)
+	e := &entry{
+		id: h.ID, host: h, server: t.config.Dial(h), caretaker: r == roleCaretaker, cancel: cancel, lock: &s.mu,
+		done: make(chan struct{}), wake: make(chan struct{}, 1), othersOver: t.config.Now().Add(t.maxLease()),
+	}
+	if ending, ok := t.ending[h.ID]; ok {
+		e.previous = ending
+	}
+	t.ending[h.ID] = e.done
+	s.entries[h.ID] = e
+	t.loops.Go(func() { t.loop(ctx, e) })
+	return e
+}
+
+// removeLocked takes the entry out at once; its goroutine reports the reason.
+func (t *Table) removeLocked(e *entry, reason DetachReason) {
+	e.removed, e.attached, e.reason = true, false, reason
+	delete(t.shard(e.id).entries, e.id)
+	e.cancel()
+}
+
+// clearLocked removes all entries.
+func (t *Table) clearLocked(reason DetachReason) {
+	t.each(func(e *entry) { t.removeLocked(e, reason) })
+	for id, done := range t.ending {
+		select {
+		case <-done:
+			delete(t.ending, id)
+		default:
+		}
+	}
+}
+
+// Drop forgets all backend servers at once, for an incarnation that was removed from the view. Starts are refused
+// when it returns; Dropped is reported for each host by its own goroutine.
+func (t *Table) Drop() {
+	t.drops.Add(1)
+	t.mu.Lock()
+	t.dropped = t.member
+	t.clearLocked(Dropped)
+	t.mu.Unlock()
+	t.ViewChanged()
+}
--- /dev/null
+++ b/internal/ownership/renew.go
@@ -0,0 +1,246 @@
+package ownership
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/backend"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+// attach takes the backend server at the present view's epoch and reports its inventory.
+func (t *Table) attach(ctx context.Context, e *entry) error {
+	view, self := t.config.View(), t.config.Self().ID
+	epoch := view.Epoch
+	e.lock.Lock()
+	host := e.host
+	blocked := e.blocked
+	e.attached = false // starts under the old fence would be refused from here on
+	e.reattach = false
+	e.lock.Unlock()
+	// The view may be newer than the last reconciliation. An attach by another member than its owner would make the
+	// owner's attach at the same epoch fail.
+	if owner, _ := Owner(view, host); owner != self || blocked >= epoch {
+		return errWaitForView
+	}
+	fence := backend.Fence{Epoch: epoch, Owner: self, Attach: t.attaches.Add(1)}
+	lease := leaseIntervals * t.interval()
+	sent := t.config.Now()
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	inventory, err := e.server.Attach(callCtx, fence, backend.ToMillis(lease))
+	cancel()
+	t.mayHaveRenewed(e, lease, err)
+	if err != nil {
+		return fmt.Errorf("attach %s: %w", e.id, err)
+	}
+	e.lock.Lock()
+	rebooted := e.boot != "" && e.boot != inventory.Boot
+	e.lock.Unlock()
+	if rebooted {
+		t.report(e, Lapsed)
+	}
+	// The inventory is reported before starts are allowed, so that the receiver's free capacity is right for them.
+	e.reported = true
+	t.config.Log.V(1).Info("backend server attached", "host", e.id, "epoch", epoch, "boot", inventory.Boot)
+	t.config.Events.Attached(host, inventory)
+	e.lock.Lock()
+	e.fence, e.boot, e.cursor = fence, inventory.Boot, inventory.Cursor
+	e.attached = !e.removed
+	e.confirmed = max(e.confirmed, epoch)
+	e.leaving = inventory.Leaving
+	e.validUntil = sent.Add(lease - t.config.Drift)
+	e.othersOver, e.lapsed, e.blocked = time.Time{}, false, 0
+	e.lock.Unlock()
+	t.finished(e, inventory.Finished)
+	return nil
+}
+
+// poll renews the lease, sends the acknowledgements and reports the news.
+func (t *Table) poll(ctx context.Context, e *entry) error {
+	callCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	request := t.request(e, cancel)
+	sent := t.config.Now()
+	reply, err := t.send(callCtx, e, request)
+	interrupted := callCtx.Err() != nil && ctx.Err() == nil
+	e.lock.Lock()
+	e.interrupt = nil
+	if err == nil && reply.Boot == e.boot {
+		e.validUntil = sent.Add(request.Lease.Duration() - t.config.Drift)
+		e.lapsed = false
+	}
+	boot := e.boot
+	e.lock.Unlock()
+	switch {
+	case err != nil && interrupted:
+		return nil
+	case err != nil:
+		return fmt.Errorf("poll %s: %w", e.id, err)
+	case reply.Boot != boot:
+		return fmt.Errorf("poll %s: boot id changed: %w", e.id, backend.ErrLeaseLapsed)
+	}
+	t.acknowledged(e, request.Acknowledge, reply)
+	t.config.Events.Updated(e.id, reply)
+	t.finished(e, reply.Finished)
+	return nil
+}
+
+// request builds the next poll and, unless it returns at once, lets interrupt end it.
+func (t *Table) request(e *entry, interrupt func()) backend.PollRequest {
+	interval := t.interval()
+	// Spreads the polls of hosts that were attached at the same time.
+	wait := interval - time.Duration(float64(interval/8)*t.config.Jitter())
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	if e.flush {
+		wait, e.flush = 0, false
+	} else {
+		e.interrupt = interrupt
+	}
+	return backend.PollRequest{
+		Fence: e.fence, Lease: backend.ToMillis(leaseIntervals * interval), Wait: backend.ToMillis(wait), After: e.cursor,
+		Acknowledge: slices.Clone(e.acknowledge[:min(len(e.acknowledge), acknowledgeBatch)]), Caretaker: e.caretaker,
+	}
+}
+
+// send makes a poll within its time.
+func (t *Table) send(ctx context.Context, e *entry, r backend.PollRequest) (backend.PollReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.Wait.Duration()+callTimeout)
+	defer cancel()
+	reply, err := e.server.Poll(ctx, r)
+	t.mayHaveRenewed(e, r.Lease.Duration(), err)
+	return reply, err
+}
+
+// mayHaveRenewed records the end of the lease that a call may have set. The call took effect before it returned.
+func (t *Table) mayHaveRenewed(e *entry, lease time.Duration, err error) {
+	if err != nil && !errors.Is(err, backend.ErrUnknownOutcome) {
+		if _, refused := backend.RefusalOf(err); refused || errors.Is(err, backend.ErrUnreachable) {
+			return
+		}
+	}
+	over := t.config.Now().Add(lease)
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	if over.After(e.leaseOver) {
+		e.leaseOver = over
+	}
+}
+
+// acknowledged takes over the reply's state and forgets the acknowledgements that the poll delivered.
+func (t *Table) acknowledged(e *entry, sent []ident.AttemptID, reply backend.PollReply) {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	e.cursor = reply.Cursor
+	e.leaving = reply.Leaving
+	e.acknowledge = append([]ident.AttemptID(nil), e.acknowledge[len(sent):]...)
+	if len(e.acknowledge) >= acknowledgeSoon {
+		e.flush = true
+	}
+}
+
+func (t *Table) finished(e *entry, results []backend.Result) {
+	for _, r := range results {
+		t.config.Events.Finished(e.id, r)
+	}
+}
+
+// errWaitForView reports that another member attached at an epoch that this member's view hasn't reached.
+var errWaitForView = errors.New("a newer view is needed")
+
+// failed decides what a failed call means and returns the wait before the next one.
+func (t *Table) failed(e *entry, err error) time.Duration {
+	var stale backend.StaleEpoch
+	switch {
+	case errors.Is(err, errWaitForView):
+		return t.interval() // a newer view ends the wait
+	case errors.As(err, &stale):
+		t.outdated(e, stale.Current)
+	case errors.Is(err, backend.ErrStaleEpoch):
+		t.outdated(e, backend.Fence{Epoch: t.config.View().Epoch})
+	case errors.Is(err, backend.ErrLeaseLapsed):
+		e.lock.Lock()
+		e.attached = false
+		e.lock.Unlock()
+	}
+	t.config.Log.V(1).Info("call to backend server failed", "host", e.id, "failures", e.failures, "error", err.Error())
+	wait := t.backoff(e)
+	attachAgain := errors.Is(err, backend.ErrStaleEpoch) || errors.Is(err, backend.ErrLeaseLapsed)
+	switch {
+	case attachAgain && e.failures == 1:
+		return 0
+	case e.caretaker:
+		return wait
+	}
+	return min(wait, t.checkLapse(e))
+}
+
+// outdated handles a refusal that names a newer fence: attach again when the view is newer than it, otherwise the
+// server belongs to another member.
+func (t *Table) outdated(e *entry, current backend.Fence) {
+	epoch := t.config.View().Epoch
+	own := current.Owner == t.config.Self().ID
+	e.lock.Lock()
+	if e.caretaker {
+		e.fence.Epoch = current.Epoch
+		e.lock.Unlock()
+		return
+	}
+	e.attached = false
+	moved := !own && current.Epoch >= epoch
+	if moved {
+		e.blocked, e.confirmed = current.Epoch, 0
+		e.othersOver, e.lapsed = t.config.Now().Add(t.maxLease()), false
+	}
+	e.lock.Unlock()
+	if own {
+		for number := t.attaches.Load(); number < current.Attach; number = t.attaches.Load() {
+			t.attaches.CompareAndSwap(number, current.Attach)
+		}
+	}
+	if moved {
+		t.report(e, Moved)
+	}
+}
+
+// checkLapse reports Lapsed once no lease can be left, and returns the time until it is worth another look. A lease
+// may have been set by this member, by an earlier owner, or by a caretaker while the store was down. Another owner
+// would show in the view within ViewLag while the store is healthy; while it isn't, nothing is certain.
+func (t *Table) checkLapse(e *entry) time.Duration {
+	const soonest = 10 * time.Millisecond
+	healthy := t.config.StoreHealthy()
+	now := t.config.Now()
+	t.mu.Lock()
+	if !healthy {
+		t.unhealthy = now
+	}
+	var over time.Time
+	if !t.unhealthy.IsZero() {
+		over = t.unhealthy.Add(t.maxLease())
+	}
+	t.mu.Unlock()
+	e.lock.Lock()
+	for _, other := range []time.Time{e.leaseOver, e.othersOver} {
+		if other.After(over) {
+			over = other
+		}
+	}
+	left := over.Add(t.config.Drift + t.config.ViewLag).Sub(now)
+	known := e.lapsed || e.blocked > 0 || e.removed
+	if !known && left <= 0 {
+		e.lapsed, e.attached = true, false
+	}
+	e.lock.Unlock()
+	if known {
+		return t.interval()
+	}
+	if left > 0 {
+		return max(left, soonest)
+	}
+	t.report(e, Lapsed)
+	t.ViewChanged() // an entry that left the host list is removed now
+	return t.interval()
+}
