Add the peer transport on jsonrpc2 over TCP

Daemons need typed calls to each other with bounds and with errors that say whether a request may have taken effect. jsonrpc2 leaves three things open: its codec reads a frame of any announced length, its send lock ignores the caller's context, and a closed connection looks the same before and after a request left. The stream checks the length before it reads, calls queue in front of the send lock, and a record per call notes whether a byte may have left, which separates ErrUnreachable from ErrUnknownOutcome.

--- /dev/null
+++ b/internal/peer/call.go
@@ -0,0 +1,112 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/peer/wire"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// stamper is what a message with an embedded wire.Sender provides through its pointer.
+type stamper interface{ Stamp(wire.Sender) }
+
+// Call invokes a method on a member. Its error wraps ErrUnreachable, ErrUnknownOutcome, ErrBackpressure or
+// ErrTooLarge, or is a *RemoteError.
+func Call[Req, Resp any](ctx context.Context, n *Node, to ident.MemberID, method string, req Req) (Resp, error) {
+	var resp Resp
+	address, ok := n.config.Address(to)
+	if !ok {
+		return resp, fmt.Errorf("call %s on %s: %w: no address", method, to, ErrUnreachable)
+	}
+	if err := call(ctx, n, "member/"+string(to), to, address, method, &req, &resp); err != nil {
+		return resp, fmt.Errorf("call %s on %s: %w", method, to, err)
+	}
+	return resp, nil
+}
+
+// CallAddress invokes a method at an address before membership is known. The certificate of the peer must come from
+// the authorities, its name isn't checked.
+func CallAddress[Req, Resp any](ctx context.Context, n *Node, address, method string, req Req) (Resp, error) {
+	var resp Resp
+	if err := call(ctx, n, "address/"+address, "", address, method, &req, &resp); err != nil {
+		return resp, fmt.Errorf("call %s at %s: %w", method, address, err)
+	}
+	return resp, nil
+}
+
+func call(ctx context.Context, n *Node, name string, to ident.MemberID, address, method string, req, resp any) error {
+	if s, ok := req.(stamper); ok {
+		s.Stamp(n.config.Self())
+	}
+	k, err := n.link(name, to)
+	if err != nil {
+		return err
+	}
+	select {
+	case k.slots <- struct{}{}:
+		defer func() { <-k.slots }()
+	default:
+		n.count.backpressure.Inc()
+		return ErrBackpressure
+	}
+	ctx, cancel := context.WithTimeout(ctx, n.config.CallTimeout)
+	defer cancel()
+	out, err := k.connect(ctx, address)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrUnreachable, err)
+	}
+	return out.call(ctx, method, req, resp)
+}
+
+// call sends one request and waits for its reply.
+func (o *outbound) call(ctx context.Context, method string, req, resp any) error {
+	// Taken before jsonrpc2's own write lock, which doesn't observe the context.
+	select {
+	case o.sending <- struct{}{}:
+	case <-o.rpc.DisconnectNotify():
+		return fmt.Errorf("%w: connection lost", ErrUnreachable)
+	case <-ctx.Done():
+		return fmt.Errorf("%w: %w", ErrUnreachable, ctx.Err())
+	}
+	o.calls++ // ids start at 1, so that a reply without an id matches no call
+	id := jsonrpc2.ID{Num: o.calls}
+	record := &sent{}
+	o.stream.lock.Lock()
+	o.stream.calls[id] = record
+	o.stream.lock.Unlock()
+	started := o.node.now()
+	waiter, err := o.rpc.DispatchCall(ctx, method, req, jsonrpc2.PickID(id))
+	o.stream.lock.Lock()
+	delete(o.stream.calls, id)
+	o.stream.lock.Unlock()
+	<-o.sending
+	switch {
+	case err == nil:
+	case record.tooLarge:
+		return err
+	case record.attempted:
+		return fmt.Errorf("%w: %w", ErrUnknownOutcome, err)
+	default:
+		return fmt.Errorf("%w: %w", ErrUnreachable, err)
+	}
+	var raw json.RawMessage
+	if err := waiter.Wait(ctx, &raw); err != nil {
+		var remote *jsonrpc2.Error
+		if errors.As(err, &remote) {
+			return &RemoteError{Method: method, Code: Code(remote.Code), Message: remote.Message}
+		}
+		if ctx.Err() != nil {
+			o.abandon(started)
+		}
+		return fmt.Errorf("%w: %w", ErrUnknownOutcome, err)
+	}
+	if err := json.Unmarshal(raw, resp); err != nil {
+		o.node.count.refuse(refusedMalformed)
+		return fmt.Errorf("%w: decode reply: %w", ErrUnknownOutcome, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,192 @@
+// Package peer is the jsonrpc2 transport between daemons: TLS, bounds, counters and typed handlers.
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-logr/logr"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/peer/wire"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+// Defaults of Config and fixed bounds of the transport.
+const (
+	DefaultMaxFrameBytes = 4 << 20
+	DefaultMaxInFlight   = 512
+	DefaultCallTimeout   = 2 * time.Second
+
+	// maxConnections bounds the accepted connections; a cell has at most a dozen members with one connection each.
+	maxConnections = 64
+	// handshakeTimeout bounds a dial together with its TLS handshake.
+	handshakeTimeout = 2 * time.Second
+	// keepAlive is the interval of TCP keep-alive probes, which end connections whose other side is gone.
+	keepAlive = 5 * time.Second
+)
+
+// Config has the settings and dependencies of a Node.
+type Config struct {
+	// Self is the sender that outgoing requests carry.
+	Self func() wire.Sender
+	// Address returns the peer address of a member, host:port by IP.
+	Address func(ident.MemberID) (string, bool)
+	// TLS may be nil only when the listen address and all peer addresses are loopback.
+	TLS *Certificates
+	// MaxFrameBytes bounds one message in each direction; 0 means DefaultMaxFrameBytes.
+	MaxFrameBytes int
+	// MaxInFlight bounds the concurrent requests of one connection; 0 means DefaultMaxInFlight.
+	MaxInFlight int
+	// CallTimeout bounds a call whose context has no earlier deadline; 0 means DefaultCallTimeout.
+	CallTimeout time.Duration
+	// Log receives connection errors.
+	Log logr.Logger
+	// Metrics receives the counters; nil means a private set.
+	Metrics *metrics.Set
+}
+
+// Node is one daemon's end of the peer protocol.
+type Node struct {
+	config Config
+	count  *counters
+	now    func() time.Time
+
+	ctx    context.Context // ends with Close
+	cancel context.CancelFunc
+	tasks  sync.WaitGroup
+
+	handlersLock sync.RWMutex
+	handlers     map[string]handler
+
+	linksLock sync.Mutex
+	links     map[string]*link // by member id or, before membership is known, by address
+	closed    bool
+
+	acceptedLock sync.Mutex
+	accepted     map[*inbound]struct{}
+}
+
+// New checks the configuration and returns a node without handlers.
+func New(c Config) (*Node, error) {
+	if c.Self == nil || c.Address == nil {
+		return nil, errors.New("peer: Self and Address must be set")
+	}
+	if c.MaxFrameBytes < 0 || c.MaxInFlight < 0 || c.CallTimeout < 0 {
+		return nil, errors.New("peer: bounds must not be negative")
+	}
+	if c.MaxFrameBytes == 0 {
+		c.MaxFrameBytes = DefaultMaxFrameBytes
+	}
+	if c.MaxInFlight == 0 {
+		c.MaxInFlight = DefaultMaxInFlight
+	}
+	if c.CallTimeout == 0 {
+		c.CallTimeout = DefaultCallTimeout
+	}
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewSet()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &Node{
+		config: c, count: newCounters(c.Metrics), now: time.Now, ctx: ctx, cancel: cancel,
+		handlers: map[string]handler{}, links: map[string]*link{}, accepted: map[*inbound]struct{}{},
+	}
+	if c.TLS != nil {
+		c.TLS.onReload(n.dropUntrusted)
+	}
+	return n, nil
+}
+
+// Serve accepts connections until ctx ends, the node is closed or the listener fails. It closes the listener.
+func (n *Node) Serve(ctx context.Context, l net.Listener) error {
+	if n.config.TLS == nil && !loopback(l.Addr().String()) {
+		_ = l.Close()
+		return fmt.Errorf("listen on %s: %w", l.Addr(), ErrInsecure)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(n.ctx, cancel)
+	defer stop()
+	closer := context.AfterFunc(ctx, func() { _ = l.Close() })
+	defer closer()
+	defer l.Close()
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			var temporary net.Error
+			if errors.As(err, &temporary) && temporary.Timeout() {
+				continue
+			}
+			return fmt.Errorf("accept peer connection: %w", err)
+		}
+		if !n.start(func() { n.receive(ctx, conn) }) {
+			_ = conn.Close()
+		}
+	}
+}
+
+// Close ends all connections and waits for the running handlers, whose contexts are cancelled.
+func (n *Node) Close() {
+	n.linksLock.Lock()
+	n.closed = true
+	links := n.links
+	n.links = map[string]*link{}
+	n.linksLock.Unlock()
+	n.cancel()
+	for _, k := range links {
+		k.drop()
+	}
+	n.tasks.Wait()
+}
+
+// start runs f in a goroutine that Close waits for; it reports false once the node is closed.
+func (n *Node) start(f func()) bool {
+	n.linksLock.Lock()
+	defer n.linksLock.Unlock()
+	if n.closed {
+		return false
+	}
+	n.tasks.Add(1)
+	go func() {
+		defer n.tasks.Done()
+		f()
+	}()
+	return true
+}
+
+// dropUntrusted closes the connections whose peer certificate the reloaded authorities no longer verify.
+func (n *Node) dropUntrusted() {
+	n.linksLock.Lock()
+	links := make([]*link, 0, len(n.links))
+	for _, k := range n.links {
+		links = append(links, k)
+	}
+	n.linksLock.Unlock()
+	for _, k := range links {
+		k.dropUntrusted()
+	}
+	n.acceptedLock.Lock()
+	defer n.acceptedLock.Unlock()
+	for in := range n.accepted {
+		if !n.config.TLS.trusted(in.conn, clientAuth) {
+			_ = in.conn.Close()
+		}
+	}
+}
+
+// loopback reports whether a host:port address names a loopback IP.
+func loopback(address string) bool {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return false
+	}
+	ip := net.ParseIP(host)
+	return ip != nil && ip.IsLoopback()
+}
