Add the HTTP adapter to the platform and its stand-in

The daemon needs a store and a host list to be wired against. The adapter decides by the connection whether a write may have reached the store: without one it is unavailable, with one the outcome is unknown.

--- /dev/null
+++ b/internal/platform/protocol.go
@@ -0,0 +1,73 @@
+package platform
+
+// Paths of the HTTP interface. Reads are GET with query parameters, writes are POST with a JSON body.
+const (
+	PathItem   = "/v1/item"         // GET key, answers Item
+	PathItems  = "/v1/items"        // GET prefix, answers ItemsReply
+	PathWatch  = "/v1/watch"        // GET prefix, after, wait-millis, answers WatchReply
+	PathSwap   = "/v1/item/swap"    // POST SwapRequest, answers SwapReply
+	PathDelete = "/v1/item/delete"  // POST DeleteRequest, answers an empty object
+	PathGrant  = "/v1/lease/grant"  // POST LeaseMessage with a time to live, answers LeaseMessage with the id
+	PathRenew  = "/v1/lease/renew"  // POST LeaseMessage with the id, answers an empty object
+	PathRevoke = "/v1/lease/revoke" // POST LeaseMessage with the id, answers an empty object
+	PathHosts  = "/v1/hosts"        // GET, answers HostsReply
+)
+
+// HeaderRegion carries the region of the calling process.
+const HeaderRegion = "x-client-region"
+
+// Codes of an ErrorReply. An answer without a known code leaves the outcome of a write unknown.
+const (
+	CodeConflict    = "conflict"
+	CodeNotFound    = "not-found"
+	CodeTooLarge    = "too-large"
+	CodeUnavailable = "unavailable"
+	CodeInvalid     = "invalid"
+)
+
+// ErrorReply is the body of every answer with a status other than 200.
+type ErrorReply struct {
+	Code    string `json:"code"`
+	Message string `json:"message"`
+}
+
+// ItemsReply is the answer to a list.
+type ItemsReply struct {
+	Items []Item `json:"items"`
+}
+
+// SwapRequest asks for a compare-and-swap of one key.
+type SwapRequest struct {
+	Key    string   `json:"key"`
+	Expect Revision `json:"expect"`
+	Value  []byte   `json:"value"`
+	Lease  LeaseID  `json:"lease,omitempty"`
+}
+
+// SwapReply is the answer to a compare-and-swap.
+type SwapReply struct {
+	Revision Revision `json:"revision"`
+}
+
+// DeleteRequest asks to remove a key at a revision.
+type DeleteRequest struct {
+	Key    string   `json:"key"`
+	Expect Revision `json:"expect"`
+}
+
+// LeaseMessage names a lease, or its time to live when it is granted.
+type LeaseMessage struct {
+	ID        LeaseID `json:"id,omitempty"`
+	TTLMillis int64   `json:"ttl-millis,omitempty"`
+}
+
+// WatchReply is the answer to a watch.
+type WatchReply struct {
+	Events   []Event  `json:"events"`
+	Revision Revision `json:"revision"` // revision to continue from
+}
+
+// HostsReply is the answer to a host list request.
+type HostsReply struct {
+	Hosts []Host `json:"hosts"`
+}
--- /dev/null
+++ b/internal/platform/transport.go
@@ -0,0 +1,186 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+// Defaults of HTTPConfig.
+const (
+	DefaultCallTimeout = 2 * time.Second
+	// DefaultMaxReplyBytes holds a list of twenty values of the largest size in base64.
+	DefaultMaxReplyBytes = 32 << 20
+	maxErrorBytes        = 4 << 10
+	maxIdleConnections   = 16
+	// idleTimeout stays below the idle timeouts of common load balancers, so that the client closes first.
+	idleTimeout = 30 * time.Second
+)
+
+// HTTPConfig configures the HTTP adapters.
+type HTTPConfig struct {
+	BaseURL       string            // scheme, host and port, without a path
+	Region        ident.Region      // sent with every call
+	CallTimeout   time.Duration     // bound of one call; a watch may take its wait in addition; 0 means the default
+	MaxReplyBytes int64             // bound of a reply body; 0 means the default
+	Transport     http.RoundTripper // nil means a transport of its own
+	Metrics       *metrics.Set      // receives the call counters; nil means a set of its own
+}
+
+// transport sends calls and maps failures to the errors of the contract.
+type transport struct {
+	config   HTTPConfig
+	base     *url.URL
+	client   *http.Client
+	counters *counters
+}
+
+func newTransport(c HTTPConfig, kinds ...Call) (*transport, error) {
+	base, err := url.Parse(c.BaseURL)
+	if err != nil {
+		return nil, fmt.Errorf("base URL: %w", err)
+	}
+	if (base.Scheme != "http" && base.Scheme != "https") || base.Host == "" {
+		return nil, fmt.Errorf("base URL %q: must have the scheme http or https and a host", c.BaseURL)
+	}
+	if c.CallTimeout < 0 || c.MaxReplyBytes < 0 {
+		return nil, errors.New("call timeout and reply bound must not be negative")
+	}
+	if c.CallTimeout == 0 {
+		c.CallTimeout = DefaultCallTimeout
+	}
+	if c.MaxReplyBytes == 0 {
+		c.MaxReplyBytes = DefaultMaxReplyBytes
+	}
+	if c.Transport == nil {
+		dialer := net.Dialer{Timeout: c.CallTimeout}
+		c.Transport = &http.Transport{
+			DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: idleTimeout,
+		}
+	}
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewSet()
+	}
+	client := &http.Client{
+		Transport:     c.Transport,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+	return &transport{config: c, base: base, client: client, counters: newCounters(c.Metrics, kinds...)}, nil
+}
+
+// get sends a read with query parameters and decodes the reply into out.
+func (t *transport) get(ctx context.Context, call Call, path string, query url.Values, extra time.Duration, out any) error {
+	target := *t.base
+	target.Path, target.RawQuery = path, query.Encode()
+	return t.send(ctx, call, http.MethodGet, &target, nil, extra, out)
+}
+
+// post sends a write with a JSON body and decodes the reply into out.
+func (t *transport) post(ctx context.Context, call Call, path string, in, out any) error {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return fmt.Errorf("%s: encode: %w", call, err)
+	}
+	target := *t.base
+	target.Path = path
+	return t.send(ctx, call, http.MethodPost, &target, body, 0, out)
+}
+
+func (t *transport) send(
+	ctx context.Context, call Call, method string, target *url.URL, body []byte, extra time.Duration, out any,
+) error {
+	ctx, cancel := context.WithTimeout(ctx, t.config.CallTimeout+extra)
+	defer cancel()
+	t.counters.calls[call].Inc()
+	t.counters.sent.Add(len(body))
+	err := t.roundTrip(ctx, call, method, target, body, out)
+	if err != nil {
+		t.counters.failed[call].Inc()
+		return fmt.Errorf("%s: %w", call, err)
+	}
+	return nil
+}
+
+func (t *transport) roundTrip(
+	ctx context.Context, call Call, method string, target *url.URL, body []byte, out any,
+) error {
+	// Without a connection the request can't have reached the store. Once there is one, a write may be buffered or sent.
+	connected := false
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }})
+	request, err := http.NewRequestWithContext(ctx, method, target.String(), bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	request.Header.Set(HeaderRegion, string(t.config.Region))
+	if body != nil {
+		request.Header.Set("content-type", "application/json")
+	}
+	response, err := t.client.Do(request)
+	if err != nil {
+		if !connected {
+			return fmt.Errorf("%w: %w", ErrUnavailable, err)
+		}
+		return lost(call, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return refused(call, response)
+	}
+	raw, err := io.ReadAll(io.LimitReader(response.Body, t.config.MaxReplyBytes+1))
+	t.counters.read.Add(len(raw))
+	if err != nil {
+		return lost(call, err)
+	}
+	if int64(len(raw)) > t.config.MaxReplyBytes {
+		return fmt.Errorf("reply above %d bytes: %w", t.config.MaxReplyBytes, ErrTooLarge)
+	}
+	if err := json.Unmarshal(raw, out); err != nil {
+		return lost(call, fmt.Errorf("decode: %w", err))
+	}
+	return nil
+}
+
+// lost maps a missing reply: the write may have taken effect, and a read had no effect.
+func lost(call Call, cause error) error {
+	if call.Write() {
+		return fmt.Errorf("%w: %w", ErrUnknownOutcome, cause)
+	}
+	return fmt.Errorf("%w: %w", ErrUnavailable, cause)
+}
+
+// refused maps an answer other than 200 by its code; an unknown code counts as a lost reply.
+func refused(call Call, response *http.Response) error {
+	var reply ErrorReply
+	raw, err := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
+	if err == nil {
+		err = json.Unmarshal(raw, &reply)
+	}
+	if err != nil {
+		return lost(call, fmt.Errorf("status %d with an unreadable body: %w", response.StatusCode, err))
+	}
+	switch reply.Code {
+	case CodeConflict:
+		return ErrConflict
+	case CodeNotFound:
+		return ErrNotFound
+	case CodeTooLarge:
+		return ErrTooLarge
+	case CodeUnavailable:
+		return fmt.Errorf("%w: %s", ErrUnavailable, reply.Message)
+	case CodeInvalid:
+		return fmt.Errorf("status %d: invalid call: %s", response.StatusCode, reply.Message)
+	}
+	return lost(call, fmt.Errorf("status %d with code %q", response.StatusCode, reply.Code))
+}
--- /dev/null
+++ b/internal/standin/kv/faults.go
@@ -0,0 +1,129 @@
+package kv
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/platform"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+// Faults are the faults in force; the zero value has none.
+type Faults struct {
+	Down            bool           `json:"down"`             // refuses every call before it takes effect
+	DelayMillis     int64          `json:"delay-millis"`     // half before and half after the call takes effect
+	LoseReplies     int            `json:"lose-replies"`     // replies of the next writes to lose after they took effect
+	LoseProbability float64        `json:"lose-probability"` // probability to lose the reply of each write
+	CutRegions      []ident.Region `json:"cut-regions"`      // regions whose calls are refused
+}
+
+// Check returns an error that names the field with a wrong value.
+func (f Faults) Check() error {
+	switch {
+	case f.DelayMillis < 0:
+		return fmt.Errorf("delay-millis: %d must not be negative", f.DelayMillis)
+	case f.LoseReplies < 0:
+		return fmt.Errorf("lose-replies: %d must not be negative", f.LoseReplies)
+	case f.LoseProbability < 0 || f.LoseProbability > 1:
+		return fmt.Errorf("lose-probability: %v must be between 0 and 1", f.LoseProbability)
+	}
+	return nil
+}
+
+type faults struct {
+	mu      sync.Mutex
+	current Faults
+	random  *rand.Rand
+	wake    chan struct{} // closed at the next change of the faults
+}
+
+func (f *faults) init(seed uint64) {
+	f.random = rand.New(rand.NewPCG(seed, seed))
+	f.wake = make(chan struct{})
+}
+
+// Faults returns the faults in force.
+func (s *Server) Faults() Faults {
+	f := &s.faults
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	current := f.current
+	current.CutRegions = slices.Clone(current.CutRegions)
+	return current
+}
+
+// SetFaults replaces all faults. Pending watches of calls that are now refused end.
+func (s *Server) SetFaults(next Faults) {
+	next.CutRegions = slices.Clone(next.CutRegions)
+	s.change(func(f *Faults) { *f = next })
+}
+
+// SetDown refuses every call, or takes calls again.
+func (s *Server) SetDown(down bool) { s.change(func(f *Faults) { f.Down = down }) }
+
+// SetDelay delays every call.
+func (s *Server) SetDelay(d time.Duration) {
+	s.change(func(f *Faults) { f.DelayMillis = d.Milliseconds() })
+}
+
+// LoseReplies loses the replies of the next n writes after they took effect.
+func (s *Server) LoseReplies(n int) { s.change(func(f *Faults) { f.LoseReplies = n }) }
+
+// LoseProbability loses the reply of each write with a probability, drawn from the configured seed.
+func (s *Server) LoseProbability(p float64) { s.change(func(f *Faults) { f.LoseProbability = p }) }
+
+// CutOff refuses the calls of the regions and takes those of all others.
+func (s *Server) CutOff(regions ...ident.Region) {
+	s.change(func(f *Faults) { f.CutRegions = slices.Clone(regions) })
+}
+
+func (s *Server) change(edit func(*Faults)) {
+	f := &s.faults
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	edit(&f.current)
+	close(f.wake)
+	f.wake = make(chan struct{})
+}
+
+// admit returns the delay of a call, or ErrUnavailable, and a channel that is closed when the faults change.
+func (f *faults) admit(region ident.Region) (time.Duration, <-chan struct{}, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case f.current.Down:
+		return 0, nil, fmt.Errorf("%w: store is down", platform.ErrUnavailable)
+	case slices.Contains(f.current.CutRegions, region):
+		return 0, nil, fmt.Errorf("%w: region %q is cut off", platform.ErrUnavailable, region)
+	}
+	return time.Duration(f.current.DelayMillis) * time.Millisecond, f.wake, nil
+}
+
+func (f *faults) loseReply() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.current.LoseReplies > 0 {
+		f.current.LoseReplies--
+		return true
+	}
+	return f.current.LoseProbability > 0 && f.random.Float64() < f.current.LoseProbability
+}
+
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/standin/kv/store.go
@@ -0,0 +1,175 @@
+package kv
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/platform"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+var (
+	_ platform.Store    = (*store)(nil)
+	_ platform.HostList = (*store)(nil)
+)
+
+// store is a client of one region.
+type store struct {
+	server *Server
+	region ident.Region
+}
+
+// do counts the call, applies the faults and runs the effect under the server's lock.
+func do[T any](ctx context.Context, c *store, kind platform.Call, effect func() (T, error)) (T, error) {
+	var none T
+	s := c.server
+	s.mu.Lock()
+	s.counts[kind]++
+	s.mu.Unlock()
+	delay, _, err := s.faults.admit(c.region)
+	if err != nil {
+		return none, err
+	}
+	if err := pause(ctx, delay/2); err != nil && !kind.Write() {
+		return none, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	}
+	// A write whose caller gave up still takes effect, as it would after the request was sent.
+	value, err := locked(s, effect)
+	if !kind.Write() {
+		if late := pause(ctx, delay/2); late != nil {
+			return none, fmt.Errorf("%w: %w", platform.ErrUnavailable, late)
+		}
+		return value, err
+	}
+	if late := pause(ctx, delay/2); late != nil {
+		return none, fmt.Errorf("%w: %w", platform.ErrUnknownOutcome, late)
+	}
+	if s.faults.loseReply() {
+		return none, fmt.Errorf("%w: reply was lost", platform.ErrUnknownOutcome)
+	}
+	return value, err
+}
+
+func locked[T any](s *Server, effect func() (T, error)) (T, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lapse()
+	return effect()
+}
+
+// Get returns the item, or ErrNotFound.
+func (c *store) Get(ctx context.Context, key string) (platform.Item, error) {
+	return do(ctx, c, platform.CallGet, func() (platform.Item, error) {
+		e := c.server.live(key)
+		if e == nil {
+			return platform.Item{}, platform.ErrNotFound
+		}
+		return platform.Item{Key: key, Value: append([]byte(nil), e.value...), Revision: e.revision}, nil
+	})
+}
+
+// List returns the items under a prefix in key order.
+func (c *store) List(ctx context.Context, prefix string) ([]platform.Item, error) {
+	return do(ctx, c, platform.CallList, func() ([]platform.Item, error) { return c.server.list(prefix), nil })
+}
+
+// CompareAndSwap writes the value if the key's revision is expect.
+func (c *store) CompareAndSwap(
+	ctx context.Context, key string, expect platform.Revision, value []byte, id platform.LeaseID,
+) (platform.Revision, error) {
+	return do(ctx, c, platform.CallSwap, func() (platform.Revision, error) {
+		return c.server.swap(platform.SwapRequest{Key: key, Expect: expect, Value: value, Lease: id})
+	})
+}
+
+// Delete removes the key if its revision is expect.
+func (c *store) Delete(ctx context.Context, key string, expect platform.Revision) error {
+	_, err := do(ctx, c, platform.CallDelete, func() (struct{}, error) {
+		return struct{}{}, c.server.remove(platform.DeleteRequest{Key: key, Expect: expect})
+	})
+	return err
+}
+
+// GrantLease creates a lease.
+func (c *store) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+	return do(ctx, c, platform.CallGrant, func() (platform.LeaseID, error) {
+		if ttl <= 0 {
+			return 0, fmt.Errorf("time to live %v must be positive", ttl)
+		}
+		s := c.server
+		s.lastLease++
+		s.leases[s.lastLease] = &lease{ttl: ttl, expires: s.config.Now().Add(ttl), keys: map[string]struct{}{}}
+		return s.lastLease, nil
+	})
+}
+
+// RenewLease extends the lease by its full time to live.
+func (c *store) RenewLease(ctx context.Context, id platform.LeaseID) error {
+	_, err := do(ctx, c, platform.CallRenew, func() (struct{}, error) {
+		l := c.server.leases[id]
+		if l == nil {
+			return struct{}{}, platform.ErrNotFound
+		}
+		l.expires = c.server.config.Now().Add(l.ttl)
+		return struct{}{}, nil
+	})
+	return err
+}
+
+// RevokeLease ends the lease and deletes its keys.
+func (c *store) RevokeLease(ctx context.Context, id platform.LeaseID) error {
+	_, err := do(ctx, c, platform.CallRevoke, func() (struct{}, error) {
+		if c.server.leases[id] == nil {
+			return struct{}{}, platform.ErrNotFound
+		}
+		c.server.endLease(id)
+		return struct{}{}, nil
+	})
+	return err
+}
+
+// Hosts returns the host list that is visible after the lag.
+func (c *store) Hosts(ctx context.Context) ([]platform.Host, error) {
+	return do(ctx, c, platform.CallHosts, func() ([]platform.Host, error) { return c.server.visibleHosts(), nil })
+}
+
+// Watch waits for changes under prefix. A fault that is set while it waits ends it with ErrUnavailable.
+func (c *store) Watch(
+	ctx context.Context, prefix string, after platform.Revision, wait time.Duration,
+) ([]platform.Event, platform.Revision, error) {
+	s := c.server
+	s.mu.Lock()
+	s.counts[platform.CallWatch]++
+	s.mu.Unlock()
+	timer := time.NewTimer(min(wait, maxWait))
+	defer timer.Stop()
+	ended := false
+	for {
+		delay, faultsChanged, err := s.faults.admit(c.region)
+		if err == nil && ctx.Err() != nil {
+			err = fmt.Errorf("%w: %w", platform.ErrUnavailable, ctx.Err())
+		}
+		if err != nil {
+			return nil, 0, err
+		}
+		s.mu.Lock()
+		s.lapse()
+		events, revision, changed := s.events(prefix, after), max(s.revision, after), s.changed
+		s.mu.Unlock()
+		if len(events) > 0 || ended {
+			if err := pause(ctx, delay); err != nil {
+				return nil, 0, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+			}
+			return events, revision, nil
+		}
+		after = revision
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-faultsChanged:
+		case <-timer.C:
+			ended = true
+		}
+	}
+}
