Add the bundle package: parse, validate, segments, signed index and lookups

Rollout, the caller API and the operator API need one type for the operators' configuration. The list of segments is cut into 16 pages under a signed root, so that a change costs a root, a page and a segment instead of the whole list.

--- /dev/null
+++ b/internal/bundle/compile.go
@@ -0,0 +1,161 @@
+package bundle
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"errors"
+	"slices"
+	"strings"
+
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+// Errors of Authorize. None of them carries the secret.
+var (
+	// ErrKeyRefused reports that the key doesn't belong to the team.
+	ErrKeyRefused = errors.New("key refused")
+	// ErrUnknownTeam reports a team that the configuration doesn't have.
+	ErrUnknownTeam = errors.New("unknown team")
+	// ErrUnknownQueue reports a queue that the configuration doesn't have.
+	ErrUnknownQueue = errors.New("unknown queue")
+	// ErrTeamNotAllowed reports that the queue doesn't take work of the team.
+	ErrTeamNotAllowed = errors.New("team may not use this queue")
+)
+
+// MaxSecretBytes bounds the secret that Authorize hashes.
+const MaxSecretBytes = 256
+
+// Compiled is a bundle prepared for lookups; it is immutable and safe for concurrent use.
+type Compiled struct {
+	version ident.Version
+	teams   map[ident.TeamID]*compiledTeam
+	queues  map[ident.QueueID]*compiledQueue
+	byTeam  []Team
+	byQueue []Queue
+}
+
+type compiledTeam struct {
+	team   Team
+	hashes [][sha256.Size]byte
+}
+
+type compiledQueue struct {
+	queue   Queue
+	allowed map[ident.TeamID]bool // nil when every team may use the queue
+}
+
+// Compile prepares a validated bundle for lookups. Version 0 is the empty configuration of a daemon that has none yet.
+func Compile(b Bundle, version ident.Version) *Compiled {
+	c := &Compiled{
+		version: version,
+		teams:   make(map[ident.TeamID]*compiledTeam, len(b.Teams)),
+		queues:  make(map[ident.QueueID]*compiledQueue, len(b.Queues)),
+		byTeam:  slices.Clone(b.Teams),
+		byQueue: slices.Clone(b.Queues),
+	}
+	slices.SortFunc(c.byTeam, func(a, b Team) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	slices.SortFunc(c.byQueue, func(a, b Queue) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	for i, t := range c.byTeam {
+		entry := &compiledTeam{}
+		for _, k := range t.Keys {
+			var hash [sha256.Size]byte
+			// A hash of another length could match the zero hash in part, so it is left out.
+			if n, err := hex.Decode(hash[:], []byte(k.Hash[:min(len(k.Hash), 2*sha256.Size)])); err == nil && n == sha256.Size {
+				entry.hashes = append(entry.hashes, hash)
+			}
+		}
+		c.byTeam[i].Keys = nil // The key hashes stay in the lookup table, out of every dump of a team.
+		entry.team = c.byTeam[i]
+		c.teams[t.ID] = entry
+	}
+	for _, q := range c.byQueue {
+		entry := &compiledQueue{queue: q}
+		if len(q.Teams) > 0 {
+			entry.allowed = make(map[ident.TeamID]bool, len(q.Teams))
+			for _, t := range q.Teams {
+				entry.allowed[t] = true
+			}
+		}
+		c.queues[q.ID] = entry
+	}
+	return c
+}
+
+// Version returns the version of the configuration; 0 means that none was loaded yet.
+func (c *Compiled) Version() ident.Version { return c.version }
+
+// Team returns the team without its keys.
+func (c *Compiled) Team(id ident.TeamID) (Team, bool) {
+	if t, ok := c.teams[id]; ok {
+		return t.team, true
+	}
+	return Team{}, false
+}
+
+// Queue returns the queue.
+func (c *Compiled) Queue(id ident.QueueID) (Queue, bool) {
+	if q, ok := c.queues[id]; ok {
+		return q.queue, true
+	}
+	return Queue{}, false
+}
+
+// Teams returns the teams without their keys, sorted by id; the caller must not change them.
+func (c *Compiled) Teams() []Team { return c.byTeam }
+
+// Queues returns the queues sorted by id; the caller must not change them.
+func (c *Compiled) Queues() []Queue { return c.byQueue }
+
+// Share returns the team's weight, or 0 for an unknown team.
+func (c *Compiled) Share(id ident.TeamID) int {
+	if t, ok := c.teams[id]; ok {
+		return t.team.Share
+	}
+	return 0
+}
+
+// Limit returns the most tasks that the team may have running, or 0 for an unknown team.
+func (c *Compiled) Limit(id ident.TeamID) int {
+	if t, ok := c.teams[id]; ok {
+		return t.team.Limit
+	}
+	return 0
+}
+
+// Authorize decides whether the team may submit to the queue with the secret.
+// An open queue takes work without a key. On other queues the key is checked before the
+// queue's list of teams, so that a caller without a key learns nothing about that list.
+func (c *Compiled) Authorize(team ident.TeamID, queue ident.QueueID, secret string) error {
+	t, ok := c.teams[team]
+	if !ok {
+		return ErrUnknownTeam
+	}
+	q, ok := c.queues[queue]
+	if !ok {
+		return ErrUnknownQueue
+	}
+	if q.queue.Open {
+		return nil
+	}
+	if !t.holds(secret) {
+		return ErrKeyRefused
+	}
+	if q.allowed != nil && !q.allowed[team] {
+		return ErrTeamNotAllowed
+	}
+	return nil
+}
+
+// holds compares the secret's hash with every key of the team, so that its time depends only on the number of keys.
+func (t *compiledTeam) holds(secret string) bool {
+	if secret == "" || len(secret) > MaxSecretBytes {
+		return false
+	}
+	hash := sha256.Sum256([]byte(secret))
+	found := 0
+	for i := range t.hashes {
+		found |= subtle.ConstantTimeCompare(hash[:], t.hashes[i][:])
+	}
+	return found == 1
+}
--- /dev/null
+++ b/internal/bundle/index.go
@@ -0,0 +1,170 @@
+package bundle
+
+import (
+	"bytes"
+	"cmp"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+// PageCount is the number of pages that the list of segments is cut into. A change then costs one small page instead
+// of the whole list; 110 teams have about 260 segments, so that a page holds about 16.
+const PageCount = 16
+
+// Bounds of encoded indexes.
+const (
+	MaxRootBytes = 64 << 10
+	MaxSignOffs  = 64
+	// RecentNonces is how many earlier publishes the index names. A publisher whose reply was lost
+	// finds its nonce there after others have published on top of it.
+	RecentNonces = 8
+)
+
+// ErrIndex reports an index that can't be decoded or whose segments don't match it.
+var ErrIndex = errors.New("wrong index")
+
+// Root is the part of an index that is swapped in the store. Pages holds the content hashes of the pages.
+type Root struct {
+	Version     ident.Version     `json:"version"`
+	Previous    ident.Version     `json:"previous"`
+	Writer      ident.MemberID    `json:"writer"`
+	Incarnation ident.Incarnation `json:"incarnation"`
+	Nonce       string            `json:"nonce"`
+	Published   time.Time         `json:"published"` // wall clock of the writer, for operators only
+	Recent      []string          `json:"recent"`    // nonces of the publishes before this one, newest first
+	Pages       []string          `json:"pages"`
+	SignOffs    []SignOff         `json:"sign-offs"`
+}
+
+// Entry names a segment and the hash of its content.
+type Entry struct {
+	Name string `json:"n"`
+	Hash string `json:"h"`
+}
+
+// Index is a root with its whole list of segments, sorted by name.
+type Index struct {
+	Root
+	Entries []Entry
+}
+
+// NewIndex lists the segments under a version. Writer, nonce, time and sign-offs are left to the publisher.
+func NewIndex(version, previous ident.Version, segments map[string][]byte) Index {
+	entries := make([]Entry, 0, len(segments))
+	for name, value := range segments {
+		entries = append(entries, Entry{Name: name, Hash: Hash(value)})
+	}
+	x := Index{Root: Root{Version: version, Previous: previous}, Entries: sortEntries(entries)}
+	for _, page := range x.pages() {
+		x.Root.Pages = append(x.Root.Pages, Hash(page))
+	}
+	return x
+}
+
+func sortEntries(entries []Entry) []Entry {
+	slices.SortFunc(entries, func(a, b Entry) int { return strings.Compare(a.Name, b.Name) })
+	return entries
+}
+
+// pages encodes the list of segments as PageCount pages.
+func (x Index) pages() [PageCount][]byte {
+	var lists [PageCount][]Entry
+	for _, e := range x.Entries {
+		n := pageOf(e.Name)
+		lists[n] = append(lists[n], e)
+	}
+	var pages [PageCount][]byte
+	for i, list := range lists {
+		pages[i] = encode(list)
+	}
+	return pages
+}
+
+// pageOf spreads names evenly, so that no page grows with the number of teams alone.
+func pageOf(name string) int {
+	sum := sha256.Sum256([]byte(name))
+	return int(sum[0]) % PageCount
+}
+
+// PagesByHash returns the encoded pages by content hash.
+func (x Index) PagesByHash() map[string][]byte {
+	pages := make(map[string][]byte, PageCount)
+	for _, page := range x.pages() {
+		pages[Hash(page)] = page
+	}
+	return pages
+}
+
+// DecodePage returns the entries of a page after checking its hash.
+func DecodePage(hash string, data []byte) ([]Entry, error) {
+	if Hash(data) != hash {
+		return nil, fmt.Errorf("page %s: %w: content has another hash", hash, ErrIndex)
+	}
+	var entries []Entry
+	if err := decode(data, &entries); err != nil {
+		return nil, fmt.Errorf("page %s: %w: %w", hash, ErrIndex, err)
+	}
+	return entries, nil
+}
+
+// Encode returns the canonical encoding of the root with its sign-offs in signer order.
+func (r Root) Encode() []byte {
+	r.SignOffs = slices.Clone(r.SignOffs)
+	slices.SortFunc(r.SignOffs, func(a, b SignOff) int {
+		return cmp.Or(strings.Compare(a.Signer, b.Signer), bytes.Compare(a.Signature, b.Signature))
+	})
+	return encode(r)
+}
+
+// DecodeRoot decodes a root and refuses everything but the canonical encoding.
+func DecodeRoot(data []byte) (Root, error) {
+	if len(data) > MaxRootBytes {
+		return Root{}, fmt.Errorf("root: %w: %d bytes, at most %d allowed", ErrIndex, len(data), MaxRootBytes)
+	}
+	var r Root
+	if err := decode(data, &r); err != nil {
+		return Root{}, fmt.Errorf("root: %w: %w", ErrIndex, err)
+	}
+	switch {
+	case r.Version == 0 || r.Previous >= r.Version:
+		return Root{}, fmt.Errorf("root: %w: version %d after %d", ErrIndex, r.Version, r.Previous)
+	case len(r.Pages) != PageCount:
+		return Root{}, fmt.Errorf("root: %w: %d pages, not %d", ErrIndex, len(r.Pages), PageCount)
+	case len(r.SignOffs) > MaxSignOffs || len(r.Recent) > RecentNonces:
+		return Root{}, fmt.Errorf("root: %w: too many sign-offs or nonces", ErrIndex)
+	case !bytes.Equal(r.Encode(), data):
+		return Root{}, fmt.Errorf("root: %w: not in canonical form", ErrIndex)
+	}
+	return r, nil
+}
+
+// Complete adds the list of segments to a root, or returns ErrIndex when the list isn't the one that the root names.
+func (r Root) Complete(entries []Entry) (Index, error) {
+	x := Index{Root: r, Entries: sortEntries(slices.Clone(entries))}
+	for i, page := range x.pages() {
+		if i >= len(r.Pages) || Hash(page) != r.Pages[i] {
+			return Index{}, fmt.Errorf("version %d, page %d: %w: segments don't match", r.Version, i, ErrIndex)
+		}
+	}
+	for i := 1; i < len(x.Entries); i++ {
+		if x.Entries[i].Name == x.Entries[i-1].Name {
+			return Index{}, fmt.Errorf("version %d: %w: segment %q listed twice", r.Version, ErrIndex, x.Entries[i].Name)
+		}
+	}
+	return x, nil
+}
+
+// Lookup returns the hash of a segment.
+func (x Index) Lookup(name string) (string, bool) {
+	i, ok := slices.BinarySearchFunc(x.Entries, name, func(e Entry, name string) int { return strings.Compare(e.Name, name) })
+	if !ok {
+		return "", false
+	}
+	return x.Entries[i].Hash, true
+}
--- /dev/null
+++ b/internal/bundle/keys.go
@@ -0,0 +1,67 @@
+package bundle
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"slices"
+
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+// ErrUnknownKey reports a key id that the team doesn't have.
+var ErrUnknownKey = errors.New("unknown key")
+
+// secretPrefix marks secrets, so that scanners for leaked credentials can find them.
+const secretPrefix = "rsk_"
+
+// HashSecret returns the form in which a bundle keeps a secret.
+func HashSecret(secret string) string {
+	sum := sha256.Sum256([]byte(secret))
+	return hex.EncodeToString(sum[:])
+}
+
+// GrantKey adds a key with a new random secret of 256 bits to the team. The secret is returned only here.
+// It fails with ErrUnknownTeam, or Problems when the key id is wrong or taken.
+func GrantKey(b Bundle, team ident.TeamID, id string) (Bundle, string, error) {
+	i := teamAt(b, team)
+	if i < 0 {
+		return b, "", fmt.Errorf("grant key: %w", ErrUnknownTeam)
+	}
+	var raw [32]byte
+	_, _ = rand.Read(raw[:]) // crypto/rand.Read never fails since Go 1.24.
+	secret := secretPrefix + base64.RawURLEncoding.EncodeToString(raw[:])
+	keys := append(slices.Clone(b.Teams[i].Keys), Key{ID: id, Hash: HashSecret(secret)})
+	changed := withKeys(b, i, keys)
+	if err := Validate(changed); err != nil {
+		return b, "", fmt.Errorf("grant key: %w", err)
+	}
+	return changed, secret, nil
+}
+
+// WithdrawKey removes a key of the team, or fails with ErrUnknownTeam or ErrUnknownKey.
+func WithdrawKey(b Bundle, team ident.TeamID, id string) (Bundle, error) {
+	i := teamAt(b, team)
+	if i < 0 {
+		return b, fmt.Errorf("withdraw key: %w", ErrUnknownTeam)
+	}
+	at := slices.IndexFunc(b.Teams[i].Keys, func(k Key) bool { return k.ID == id })
+	if at < 0 {
+		return b, fmt.Errorf("withdraw key: %w", ErrUnknownKey)
+	}
+	return withKeys(b, i, slices.Delete(slices.Clone(b.Teams[i].Keys), at, at+1)), nil
+}
+
+func teamAt(b Bundle, team ident.TeamID) int {
+	return slices.IndexFunc(b.Teams, func(t Team) bool { return t.ID == team })
+}
+
+// withKeys copies the bundle with other keys for one team; the given bundle stays as it is.
+func withKeys(b Bundle, i int, keys []Key) Bundle {
+	b.Teams = slices.Clone(b.Teams)
+	b.Teams[i].Keys = keys
+	return b
+}
--- /dev/null
+++ b/internal/bundle/problem.go
@@ -0,0 +1,83 @@
+package bundle
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Problem is one fault of a bundle. It never contains a value that could be a secret.
+type Problem struct {
+	File    string `json:"file,omitempty"`
+	Line    int    `json:"line,omitempty"` // counted from 1; 0 when the bundle wasn't read from a file
+	Field   string `json:"field"`          // path such as teams[2].keys[0].hash
+	Message string `json:"message"`
+}
+
+// Error formats the problem as file:line: field: message.
+func (p Problem) Error() string {
+	var b strings.Builder
+	if p.File != "" {
+		fmt.Fprintf(&b, "%s:%d: ", p.File, p.Line)
+	}
+	if p.Field != "" {
+		b.WriteString(p.Field + ": ")
+	}
+	b.WriteString(p.Message)
+	return b.String()
+}
+
+// Problems is every fault found in a bundle, in the order of lines.
+type Problems []Problem
+
+// shownProblems bounds how many problems Error prints, so that a broken file can't flood a log.
+const shownProblems = 20
+
+// Error joins the first problems with newlines.
+func (p Problems) Error() string {
+	var lines []string
+	for _, q := range p[:min(len(p), shownProblems)] {
+		lines = append(lines, q.Error())
+	}
+	if more := len(p) - shownProblems; more > 0 {
+		lines = append(lines, fmt.Sprintf("and %d more problems", more))
+	}
+	return strings.Join(lines, "\n")
+}
+
+// add appends a problem of the field.
+func (p *Problems) add(field, format string, args ...any) {
+	*p = append(*p, Problem{Field: field, Message: fmt.Sprintf(format, args...)})
+}
+
+// err returns nil when there is no problem.
+func (p Problems) err() error {
+	if len(p) == 0 {
+		return nil
+	}
+	return p
+}
+
+// locate fills in file and line; a field without a line takes that of its closest enclosing field.
+func (p Problems) locate(file string, lines map[string]int) {
+	for i := range p {
+		p[i].File = file
+		if p[i].Line > 0 {
+			continue
+		}
+		p[i].Line = 1
+		for field := p[i].Field; field != ""; field = parentField(field) {
+			if line, ok := lines[field]; ok {
+				p[i].Line = line
+				break
+			}
+		}
+	}
+	slices.SortStableFunc(p, func(a, b Problem) int { return cmp.Compare(a.Line, b.Line) })
+}
+
+// parentField cuts the last name or index from a field path.
+func parentField(field string) string {
+	return field[:max(0, strings.LastIndexAny(field, ".["))]
+}
--- /dev/null
+++ b/internal/bundle/schema.go
@@ -0,0 +1,164 @@
+package bundle
+
+import (
+	"fmt"
+	"regexp"
+
+	"github.com/goccy/go-yaml/ast"
+)
+
+// schema describes the shape of one node of a bundle file.
+type schema struct {
+	kind     schemaKind
+	fields   map[string]*schema // of an object
+	required []string           // of an object
+	element  *schema            // of a list
+}
+
+type schemaKind string
+
+const (
+	objectNode  schemaKind = "an object"
+	listNode    schemaKind = "a list"
+	stringNode  schemaKind = "a string"
+	integerNode schemaKind = "a whole number"
+	booleanNode schemaKind = "true or false"
+)
+
+var (
+	stringSchema  = &schema{kind: stringNode}
+	integerSchema = &schema{kind: integerNode}
+	booleanSchema = &schema{kind: booleanNode}
+
+	bundleSchema = &schema{kind: objectNode, required: []string{"teams", "queues"}, fields: map[string]*schema{
+		"teams":  {kind: listNode, element: teamSchema},
+		"queues": {kind: listNode, element: queueSchema},
+	}}
+	teamSchema = &schema{kind: objectNode, required: []string{"id", "share", "limit", "claim-region"}, fields: map[string]*schema{
+		"id": stringSchema, "share": integerSchema, "limit": integerSchema, "claim-region": stringSchema,
+		"queue-limit": integerSchema, "keys": {kind: listNode, element: keySchema},
+	}}
+	keySchema = &schema{kind: objectNode, required: []string{"id", "hash"}, fields: map[string]*schema{
+		"id": stringSchema, "hash": stringSchema,
+	}}
+	queueSchema = &schema{kind: objectNode, required: []string{"id", "kind"}, fields: map[string]*schema{
+		"id": stringSchema, "kind": stringSchema, "open": booleanSchema, "urgent": booleanSchema,
+		"priority": integerSchema, "teams": {kind: listNode, element: stringSchema}, "deadline-ms": integerSchema,
+		"retries": integerSchema, "max-demand": demandSchema, "max-tasks": integerSchema,
+	}}
+	demandSchema = &schema{kind: objectNode, fields: map[string]*schema{
+		"milli-cpu": integerSchema, "memory-mb": integerSchema, "gpus": integerSchema, "slots": integerSchema,
+		"connections": integerSchema,
+	}}
+)
+
+// maxProblems ends the check of a file that is wrong throughout.
+const maxProblems = 1000
+
+// schemaCheck collects the line of each field and every problem of shape. The decoder converts between numbers,
+// strings and booleans in places, stops at its first fault and quotes the file; this check does none of that.
+type schemaCheck struct {
+	lines    map[string]int
+	problems Problems
+}
+
+func (s *schemaCheck) add(line int, field, format string, args ...any) {
+	if len(s.problems) < maxProblems {
+		s.problems = append(s.problems, Problem{Line: line, Field: field, Message: fmt.Sprintf(format, args...)})
+	}
+}
+
+func (s *schemaCheck) node(field string, n ast.Node, want *schema) {
+	line := n.GetToken().Position.Line
+	if _, ok := s.lines[field]; !ok {
+		s.lines[field] = line
+	}
+	switch want.kind {
+	case objectNode:
+		if m, ok := n.(ast.MapNode); ok {
+			s.object(field, line, m, want)
+			return
+		}
+	case listNode:
+		if list, ok := n.(*ast.SequenceNode); ok {
+			for i, value := range list.Values {
+				s.node(fmt.Sprintf("%s[%d]", field, i), value, want.element)
+			}
+			return
+		}
+	case stringNode:
+		switch n.(type) {
+		case *ast.StringNode, *ast.LiteralNode:
+			return
+		}
+	case integerNode:
+		if i, ok := n.(*ast.IntegerNode); ok {
+			s.integer(field, line, i)
+			return
+		}
+		if f, ok := n.(*ast.FloatNode); ok && wholeNumber.MatchString(f.Token.Value) {
+			s.add(line, field, "number is too large")
+			return
+		}
+	case booleanNode:
+		if _, ok := n.(*ast.BoolNode); ok {
+			return
+		}
+	}
+	s.add(line, field, "must be %s", want.kind)
+}
+
+// integer refuses numbers beyond 64 bits; Validate applies the bounds of each field.
+func (s *schemaCheck) integer(field string, line int, n *ast.IntegerNode) {
+	if _, fits := n.Value.(int64); fits {
+		return
+	}
+	if u, ok := n.Value.(uint64); !ok || u > 1<<63-1 {
+		s.add(line, field, "number is too large")
+	}
+}
+
+// wholeNumber matches the numbers beyond 64 bits that the YAML parser returns as floating point.
+var wholeNumber = regexp.MustCompile(`^[-+]?[0-9]+$`)
+
+// plainName matches names that are safe to print; a secret pasted as a field name contains digits or capitals.
+var plainName = regexp.MustCompile(`^[a-z][a-z_-]{0,31}$`)
+
+func (s *schemaCheck) object(field string, line int, m ast.MapNode, want *schema) {
+	present := map[string]bool{}
+	for it := m.MapRange(); it.Next(); {
+		key, ok := it.Key().(ast.ScalarNode)
+		name := ""
+		if ok {
+			name, ok = key.GetValue().(string)
+		}
+		at := it.Key().GetToken().Position.Line
+		child, known := want.fields[name]
+		switch {
+		case !ok:
+			s.add(at, field, "field name must be a string")
+		case !known && !plainName.MatchString(name):
+			s.add(at, field, "unknown field")
+		case !known:
+			s.add(at, join(field, name), "unknown field")
+		case present[name]:
+			s.add(at, join(field, name), "field is given twice")
+		default:
+			s.lines[join(field, name)] = at
+			s.node(join(field, name), it.Value(), child)
+		}
+		present[name] = true
+	}
+	for _, name := range want.required {
+		if !present[name] {
+			s.add(line, join(field, name), "field is missing")
+		}
+	}
+}
+
+func join(field, name string) string {
+	if field == "" {
+		return name
+	}
+	return field + "." + name
+}
--- /dev/null
+++ b/internal/bundle/validate.go
@@ -0,0 +1,150 @@
+package bundle
+
+import (
+	"fmt"
+	"math"
+	"regexp"
+	"slices"
+
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/resource"
+)
+
+// Bounds of a bundle. Ten times the expected 110 teams fit, and each segment stays far below the store's 1 MB values.
+const (
+	MaxTeams       = 1024
+	MaxQueues      = 1024
+	MaxKeysPerTeam = 1024
+	MaxShare       = 1_000_000
+	MaxLimit       = 10_000_000 // tasks; two years' peak is 39,000
+	MaxQueueLimit  = 10_000_000 // tasks
+	MaxRetries     = 100
+	// MaxAmount bounds each amount of a demand; times api.MaxTasks it stays below 2^53.
+	MaxAmount = 1 << 40
+)
+
+// hashPattern matches a hexadecimal SHA-256 in lower case, the only spelling that Authorize compares with.
+var hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+
+// Validate checks ids, references and bounds, and returns Problems with every fault.
+func Validate(b Bundle) error {
+	var problems Problems
+	v := validator{problems: &problems, teams: map[ident.TeamID]int{}, hashes: map[string]bool{}}
+	v.count("teams", len(b.Teams), MaxTeams)
+	v.count("queues", len(b.Queues), MaxQueues)
+	for i, t := range b.Teams {
+		v.team(fmt.Sprintf("teams[%d]", i), i, t)
+	}
+	seen := map[ident.QueueID]int{}
+	for i, q := range b.Queues {
+		field := fmt.Sprintf("queues[%d]", i)
+		v.id(field+".id", string(q.ID))
+		if first, ok := seen[q.ID]; ok {
+			problems.add(field+".id", "duplicate of queues[%d]", first)
+		} else {
+			seen[q.ID] = i
+		}
+		v.queue(field, q)
+	}
+	return problems.err()
+}
+
+// validator collects problems and the ids seen so far.
+type validator struct {
+	problems *Problems
+	teams    map[ident.TeamID]int
+	hashes   map[string]bool
+}
+
+func (v *validator) count(field string, n, most int) {
+	if n > most {
+		v.problems.add(field, "%d entries, at most %d allowed", n, most)
+	}
+}
+
+// within checks a number against its bounds.
+func (v *validator) within(field string, n, least, most int64) {
+	if n < least || n > most {
+		v.problems.add(field, "%d is outside %d to %d", n, least, most)
+	}
+}
+
+// id checks an identifier and reports its fault without repeating the value.
+func (v *validator) id(field, value string) {
+	switch {
+	case value == "":
+		v.problems.add(field, "must not be empty")
+	case len(value) > ident.MaxLength:
+		v.problems.add(field, "%d bytes, at most %d allowed", len(value), ident.MaxLength)
+	case ident.Check(field, value) != nil:
+		v.problems.add(field, "must start with a letter or digit and contain only letters, digits and . _ : -")
+	}
+}
+
+func (v *validator) team(field string, i int, t Team) {
+	v.id(field+".id", string(t.ID))
+	if first, ok := v.teams[t.ID]; ok {
+		v.problems.add(field+".id", "duplicate of teams[%d]", first)
+	} else {
+		v.teams[t.ID] = i
+	}
+	v.within(field+".share", int64(t.Share), 1, MaxShare)
+	v.within(field+".limit", int64(t.Limit), 0, MaxLimit)
+	v.within(field+".queue-limit", int64(t.QueueLimit), 0, MaxQueueLimit)
+	v.id(field+".claim-region", string(t.ClaimRegion))
+	v.count(field+".keys", len(t.Keys), MaxKeysPerTeam)
+	ids := map[string]bool{}
+	for j, k := range t.Keys {
+		v.key(fmt.Sprintf("%s.keys[%d]", field, j), k, ids)
+	}
+}
+
+// key checks one key. A secret pasted into a wrong field must not be printed, so no message repeats a value.
+func (v *validator) key(field string, k Key, ids map[string]bool) {
+	v.id(field+".id", k.ID)
+	if ids[k.ID] {
+		v.problems.add(field+".id", "duplicate key id in this team")
+	}
+	ids[k.ID] = true
+	switch {
+	case !hashPattern.MatchString(k.Hash):
+		v.problems.add(field+".hash", "must be the SHA-256 of the secret as 64 hexadecimal digits in lower case")
+	case v.hashes[k.Hash]:
+		v.problems.add(field+".hash", "the same hash is given to another key")
+	}
+	v.hashes[k.Hash] = true
+}
+
+func (v *validator) queue(field string, q Queue) {
+	if !q.Kind.Valid() {
+		v.problems.add(field+".kind", "must be one of %s, %s, %s, %s",
+			api.KindRequest, api.KindService, api.KindBatch, api.KindAllAtOnce)
+	}
+	v.within(field+".priority", int64(q.Priority), 0, api.MaxPriority)
+	v.within(field+".deadline-ms", int64(q.Deadline), 0, api.MaxDeadline.Milliseconds())
+	v.within(field+".retries", int64(q.Retries), 0, MaxRetries)
+	v.within(field+".max-tasks", int64(q.MaxTasks), 0, api.MaxTasks)
+	v.demand(field+".max-demand", q.MaxDemand)
+	if q.Open && len(q.Teams) > 0 {
+		v.problems.add(field+".teams", "an open queue takes work from every team, so it can't list teams")
+	}
+	v.count(field+".teams", len(q.Teams), MaxTeams)
+	for j, t := range q.Teams {
+		name := fmt.Sprintf("%s.teams[%d]", field, j)
+		if _, ok := v.teams[t]; !ok {
+			v.problems.add(name, "unknown team")
+		}
+		if slices.Contains(q.Teams[:min(j, MaxTeams)], t) {
+			v.problems.add(name, "listed twice")
+		}
+	}
+}
+
+func (v *validator) demand(field string, d resource.Vector) {
+	v.within(field+".milli-cpu", int64(d.CPU), 0, MaxAmount)
+	v.within(field+".memory-mb", int64(d.Memory), 0, MaxAmount)
+	v.within(field+".gpus", int64(d.GPUs), 0, math.MaxInt32)
+	v.within(field+".slots", int64(d.Slots), 0, math.MaxInt32)
+	v.within(field+".connections", int64(d.Connections), 0, math.MaxInt32)
+}
