Add the rollout package: publish, distribution, freshness and acceptance

One daemon per region watches the store, the others pull deltas; a majority of versions or the store renews the freshness.

A restarted daemon reports version 0 until it was fresh once. Otherwise it could take an old version from a peer, count itself in the majority that confirms it, and so revert a version that it had acknowledged before.

Outage, partition and collection are not tested yet.

--- a/internal/bundle/index.go
+++ b/internal/bundle/index.go
@@ -168,3 +168,14 @@
 	}
 	return x.Entries[i].Hash, true
 }
+
+// Page returns the entries of one page, in name order.
+func (x Index) Page(n int) []Entry {
+	var entries []Entry
+	for _, e := range x.Entries {
+		if pageOf(e.Name) == n {
+			entries = append(entries, e)
+		}
+	}
+	return entries
+}
--- /dev/null
+++ b/internal/rollout/accept.go
@@ -0,0 +1,156 @@
+package rollout
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/member"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+// MemberStatus is the version in force on one member.
+type MemberStatus struct {
+	Member       ident.MemberID `json:"member"`
+	Region       ident.Region   `json:"region"`
+	State        member.State   `json:"state"`
+	Version      ident.Version  `json:"version"` // last one heard of; 0 means none that the member vouches for
+	Answered     bool           `json:"answered"`
+	Acknowledged bool           `json:"acknowledged"` // has the version in question or a later one in force
+	SilentMS     int64          `json:"silent-ms"`    // since the last answer, at most since a majority had the version
+}
+
+// Bounds of the record of majorities.
+const (
+	maxMajorities = 64
+	// driftFraction is the part of the freshness bound added to the wait for a silent member, whose clock may be slower.
+	driftFraction = 20
+)
+
+// accepts remembers when this daemon first saw each version in force on a majority.
+type accepts struct {
+	mutex    sync.Mutex
+	majority map[ident.Version]time.Time
+}
+
+// reached returns when the version was first seen on a majority.
+func (a *accepts) reached(version ident.Version, now time.Time) time.Time {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if at, ok := a.majority[version]; ok {
+		return at
+	}
+	if a.majority == nil {
+		a.majority = make(map[ident.Version]time.Time)
+	}
+	if len(a.majority) >= maxMajorities {
+		oldest := version
+		for v := range a.majority {
+			oldest = min(oldest, v)
+		}
+		delete(a.majority, oldest)
+	}
+	a.majority[version] = now
+	return now
+}
+
+// Status asks every member for its version in force.
+func (r *Rollout) Status(ctx context.Context) []MemberStatus {
+	return r.status(ctx, r.held.Load().version())
+}
+
+func (r *Rollout) status(ctx context.Context, version ident.Version) []MemberStatus {
+	self, view := r.config.Self(), r.config.View()
+	var others []ident.MemberID
+	for _, m := range view.Members {
+		if m.ID != self.ID {
+			others = append(others, m.ID)
+		}
+	}
+	answers := r.ask(ctx, others)
+	now := r.config.Now()
+	statuses := make([]MemberStatus, 0, len(view.Members))
+	for _, m := range view.Members {
+		s := MemberStatus{Member: m.ID, Region: m.Region, State: m.State}
+		if m.ID == self.ID {
+			s.Version, s.Answered = r.held.Load().version(), true
+		} else {
+			if s.Version, s.Answered = answers[m.ID]; !s.Answered {
+				s.Version, s.SilentMS = r.words.last(m.ID, now)
+			}
+		}
+		s.Acknowledged = s.Answered && s.Version >= version
+		statuses = append(statuses, s)
+	}
+	return statuses
+}
+
+// last returns the version last heard from a member and how long ago that was, -1 if never.
+func (w *words) last(id ident.MemberID, now time.Time) (ident.Version, int64) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if p, ok := w.peers[id]; ok {
+		return p.version, now.Sub(p.at).Milliseconds()
+	}
+	return 0, -1
+}
+
+// Accepted reports whether a majority of the view has the version in force and every other member has acknowledged it
+// or been silent for longer than the freshness bound. The silence counts from the moment a majority was seen: from then
+// on a silent member can't be confirmed by a majority on an older version, nor by the store, which has the new index.
+func (r *Rollout) Accepted(ctx context.Context, version ident.Version) (bool, []MemberStatus, error) {
+	if version == 0 {
+		return false, nil, errors.New("accepted: version must be at least 1")
+	}
+	statuses := r.status(ctx, version)
+	if err := ctx.Err(); err != nil {
+		return false, statuses, fmt.Errorf("accepted: %w", err)
+	}
+	inForce := 0
+	for _, s := range statuses {
+		if s.Acknowledged {
+			inForce++
+		}
+	}
+	if inForce <= len(statuses)/2 {
+		return false, statuses, nil
+	}
+	now := r.config.Now()
+	waited := now.Sub(r.accepts.reached(version, now))
+	bound := r.config.Freshness + r.config.Freshness/driftFraction
+	accepted := true
+	for i := range statuses {
+		s := &statuses[i]
+		if s.Acknowledged {
+			continue
+		}
+		if s.Answered {
+			accepted = false // It is reachable and holds an older version.
+			continue
+		}
+		silent := waited
+		if s.SilentMS >= 0 {
+			silent = min(silent, time.Duration(s.SilentMS)*time.Millisecond)
+		}
+		s.SilentMS = silent.Milliseconds()
+		accepted = accepted && silent > bound
+	}
+	return accepted, statuses, nil
+}
+
+// Await repeats Accepted once per read interval until it is true or the context ends.
+func (r *Rollout) Await(ctx context.Context, version ident.Version) ([]MemberStatus, error) {
+	for {
+		accepted, statuses, err := r.Accepted(ctx, version)
+		if err != nil || accepted {
+			return statuses, err
+		}
+		select {
+		case <-ctx.Done():
+			return statuses, fmt.Errorf("await version %d: %w", version, ctx.Err())
+		case <-time.After(r.config.ReadInterval):
+		}
+	}
+}
--- /dev/null
+++ b/internal/rollout/publish.go
@@ -0,0 +1,260 @@
+package rollout
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/bundle"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/platform"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+// Outcome says what became of a publish; it is always one of the three constants.
+type Outcome string
+
+// Outcomes of a publish.
+const (
+	// Accepted means that the version is in force on a majority and every other member has acknowledged it or stopped.
+	Accepted Outcome = "accepted"
+	// Pending means that the index was written, or may have been, and isn't accepted yet.
+	Pending Outcome = "pending"
+	// Refused means that the index was not written and never will be.
+	Refused Outcome = "refused"
+)
+
+// Receipt describes a publish. Writer and Nonce identify it in the index.
+type Receipt struct {
+	Version ident.Version   `json:"version"`
+	Outcome Outcome         `json:"outcome"`
+	Digest  string          `json:"digest"`
+	Writer  ident.MemberID  `json:"writer"`
+	Nonce   string          `json:"nonce"`
+	Changes []bundle.Change `json:"changes,omitempty"`
+}
+
+// Proposal is what operators sign off.
+type Proposal struct {
+	Version ident.Version   `json:"version"`
+	Digest  bundle.Digest   `json:"-"` // what bundle.Sign takes
+	Hex     string          `json:"digest"`
+	Changes []bundle.Change `json:"changes"`
+}
+
+// ConflictError reports that another publish came first.
+type ConflictError struct {
+	Expected  ident.Version  `json:"expected"`
+	Version   ident.Version  `json:"version"` // now in the store
+	Writer    ident.MemberID `json:"writer"`  // daemon through which the winner was published
+	Nonce     string         `json:"nonce"`
+	Published time.Time      `json:"published"`
+	Signers   []string       `json:"signers,omitempty"`
+}
+
+// Error names the winner.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("expected version %d, but version %d was published through %s at %s, signed off by %v",
+		e.Expected, e.Version, e.Writer, e.Published.Format(time.RFC3339), e.Signers)
+}
+
+// ErrUndecided reports a publish whose index write got no reply, while the store can't be read to settle it. Resolve
+// settles it later.
+var ErrUndecided = errors.New("outcome of the publish is not known yet")
+
+const (
+	// publishTimeout bounds the writes of a publish. It is far below the time that unreferenced parts are kept.
+	publishTimeout = 30 * time.Second
+	// partAttempts is how often a write of a part is tried; parts are named by content, so that a retry is harmless.
+	partAttempts = 3
+	// settlePause is the pause between two attempts to settle a lost reply.
+	settlePause = 250 * time.Millisecond
+)
+
+// base is the store's index on which a publish builds.
+type base struct {
+	revision platform.Revision // 0 when there is no index
+	held     *held
+	complete bool // the store's index is the one held, so its parts are in the store
+}
+
+// Prepare checks the bundle and returns the index digest that operators must sign. The digest depends only on the
+// bundle and the version, so that another daemon can publish with the sign-offs.
+func (r *Rollout) Prepare(ctx context.Context, b bundle.Bundle, expect ident.Version) (Proposal, error) {
+	from, err := r.base(ctx, expect)
+	if err != nil {
+		return Proposal{}, fmt.Errorf("prepare: %w", err)
+	}
+	index, _, err := r.propose(b, from.held)
+	if err != nil {
+		return Proposal{}, fmt.Errorf("prepare: %w", err)
+	}
+	digest := index.Digest()
+	return Proposal{
+		Version: index.Version, Digest: digest, Hex: digest.String(), Changes: bundle.Diff(from.held.bundle, b),
+	}, nil
+}
+
+// Publish writes the bundle as the version after expect. It returns a ConflictError when another version is in the
+// store, and ErrUndecided with the outcome Pending when a lost reply couldn't be settled. Without an error the outcome
+// is Accepted or Pending; Await follows a pending version.
+func (r *Rollout) Publish(ctx context.Context, b bundle.Bundle, expect ident.Version, signOffs []bundle.SignOff) (Receipt, error) {
+	receipt, err := r.publish(ctx, b, expect, signOffs)
+	if err != nil {
+		var conflict *ConflictError
+		if errors.As(err, &conflict) {
+			r.counts.Conflicts.Add(1)
+		}
+		return receipt, fmt.Errorf("publish: %w", err)
+	}
+	r.counts.Published.Add(1)
+	r.config.Log.Info("configuration published", "version", receipt.Version, "digest", receipt.Digest)
+	if accepted, _, err := r.Accepted(ctx, receipt.Version); err == nil && accepted {
+		receipt.Outcome = Accepted
+	}
+	return receipt, nil
+}
+
+func (r *Rollout) publish(ctx context.Context, b bundle.Bundle, expect ident.Version, signOffs []bundle.SignOff) (Receipt, error) {
+	writes, cancel := context.WithTimeout(ctx, publishTimeout)
+	defer cancel()
+	self := r.config.Self()
+	receipt := Receipt{Version: expect + 1, Outcome: Refused, Writer: self.ID, Nonce: ident.Random("p")}
+	from, err := r.base(writes, expect)
+	if err != nil {
+		return receipt, err
+	}
+	index, segments, err := r.propose(b, from.held)
+	if err != nil {
+		return receipt, err
+	}
+	index.Writer, index.Incarnation, index.Nonce = self.ID, self.Incarnation, receipt.Nonce
+	index.Published = r.config.Now().UTC().Truncate(time.Second)
+	index.SignOffs = signOffs
+	receipt.Digest, receipt.Changes = index.Digest().String(), bundle.Diff(from.held.bundle, b)
+	if err := bundle.Verify(index.Digest(), signOffs, r.config.Signers, r.config.Required); err != nil {
+		return receipt, err
+	}
+	root := index.Encode()
+	if _, err := bundle.DecodeRoot(root); err != nil {
+		return receipt, err
+	}
+	if err := r.writeParts(writes, from, index, segments); err != nil {
+		return receipt, err
+	}
+	before := r.config.Now()
+	if receipt.Outcome, err = r.swapIndex(writes, from.revision, root, receipt); err != nil {
+		return receipt, err
+	}
+	if err := r.adopt(index, segments); err != nil {
+		return receipt, err
+	}
+	r.words.storeConfirms(index.Version, before)
+	return receipt, nil
+}
+
+// base reads the store's index, puts it in force if it is newer and compares its version with the expected one.
+func (r *Rollout) base(ctx context.Context, expect ident.Version) (base, error) {
+	revision, err := r.readIndex(ctx)
+	if err != nil {
+		return base{}, err
+	}
+	current := r.held.Load()
+	if current.version() != expect {
+		return base{}, conflictWith(expect, current.index.Root)
+	}
+	return base{revision: revision, held: current, complete: r.words.storedVersion() == current.version()}, nil
+}
+
+// storedVersion returns the version that the store last confirmed.
+func (w *words) storedVersion() ident.Version {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.storeVersion
+}
+
+// propose builds the index that follows the held one and checks its bounds.
+func (r *Rollout) propose(b bundle.Bundle, from *held) (bundle.Index, map[string][]byte, error) {
+	if err := bundle.Validate(b); err != nil {
+		return bundle.Index{}, nil, err
+	}
+	if err := bundle.CheckSuccessor(from.bundle, b); err != nil {
+		return bundle.Index{}, nil, err
+	}
+	segments := bundle.Split(b)
+	for name, value := range segments {
+		if len(value) > platform.MaxValueBytes {
+			return bundle.Index{}, nil, fmt.Errorf("segment %s: %d bytes: %w", name, len(value), platform.ErrTooLarge)
+		}
+	}
+	index := bundle.NewIndex(from.version()+1, from.version(), segments)
+	if from.version() > 0 {
+		recent := append([]string{from.index.Nonce}, from.index.Recent...)
+		index.Recent = recent[:min(len(recent), bundle.RecentNonces)]
+	}
+	return index, segments, nil
+}
+
+// writeParts writes the segments and pages that the base doesn't have.
+func (r *Rollout) writeParts(ctx context.Context, from base, index bundle.Index, segments map[string][]byte) error {
+	parts := index.PagesByHash()
+	for _, e := range index.Entries {
+		parts[e.Hash] = segments[e.Name]
+	}
+	if from.complete {
+		for _, hash := range from.held.index.Pages {
+			delete(parts, hash)
+		}
+		for _, e := range from.held.index.Entries {
+			delete(parts, e.Hash)
+		}
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(parallelParts)
+	for hash, value := range parts {
+		group.Go(func() error { return r.writePart(ctx, hash, value) })
+	}
+	return group.Wait()
+}
+
+// writePart makes sure that the part exists with a revision newer than this call. A part left by an earlier publish is
+// written again, so that a collector that saw its old revision can't delete it.
+func (r *Rollout) writePart(ctx context.Context, hash string, value []byte) error {
+	var expect platform.Revision
+	var err error
+	for range partAttempts {
+		if _, err = r.config.Store.CompareAndSwap(ctx, partPrefix+hash, expect, value, 0); err == nil {
+			r.counts.PartsWritten.Add(1)
+			return nil
+		}
+		if !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrUnknownOutcome) {
+			break
+		}
+		item, readErr := r.config.Store.Get(ctx, partPrefix+hash)
+		switch {
+		case errors.Is(readErr, platform.ErrNotFound):
+			expect = 0
+		case readErr != nil:
+			return fmt.Errorf("write part %s: %w", hash, readErr)
+		case expect > 0 && item.Revision > expect && errors.Is(err, platform.ErrUnknownOutcome) && bytes.Equal(item.Value, value):
+			r.counts.PartsWritten.Add(1)
+			return nil
+		default:
+			expect = item.Revision
+		}
+	}
+	return fmt.Errorf("write part %s: %w", hash, err)
+}
+
+func conflictWith(expect ident.Version, winner bundle.Root) *ConflictError {
+	e := &ConflictError{
+		Expected: expect, Version: winner.Version, Writer: winner.Writer, Nonce: winner.Nonce, Published: winner.Published,
+	}
+	for _, s := range winner.SignOffs {
+		e.Signers = append(e.Signers, s.Signer)
+	}
+	return e
+}
--- /dev/null
+++ b/internal/rollout/source.go
@@ -0,0 +1,309 @@
+package rollout
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/bundle"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/member"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/platform"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+// Keys in the store. Segments and pages share one prefix, because both are named by their content hash.
+const (
+	indexKey   = "config/index"
+	partPrefix = "config/parts/"
+)
+
+const (
+	storeTimeout = 3 * time.Second
+	// parallelParts bounds concurrent store calls for segments and pages.
+	parallelParts = 8
+	// remoteReaders is how many members of the store's region a reader elsewhere tries before the store.
+	remoteReaders = 2
+	// skipRounds is for how many read intervals a peer that didn't answer isn't tried again as a source.
+	skipRounds = 5
+)
+
+// watch is the position of the reader in the store's history.
+type watch struct {
+	after platform.Revision // 0 means that the index has to be read first
+}
+
+// sources remembers the peers that didn't answer.
+type sources struct {
+	mutex   sync.Mutex
+	skipped map[ident.MemberID]time.Time
+}
+
+func (s *sources) skip(id ident.MemberID, until time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.skipped == nil {
+		s.skipped = make(map[ident.MemberID]time.Time)
+	}
+	s.skipped[id] = until
+}
+
+func (s *sources) usable(id ident.MemberID, now time.Time) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return !now.Before(s.skipped[id])
+}
+
+// plan lists the peers to pull from, in order; after them comes the store. The first active member of a region in id
+// order reads the store and has no peers to pull from in its own region.
+func (r *Rollout) plan() []ident.MemberID {
+	self, now := r.config.Self(), r.config.Now()
+	var peers []ident.MemberID
+	active := r.config.View().Filter(member.Active)
+	for _, m := range active {
+		if m.ID == self.ID {
+			break
+		}
+		if m.Region == self.Region && r.sources.usable(m.ID, now) {
+			peers = append(peers, m.ID)
+		}
+	}
+	if r.config.StoreRegion == "" || r.config.StoreRegion == self.Region {
+		return peers
+	}
+	remote := 0
+	for _, m := range active {
+		if m.Region == r.config.StoreRegion && r.sources.usable(m.ID, now) && remote < remoteReaders {
+			peers = append(peers, m.ID)
+			remote++
+		}
+	}
+	return peers
+}
+
+// sync takes the newest configuration from the first source that answers.
+func (r *Rollout) sync(ctx context.Context) {
+	for _, peer := range r.plan() {
+		err := r.pullFrom(ctx, peer)
+		if err == nil {
+			r.sourced.Store(true)
+			r.catchUp(ctx, peer)
+			return
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		r.sources.skip(peer, r.config.Now().Add(skipRounds*r.config.ReadInterval))
+		r.config.Log.V(1).Info("configuration source did not answer", "member", peer, "reason", err.Error())
+	}
+	err := r.readStore(ctx)
+	r.sourced.Store(err == nil || permanent(err)) // A refused index was still read.
+	if err != nil && ctx.Err() == nil {
+		r.counts.StoreFailures.Add(1)
+		r.config.Log.V(1).Info("configuration store was not read", "reason", err.Error())
+	}
+	r.catchUp(ctx, "")
+}
+
+// catchUp pulls from a peer that is known to hold a newer version when the regular source hasn't delivered it. Peers
+// of other regions are asked only after three read intervals, so that one copy crosses the link in regular operation.
+func (r *Rollout) catchUp(ctx context.Context, except ident.MemberID) {
+	self, view, have := r.config.Self(), r.config.View(), r.held.Load().version()
+	for _, w := range r.words.newer(have, view) {
+		m, _ := view.Find(w.member)
+		if w.member == except || w.member == self.ID {
+			continue
+		}
+		if m.Region != self.Region && r.config.Now().Sub(w.since) < 3*r.config.ReadInterval {
+			continue
+		}
+		if err := r.pullFrom(ctx, w.member); err == nil && r.held.Load().version() > have {
+			return
+		}
+	}
+}
+
+// readStore reads the index, or waits for its change once it was read. An empty watch reply confirms the index as of
+// the moment the watch was sent.
+func (r *Rollout) readStore(ctx context.Context) error {
+	before := r.config.Now()
+	if r.watch.after == 0 {
+		revision, err := r.readIndex(ctx)
+		if err == nil {
+			r.watch.after = revision
+		}
+		return err
+	}
+	wait := min(r.config.ReadInterval, r.config.Freshness/3)
+	ctx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
+	defer cancel()
+	r.counts.StoreReads.Add(1)
+	events, after, err := r.config.Store.Watch(ctx, indexKey, r.watch.after, wait)
+	if err != nil {
+		r.watch.after = 0
+		return fmt.Errorf("watch index: %w", err)
+	}
+	if after < r.watch.after {
+		r.watch.after = 0 // The store has lost writes; the index is read anew.
+		return nil
+	}
+	r.watch.after = after
+	if len(events) > 1 {
+		r.watch.after = 0 // In a burst one read of the newest index costs less than an event for each version.
+	}
+	if len(events) == 0 {
+		r.words.storeAgain(before)
+		return nil
+	}
+	last := events[len(events)-1]
+	if last.Deleted || last.Key != indexKey {
+		r.words.storeLost()
+		return nil
+	}
+	if err := r.applyStored(ctx, last.Value, before); err != nil {
+		if !permanent(err) {
+			r.watch.after = 0
+		}
+		return err
+	}
+	return nil
+}
+
+// readIndex gets the index and puts it in force when it is newer.
+func (r *Rollout) readIndex(ctx context.Context) (platform.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	before := r.config.Now()
+	r.counts.StoreReads.Add(1)
+	item, err := r.config.Store.Get(ctx, indexKey)
+	if errors.Is(err, platform.ErrNotFound) {
+		r.words.storeLost()
+		return 0, nil
+	}
+	if err != nil {
+		return 0, fmt.Errorf("get index: %w", err)
+	}
+	if err := r.applyStored(ctx, item.Value, before); err != nil {
+		if permanent(err) {
+			return item.Revision, err
+		}
+		return 0, err
+	}
+	return item.Revision, nil
+}
+
+// permanent reports whether reading the same index again gives the same refusal.
+func permanent(err error) bool {
+	return errors.Is(err, ErrForked) || errors.Is(err, bundle.ErrIndex) || errors.Is(err, bundle.ErrSegment) ||
+		errors.Is(err, bundle.ErrUnsigned) || errors.Is(err, bundle.ErrWrongSignature)
+}
+
+// applyStored puts an index from the store in force, or takes it as confirmation when it is the one in force.
+func (r *Rollout) applyStored(ctx context.Context, encoded []byte, before time.Time) error {
+	root, err := bundle.DecodeRoot(encoded)
+	if err != nil {
+		r.counts.Malformed.Add(1)
+		r.words.storeLost()
+		return err
+	}
+	switch err := r.judge(root); {
+	case errors.Is(err, errSame):
+		r.words.storeConfirms(root.Version, before)
+		return nil
+	case errors.Is(err, errOlder):
+		r.words.storeLost()
+		return nil
+	case err != nil:
+		r.words.storeLost()
+		return err
+	}
+	index, segments, err := r.fetch(ctx, root)
+	if err != nil {
+		return err
+	}
+	if err := r.adopt(index, segments); err != nil {
+		return err
+	}
+	r.words.storeConfirms(root.Version, before)
+	return nil
+}
+
+// fetch reads the pages and segments that differ from those held.
+func (r *Rollout) fetch(ctx context.Context, root bundle.Root) (bundle.Index, map[string][]byte, error) {
+	current := r.held.Load()
+	var pages [bundle.PageCount][]bundle.Entry
+	group, inner := errgroup.WithContext(ctx)
+	group.SetLimit(parallelParts)
+	for n, hash := range root.Pages {
+		if current.version() > 0 && current.index.Pages[n] == hash {
+			pages[n] = current.index.Page(n)
+			continue
+		}
+		group.Go(func() error {
+			data, err := r.part(inner, hash)
+			if err != nil {
+				return err
+			}
+			pages[n], err = bundle.DecodePage(hash, data)
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return bundle.Index{}, nil, err
+	}
+	var entries []bundle.Entry
+	for _, page := range pages {
+		entries = append(entries, page...)
+	}
+	index, err := root.Complete(entries)
+	if err != nil {
+		return bundle.Index{}, nil, err
+	}
+	segments, err := r.fetchSegments(ctx, current, index)
+	return index, segments, err
+}
+
+func (r *Rollout) fetchSegments(ctx context.Context, current *held, index bundle.Index) (map[string][]byte, error) {
+	segments := make(map[string][]byte, len(index.Entries))
+	var mutex sync.Mutex
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(parallelParts)
+	for _, e := range index.Entries {
+		if hash, ok := current.index.Lookup(e.Name); ok && hash == e.Hash {
+			mutex.Lock()
+			segments[e.Name] = current.segments[e.Name]
+			mutex.Unlock()
+			continue
+		}
+		group.Go(func() error {
+			data, err := r.part(ctx, e.Hash)
+			if err != nil {
+				return err
+			}
+			mutex.Lock()
+			defer mutex.Unlock()
+			segments[e.Name] = data
+			return nil
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	return segments, nil
+}
+
+// part reads a segment or page and checks its content hash.
+func (r *Rollout) part(ctx context.Context, hash string) ([]byte, error) {
+	r.counts.StoreReads.Add(1)
+	item, err := r.config.Store.Get(ctx, partPrefix+hash)
+	if err != nil {
+		return nil, fmt.Errorf("get part %s: %w", hash, err)
+	}
+	if bundle.Hash(item.Value) != hash {
+		return nil, fmt.Errorf("part %s: %w: content has another hash", hash, bundle.ErrSegment)
+	}
+	return item.Value, nil
+}
