--- /dev/null
+++ b/internal/member/follow.go
@@ -0,0 +1,169 @@
+package member
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/platform"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+// maxBackoff is the longest pause after failed polls, in intervals.
+const maxBackoff = 4
+
+// watcher holds the presence keys as last seen.
+type watcher struct {
+	mu     sync.Mutex
+	synced bool // the keys were read and the poll has not failed since
+	alive  map[ident.MemberID]string
+}
+
+func (w *watcher) init() { w.alive = map[ident.MemberID]string{} }
+
+// load replaces the keys and returns the revision to follow from.
+func (w *watcher) load(items []platform.Item) platform.Revision {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var newest platform.Revision
+	w.alive = presentInstances(items)
+	for _, i := range items {
+		newest = max(newest, i.Revision)
+	}
+	w.synced = true
+	return newest
+}
+
+func (w *watcher) apply(events []platform.Event) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, e := range events {
+		id, instance := presentInstance(e.Item)
+		if e.Deleted {
+			delete(w.alive, id)
+			continue
+		}
+		w.alive[id] = instance
+	}
+}
+
+func (w *watcher) unsynced() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.synced = false
+}
+
+// present returns the instances by member, and false while the keys may be outdated.
+func (w *watcher) present() (map[ident.MemberID]string, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	alive := make(map[ident.MemberID]string, len(w.alive))
+	for id, instance := range w.alive {
+		alive[id] = instance
+	}
+	return alive, w.synced
+}
+
+// lost reports whether the presence key was deleted or taken over since it was written.
+func (w *watcher) lost(id ident.MemberID, instance string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.synced && w.alive[id] != instance
+}
+
+func (w *watcher) wrote(id ident.MemberID, instance string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.alive[id] = instance
+}
+
+func presentInstances(items []platform.Item) map[ident.MemberID]string {
+	alive := make(map[ident.MemberID]string, len(items))
+	for _, i := range items {
+		id, instance := presentInstance(i)
+		alive[id] = instance
+	}
+	return alive
+}
+
+// presentInstance reads a presence key; a value that can't be decoded still shows that the member is present.
+func presentInstance(i platform.Item) (ident.MemberID, string) {
+	var v presenceValue
+	_ = json.Unmarshal(i.Value, &v)
+	return ident.MemberID(strings.TrimPrefix(i.Key, PrefixAlive)), v.Instance
+}
+
+// followRecord keeps the view up to date.
+func (g *Group) followRecord(ctx context.Context) error {
+	return g.follow(ctx, KeyMembers, g.load, func(events []platform.Event) error {
+		for _, e := range events {
+			if e.Key != KeyMembers || e.Deleted {
+				continue
+			}
+			if err := g.decode(e.Item); err != nil {
+				return err
+			}
+		}
+		return nil
+	}, func() {})
+}
+
+// followPresence keeps the presence keys up to date.
+func (g *Group) followPresence(ctx context.Context) error {
+	return g.follow(ctx, PrefixAlive, g.loadPresence, func(events []platform.Event) error {
+		g.watch.apply(events)
+		if g.watch.lost(g.config.Self.ID, g.instance) {
+			wake(g.kicked)
+		}
+		return nil
+	}, g.watch.unsynced)
+}
+
+func (g *Group) loadPresence(ctx context.Context) (platform.Revision, error) {
+	items, err := g.store.list(ctx, PrefixAlive)
+	if err != nil {
+		return 0, fmt.Errorf("list presence keys: %w", err)
+	}
+	return g.watch.load(items), nil
+}
+
+// follow loads the state under a prefix and polls for changes; after a failure it loads again.
+func (g *Group) follow(
+	ctx context.Context, prefix string, load func(context.Context) (platform.Revision, error),
+	apply func([]platform.Event) error, failed func(),
+) error {
+	wait := watchIntervals * g.config.Interval
+	failures := 0
+	for ctx.Err() == nil {
+		after, err := load(ctx)
+		for err == nil && ctx.Err() == nil {
+			failures = 0
+			started := time.Now()
+			var events []platform.Event
+			events, after, err = g.store.watch(ctx, prefix, after, wait)
+			if err == nil {
+				err = apply(events)
+			}
+			if err == nil && len(events) == 0 && time.Since(started) < g.config.Interval {
+				sleep(ctx, g.config.Interval) // a store that doesn't hold polls must not be called in a tight loop
+			}
+		}
+		if ctx.Err() != nil {
+			return nil
+		}
+		failed()
+		failures = min(failures+1, maxBackoff)
+		g.config.Log.V(1).Info("poll failed", "prefix", prefix, "error", err.Error())
+		sleep(ctx, jitter(time.Duration(failures)*g.config.Interval))
+	}
+	return nil
+}
+
+// jitter returns a duration between half of d and d, so that members don't retry in step.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + rand.N(d/2+1)
+}
--- /dev/null
+++ b/internal/member/member_test.go
@@ -0,0 +1,141 @@
+package member
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"testing"
+	"time"
+
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+// waitLimit ends a test that never meets its condition; it is far above any wait of a passing test.
+const waitLimit = 30 * time.Second
+
+// eventually waits for a condition.
+func (c *cell) eventually(what string, condition func() bool) {
+	c.t.Helper()
+	limit := time.Now().Add(waitLimit)
+	for !condition() {
+		if time.Now().After(limit) {
+			for id, n := range c.nodes {
+				c.t.Logf("%s: %+v", id, n.Dump())
+			}
+			c.t.Fatalf("never: %s", what)
+		}
+		time.Sleep(testInterval / 4)
+	}
+}
+
+// agree waits until the members hold a view with exactly these members and states.
+func (c *cell) agree(want map[ident.MemberID]State, on ...ident.MemberID) {
+	c.t.Helper()
+	c.eventually("an agreed view", func() bool {
+		for _, id := range on {
+			if !maps.Equal(states(c.node(id).View()), want) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// run starts the loops of the members on the real clock and returns a function that ends one of them.
+func (c *cell) run(ids ...ident.MemberID) (stop func(ident.MemberID) error) {
+	c.add(time.Now, ids...)
+	cancels, done := map[ident.MemberID]context.CancelFunc{}, map[ident.MemberID]chan error{}
+	for _, id := range ids {
+		ctx, cancel := context.WithCancel(context.Background())
+		n, result := c.node(id), make(chan error, 1)
+		cancels[id], done[id] = cancel, result
+		go func() { result <- n.Run(ctx) }()
+	}
+	stop = func(id ident.MemberID) error {
+		c.set(kill, id)
+		cancels[id]()
+		err := <-done[id]
+		done[id] <- err
+		return err
+	}
+	c.t.Cleanup(func() {
+		for _, id := range ids {
+			if err := stop(id); err != nil && !errors.Is(err, ErrReplaced) {
+				c.t.Errorf("%s: %v", id, err)
+			}
+		}
+	})
+	return stop
+}
+
+// running are cases on the real clock with the loops of Run.
+var running = map[string]func(c *cell){
+	"members join at once and one dies": func(c *cell) {
+		stop := c.run(west...)
+		c.agree(active(west...), west...)
+		if err := stop("west-1"); err != nil {
+			c.t.Fatal(err)
+		}
+		c.agree(active("west-2", "west-3"), "west-2", "west-3")
+	},
+	"replies of the joins are lost": func(c *cell) {
+		c.server.LoseProbability(0.5)
+		c.run(west...)
+		c.agree(active(west...), west...)
+		c.server.LoseProbability(0)
+		v := c.node("west-1").View()
+		if int(v.Epoch) != len(west) {
+			c.t.Fatalf("epoch %d after %d joins", v.Epoch, len(west))
+		}
+	},
+	"a slow store removes nobody": func(c *cell) {
+		c.run(west...)
+		c.agree(active(west...), west...)
+		c.server.SetDelay(2 * testTTL) // every call times out, and the renewals still take effect
+		c.eventually("the outage is seen", func() bool { return !c.node("west-1").StoreHealthy() })
+		time.Sleep(3 * testTTL) // gives a wrong removal the time to happen
+		c.server.SetDelay(0)
+		c.eventually("the recovery is seen", func() bool { return c.node("west-1").health.steady(testTTL) })
+		if v := c.node("west-1").View(); int(v.Epoch) != len(west) {
+			c.t.Fatalf("epoch %d with %v", v.Epoch, states(v))
+		}
+	},
+	"a second process with the same id ends the first": func(c *cell) {
+		first := c.run("west-1")
+		c.agree(active("west-1"), "west-1")
+		old := c.node("west-1")
+		c.run("west-1", "west-2")
+		c.agree(active("west-1", "west-2"), "west-1", "west-2")
+		c.eventually("the first process is told", func() bool { return !old.Joined() })
+		if err := first("west-1"); !errors.Is(err, ErrReplaced) && err != nil {
+			c.t.Fatal(err)
+		}
+	},
+	"a member drains and leaves": func(c *cell) {
+		c.run(west...)
+		c.agree(active(west...), west...)
+		n := c.node("west-2")
+		if err := n.Drain(c.t.Context()); err != nil {
+			c.t.Fatal(err)
+		}
+		c.agree(with(active(west...), Draining, "west-2"), west...)
+		if err := n.Leave(c.t.Context()); err != nil {
+			c.t.Fatal(err)
+		}
+		c.agree(active("west-1", "west-3"), west...)
+		if n.Joined() {
+			c.t.Fatal("joined after leaving")
+		}
+	},
+}
+
+// TestRunning guards against faults that only concurrent loops show.
+func TestRunning(t *testing.T) {
+	for name, check := range running {
+		t.Run(name, func(t *testing.T) {
+			c := newCell(t)
+			c.server = realTimeServer(t)
+			check(c)
+		})
+	}
+}
--- /dev/null
+++ b/internal/member/presence.go
@@ -0,0 +1,214 @@
+package member
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/platform"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+// presenceAttempts bounds the attempts to write the presence key in one round.
+const presenceAttempts = 4
+
+// presence is the lease and the presence key of this process.
+type presence struct {
+	mu      sync.Mutex // held during the store calls of a round
+	lease   platform.LeaseID
+	renewed time.Time
+	written bool // the key was written under the lease
+}
+
+// keep renews the lease, joins and carries out a drain until ctx ends.
+func (g *Group) keep(ctx context.Context) error {
+	ticker := time.NewTicker(g.config.Interval)
+	defer ticker.Stop()
+	for {
+		if err := g.maintain(ctx); err != nil && ctx.Err() == nil {
+			if errors.Is(err, ErrReplaced) {
+				return err
+			}
+			g.config.Log.V(1).Info("membership round failed", "error", err.Error())
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		case <-g.kicked:
+		}
+	}
+}
+
+// maintain does what is due: the lease, the presence key, the entry in the record.
+func (g *Group) maintain(ctx context.Context) error {
+	if g.leaving.Load() {
+		return nil
+	}
+	if err := g.holdLease(ctx); err != nil {
+		return err
+	}
+	g.mu.Lock()
+	removed, replaced, known := g.removed, g.replaced, g.revision != 0
+	g.mu.Unlock()
+	if removed { // notify wakes this loop after the callbacks
+		return nil
+	}
+	if replaced {
+		return ErrReplaced
+	}
+	s := g.snapshot.Load()
+	state := g.wantedState()
+	if known && s.joined && (s.self.State == state || s.self.State == Unreachable) {
+		return nil
+	}
+	return g.join(ctx, state)
+}
+
+func (g *Group) wantedState() State {
+	if g.draining.Load() {
+		return Draining
+	}
+	return Active
+}
+
+// join writes this member's entry. The incarnation is the epoch of the write, so it is higher than any earlier one.
+func (g *Group) join(ctx context.Context, state State) error {
+	replaced := false
+	err := g.change(ctx, func(next *record) bool {
+		replaced = false
+		e, own := next.find(g.config.Self.ID), g.Self().Incarnation
+		if e != nil && e.Instance == g.instance {
+			if e.State == state || e.State == Unreachable {
+				return false
+			}
+			e.State = state
+			return true
+		}
+		if e != nil && own > 0 && e.Incarnation > own {
+			replaced = true
+			return false
+		}
+		m := g.config.Self
+		m.Incarnation, m.State = ident.Incarnation(next.Epoch), state
+		next.put(entry{Member: m, Instance: g.instance})
+		return true
+	})
+	if err == nil && replaced {
+		return ErrReplaced
+	}
+	return err
+}
+
+// holdLease keeps the lease and the presence key.
+func (g *Group) holdLease(ctx context.Context) error {
+	p := &g.presence
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if g.leaving.Load() {
+		return nil
+	}
+	if p.lease != 0 && g.config.Now().Sub(p.renewed) >= g.config.Interval/2 {
+		started := g.config.Now()
+		err := g.store.renew(ctx, p.lease)
+		switch {
+		case errors.Is(err, platform.ErrNotFound):
+			// The leases of other members may have lapsed by the same cause, so no member is removed for one period.
+			g.health.reset()
+			p.lease, p.written = 0, false
+		case err != nil:
+			return fmt.Errorf("renew lease: %w", err)
+		default:
+			p.renewed = started
+		}
+	}
+	if p.lease == 0 {
+		started := g.config.Now()
+		id, err := g.store.grant(ctx, g.config.LeaseTTL)
+		if err != nil {
+			return fmt.Errorf("grant lease: %w", err)
+		}
+		p.lease, p.renewed, p.written = id, started, false
+	}
+	if p.written && !g.watch.lost(g.config.Self.ID, g.instance) {
+		return nil
+	}
+	return g.writePresence(ctx)
+}
+
+// presenceValue is the value of a presence key.
+type presenceValue struct {
+	stamp
+	Instance string `json:"instance"`
+}
+
+// writePresence writes the presence key under the lease and takes it over from an earlier process with the same id.
+func (g *Group) writePresence(ctx context.Context) error {
+	p := &g.presence
+	key := PrefixAlive + string(g.config.Self.ID)
+	var expect platform.Revision
+	for range presenceAttempts {
+		v := presenceValue{stamp: g.stamp(), Instance: g.instance}
+		raw, err := json.Marshal(v)
+		if err != nil {
+			return fmt.Errorf("encode presence: %w", err)
+		}
+		_, err = g.settle(ctx, key, expect, raw, p.lease, v.Nonce)
+		switch {
+		case err == nil:
+			p.written = true
+			g.watch.wrote(g.config.Self.ID, g.instance)
+			return nil
+		case errors.Is(err, platform.ErrNotFound):
+			p.lease = 0
+			return fmt.Errorf("write presence: lease lapsed: %w", err)
+		case !errors.Is(err, platform.ErrConflict):
+			return fmt.Errorf("write presence: %w", err)
+		}
+		item, err := g.store.get(ctx, key)
+		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+			return fmt.Errorf("read presence: %w", err)
+		}
+		expect = item.Revision
+	}
+	return fmt.Errorf("write presence: %w", platform.ErrConflict)
+}
+
+// Drain marks this member as draining. When the store can't be reached it returns the error, and Run repeats the
+// change until it succeeds.
+func (g *Group) Drain(ctx context.Context) error {
+	g.draining.Store(true)
+	if !g.Joined() {
+		return nil
+	}
+	return g.join(ctx, Draining)
+}
+
+// Leave removes this member from the view and ends its lease; it doesn't rejoin. After an error the member is
+// removed by the others, as after a death.
+func (g *Group) Leave(ctx context.Context) error {
+	g.leaving.Store(true)
+	err := g.change(ctx, func(next *record) bool {
+		e := next.find(g.config.Self.ID)
+		if e == nil || e.Instance != g.instance {
+			return false
+		}
+		next.remove(g.config.Self.ID)
+		return true
+	})
+	p := &g.presence
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.lease != 0 {
+		revokeErr := g.store.revoke(ctx, p.lease)
+		if revokeErr == nil || errors.Is(revokeErr, platform.ErrNotFound) {
+			p.lease = 0
+		} else {
+			err = errors.Join(err, fmt.Errorf("revoke lease: %w", revokeErr))
+		}
+	}
+	return err
+}
--- /dev/null
+++ b/internal/member/record.go
@@ -0,0 +1,199 @@
+package member
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/platform"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+const (
+	// MaxRecordBytes bounds the record well below the store's limit; an entry takes at most about 700 bytes.
+	MaxRecordBytes = platform.MaxValueBytes / 4
+	// changeAttempts bounds the attempts of one change when other members keep winning.
+	changeAttempts = 16
+)
+
+// stamp identifies the writer of a value, so that an unknown outcome can be settled by reading.
+type stamp struct {
+	Writer      ident.MemberID    `json:"writer"`
+	Incarnation ident.Incarnation `json:"incarnation"`
+	Nonce       string            `json:"nonce"`
+}
+
+// entry is a member in the record. The instance tells a process from another one with the same id.
+type entry struct {
+	Member
+	Instance string `json:"instance"`
+}
+
+// record is the value of KeyMembers.
+type record struct {
+	stamp
+	Epoch   ident.Epoch `json:"epoch"`
+	Members []entry     `json:"members"`
+}
+
+func (r *record) find(id ident.MemberID) *entry {
+	for i := range r.Members {
+		if r.Members[i].ID == id {
+			return &r.Members[i]
+		}
+	}
+	return nil
+}
+
+func (r *record) put(e entry) {
+	r.remove(e.ID)
+	r.Members = append(r.Members, e)
+	slices.SortFunc(r.Members, func(a, b entry) int { return strings.Compare(string(a.ID), string(b.ID)) })
+}
+
+func (r *record) remove(id ident.MemberID) {
+	r.Members = slices.DeleteFunc(r.Members, func(e entry) bool { return e.ID == id })
+}
+
+func (r *record) view() View {
+	v := View{Epoch: r.Epoch, Members: make([]Member, len(r.Members))}
+	for i, e := range r.Members {
+		v.Members[i] = e.Member
+	}
+	return v
+}
+
+func (g *Group) stamp() stamp {
+	return stamp{Writer: g.config.Self.ID, Incarnation: g.Self().Incarnation, Nonce: ident.Random("nonce")}
+}
+
+// change applies edit to the newest record and writes the result with the next epoch. The edit may run several
+// times on different records and returns false when nothing is to be changed.
+func (g *Group) change(ctx context.Context, edit func(next *record) bool) error {
+	g.changeMu.Lock()
+	defer g.changeMu.Unlock()
+	g.mu.Lock()
+	known := g.revision != 0
+	g.mu.Unlock()
+	for range changeAttempts {
+		if !known {
+			if err := g.refresh(ctx); err != nil {
+				return err
+			}
+		}
+		err := g.attempt(ctx, edit)
+		if !errors.Is(err, platform.ErrConflict) {
+			return err
+		}
+		g.counters.conflicts.Add(1)
+		known = false
+	}
+	return fmt.Errorf("%d attempts to change the record: %w", changeAttempts, platform.ErrConflict)
+}
+
+func (g *Group) attempt(ctx context.Context, edit func(next *record) bool) error {
+	g.mu.Lock()
+	next, expect := g.base, g.revision
+	g.mu.Unlock()
+	next.Members = slices.Clone(next.Members)
+	next.Epoch++
+	if !edit(&next) {
+		return nil
+	}
+	next.stamp = g.stamp()
+	value, err := json.Marshal(next)
+	if err != nil {
+		return fmt.Errorf("encode record: %w", err)
+	}
+	if len(value) > MaxRecordBytes {
+		return fmt.Errorf("member record of %d bytes, at most %d allowed: %w", len(value), MaxRecordBytes, platform.ErrTooLarge)
+	}
+	revision, err := g.settle(ctx, KeyMembers, expect, value, 0, next.Nonce)
+	if err != nil {
+		return fmt.Errorf("change member record: %w", err)
+	}
+	g.counters.changes.Add(1)
+	g.adopt(next, revision)
+	return nil
+}
+
+// settle writes by compare-and-swap and settles an unknown outcome by reading: the write took effect if the value has
+// its nonce. Otherwise it returns ErrConflict, also when the write took effect and was overwritten since, so the
+// caller must read the key again and must recognise its own earlier change.
+func (g *Group) settle(
+	ctx context.Context, key string, expect platform.Revision, value []byte, lease platform.LeaseID, nonce string,
+) (platform.Revision, error) {
+	revision, err := g.store.swap(ctx, key, expect, value, lease)
+	if err == nil || answered(err) || errors.Is(err, platform.ErrUnavailable) {
+		return revision, err
+	}
+	item, readErr := g.store.get(ctx, key)
+	if errors.Is(readErr, platform.ErrNotFound) {
+		return 0, platform.ErrConflict
+	}
+	if readErr != nil {
+		return 0, fmt.Errorf("%w, and reading it failed: %w", err, readErr)
+	}
+	var written stamp
+	if err := json.Unmarshal(item.Value, &written); err == nil && written.Nonce == nonce {
+		g.counters.settled.Add(1)
+		return item.Revision, nil
+	}
+	return 0, platform.ErrConflict
+}
+
+// refresh reads the record.
+func (g *Group) refresh(ctx context.Context) error {
+	_, err := g.load(ctx)
+	return err
+}
+
+// load reads the record and returns its revision, 0 when there is none yet.
+func (g *Group) load(ctx context.Context) (platform.Revision, error) {
+	item, err := g.store.get(ctx, KeyMembers)
+	if errors.Is(err, platform.ErrNotFound) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, fmt.Errorf("read member record: %w", err)
+	}
+	return item.Revision, g.decode(item)
+}
+
+func (g *Group) decode(item platform.Item) error {
+	var r record
+	if err := json.Unmarshal(item.Value, &r); err != nil {
+		return fmt.Errorf("decode member record at revision %d: %w", item.Revision, err)
+	}
+	g.adopt(r, item.Revision)
+	return nil
+}
+
+// adopt makes the record the newest known one unless its epoch is not higher.
+func (g *Group) adopt(r record, revision platform.Revision) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if r.Epoch <= g.base.Epoch {
+		return
+	}
+	g.base, g.revision = r, revision
+	old := g.snapshot.Load()
+	next := &snapshot{view: r.view(), self: old.self}
+	e := r.find(old.self.ID)
+	switch {
+	case e != nil && e.Instance == g.instance:
+		next.self, next.joined = e.Member, true
+	case old.self.Incarnation > 0 && e != nil && e.Incarnation > old.self.Incarnation:
+		g.replaced = true
+	}
+	if old.joined && !next.joined && !g.leaving.Load() {
+		g.removed = true
+		g.config.Log.Info("own incarnation is gone from the view", "incarnation", old.self.Incarnation, "epoch", r.Epoch)
+	}
+	g.snapshot.Store(next)
+	wake(g.changed)
+	wake(g.kicked)
+}
