Add the split of each team's upper limit among members

A start must not wait for the store, and no team may run above its limit across the fleet. Each member keeps a part of the limit in limits/<team> and starts within it; a part moves by one compare-and-swap of the giver, who lowers its own use first. A write without known outcome stays given until another write at the same revision excludes it or the record has moved on.

A cluster where every member keeps one task ahead of a rare start passes a limit of 2 around nine members without end, so the number kept ahead rounds down. Two members that miss the same part take it from each other before either starts a task, so a gained part is held for three intervals for the tasks it was requested for. Parts of dead members return to the pool only when all of them are cleared, because adopted tasks may be covered by the part of another dead member.

Handover and Receive are additions: a backend server that moves between live members would otherwise free its old owner's part while its tasks still run.

--- /dev/null
+++ b/internal/limit/fake_test.go
@@ -0,0 +1,249 @@
+package limit
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/member"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/peer/wire"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/platform"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+// fault says what happens to one write.
+type fault int
+
+const (
+	none      fault = iota
+	down            // refused, no effect
+	lostReply       // takes effect, the reply is lost
+	delayed         // the reply is lost, the write takes effect when deliver is called
+)
+
+// fakeStore is an in-memory platform.Store; methods that the package doesn't use panic through the nil interface.
+type fakeStore struct {
+	platform.Store
+	lock     sync.Mutex
+	items    map[string]platform.Item
+	revision platform.Revision
+	reads    int
+	writes   int
+	fault    func(key string) fault
+	down     bool
+	late     []func()
+}
+
+func (f *fakeStore) Get(_ context.Context, key string) (platform.Item, error) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.reads++
+	if f.down {
+		return platform.Item{}, platform.ErrUnavailable
+	}
+	item, ok := f.items[key]
+	if !ok {
+		return platform.Item{}, platform.ErrNotFound
+	}
+	return item, nil
+}
+
+func (f *fakeStore) CompareAndSwap(_ context.Context, key string, expect platform.Revision, value []byte, _ platform.LeaseID) (platform.Revision, error) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.writes++
+	kind := none
+	if f.fault != nil {
+		kind = f.fault(key)
+	}
+	switch {
+	case f.down || kind == down:
+		return 0, platform.ErrUnavailable
+	case kind == delayed:
+		f.late = append(f.late, func() { _, _ = f.swap(key, expect, value) })
+		return 0, platform.ErrUnknownOutcome
+	}
+	revision, err := f.swap(key, expect, value)
+	if kind == lostReply {
+		return 0, platform.ErrUnknownOutcome
+	}
+	return revision, err
+}
+
+func (f *fakeStore) swap(key string, expect platform.Revision, value []byte) (platform.Revision, error) {
+	if f.items[key].Revision != expect {
+		return 0, platform.ErrConflict
+	}
+	f.revision++
+	f.items[key] = platform.Item{Key: key, Value: value, Revision: f.revision}
+	return f.revision, nil
+}
+
+// deliver lets the delayed writes arrive.
+func (f *fakeStore) deliver() {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	for _, write := range f.late {
+		write()
+	}
+	f.late = nil
+}
+
+// once injects a fault into the next write.
+func (f *fakeStore) once(kind fault) {
+	f.fault = func(string) fault {
+		f.fault = nil
+		return kind
+	}
+}
+
+const grain ident.TeamID = "grain"
+
+// cell is a set of members over one fake store and one fake clock.
+type cell struct {
+	t       *testing.T
+	store   *fakeStore
+	lock    sync.Mutex
+	view    member.View
+	now     time.Time
+	limits  map[ident.TeamID]int
+	splits  map[ident.MemberID]*Split
+	cleared map[ident.MemberID]bool
+	askFail map[ident.MemberID]error
+	asks    int
+}
+
+func newCell(t *testing.T, limit, members int) *cell {
+	c := &cell{
+		t: t, store: &fakeStore{items: map[string]platform.Item{}}, now: time.Unix(1_000_000, 0),
+		limits: map[ident.TeamID]int{grain: limit}, splits: map[ident.MemberID]*Split{},
+		cleared: map[ident.MemberID]bool{}, askFail: map[ident.MemberID]error{}, view: member.View{Epoch: 1},
+	}
+	for i := range members {
+		m := member.Member{ID: ident.MemberID(fmt.Sprintf("m%d", i)), Incarnation: 1, State: member.Active}
+		c.view.Members = append(c.view.Members, m)
+	}
+	for _, m := range c.view.Members {
+		c.join(m)
+	}
+	return c
+}
+
+func (c *cell) join(m member.Member) *Split {
+	s, err := New(Config{
+		Store: c.store, Self: func() member.Member { return m }, View: c.currentView, Limit: c.limit,
+		Teams: func() []ident.TeamID { return []ident.TeamID{grain} }, Ask: c.ask, Now: c.clock, Log: logr.Discard(),
+		Cleared: func(id ident.MemberID, _ ident.Incarnation) bool { return c.cleared[id] },
+	})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.splits[m.ID] = s
+	return s
+}
+
+func (c *cell) currentView() member.View {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	return c.view
+}
+
+func (c *cell) clock() time.Time {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	return c.now
+}
+
+func (c *cell) limit(id ident.TeamID) (int, bool) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	n, ok := c.limits[id]
+	return n, ok
+}
+
+func (c *cell) ask(ctx context.Context, to ident.MemberID, r wire.LimitRequest) (wire.LimitReply, error) {
+	c.lock.Lock()
+	c.asks++
+	split, failure := c.splits[to], c.askFail[to]
+	c.lock.Unlock()
+	if split == nil {
+		return wire.LimitReply{}, errors.New("unreachable")
+	}
+	reply, err := split.HandleRequest(ctx, r)
+	if failure != nil {
+		return wire.LimitReply{}, failure // the reply is lost after the request was served
+	}
+	return reply, err
+}
+
+// pass advances the clock by whole seconds and gives every member one attempt in each.
+func (c *cell) pass(seconds int) {
+	for range seconds {
+		c.lock.Lock()
+		c.now = c.now.Add(time.Second)
+		c.lock.Unlock()
+		for _, m := range c.currentView().Members {
+			c.splits[m.ID].tick(c.t.Context())
+		}
+	}
+}
+
+// remove takes a member out of the view; its tasks still run.
+func (c *cell) remove(id ident.MemberID) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	next := member.View{Epoch: c.view.Epoch + 1}
+	for _, m := range c.view.Members {
+		if m.ID != id {
+			next.Members = append(next.Members, m)
+		}
+	}
+	c.view = next
+	delete(c.splits, id)
+}
+
+// get reserves n tasks, with the background work in between, and fails the test when they don't fit in time.
+func (c *cell) get(id ident.MemberID, n int) {
+	c.t.Helper()
+	for range 40 {
+		if c.splits[id].Reserve(grain, n) {
+			return
+		}
+		c.pass(1)
+	}
+	c.t.Fatalf("%s could not reserve %d: %s\n%s", id, n, c.splits[id].Dump(), c.store.items[keyPrefix+string(grain)].Value)
+}
+
+// record returns the record in the store, checked.
+func (c *cell) record() record {
+	c.t.Helper()
+	item, ok := c.store.items[keyPrefix+string(grain)]
+	if !ok {
+		return record{}
+	}
+	r, err := decode(item)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return r
+}
+
+// usable sums what all live members may run, and used what they run.
+func (c *cell) usable() (usable, used int) {
+	for _, s := range c.splits {
+		p, u := s.Part(grain)
+		usable, used = usable+p, used+u
+	}
+	return usable, used
+}
+
+func (c *cell) part(id ident.MemberID, part, used int) {
+	c.t.Helper()
+	if p, u := c.splits[id].Part(grain); p != part || u != used {
+		c.t.Errorf("%s has part %d and uses %d, want %d and %d", id, p, u, part, used)
+	}
+}
--- /dev/null
+++ b/internal/limit/limit.go
@@ -0,0 +1,251 @@
+// Package limit splits each team's upper limit among the members, so that a start needs no message.
+package limit
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/member"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/peer/wire"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/platform"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+	"github.com/zeebo/xxh3"
+	"golang.org/x/time/rate"
+)
+
+// DefaultInterval is the pause between two attempts to get more of one team's limit.
+const DefaultInterval = time.Second
+
+// shardCount is the number of locks; with 110 teams a shard holds about seven.
+const shardCount = 16
+
+// Config has the settings and dependencies of a Split.
+type Config struct {
+	Store platform.Store
+	// Self returns the own member entry; its incarnation names the own part.
+	Self func() member.Member
+	View func() member.View
+	// Limit returns the team's upper limit in force; a team without one starts nothing.
+	Limit func(ident.TeamID) (int, bool)
+	Teams func() []ident.TeamID
+	// Ask sends a request to a member.
+	Ask func(ctx context.Context, to ident.MemberID, r wire.LimitRequest) (wire.LimitReply, error)
+	// Cleared reports that certainly no task started by the incarnation runs any more, adopted ones included. Nil
+	// means that this is never certain.
+	Cleared func(id ident.MemberID, incarnation ident.Incarnation) bool
+	// Gained is called without a lock after the own part of a team grew, so that waiting tasks can be tried again; it
+	// may be nil.
+	Gained func(ident.TeamID)
+	// Interval is the pause between attempts for one team; 0 means DefaultInterval.
+	Interval time.Duration
+	Now      func() time.Time
+	Log      logr.Logger
+}
+
+// Split is this member's side of the split of all teams' limits.
+type Split struct {
+	config Config
+	shards [shardCount]shard
+	wake   chan struct{}
+
+	reads, writes, asks          *rate.Limiter
+	storeReads, storeWrites      atomic.Uint64
+	storeConflicts, storeUnknown atomic.Uint64
+	storeErrors                  atomic.Uint64
+	resume                       atomic.Int64 // unix nanoseconds before which the store isn't called in the background
+}
+
+// shard holds the teams whose hash falls on it. Its lock is never held over a store call or a message.
+type shard struct {
+	lock  sync.Mutex
+	teams map[ident.TeamID]*team
+}
+
+// team is the state of one team. The fields up to demand are guarded by the shard's lock, the others by holding
+// writer, which background work holds over its store calls and the path of a start never waits for.
+type team struct {
+	id         ident.TeamID
+	generation uint64 // counts calls of Dropped
+	share      share  // own share in the record read or written last
+	limit      int    // limit of that record
+	used       int
+	adopted    int // adopted tasks whose part hasn't been moved from dead members
+	giving     int // part of the own share that the write in flight gives away
+	lowered    int // part of the own share that a write without known outcome gave away
+	handovers  []handover
+	demand     demand
+
+	writer    chan struct{}
+	rec       record
+	revision  platform.Revision
+	known     bool // rec and revision are those of the store unless someone wrote since
+	unsettled *change
+	asked     int // rotates the members that are asked
+}
+
+// handover is a part that goes to the new owner of a backend server together with its tasks.
+type handover struct {
+	to member.Member
+	n  int
+}
+
+// New checks the configuration and returns a split without parts.
+func New(c Config) (*Split, error) {
+	switch {
+	case c.Store == nil, c.Self == nil, c.View == nil, c.Limit == nil, c.Teams == nil, c.Ask == nil:
+		return nil, errors.New("limit: Store, Self, View, Limit, Teams and Ask must be set")
+	case c.Interval < 0:
+		return nil, errors.New("limit: Interval must not be negative")
+	}
+	if c.Interval == 0 {
+		c.Interval = DefaultInterval
+	}
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	if c.Cleared == nil {
+		c.Cleared = func(ident.MemberID, ident.Incarnation) bool { return false }
+	}
+	if c.Gained == nil {
+		c.Gained = func(ident.TeamID) {}
+	}
+	s := &Split{config: c, wake: make(chan struct{}, 1)}
+	s.newBudget()
+	for i := range s.shards {
+		s.shards[i].teams = map[ident.TeamID]*team{}
+	}
+	return s, nil
+}
+
+// Reserve counts n more running tasks against the own part and reports whether they fit. It makes no call.
+func (s *Split) Reserve(id ident.TeamID, n int) bool {
+	limit, ok := s.config.Limit(id)
+	if !ok || n < 0 {
+		return false
+	}
+	now := s.config.Now()
+	t, unlock := s.locked(id)
+	fits := n <= t.usable(limit)-t.used
+	if fits {
+		t.used += n
+		t.demand.started(n, now)
+	} else {
+		t.demand.miss(n, now)
+	}
+	wake := t.wants(limit) && t.demand.wakeAt(now)
+	unlock()
+	if wake {
+		s.signal()
+	}
+	return fits
+}
+
+// Release counts n tasks that ended. Tasks that continue under another owner are passed on with Handover instead.
+func (s *Split) Release(id ident.TeamID, n int) {
+	t, unlock := s.locked(id)
+	short := t.used < n
+	t.used = max(0, t.used-n)
+	unlock()
+	if short {
+		s.config.Log.Info("more tasks released than reserved", "team", id, "tasks", n)
+	}
+}
+
+// Adopt counts n running tasks of a dead member that came with a backend server, even above the own part. The
+// background loop moves as much of the dead members' parts here.
+func (s *Split) Adopt(id ident.TeamID, n int) { s.arrive(id, n, n) }
+
+// Receive counts n running tasks that came with a backend server of a member that is still in the view, which passes
+// on its part with Handover. It takes nothing from dead members, whose parts reserve other tasks.
+func (s *Split) Receive(id ident.TeamID, n int) { s.arrive(id, n, 0) }
+
+func (s *Split) arrive(id ident.TeamID, n, adopted int) {
+	if n <= 0 {
+		return
+	}
+	t, unlock := s.locked(id)
+	t.used += n
+	t.adopted += adopted
+	t.demand.next = time.Time{}
+	unlock()
+	s.signal()
+}
+
+// Handover passes n running tasks and as much of the own part on to the new owner of their backend server. The part
+// is lowered at once and written by the background loop, so that the tasks never stop being counted.
+func (s *Split) Handover(id ident.TeamID, n int, to member.Member) {
+	if n <= 0 {
+		return
+	}
+	t, unlock := s.locked(id)
+	t.used = max(0, t.used-n)
+	spare := t.share.Part - t.giving - t.lowered - t.promised() - t.used
+	if n = min(n, spare); n > 0 {
+		t.handovers = append(t.handovers, handover{to: to, n: n})
+		t.demand.next = time.Time{}
+	}
+	unlock()
+	s.signal()
+}
+
+// Part returns the own part that allows starts now and how much of it is used; used exceeds part after Adopt.
+func (s *Split) Part(id ident.TeamID) (part, used int) {
+	limit, _ := s.config.Limit(id)
+	t, unlock := s.locked(id)
+	defer unlock()
+	return t.usable(limit), t.used
+}
+
+// Dropped forgets all parts and tasks after the own incarnation was removed from the view. The parts stay reserved in
+// the store under that incarnation.
+func (s *Split) Dropped() {
+	for i := range s.shards {
+		sh := &s.shards[i]
+		sh.lock.Lock()
+		for _, t := range sh.teams {
+			t.generation++
+			t.share, t.limit, t.used, t.adopted, t.handovers = share{}, 0, 0, 0, nil
+			t.giving, t.lowered = 0, 0
+			t.demand = demand{}
+		}
+		sh.lock.Unlock()
+	}
+}
+
+// usable is the part that allows starts under the limit in force, which may be lower than the record's.
+func (t *team) usable(limit int) int {
+	return max(0, scale(t.share.Part-t.share.Excess, limit, t.limit)-t.giving-t.lowered-t.promised())
+}
+
+// promised is the sum of the handovers that aren't written yet.
+func (t *team) promised() int {
+	n := 0
+	for _, h := range t.handovers {
+		n += h.n
+	}
+	return n
+}
+
+// locked returns the team's state with its shard locked.
+func (s *Split) locked(id ident.TeamID) (*team, func()) {
+	sh := &s.shards[xxh3.HashString(string(id))%shardCount]
+	sh.lock.Lock()
+	t, ok := sh.teams[id]
+	if !ok {
+		t = &team{id: id, writer: make(chan struct{}, 1)}
+		sh.teams[id] = t
+	}
+	return t, sh.lock.Unlock
+}
+
+// signal wakes the background loop.
+func (s *Split) signal() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
