Add the claims of non-idempotent requests

A non-idempotent request runs at most once, whichever daemon the caller submits it to and whoever dies. A claim needs a majority of three holders at one epoch. After a view change a holder votes only when every former holder of the key that still lives has handed over its claims, and it checks that those who answered meet every majority of the earlier views; otherwise the key is uncertain for the retention time and the caller is told so.

Two faults came out of the table. A refusal as split was reported while the rival had won at the epoch before: only holders whose transfer is finished count when a rival is barred. At the first epoch every key counted as uncertain, because nobody had answered a transfer that isn't needed there.

Three fields are added to the wire messages: Uncertain in ClaimReply, Views and Evidence in ClaimTransferReply.

go test -race -count=5 passes on internal/claim (21 fault cases).

--- /dev/null
+++ b/internal/claim/claim.go
@@ -0,0 +1,206 @@
+// Package claim keeps the claims of non-idempotent requests, so that each runs at most once. A request is claimed by a
+// majority of the first three members in rendezvous order of its key within the team's claim region, at one epoch.
+package claim
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/member"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/peer/wire"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+	"github.com/zeebo/xxh3"
+)
+
+// Defaults of Config.
+const (
+	DefaultRetention = time.Hour
+	DefaultMaxClaims = 50_000
+	DefaultMaxBytes  = 32 << 20
+)
+
+// holderCount is the number of members that keep a claim.
+const holderCount = 3
+
+var (
+	// ErrSplit reports that no claimer can get a majority. The request isn't claimed by the caller.
+	ErrSplit = errors.New("votes on the claim are split")
+	// ErrUnavailable reports that too few holders could vote. The request isn't claimed by the caller.
+	ErrUnavailable = errors.New("too few holders of the claim can vote")
+	// ErrUncertain reports that an earlier claim of the request may have been lost, so that a run can't be ruled out.
+	ErrUncertain = errors.New("an earlier claim of the request may be lost")
+	// ErrExpired reports a grant that may no longer be dispatched.
+	ErrExpired = errors.New("grant no longer holds")
+	// ErrEpoch reports a message from another epoch; the sender tries again after the view changed.
+	ErrEpoch = errors.New("claim message from another epoch")
+)
+
+// HeldError reports that another submission holds the claim: its answer is in Claim once complete.
+type HeldError struct {
+	Claim wire.Claim
+	// ClaimerGone means that the claimer's incarnation left the view: unless the claim is complete, a run can't be
+	// ruled out.
+	ClaimerGone bool
+}
+
+// Error names the claimer and the state.
+func (e *HeldError) Error() string {
+	return fmt.Sprintf("request %s is claimed by %s (%s)", e.Claim.Request, e.Claim.Claimer, e.Claim.State)
+}
+
+// Config has the settings and dependencies of a Book.
+type Config struct {
+	Self func() member.Member
+	View func() member.View
+	// Region returns the claim region of a team, which never changes.
+	Region func(ident.TeamID) (ident.Region, bool)
+	// Call sends acquire, complete, release or lookup to a holder.
+	Call func(ctx context.Context, to ident.MemberID, method string, r wire.ClaimRequest) (wire.ClaimReply, error)
+	// Transfer asks a member for a page of claims.
+	Transfer func(ctx context.Context, to ident.MemberID, r wire.ClaimTransfer) (wire.ClaimTransferReply, error)
+	// Inventories reports whether a backend server knows the request, and whether a run can be ruled out otherwise:
+	// complete also covers runs that finished and were acknowledged. Nil means that nothing can be ruled out.
+	Inventories func(ctx context.Context, key wire.ClaimKey) (known, complete bool)
+	// Retention is how long a claim is kept after its last change; 0 means DefaultRetention. A grant must be dispatched
+	// in the first half of it, and a caller must not submit a request again after it.
+	Retention time.Duration
+	// MaxClaims bounds the claims kept, MaxBytes their answers; 0 means the defaults. New claims are refused above.
+	MaxClaims int
+	MaxBytes  int
+	Now       func() time.Time
+	Log       logr.Logger
+}
+
+// Book is this member's side of the claims, as claimer and as holder.
+type Book struct {
+	config Config
+	shards [shardCount]shard
+	kept   atomic.Int64 // claims and barred nonces
+	bytes  atomic.Int64 // answers
+
+	ctx    context.Context // ends with Close
+	cancel context.CancelFunc
+	tasks  sync.WaitGroup
+	manual bool // tests run transfers themselves
+
+	epoch atomic.Uint64 // epoch of history.current, read under shard locks
+	lock  sync.Mutex    // guards history
+	history
+
+	releasesLock sync.Mutex
+	releases     []release
+}
+
+// Grant is a claim won by this member.
+type Grant struct {
+	Claim   wire.Claim
+	Epoch   ident.Epoch
+	Holders []member.Member
+	Begun   time.Time // taken before the first vote was asked for
+}
+
+// New checks the configuration and returns an empty book.
+func New(c Config) (*Book, error) {
+	switch {
+	case c.Self == nil, c.View == nil, c.Region == nil, c.Call == nil, c.Transfer == nil:
+		return nil, errors.New("claim: Self, View, Region, Call and Transfer must be set")
+	case c.Retention < 0, c.MaxClaims < 0, c.MaxBytes < 0:
+		return nil, errors.New("claim: bounds must not be negative")
+	}
+	if c.Retention == 0 {
+		c.Retention = DefaultRetention
+	}
+	if c.MaxClaims == 0 {
+		c.MaxClaims = DefaultMaxClaims
+	}
+	if c.MaxBytes == 0 {
+		c.MaxBytes = DefaultMaxBytes
+	}
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	if c.Inventories == nil {
+		c.Inventories = func(context.Context, wire.ClaimKey) (bool, bool) { return false, false }
+	}
+	b := &Book{config: c}
+	b.ctx, b.cancel = context.WithCancel(context.Background())
+	for i := range b.shards {
+		b.shards[i].entries = map[wire.ClaimKey][]wire.Claim{}
+		b.shards[i].barred = map[string]struct{}{}
+		b.shards[i].touched = map[wire.ClaimKey]time.Time{}
+	}
+	return b, nil
+}
+
+// Close ends the transfers that run in the background.
+func (b *Book) Close() {
+	b.cancel()
+	b.tasks.Wait()
+}
+
+// Holders returns the first three members of the region in rendezvous order of the key, in any state: an unreachable
+// member keeps its claims.
+func Holders(v member.View, region ident.Region, key wire.ClaimKey) []member.Member {
+	var members []member.Member
+	for _, m := range v.Filter(member.Active, member.Draining, member.Unreachable) {
+		if m.Region == region {
+			members = append(members, m)
+		}
+	}
+	return first(members, key, func(m member.Member) ident.MemberID { return m.ID })
+}
+
+// first sorts by the hash of key and member id, highest first, and keeps the first three.
+func first[M any](members []M, key wire.ClaimKey, id func(M) ident.MemberID) []M {
+	seed := hash(key)
+	slices.SortFunc(members, func(a, b M) int {
+		x, y := xxh3.HashStringSeed(string(id(a)), seed), xxh3.HashStringSeed(string(id(b)), seed)
+		switch {
+		case x > y || x == y && id(a) < id(b):
+			return -1
+		case x == y && id(a) == id(b):
+			return 0
+		}
+		return 1
+	})
+	return members[:min(len(members), holderCount)]
+}
+
+func hash(key wire.ClaimKey) uint64 {
+	return xxh3.HashStringSeed(string(key.Request), xxh3.HashString(string(key.Team)))
+}
+
+// quorum is the number of votes that wins among n holders.
+func quorum(n int) int { return n/2 + 1 }
+
+// overlap is the number of holders among n that meets every quorum.
+func overlap(n int) int { return n - quorum(n) + 1 }
+
+// Validate returns an error unless the grant may be dispatched now. It must be called right before the dispatch.
+// A grant survives a change of the view only when its holders are the same incarnations.
+func (b *Book) Validate(g Grant) error {
+	if b.config.Now().Sub(g.Begun) >= b.config.Retention/2 {
+		return fmt.Errorf("%w: older than half the retention", ErrExpired)
+	}
+	view := b.config.View()
+	if !view.Has(g.Claim.Claimer, g.Claim.Incarnation) {
+		return fmt.Errorf("%w: own incarnation was removed", ErrExpired)
+	}
+	if view.Epoch == g.Epoch {
+		return nil
+	}
+	region, _ := b.config.Region(g.Claim.Team)
+	same := slices.EqualFunc(Holders(view, region, g.Claim.ClaimKey), g.Holders, func(x, y member.Member) bool {
+		return x.ID == y.ID && x.Incarnation == y.Incarnation
+	})
+	if !same {
+		return fmt.Errorf("%w: its holders changed at epoch %d", ErrExpired, view.Epoch)
+	}
+	return nil
+}
--- a/internal/peer/wire/wire.go
+++ b/internal/peer/wire/wire.go
@@ -239,10 +239,12 @@
 
 // ClaimReply carries the vote and the claim that the holder keeps.
 type ClaimReply struct {
-	Granted bool  `json:"granted"`
-	Known   bool  `json:"known"`
-	Stale   bool  `json:"stale,omitempty"` // the holder is at another epoch or has not finished its transfer
-	Claim   Claim `json:"claim"`
+	Granted bool `json:"granted"`
+	Known   bool `json:"known"`
+	Stale   bool `json:"stale,omitempty"` // the holder is at another epoch or has not finished its transfer
+	// Uncertain means that an earlier claim of the key may have been lost with its holders.
+	Uncertain bool  `json:"uncertain,omitempty"`
+	Claim     Claim `json:"claim"`
 }
 
 // ClaimTransfer asks for the claims that the sender must hold at its epoch, a page at a time.
@@ -255,6 +257,31 @@
 type ClaimTransferReply struct {
 	Claims []Claim `json:"claims,omitempty"`
 	Cursor string  `json:"cursor,omitempty"` // empty on the last page
+	// Views and Evidence are on the first page only: the views in which the receiver held claims, and what it knows of
+	// earlier losses.
+	Views    []ClaimView     `json:"views,omitempty"`
+	Evidence []ClaimEvidence `json:"evidence,omitempty"`
+}
+
+// ClaimHolder is one incarnation of a member of a claim region.
+type ClaimHolder struct {
+	Member      ident.MemberID    `json:"m"`
+	Incarnation ident.Incarnation `json:"i"`
+}
+
+// ClaimView is a claim region at one epoch. Settled lists the members known to have had all earlier claims that they
+// must hold in it.
+type ClaimView struct {
+	Epoch   ident.Epoch   `json:"epoch"`
+	Members []ClaimHolder `json:"members"`
+	Settled []ClaimHolder `json:"settled,omitempty"`
+}
+
+// ClaimEvidence says which members of earlier views handed over their claims; the rest died before.
+type ClaimEvidence struct {
+	Views     []ClaimView    `json:"views"`
+	Answered  []ClaimHolder  `json:"answered"`
+	Remaining backend.Millis `json:"remaining-ms"` // until every claim that may be lost has expired
 }
 
 // Segment is a named part of the configuration.
