Bound the candidates of a choice and of a search for victims

A choice compared up to 96 candidates (12 in each of 8 shards) and cost 53 us for services, 23 us for batch work at 800 hosts with other load on the machine. It now stops after 24 (4 for requests). Victims compared every host of the pool, since only improvements counted.

--- /dev/null
+++ b/internal/placement/packing_test.go
@@ -0,0 +1,171 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/resource"
+)
+
+// packer is a policy that chooses a host with room, or -1.
+type packer func(free []resource.Vector, demand resource.Vector) int
+
+// randomFit takes any host with room.
+func randomFit(r *rand.Rand) packer {
+	return func(free []resource.Vector, demand resource.Vector) int {
+		for i, at := 0, r.IntN(len(free)); i < len(free); i++ {
+			if h := (at + i) % len(free); demand.Fits(free[h]) {
+				return h
+			}
+		}
+		return -1
+	}
+}
+
+// bestOfAll compares all hosts by the score of batch work.
+func bestOfAll(capacity []resource.Vector) packer {
+	return func(free []resource.Vector, demand resource.Vector) int {
+		best, score := -1, worst
+		c := choice{request: &Request{Kind: api.KindBatch, Demand: demand}}
+		for i := range free {
+			if demand.Fits(free[i]) {
+				if v := c.rate(&host{free: free[i], capacity: capacity[i]}); v.less(score) {
+					best, score = i, v
+				}
+			}
+		}
+		return best
+	}
+}
+
+// skewed returns a demand of many small tasks and a few that need most of a host or its GPUs.
+func skewed(r *rand.Rand) resource.Vector {
+	v := resource.Vector{CPU: resource.Cores(1), Memory: resource.Gigabytes(1 + r.Int64N(4)), Slots: 1, Connections: 1}
+	switch x := r.IntN(20); {
+	case x < 2:
+		v.CPU, v.Memory = resource.Cores(12), resource.Gigabytes(20)
+	case x < 4:
+		v.CPU, v.Memory, v.GPUs = resource.Cores(8), resource.Gigabytes(16), resource.Count(2+2*r.IntN(2))
+	case x < 8:
+		v.CPU, v.Memory = resource.Cores(4), resource.Gigabytes(8)
+	}
+	return v
+}
+
+// packed is the outcome of a replayed workload.
+type packed struct {
+	refused, refusedLarge, refusedGPU float64 // parts of all, of those of 12 cores and more, of those with GPUs
+	used                              float64 // mean used part of the CPU
+}
+
+// replay offers tasks for 7 of the 8 slots per host and lets each run for a random time.
+func replay(n int, place func(i int, demand resource.Vector) (free func(), ok bool)) packed {
+	r := rand.New(rand.NewPCG(11, 11))
+	life := float64(n) * 7
+	type end struct {
+		at   int
+		free func()
+		cpu  resource.MilliCPU
+	}
+	ends := map[int][]end{}
+	steps := int(life * 6)
+	var all, large, gpu, refused, refusedLarge, refusedGPU, used float64
+	var now, total resource.MilliCPU
+	for i := range n {
+		total += shape(i).CPU
+	}
+	for i := range steps {
+		for _, e := range ends[i] {
+			e.free()
+			now -= e.cpu
+		}
+		delete(ends, i)
+		demand := skewed(r)
+		at := i + 1 + int(r.ExpFloat64()*life)
+		free, ok := place(i, demand)
+		if ok {
+			now += demand.CPU
+			ends[at] = append(ends[at], end{at, free, demand.CPU})
+		}
+		if i < steps/3 {
+			continue
+		}
+		miss := 0.0
+		if !ok {
+			miss = 1
+		}
+		all++
+		refused += miss
+		if demand.CPU >= resource.Cores(12) {
+			large++
+			refusedLarge += miss
+		}
+		if demand.GPUs > 0 {
+			gpu++
+			refusedGPU += miss
+		}
+		used += float64(now) / float64(total)
+	}
+	return packed{refused / all, refusedLarge / large, refusedGPU / gpu, used / all}
+}
+
+// shape is the capacity of the fixture's host i.
+func shape(i int) resource.Vector {
+	if i%4 == 3 {
+		return gpuHost
+	}
+	return cpuHost
+}
+
+func replayPool(tb testing.TB, n int) packed {
+	f := newFixture(tb)
+	f.fleet(n)
+	return replay(n, func(i int, demand resource.Vector) (func(), bool) {
+		t, err := f.Pick(request(i, api.KindBatch, demand))
+		return func() { f.Release(t.Host, t.Task.Attempt) }, err == nil
+	})
+}
+
+func replayPacker(n int, make func(capacity []resource.Vector) packer) packed {
+	capacity := []resource.Vector{}
+	for i := range n {
+		capacity = append(capacity, shape(i))
+	}
+	free := append([]resource.Vector{}, capacity...)
+	pack := make(capacity)
+	return replay(n, func(_ int, demand resource.Vector) (func(), bool) {
+		h := pack(free, demand)
+		if h < 0 {
+			return nil, false
+		}
+		free[h] = free[h].Sub(demand)
+		return func() { free[h] = free[h].Add(demand) }, true
+	})
+}
+
+// BenchmarkPacking compares the index with random fit and with a full scan on one seeded workload.
+func BenchmarkPacking(b *testing.B) {
+	for _, n := range []int{48, 800} {
+		policies := map[string]func(testing.TB) packed{
+			"pool": func(tb testing.TB) packed { return replayPool(tb, n) },
+			"random-fit": func(testing.TB) packed {
+				return replayPacker(n, func([]resource.Vector) packer { return randomFit(rand.New(rand.NewPCG(3, 3))) })
+			},
+			"full-scan": func(testing.TB) packed { return replayPacker(n, bestOfAll) },
+		}
+		for _, name := range []string{"random-fit", "pool", "full-scan"} {
+			b.Run(fmt.Sprintf("hosts=%d/%s", n, name), func(b *testing.B) {
+				var p packed
+				for b.Loop() {
+					p = policies[name](b)
+				}
+				b.ReportMetric(100*p.refused, "%refused")
+				b.ReportMetric(100*p.refusedLarge, "%large-refused")
+				b.ReportMetric(100*p.refusedGPU, "%gpu-refused")
+				b.ReportMetric(100*p.used, "%cpu-used")
+			})
+		}
+	}
+}
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -13,10 +13,11 @@
 
 // Bounds of one search. They keep the cost of a choice independent of the number of hosts.
 const (
-	perGroup      = 4  // candidates per class and shard
-	perShard      = 12 // candidates per shard
-	perShardQuick = 3  // the same for requests, which take a quick fit
-	pickAttempts  = 3  // searches over all shards before the first fit is taken
+	perGroup     = 4  // candidates per class and shard
+	perShard     = 12 // candidates per shard
+	perPick      = 24 // candidates after which no further shard is searched
+	perPickQuick = 4  // the same for requests, which take a quick fit, one per shard
+	pickAttempts = 3  // bounded searches before the first fit is taken
 )
 
 // quarantineAge is the longest age of the number of quarantined hosts in a NoRoomError. It is counted by a scan.
@@ -41,6 +42,8 @@
 	request *Request
 	spread  *spread // of the job; nil when the kind doesn't use it
 	bounds  search
+	most    int // candidates after which no further shard is searched
+	seen    int // candidates so far
 	best    *host
 	shard   *shard
 	score   score
@@ -93,43 +96,43 @@
 	}
 }
 
-// choose searches all shards, each under its lock, and keeps the best candidate. With full it takes the first shard
-// that has one and doesn't bound the search inside a group.
+// choose searches all shards, each under its lock, and keeps the best candidate, until enough candidates
+// were compared. With full it takes the first shard that has one and doesn't bound the search inside a group.
 func (p *Pool) choose(r *Request, job *spread, full bool) *choice {
 	start := p.next()
-	c := &choice{request: r, spread: job, score: worst, bounds: boundsOf(r)}
-	c.bounds.start = start >> 16
+	c := &choice{request: r, spread: job, score: worst}
+	c.setBounds(start >> 16)
 	if full {
-		c.bounds.perGroup = 0
+		c.bounds.perGroup, c.most = 0, 1
 	}
 	for i := range p.shards {
 		s := p.shards[(start+uint64(i))%uint64(len(p.shards))]
 		s.mu.Lock()
 		c.search(p, s)
 		s.mu.Unlock()
-		if full && c.best != nil {
+		if c.seen >= c.most {
 			break
 		}
 	}
 	return c
 }
 
-func boundsOf(r *Request) search {
-	q := search{demand: r.Demand, perGroup: perGroup, total: perShard}
-	switch r.Kind {
+func (c *choice) setBounds(start uint64) {
+	c.bounds = search{demand: c.request.Demand, perGroup: perGroup, total: perShard, start: start}
+	c.most = perPick
+	switch c.request.Kind {
 	case api.KindRequest:
-		q.roomy = true
-		q.total = perShardQuick
+		c.bounds.roomy = true
+		c.bounds.total, c.most = 1, perPickQuick
 	case api.KindService:
-		q.roomy = true
-		q.perGroup = perShard
+		c.bounds.roomy = true
+		c.bounds.perGroup = perShard
 	}
-	return q
 }
 
 // search compares the shard's candidates with the best one so far; the shard is locked.
 func (c *choice) search(p *Pool, s *shard) {
-	c.bounds.visit(&s.index, func(h *host) bool {
+	n, _ := s.index.find(c.bounds, func(h *host) bool {
 		if slices.Contains(c.request.Avoid, h.info.ID) || p.config.Blocked(h.info.ID) != "" {
 			return false
 		}
@@ -138,10 +141,9 @@
 		}
 		return true
 	})
+	c.seen += n
 }
 
-func (q search) visit(x *index, accept func(*host) bool) { x.find(q, accept) }
-
 // rate returns the score of a host with room.
 func (c *choice) rate(h *host) score {
 	r := c.request
@@ -153,7 +155,11 @@
 	switch r.Kind {
 	case api.KindService:
 		rack, dc := c.spread.counts(&h.info)
-		return score{gpus, float64(rack)*1024 + float64(h.tasksOf(r.Job)), float64(dc), -left}
+		own := 0
+		if rack > 0 {
+			own = h.tasksOf(r.Job)
+		}
+		return score{gpus, float64(rack)*1024 + float64(own), float64(dc), -left}
 	case api.KindRequest:
 		return score{gpus, h.capacity.Sub(h.free).Add(r.Demand).DominantShare(h.capacity)}
 	case api.KindAllAtOnce:
--- a/internal/placement/victims.go
+++ b/internal/placement/victims.go
@@ -28,7 +28,7 @@
 	// VictimHold is the time for which a host isn't chosen again after Victims, so that two urgent tasks don't count on
 	// the same room. It is the bound of an urgent start, 2.2 s, rounded up.
 	VictimHold = 3 * time.Second
-	// maxVictimHosts bounds the hosts with enough lower work that are compared.
+	// maxVictimHosts bounds the hosts that are compared; more are searched only while none has enough lower work.
 	maxVictimHosts = 64
 	// maxVictimNodes bounds the search for the cheapest set on one host; 8 slots per host give 256 sets.
 	maxVictimNodes = 512
@@ -81,17 +81,15 @@
 				slices.Contains(r.Avoid, h.info.ID) || p.config.Blocked(h.info.ID) != "" {
 				continue
 			}
-			set, c := h.cheapest(&r, now, cost)
-			if set == nil {
-				continue
-			}
-			best, cost, chosen = set, c, h
-			if found++; found >= maxVictimHosts {
+			if found++; found > maxVictimHosts && chosen != nil {
 				break
 			}
+			if set, c := h.cheapest(&r, now, cost); set != nil {
+				best, cost, chosen = set, c, h
+			}
 		}
 		s.mu.Unlock()
-		if found >= maxVictimHosts {
+		if found > maxVictimHosts && chosen != nil {
 			break
 		}
 	}
