--- /dev/null
+++ b/internal/placement/cases_test.go
@@ -0,0 +1,339 @@
+package placement
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/backend"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/resource"
+)
+
+// place picks a host for task i or fails the test.
+func (f *fixture) place(t *testing.T, i int, kind api.Kind, demand resource.Vector) Placed {
+	t.Helper()
+	p, err := f.Pick(request(i, kind, demand))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// wantFull fails the test unless task i has no room with the given counts.
+func (f *fixture) wantFull(t *testing.T, q Request, want NoRoomError) {
+	t.Helper()
+	_, err := f.Pick(q)
+	var full *NoRoomError
+	if !errors.As(err, &full) || *full != want {
+		t.Fatalf("got %v, want %v", err, &want)
+	}
+}
+
+func (f *fixture) attach(i int, capacity resource.Vector, running ...backend.Running) ident.HostID {
+	f.Attach(info(i), backend.Inventory{Capacity: capacity, Running: running})
+	return hostID(i)
+}
+
+func TestPlacement(t *testing.T) {
+	// The comment of a case names the failure that it guards against.
+	cases := map[string]func(t *testing.T, f *fixture){
+		// New work on a host that is about to go away.
+		"a leaving host takes nothing": func(t *testing.T, f *fixture) {
+			f.Update(f.attach(0, cpuHost), cpuHost, true)
+			f.wantFull(t, request(1, api.KindBatch, small), NoRoomError{Reason: AllFull, Leaving: 1})
+			f.Update(hostID(0), cpuHost, false)
+			f.place(t, 1, api.KindBatch, small)
+		},
+		// New work on a host that fails everything.
+		"a quarantined host takes nothing": func(t *testing.T, f *fixture) {
+			f.blocked[f.attach(0, cpuHost)] = "failing"
+			f.wantFull(t, request(1, api.KindBatch, small), NoRoomError{Reason: AllFull, Quarantined: 1})
+		},
+		// A retry on the host where the task just failed.
+		"an avoided host takes nothing": func(t *testing.T, f *fixture) {
+			q := request(1, api.KindBatch, small)
+			q.Avoid = []ident.HostID{f.attach(0, cpuHost)}
+			f.wantFull(t, q, NoRoomError{Reason: AllFull, Full: 1})
+		},
+		// A caller that waits for room that can never be there.
+		"a demand above every capacity is told apart": func(t *testing.T, f *fixture) {
+			f.wantFull(t, request(1, api.KindBatch, small), NoRoomError{Reason: NoHosts})
+			f.attach(0, cpuHost)
+			f.wantFull(t, request(1, api.KindBatch, gpuHost), NoRoomError{Reason: TooLarge, TooSmall: 1})
+			if ok, reason := f.CouldFit(gpuHost); ok || reason == "" {
+				t.Fatalf("got %v, %q", ok, reason)
+			}
+			f.attach(1, gpuHost)
+			if ok, _ := f.CouldFit(gpuHost); !ok {
+				t.Fatal("fits on the second host")
+			}
+		},
+		// Overcommitment after a host returned or shrank with less than what runs on it.
+		"nothing fits on a host that shrank below its work": func(t *testing.T, f *fixture) {
+			host := f.attach(0, cpuHost)
+			for i := range 4 {
+				f.place(t, i, api.KindBatch, small)
+			}
+			f.Update(host, small.Times(3), false)
+			f.wantFull(t, request(9, api.KindBatch, small), NoRoomError{Reason: AllFull, Full: 1})
+			f.Release(host, "attempt-0")
+			f.wantFull(t, request(9, api.KindBatch, small), NoRoomError{Reason: AllFull, Full: 1})
+			f.Release(host, "attempt-1")
+			f.place(t, 9, api.KindBatch, small)
+		},
+		// A task that uses more than declared and a report that arrives in a quiet moment of it.
+		"usage above the declaration counts until the end": func(t *testing.T, f *fixture) {
+			host := f.attach(0, small.Times(2))
+			f.place(t, 1, api.KindBatch, small)
+			f.Usage(host, []backend.Usage{{Attempt: "attempt-1", Used: small.Times(2)}})
+			f.Usage(host, []backend.Usage{{Attempt: "attempt-1", Used: small}})
+			f.wantFull(t, request(2, api.KindBatch, small), NoRoomError{Reason: AllFull, Full: 1})
+			f.Release(host, "attempt-1")
+			f.place(t, 2, api.KindBatch, small)
+		},
+		// Room that stays taken, or a task that is counted twice, after a host came back.
+		"an attach keeps nothing": func(t *testing.T, f *fixture) {
+			host := f.attach(0, small.Times(3))
+			f.place(t, 1, api.KindBatch, small)
+			f.Reserve("gang", request(2, api.KindAllAtOnce, small), 2, f.now.Add(time.Minute))
+			q := request(3, api.KindBatch, small)
+			f.attach(0, small.Times(3), backend.Running{Task: q.task()})
+			if _, ok := f.Find("attempt-1"); ok || len(f.Attempts(host)) != 1 {
+				t.Fatal("a placed attempt outlived the attach")
+			}
+			if _, err := f.Commit("gang", []backend.Task{{Attempt: "x", Demand: small}}); !errors.Is(err, ErrGang) {
+				t.Fatalf("got %v, want the reservation to be gone", err)
+			}
+			if got := f.Dump().Hosts[0].Free; got != small.Times(2) {
+				t.Fatalf("free %v, want room for two", got)
+			}
+		},
+		// The same attempt on two hosts.
+		"an attempt is placed once": func(t *testing.T, f *fixture) {
+			f.fleet(8)
+			f.place(t, 1, api.KindBatch, small)
+			if _, err := f.Pick(request(1, api.KindBatch, small)); !errors.Is(err, ErrDuplicate) {
+				t.Fatalf("got %v", err)
+			}
+		},
+		// Payloads of running tasks, up to 256 KB each, in the memory of the daemon.
+		"payloads aren't kept": func(t *testing.T, f *fixture) {
+			f.fleet(1)
+			q := request(1, api.KindBatch, small)
+			q.Task.Payload = []byte("payload")
+			p, _ := f.Pick(q)
+			kept, _ := f.Find(q.Attempt)
+			if string(p.Task.Payload) != "payload" || kept.Task.Payload != nil {
+				t.Fatalf("returned %q, kept %q", p.Task.Payload, kept.Task.Payload)
+			}
+		},
+		// Work without GPUs that keeps GPU work out.
+		"GPU hosts are kept for GPU work": func(t *testing.T, f *fixture) {
+			f.fleet(8)
+			for i := range 6 * 8 {
+				if p := f.place(t, i, api.KindBatch, small); p.Host == hostID(3) || p.Host == hostID(7) {
+					t.Fatalf("task %d is on GPU host %s", i, p.Host)
+				}
+			}
+			f.place(t, 99, api.KindBatch, small) // goes to a GPU host when nothing else is free
+		},
+		// Batch work that leaves a remainder on every host, so that a large task fits on none.
+		"batch work is packed": func(t *testing.T, f *fixture) {
+			f.fleet(40)
+			hosts := map[ident.HostID]bool{}
+			for i := range 16 {
+				hosts[f.place(t, i, api.KindBatch, small).Host] = true
+			}
+			if len(hosts) > 2 {
+				t.Fatalf("16 tasks on %d hosts, want 2", len(hosts))
+			}
+		},
+		// A rack that takes down a service.
+		"services are spread over racks, hosts and data centres": func(t *testing.T, f *fixture) {
+			f.fleet(45)
+			racks, centres := map[ident.Rack]int{}, map[ident.DataCentre]int{}
+			for i := range 18 {
+				at := f.shardOf(f.place(t, i, api.KindService, small).Host)
+				p, _ := f.Find(request(i, "", small).Attempt)
+				racks[at.hosts[p.Host].info.Rack]++
+				centres[at.hosts[p.Host].info.DataCentre]++
+			}
+			for rack, n := range racks {
+				if n != 2 {
+					t.Errorf("%d tasks on %s, want 2 on each of 9 racks", n, rack)
+				}
+			}
+			if len(racks) != 9 || len(centres) != 3 {
+				t.Errorf("%d racks, %d data centres", len(racks), len(centres))
+			}
+		},
+		// Services that are spread without regard to the tasks that a new owner found running.
+		"attached services count for the spread": func(t *testing.T, f *fixture) {
+			q := request(1, api.KindService, small)
+			f.attach(0, cpuHost, backend.Running{Task: q.task()})
+			f.attach(5, cpuHost)
+			if p := f.place(t, 2, api.KindService, small); p.Host != hostID(5) {
+				t.Fatalf("on %s, want the other rack", p.Host)
+			}
+		},
+		// Requests that wait behind others on one host while another one is idle.
+		"requests are balanced": func(t *testing.T, f *fixture) {
+			for i := range 4 {
+				f.attach(i, cpuHost)
+			}
+			load := map[ident.HostID]int{}
+			for i := range 16 {
+				load[f.place(t, i, api.KindRequest, small).Host]++
+			}
+			for host, n := range load {
+				if n > 6 {
+					t.Errorf("%d of 16 requests on %s of 4 hosts", n, host)
+				}
+			}
+		},
+		// A free host that the bounded search of its class doesn't reach.
+		"a fitting host among many in its class is found": func(t *testing.T, f *fixture) {
+			for i := range 400 {
+				f.attach(i, resource.Vector{CPU: 9000, Memory: 9000, Slots: 8, Connections: 8})
+			}
+			f.attach(400, resource.Vector{CPU: 15000, Memory: 9000, Slots: 8, Connections: 8})
+			if p := f.place(t, 1, api.KindBatch, resource.Vector{CPU: 14000, Slots: 1}); p.Host != hostID(400) {
+				t.Fatalf("on %s", p.Host)
+			}
+		},
+		// Summaries that announce room that isn't there, or usage that isn't counted.
+		"rooms and usage": func(t *testing.T, f *fixture) {
+			f.attach(0, cpuHost)
+			f.attach(1, cpuHost)
+			f.blocked[f.attach(2, cpuHost)] = "failing"
+			f.Update(f.attach(3, cpuHost), cpuHost, true)
+			f.place(t, 1, api.KindBatch, small)
+			rooms, teams := f.Rooms(), f.TeamUsage()
+			if len(rooms) != 1 || rooms[0].Capacity != cpuHost.Times(2) || rooms[0].Largest != cpuHost ||
+				rooms[0].Total != cpuHost.Times(2).Sub(small) {
+				t.Errorf("rooms %+v", rooms)
+			}
+			if len(teams) != 1 || teams[0].Running != 1 || teams[0].Used != small {
+				t.Errorf("usage %+v", teams)
+			}
+		},
+	}
+	for name, run := range cases {
+		t.Run(name, func(t *testing.T) { run(t, newFixture(t)) })
+	}
+}
+
+func TestVictims(t *testing.T) {
+	type task struct {
+		priority               int
+		demand                 resource.Vector
+		nonIdempotent, pending bool
+		refused                []Action
+	}
+	cpuOnly := resource.Vector{CPU: resource.Cores(8), Slots: 1, Connections: 1}
+	cases := map[string]struct {
+		guards string
+		tasks  []task // on one host each of 16 cores and 8 slots, filled by a non-idempotent task of 8 cores, 30 GB, 4 slots
+		demand resource.Vector
+		want   map[Action]int // nil means ErrNoVictims
+	}{
+		"non-idempotent work stays": {
+			guards: "a request that runs twice because it was preempted and restarted",
+			tasks:  []task{{nonIdempotent: true, demand: cpuOnly}}, demand: small,
+		},
+		"equal priority stays": {
+			guards: "two urgent tasks that preempt each other in turn",
+			tasks:  []task{{priority: 50, demand: cpuOnly}}, demand: small,
+		},
+		"a start in flight stays": {
+			guards: "a stop that overtakes the start",
+			tasks:  []task{{pending: true, demand: cpuOnly}}, demand: small,
+		},
+		"only CPU short": {
+			guards: "work that is ended where slowing it down would do",
+			tasks:  []task{{demand: cpuOnly}}, demand: small, want: map[Action]int{ActionThrottle: 1},
+		},
+		"memory short": {
+			guards: "a throttled task that frees no memory",
+			tasks:  []task{{demand: resource.Vector{CPU: 4000, Memory: 2048, Slots: 1, Connections: 1}}},
+			demand: small, want: map[Action]int{ActionCheckpoint: 1},
+		},
+		"checkpoint refused": {
+			guards: "an urgent task that waits for a checkpoint that never comes",
+			tasks: []task{{
+				demand:  resource.Vector{CPU: 4000, Memory: 2048, Slots: 1, Connections: 1},
+				refused: []Action{ActionCheckpoint},
+			}},
+			demand: small, want: map[Action]int{ActionStop: 1},
+		},
+		"stop last": {
+			guards: "a stop where checkpoints would do, even of more tasks",
+			tasks: []task{
+				{demand: resource.Vector{CPU: 4000, Memory: 1024, Slots: 1}, refused: []Action{ActionCheckpoint}},
+				{demand: resource.Vector{CPU: 2000, Memory: 512, Slots: 1}},
+				{demand: resource.Vector{CPU: 2000, Memory: 512, Slots: 1}},
+			},
+			demand: resource.Vector{CPU: 4000, Memory: 1024, Slots: 1}, want: map[Action]int{ActionCheckpoint: 2},
+		},
+		"not enough lower work": {
+			guards: "preempted work that doesn't make room",
+			tasks:  []task{{demand: cpuOnly}}, demand: cpuHost,
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			host := f.attach(0, cpuHost)
+			base := request(0, api.KindBatch, resource.Vector{CPU: 8000, Memory: resource.Gigabytes(30), Slots: 4})
+			base.NonIdempotent = true
+			if _, err := f.Pick(base); err != nil {
+				t.Fatal(err)
+			}
+			f.Running(host, base.Attempt)
+			for i, task := range c.tasks {
+				q := request(i+1, api.KindBatch, task.demand)
+				q.Priority, q.NonIdempotent = task.priority, task.nonIdempotent
+				if _, err := f.Pick(q); err != nil {
+					t.Fatal(err)
+				}
+				if !task.pending {
+					f.Running(host, q.Attempt)
+				}
+				for _, a := range task.refused {
+					f.Refused(host, q.Attempt, a)
+				}
+			}
+			q := request(99, api.KindRequest, c.demand)
+			q.Priority, q.Urgent = 50, true
+			victims, err := f.Victims(q)
+			if c.want == nil {
+				if !errors.Is(err, ErrNoVictims) {
+					t.Fatalf("got %v, %v, want none; guards against %s", victims, err, c.guards)
+				}
+				return
+			}
+			got := map[Action]int{}
+			for _, v := range victims {
+				got[v.Action]++
+				if v.Action == ActionThrottle {
+					f.Throttled(v.Host, v.Attempt, v.Percent)
+				} else {
+					f.Release(v.Host, v.Attempt)
+				}
+			}
+			if len(got) != len(c.want) {
+				t.Fatalf("got %v, %v, want %v; guards against %s", got, err, c.want, c.guards)
+			}
+			for a, n := range c.want {
+				if got[a] != n {
+					t.Fatalf("got %v, want %v; guards against %s", got, c.want, c.guards)
+				}
+			}
+			if _, err := f.Pick(q); err != nil {
+				t.Fatalf("no room after the preemption: %v", err)
+			}
+		})
+	}
+}
--- a/internal/placement/packing_test.go
+++ b/internal/placement/packing_test.go
@@ -128,13 +128,13 @@
 	})
 }
 
-func replayPacker(n int, make func(capacity []resource.Vector) packer) packed {
+func replayPacker(n int, policy func(capacity []resource.Vector) packer) packed {
 	capacity := []resource.Vector{}
 	for i := range n {
 		capacity = append(capacity, shape(i))
 	}
 	free := append([]resource.Vector{}, capacity...)
-	pack := make(capacity)
+	pack := policy(capacity)
 	return replay(n, func(_ int, demand resource.Vector) (func(), bool) {
 		h := pack(free, demand)
 		if h < 0 {
--- /dev/null
+++ b/internal/placement/property_test.go
@@ -0,0 +1,263 @@
+package placement
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/backend"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/resource"
+)
+
+// model is the state that the pool must have, kept without its arithmetic.
+type model struct {
+	capacity map[ident.HostID]resource.Vector
+	leaving  map[ident.HostID]bool
+	tasks    map[ident.AttemptID]*modelTask
+}
+
+type modelTask struct {
+	host         ident.HostID
+	demand, used resource.Vector
+}
+
+// free recomputes the free capacity of every host from nothing but capacities, tasks and reservations.
+func (m *model) free(d Dump) map[ident.HostID]resource.Vector {
+	free := map[ident.HostID]resource.Vector{}
+	for id, c := range m.capacity {
+		free[id] = c
+	}
+	for _, t := range m.tasks {
+		free[t.host] = free[t.host].Sub(t.demand.Max(t.used))
+	}
+	for _, h := range d.Hosts {
+		free[h.Host] = free[h.Host].Sub(small.Times(int64(h.Reserved)))
+	}
+	return free
+}
+
+// check compares the pool with the model, and its index with its hosts.
+func (m *model) check(t *testing.T, f *fixture, step string) map[ident.HostID]resource.Vector {
+	t.Helper()
+	d := f.Dump()
+	free := m.free(d)
+	if len(d.Hosts) != len(m.capacity) {
+		t.Fatalf("%s: %d hosts, want %d", step, len(d.Hosts), len(m.capacity))
+	}
+	for _, h := range d.Hosts {
+		if h.Free != free[h.Host] {
+			t.Fatalf("%s: host %s has free %v, want %v", step, h.Host, h.Free, free[h.Host])
+		}
+	}
+	running := 0
+	for _, u := range d.Teams {
+		running += u.Running
+	}
+	if running != len(m.tasks) {
+		t.Fatalf("%s: %d tasks counted for teams, want %d", step, running, len(m.tasks))
+	}
+	for _, s := range f.shards {
+		for _, h := range s.hosts {
+			want := classOf(h.free, h.capacity)
+			if h.leaving {
+				want = noClass
+			}
+			if h.class != want {
+				t.Fatalf("%s: host %s is in class %v, want %v", step, h.info.ID, h.class, want)
+			}
+			if g := s.index.groups[h.class]; want != noClass && (g.hosts[h.position] != h || !h.free.Fits(g.most)) {
+				t.Fatalf("%s: host %s isn't at its position or above the bound of its group", step, h.info.ID)
+			}
+		}
+	}
+	return free
+}
+
+// TestNeverOvercommitted guards against a task or reservation on a host without room for it, under any order of
+// attach, detach, pick, release, shrink, usage and gang operations; and against room that is lost or freed twice.
+func TestNeverOvercommitted(t *testing.T) {
+	kinds := []api.Kind{api.KindRequest, api.KindService, api.KindBatch, api.KindAllAtOnce}
+	for seed := range uint64(6) {
+		r := rand.New(rand.NewPCG(seed, 1))
+		f := newFixture(t)
+		m := &model{
+			capacity: map[ident.HostID]resource.Vector{}, leaving: map[ident.HostID]bool{},
+			tasks: map[ident.AttemptID]*modelTask{},
+		}
+		pickTask := func() (ident.AttemptID, *modelTask) {
+			for id, task := range m.tasks {
+				return id, task
+			}
+			return "", nil
+		}
+		next := 0
+		for step := range 1500 {
+			host := hostID(r.IntN(24))
+			var touched []ident.HostID
+			name := ""
+			switch r.IntN(16) {
+			case 0:
+				name = "attach"
+				for id, task := range m.tasks {
+					if task.host == host {
+						delete(m.tasks, id)
+					}
+				}
+				inventory := backend.Inventory{Capacity: cpuHost.Times(1 + r.Int64N(3))}
+				for range r.IntN(4) {
+					next++
+					id := request(next, "", small).Attempt
+					m.tasks[id] = &modelTask{host: host, demand: small}
+					inventory.Running = append(inventory.Running, backend.Running{Task: backend.Task{
+						Attempt: id, Job: "job", Team: "team", Queue: ident.QueueID(kinds[r.IntN(4)]), Demand: small,
+					}})
+				}
+				m.capacity[host], m.leaving[host] = inventory.Capacity, false
+				i := 0
+				_, _ = fmt.Sscanf(string(host), "host-%d", &i)
+				f.Attach(info(i), inventory)
+			case 1:
+				name = "detach"
+				for _, p := range f.Detach(host) {
+					if m.tasks[p.Task.Attempt].host != host {
+						t.Fatalf("%s returned by the detach of %s", p.Task.Attempt, host)
+					}
+					delete(m.tasks, p.Task.Attempt)
+				}
+				delete(m.capacity, host)
+			case 2:
+				name = "update"
+				if _, ok := m.capacity[host]; ok {
+					m.capacity[host], m.leaving[host] = cpuHost.Times(r.Int64N(3)), r.IntN(4) == 0
+					f.Update(host, m.capacity[host], m.leaving[host])
+				}
+			case 3:
+				name = "usage"
+				if id, task := pickTask(); task != nil {
+					used := resource.Vector{CPU: resource.Cores(r.Int64N(6)), Memory: resource.Gigabytes(r.Int64N(6))}
+					task.used = task.used.Max(used)
+					f.Usage(task.host, []backend.Usage{{Attempt: id, Used: used}})
+				}
+			case 4, 5, 6:
+				name = "release"
+				if id, task := pickTask(); task != nil {
+					if !f.Release(task.host, id) || f.Release(task.host, id) {
+						t.Fatalf("release of %s: want true, then false", id)
+					}
+					delete(m.tasks, id)
+				}
+			case 7:
+				name = "reserve"
+				f.Reserve(fmt.Sprint("gang", r.IntN(4)), request(0, api.KindAllAtOnce, small), 1+r.IntN(20),
+					f.now.Add(time.Duration(r.IntN(5))*time.Second))
+			case 8:
+				name = "commit"
+				var tasks []backend.Task
+				for range r.IntN(20) {
+					next++
+					q := request(next, api.KindAllAtOnce, small)
+					tasks = append(tasks, q.task())
+				}
+				hosts, err := f.Commit(fmt.Sprint("gang", r.IntN(4)), tasks)
+				for i := range hosts {
+					m.tasks[tasks[i].Attempt] = &modelTask{host: hosts[i], demand: small}
+				}
+				if touched = hosts; err == nil && len(hosts) != len(tasks) {
+					t.Fatalf("%d of %d tasks committed", len(hosts), len(tasks))
+				}
+			case 9:
+				name = "expire"
+				f.now = f.now.Add(time.Second)
+				f.Expire(f.now)
+			default:
+				name = "pick"
+				next++
+				q := request(next, kinds[r.IntN(4)], small.Times(1+r.Int64N(3)))
+				p, err := f.Pick(q)
+				if err == nil {
+					m.tasks[q.Attempt] = &modelTask{host: p.Host, demand: q.Demand}
+					touched = []ident.HostID{p.Host}
+				} else if full := (*NoRoomError)(nil); !errors.As(err, &full) {
+					t.Fatal(err)
+				}
+			}
+			free := m.check(t, f, fmt.Sprintf("seed %d, step %d, %s", seed, step, name))
+			for _, h := range touched {
+				if free[h].Negative() || m.leaving[h] {
+					t.Fatalf("seed %d, step %d: %s on %s leaves free %v, leaving %v", seed, step, name, h, free[h], m.leaving[h])
+				}
+			}
+		}
+	}
+}
+
+// TestConcurrentPicks guards against two choices that take the same room.
+func TestConcurrentPicks(t *testing.T) {
+	f := newFixture(t)
+	f.fleet(20)
+	var placed sync.Map
+	var group sync.WaitGroup
+	for w := range 8 {
+		group.Go(func() {
+			r := rand.New(rand.NewPCG(uint64(w), 2))
+			for i := range 400 {
+				q := request(w*1000+i, []api.Kind{api.KindBatch, api.KindService, api.KindRequest}[i%3], mixed(r))
+				p, err := f.Pick(q)
+				if err != nil {
+					continue
+				}
+				placed.Store(q.Attempt, p)
+				if i%3 == 0 {
+					f.Release(p.Host, q.Attempt)
+					placed.Delete(q.Attempt)
+				}
+			}
+		})
+	}
+	group.Wait()
+	free := map[ident.HostID]resource.Vector{}
+	for _, h := range f.Dump().Hosts {
+		free[h.Host] = h.Capacity
+	}
+	placed.Range(func(_, v any) bool {
+		p := v.(Placed)
+		free[p.Host] = free[p.Host].Sub(p.Task.Demand)
+		return true
+	})
+	for _, h := range f.Dump().Hosts {
+		if free[h.Host] != h.Free || h.Free.Negative() {
+			t.Errorf("host %s has free %v, want %v", h.Host, h.Free, free[h.Host])
+		}
+	}
+}
+
+// TestPickCostIsBounded guards against a choice whose work grows with the fleet. It counts the hosts that are compared
+// at three quarters of the slots taken, which doesn't depend on the machine.
+func TestPickCostIsBounded(t *testing.T) {
+	for _, kind := range []api.Kind{api.KindRequest, api.KindService, api.KindBatch, api.KindAllAtOnce} {
+		compared := func(n int) float64 {
+			f := newFixture(t)
+			f.fleet(n)
+			r := rand.New(rand.NewPCG(5, 5))
+			f.load(r, n, 0.75)
+			calls := 0
+			f.config.Blocked = func(ident.HostID) string { calls++; return "" }
+			const picks = 300
+			for i := range picks {
+				if _, err := f.Pick(request(1<<20+i, kind, mixed(r))); err != nil {
+					t.Fatal(err)
+				}
+			}
+			return float64(calls) / picks
+		}
+		small, large := compared(800), compared(6300)
+		if large > 1.5*small || large > perPick+perShard {
+			t.Errorf("%s: %.1f hosts compared of 800, %.1f of 6,300", kind, small, large)
+		}
+	}
+}
