Test the queue, and two mechanisms of placement that no test noticed

Mutation of placement showed that no test failed without the check of the room at the reservation and without the unbounded search; both have a case now.

--- a/internal/placement/cases_test.go
+++ b/internal/placement/cases_test.go
@@ -118,6 +118,21 @@
 				t.Fatalf("got %v", err)
 			}
 		},
+		// A choice whose room was taken, or whose host was attached anew, between the search and the reservation.
+		"the room is checked again when it is reserved": func(t *testing.T, f *fixture) {
+			host := f.attach(0, small)
+			first, second := request(1, api.KindBatch, small), request(2, api.KindBatch, small)
+			c := f.choose(&first, nil, false)
+			f.place(t, 2, api.KindBatch, small)
+			if _, ok, err := f.reserve(c.shard, c.best, &first); ok || err != nil {
+				t.Fatalf("reserved taken room: %v, %v", ok, err)
+			}
+			f.Release(host, second.Attempt)
+			f.attach(0, small)
+			if _, ok, err := f.reserve(c.shard, c.best, &first); ok || err != nil {
+				t.Fatalf("reserved on a replaced host: %v, %v", ok, err)
+			}
+		},
 		// Payloads of running tasks, up to 256 KB each, in the memory of the daemon.
 		"payloads aren't kept": func(t *testing.T, f *fixture) {
 			f.fleet(1)
@@ -199,8 +214,9 @@
 				f.attach(i, resource.Vector{CPU: 9000, Memory: 9000, Slots: 8, Connections: 8})
 			}
 			f.attach(400, resource.Vector{CPU: 15000, Memory: 9000, Slots: 8, Connections: 8})
-			if p := f.place(t, 1, api.KindBatch, resource.Vector{CPU: 14000, Slots: 1}); p.Host != hostID(400) {
-				t.Fatalf("on %s", p.Host)
+			for i := range 20 { // a bounded search finds it by chance
+				f.place(t, i, api.KindBatch, resource.Vector{CPU: 14000, Slots: 1})
+				f.Release(hostID(400), request(i, "", small).Attempt)
 			}
 		},
 		// Summaries that announce room that isn't there, or usage that isn't counted.
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -1,7 +1,9 @@
 package queue
 
 import (
+	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -69,24 +71,206 @@
 
 func taken(Item[int]) Verdict { return Taken }
 
-func TestSmoke(t *testing.T) {
-	f := newFixture(t)
-	for i := range 10 {
-		f.push(t, one(fmt.Sprintf("a%d", i), "a"), one(fmt.Sprintf("b%d", i), "b"))
-	}
-	if got := f.offered(taken); len(got) != 20 || f.queue.Len() != 0 {
-		t.Fatal(got)
-	}
-	for i := range 100 {
-		f.push(t, one(fmt.Sprintf("a%d", i), "a"))
+func skip(Item[int]) Verdict { return Skip }
+
+// large returns an item that needs half of a host of 20 cores.
+func large(key string, team ident.TeamID) Item[int] {
+	i := one(key, team)
+	i.Demand.CPU = resource.Cores(10)
+	return i
+}
+
+func (f *fixture) wantOffered(t *testing.T, verdict func(Item[int]) Verdict, want ...string) {
+	t.Helper()
+	if got := f.offered(verdict); !slices.Equal(got, want) {
+		t.Fatalf("offered %v, want %v", got, want)
 	}
-	seen := map[string]bool{}
-	for range 40 {
-		for _, k := range f.offered(func(Item[int]) Verdict { return Skip }) {
-			seen[k] = true
-		}
+}
+
+func TestQueue(t *testing.T) {
+	// The comment of a case names the failure that it guards against.
+	cases := map[string]func(t *testing.T, f *fixture){
+		// A team that fills the daemon's memory.
+		"a team's bound": func(t *testing.T, f *fixture) {
+			f.bound = 1
+			f.push(t, one("a", "a"), one("b", "b"))
+			if err := f.queue.Push(one("c", "a")); !errors.Is(err, ErrFull) {
+				t.Fatalf("got %v", err)
+			}
+			if err := f.queue.Restore(one("c", "a")); err != nil { // taken work must not be lost
+				t.Fatal(err)
+			}
+		},
+		// A resubmitted request that runs twice.
+		"a key is queued once": func(t *testing.T, f *fixture) {
+			f.push(t, one("a", "a"))
+			if err := f.queue.Push(one("a", "b")); !errors.Is(err, ErrDuplicate) {
+				t.Fatalf("got %v", err)
+			}
+			f.offered(taken)
+			f.push(t, one("a", "a"))
+		},
+		// Urgent work behind other work of its team or of teams that are further below their share.
+		"urgent items first, then priority, then time": func(t *testing.T, f *fixture) {
+			f.usage["a"] = 0.5
+			late, urgent, high := one("late", "a"), one("urgent", "a"), one("high", "a")
+			late.Enqueued, urgent.Urgent, high.Priority = f.now.Add(time.Second), true, 9
+			f.push(t, late, one("early", "a"), one("b", "b"), urgent, high)
+			f.wantOffered(t, taken, "urgent", "b", "high", "early", "late")
+		},
+		// A team that takes everything between two updates of the usage.
+		"usage rises inside a call": func(t *testing.T, f *fixture) {
+			f.share["b"] = 2
+			for i := range 4 {
+				f.push(t, one(fmt.Sprint("a", i), "a"), one(fmt.Sprint("b", i), "b"))
+			}
+			f.wantOffered(t, taken, "a0", "b0", "b1", "a1", "b2", "b3", "a2", "a3")
+		},
+		// The same across calls, and a team that is charged for ever for items that have long ended.
+		"a charge lasts until the usage changes": func(t *testing.T, f *fixture) {
+			first := func() string { return f.offered(func(Item[int]) Verdict { return Stop })[0] }
+			f.push(t, one("a0", "a"), one("a1", "a"))
+			f.queue.Next(func(i Item[int]) Verdict {
+				if i.Key == "a0" {
+					return Taken
+				}
+				return Stop
+			})
+			f.push(t, one("b", "b"))
+			f.usage["b"] = 0.001
+			if got := first(); got != "b" {
+				t.Fatalf("%s before the update, want b", got)
+			}
+			f.usage["a"] = 0.0005
+			if got := first(); got != "a1" {
+				t.Fatalf("%s after the update, want a1", got)
+			}
+		},
+		// Work behind a block of items that can't be placed, which is never offered.
+		"every item is offered in time": func(t *testing.T, f *fixture) {
+			for i := range 300 {
+				f.push(t, one(fmt.Sprint(i), "a"))
+			}
+			seen := map[string]bool{}
+			for range 80 {
+				keys := f.offered(skip)
+				if len(keys) > MaxSkips {
+					t.Fatalf("%d items offered in one call", len(keys))
+				}
+				for _, k := range keys {
+					seen[k] = true
+				}
+			}
+			if len(seen) != 300 {
+				t.Fatalf("%d of 300 items were offered", len(seen))
+			}
+		},
+		// A call whose work grows with the blocked items of all teams.
+		"larger items aren't offered after SkipLarger": func(t *testing.T, f *fixture) {
+			f.push(t, one("a0", "a"), large("a1", "a"), one("b0", "b"), large("b1", "b"))
+			f.wantOffered(t, func(Item[int]) Verdict { return SkipLarger }, "a0")
+		},
+		// A team at its limit that blocks the others, or is asked again and again.
+		"SkipTeam ends the team's turn": func(t *testing.T, f *fixture) {
+			f.push(t, one("a0", "a"), one("a1", "a"), one("b0", "b"))
+			f.wantOffered(t, func(i Item[int]) Verdict {
+				if i.Team == "a" {
+					return SkipTeam
+				}
+				return Taken
+			}, "a0", "b0")
+		},
+		// A large item that starves because small ones take each piece of room, and a fleet that idles for an item that
+		// can never be placed.
+		"an old large item holds back the others for a while": func(t *testing.T, f *fixture) {
+			f.push(t, large("large", "a"), one("a1", "a"), one("b1", "b"))
+			f.usage["b"] = 0.1
+			onlySmall := func(i Item[int]) Verdict {
+				if i.Key == "large" {
+					return Skip
+				}
+				return Stop
+			}
+			f.wantOffered(t, onlySmall, "large", "a1")
+			f.now = f.now.Add(DefaultHoldAfter + time.Second)
+			f.wantOffered(t, onlySmall, "large")
+			f.now = f.now.Add(DefaultHoldFor)
+			f.wantOffered(t, onlySmall, "large", "b1")
+			f.now = f.now.Add(DefaultHoldAfter)
+			f.wantOffered(t, onlySmall, "large", "b1")
+			f.now = f.now.Add(time.Second)
+			f.wantOffered(t, onlySmall, "large")
+		},
+		// A caller that waits in vain until its deadline.
+		"a wait beyond the deadline is refused": func(t *testing.T, f *fixture) {
+			for i := range 40 {
+				f.push(t, one(fmt.Sprint(i), "a"))
+			}
+			for range 20 { // one start per second
+				f.now = f.now.Add(time.Second)
+				n := 0
+				f.queue.Next(func(Item[int]) Verdict {
+					if n++; n > 1 {
+						return Stop
+					}
+					return Taken
+				})
+			}
+			if wait := f.queue.ExpectedWait("a", 0); wait < 18*time.Second || wait > 22*time.Second {
+				t.Fatalf("expected wait %v with 20 items at one per second", wait)
+			}
+			hurried := one("hurried", "a")
+			hurried.Deadline = f.now.Add(10 * time.Second)
+			if err := f.queue.Push(hurried); !errors.Is(err, ErrTooLate) {
+				t.Fatalf("got %v", err)
+			}
+			hurried.Priority = 1 // nothing is ahead of it
+			f.push(t, hurried)
+		},
+		// A burst that is refused because little work came before it.
+		"idle time doesn't lower the rate": func(t *testing.T, f *fixture) {
+			for i := range 20 {
+				f.now = f.now.Add(time.Minute)
+				f.push(t, one(fmt.Sprint("slow", i), "a"))
+				f.offered(taken)
+			}
+			for i := range 50 {
+				i := one(fmt.Sprint("burst", i), "a")
+				i.Deadline = f.now.Add(time.Second)
+				f.push(t, i)
+			}
+		},
+		// Callers that get no answer, or one for work that runs.
+		"expired items": func(t *testing.T, f *fixture) {
+			soon, late := one("soon", "a"), one("late", "a")
+			soon.Deadline, late.Deadline = f.now.Add(time.Second), f.now.Add(time.Minute)
+			f.push(t, soon, late, one("never", "a"))
+			if got := f.queue.Expired(f.now.Add(time.Second - 1)); len(got) != 0 {
+				t.Fatalf("early: %v", got)
+			}
+			if got := f.queue.Expired(f.now.Add(time.Second)); len(got) != 1 || got[0].Key != "soon" {
+				t.Fatalf("got %v", got)
+			}
+			if got := f.queue.Expired(f.now.Add(time.Hour)); len(got) != 1 || got[0].Key != "late" || f.queue.Len() != 1 {
+				t.Fatalf("got %v", got)
+			}
+		},
+		// A cancelled item that is started, or one that is both cancelled and started (I6).
+		"a removal waits for the verdict": func(t *testing.T, f *fixture) {
+			for _, verdict := range []Verdict{Taken, Skip} {
+				f.push(t, one("a", "a"))
+				removed := make(chan bool)
+				f.queue.Next(func(Item[int]) Verdict {
+					go func() { removed <- f.queue.Remove("a") }()
+					return verdict
+				})
+				if got := <-removed; got != (verdict == Skip) || f.queue.Len() != 0 {
+					t.Fatalf("verdict %v: removed %v, %d items left", verdict, got, f.queue.Len())
+				}
+			}
+		},
 	}
-	if len(seen) != 100 {
-		t.Fatal(len(seen))
+	for name, run := range cases {
+		t.Run(name, func(t *testing.T) { run(t, newFixture(t)) })
 	}
 }
