Add the contract suite of backend servers

Cause: the in-process stand-in and the HTTP adapter must agree, faults included. A finished task in a paused worker blocked the timer that ended it; it now waits apart from it.

--- /dev/null
+++ b/internal/backend/fault_test.go
@@ -0,0 +1,223 @@
+package backend_test
+
+import (
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/backend"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/standin/worker"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+// Guards against a lost reply that is taken for a refusal, and the reverse.
+func TestFaults(t *testing.T) {
+	contract(t, map[string]func(f *fixture){
+		"refused without effect": func(f *fixture) {
+			f.attach(owner)
+			f.worker.Faults().Refuse(worker.OpStart, 1)
+			f.fails("start", f.server.Start(f.Context(), owner, task("t")), backend.ErrRefused)
+			equal(f, "runs", len(f.worker.Runs()), 0)
+			f.start("t")
+		},
+		"reply lost after the effect": func(f *fixture) {
+			f.attach(owner)
+			f.worker.Faults().LoseReply(worker.OpStart, 1)
+			f.fails("start", f.server.Start(f.Context(), owner, task("t")), backend.ErrUnknownOutcome)
+			f.fails("repeated start", f.server.Start(f.Context(), owner, task("t")), backend.ErrDuplicate)
+			equal(f, "runs", len(f.worker.Runs()), 1)
+		},
+		"replies lost at random": func(f *fixture) {
+			f.attach(owner)
+			f.worker.Faults().LoseReplies(0.5)
+			lost := 0
+			for _, a := range strings.Split("abcdefghijklmnopqrst", "") {
+				err := f.server.Start(f.Context(), owner, task(ident.AttemptID(a)))
+				if errors.Is(err, backend.ErrUnknownOutcome) {
+					lost++
+				} else if err != nil {
+					f.Errorf("start: %v", err)
+				}
+			}
+			if lost == 0 || lost == 20 {
+				f.Errorf("%d of 20 replies lost, want some", lost)
+			}
+			equal(f, "runs", len(f.worker.Runs()), 20)
+		},
+		"effect after the caller gave up": func(f *fixture) {
+			f.attach(owner)
+			f.worker.Faults().Pause(true)
+			f.fails("start", f.server.Start(f.short(), owner, task("t")), backend.ErrUnknownOutcome)
+			f.worker.Faults().Pause(false)
+			f.until("the start", func() bool { return len(f.worker.Runs()) == 1 })
+		},
+		"pause beyond the lease": func(f *fixture) {
+			f.attach(owner)
+			f.start("t")
+			f.worker.Faults().Pause(true)
+			f.fails("start", f.server.Start(f.short(), owner, task("u")), backend.ErrUnknownOutcome)
+			f.clock.Advance(lease)
+			f.worker.Faults().Pause(false)
+			f.until("the end of the pause", func() bool {
+				_, err := f.poll(owner, 0, 0)
+				return errors.Is(err, backend.ErrLeaseLapsed)
+			})
+			// A new attach must not let the start through that waited during the pause.
+			inventory := f.attach(fence(5, "a", 2))
+			equal(f, "running", len(inventory.Running), 0)
+			f.fails("start of the earlier attach", f.server.Start(f.Context(), owner, task("u")), backend.ErrStaleEpoch)
+			equal(f, "runs", len(f.worker.Runs()), 1)
+		},
+		"vanished": func(f *fixture) {
+			f.attach(owner)
+			f.worker.Faults().Vanish(true)
+			err := f.server.Start(f.Context(), owner, task("t"))
+			if !errors.Is(err, backend.ErrUnreachable) && !errors.Is(err, backend.ErrUnknownOutcome) {
+				f.Errorf("start: %v", err)
+			}
+			equal(f, "runs", len(f.worker.Runs()), 0)
+			f.worker.Faults().Vanish(false)
+			f.start("t")
+		},
+		"failing tasks": func(f *fixture) {
+			f.attach(owner)
+			f.worker.Faults().FailJobs("job-t")
+			f.start("t")
+			f.clock.Advance(runFor)
+			equal(f, "exit of the job", f.polled(0, "t").Finished[0].Exit, backend.ExitFailed)
+			f.start("u")
+			f.clock.Advance(runFor)
+			equal(f, "exit of another job", f.polled(1, "u").Finished[0].Exit, backend.ExitSucceeded)
+			f.worker.Faults().FailAll(true)
+			f.start("v")
+			f.clock.Advance(runFor)
+			equal(f, "exit of any job", f.polled(2, "v").Finished[0].Exit, backend.ExitFailed)
+		},
+	})
+}
+
+// Guards against a stand-in that hides the breaches which other tests assert to be absent.
+func TestViolations(t *testing.T) {
+	same := func(change func(*backend.Task)) backend.Task {
+		u := task("u")
+		change(&u)
+		return u
+	}
+	cases := map[string]struct {
+		second backend.Task
+		onto   ident.HostID // empty: the same worker
+		fence  backend.Fence
+		want   worker.ViolationKind
+	}{
+		"none":                    {second: task("u"), fence: owner},
+		"overcommit":              {same(func(u *backend.Task) { u.Demand = slots(4) }), "", owner, worker.Overcommit},
+		"same attempt elsewhere":  {same(func(u *backend.Task) { *u = task("t"); u.Job = "x" }), "host-2", owner, worker.RepeatedAttempt},
+		"same task here":          {same(func(u *backend.Task) { u.Job = "job-t" }), "", owner, worker.ConcurrentTask},
+		"same task elsewhere":     {same(func(u *backend.Task) { u.Job = "job-t" }), "host-2", owner, worker.ConcurrentTask},
+		"another task of the job": {second: same(func(u *backend.Task) { u.Job, u.Index = "job-t", 1 }), fence: owner},
+		"same request elsewhere": {
+			same(func(u *backend.Task) { u.Request, u.NonIdempotent = "r", true }), "host-2", owner, worker.RepeatedRequest,
+		},
+		"stale epoch": {task("u"), "", fence(4, "z", 1), worker.StaleEpochPassed},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.server = f.worker.Server()
+			f.attach(owner)
+			first := task("t")
+			first.Request, first.NonIdempotent = "r", true
+			f.fails("start", f.server.Start(f.Context(), owner, first), nil)
+			f.worker.Faults().IgnoreFence(c.want == worker.StaleEpochPassed)
+			if c.onto != "" {
+				f.server = f.newWorker(c.onto).Server()
+				f.attach(owner)
+			}
+			f.fails("start", f.server.Start(f.Context(), c.fence, c.second), nil)
+			kinds := []worker.ViolationKind{}
+			for _, v := range f.ledger.Violations() {
+				kinds = append(kinds, v.Kind)
+			}
+			want := []worker.ViolationKind{}
+			if c.want != "" {
+				want = append(want, c.want)
+			}
+			equal(t, "violations", kinds, want)
+		})
+	}
+}
+
+// Guards against replies that the adapter takes for an outcome although they don't show one.
+func TestHTTPReplies(t *testing.T) {
+	cases := map[string]struct {
+		reply http.HandlerFunc
+		want  error
+	}{
+		"server error": {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) }, backend.ErrUnknownOutcome},
+		"not JSON":     {func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("{")) }, backend.ErrUnknownOutcome},
+		"too long": {func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write([]byte(`{"boot":"` + strings.Repeat("x", 2000) + `"}`))
+		}, backend.ErrUnknownOutcome},
+		"cut short": {func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "100")
+			_, _ = w.Write([]byte(`{"boot":"x"}`))
+		}, backend.ErrUnknownOutcome},
+		"unknown refusal": {func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusConflict)
+			_ = json.NewEncoder(w).Encode(backend.Refusal{Code: "new-code"})
+		}, backend.ErrRefused},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := httptest.NewServer(c.reply)
+			defer s.Close()
+			h := backend.NewHTTP(backend.HTTPConfig{
+				Client: s.Client(), Address: strings.TrimPrefix(s.URL, "http://"), MaxReply: 1000,
+			})
+			if _, err := h.Attach(t.Context(), owner, 1000); !errors.Is(err, c.want) {
+				t.Errorf("got %v, want %v", err, c.want)
+			}
+		})
+	}
+}
+
+// Guards against a dial that failed being taken for a start that may have happened.
+func TestHTTPUnreachable(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = l.Close()
+	h := backend.NewHTTP(backend.HTTPConfig{Address: l.Addr().String()})
+	if err := h.Start(t.Context(), owner, task("t")); !errors.Is(err, backend.ErrUnreachable) {
+		t.Errorf("got %v, want %v", err, backend.ErrUnreachable)
+	}
+}
+
+// Guards against a new connection for every exchange, which would cost more than the exchange.
+func TestHTTPKeepsConnection(t *testing.T) {
+	f := newFixture(t)
+	var opened atomic.Int32
+	s := httptest.NewUnstartedServer(f.worker.Handler())
+	s.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			opened.Add(1)
+		}
+	}
+	s.Start()
+	defer s.Close()
+	f.server = backend.NewHTTP(backend.HTTPConfig{Address: s.Listener.Addr().String()})
+	f.attach(owner)
+	for range 20 {
+		f.polled(0)
+		f.stops("t", backend.StopNeverStarted)
+	}
+	f.fails("refusal", f.server.Start(f.Context(), owner, task("t")), backend.ErrStopped)
+	f.start("u")
+	equal(t, "connections", opened.Load(), 1)
+}
--- a/internal/standin/worker/faults.go
+++ b/internal/standin/worker/faults.go
@@ -199,11 +199,15 @@
 	return false
 }
 
-func (f *Faults) waitPaused() {
+// pausing returns a channel that is closed at the end of the pause; nil when there is none.
+func (f *Faults) pausing() <-chan struct{} {
 	f.mu.Lock()
-	paused := f.paused
-	f.mu.Unlock()
-	if paused != nil {
+	defer f.mu.Unlock()
+	return f.paused
+}
+
+func (f *Faults) waitPaused() {
+	if paused := f.pausing(); paused != nil {
 		<-paused
 	}
 }
--- a/internal/standin/worker/task.go
+++ b/internal/standin/worker/task.go
@@ -32,7 +32,13 @@
 
 // complete ends an attempt whose run time is over, with the handler's answer or the failure that a fault asks for.
 func (w *Worker) complete(t backend.Task) {
-	w.faults.waitPaused()
+	if paused := w.faults.pausing(); paused != nil {
+		go func() { // the timer that runs this must not wait
+			<-paused
+			w.complete(t)
+		}()
+		return
+	}
 	exit, message := backend.ExitSucceeded, ""
 	var answer []byte
 	if w.faults.taskFails(t.Job) {
