--- a/cmd/rosemaryspoke/main.go
+++ b/cmd/rosemaryspoke/main.go
@@ -1,4 +1,13 @@
 // Command rosemaryspoke is the cluster scheduler's daemon and its command line.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/command"
+)
+
+func main() {
+	os.Exit(command.Run(context.Background(), os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/caller/caller.go
@@ -0,0 +1,187 @@
+// Package caller is the HTTP API for callers, under /v1.
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-logr/logr"
+	"github.com/gorilla/mux"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/bundle"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/job"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+// Bounds of the server.
+const (
+	readHeaderTimeout = 5 * time.Second
+	readTimeout       = 30 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes    = 16 << 10
+	// maxWait bounds a wait for a job; the caller asks again.
+	maxWait = 60 * time.Second
+)
+
+// Jobs is the table of durable jobs over all daemons.
+type Jobs struct {
+	Create  func(ctx context.Context, s api.Spec, p job.Policy) (api.Job, error)
+	Get     func(ctx context.Context, id ident.JobID) (api.Job, error)
+	List    func(ctx context.Context, team ident.TeamID) ([]api.Job, error)
+	Cancel  func(ctx context.Context, id ident.JobID, reason string) error
+	Explain func(ctx context.Context, id ident.JobID) (api.Explanation, error)
+}
+
+// Config holds the dependencies of a Server.
+type Config struct {
+	Bundle  func() *bundle.Compiled
+	Fresh   func() bool
+	Request func(ctx context.Context, s api.Spec, q bundle.Queue) (api.Answer, *api.Problem)
+	Jobs    Jobs
+	Log     logr.Logger
+	Metrics *metrics.Set
+}
+
+// Server answers callers.
+type Server struct {
+	config   Config
+	router   *mux.Router
+	draining atomic.Bool
+}
+
+// New returns a server with its routes.
+func New(c Config) (*Server, error) {
+	if c.Bundle == nil || c.Fresh == nil || c.Request == nil || c.Jobs.Create == nil {
+		return nil, errors.New("caller: Bundle, Fresh, Request and Jobs must be set")
+	}
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewSet()
+	}
+	s := &Server{config: c, router: mux.NewRouter()}
+	v1 := s.router.PathPrefix("/v1").Subrouter()
+	v1.Handle("/requests", body(s, s.request)).Methods(http.MethodPost)
+	v1.Handle("/jobs", body(s, s.create)).Methods(http.MethodPost)
+	v1.Handle("/jobs", plain(s, s.list)).Methods(http.MethodGet)
+	v1.Handle("/jobs/{id}", plain(s, s.get)).Methods(http.MethodGet)
+	v1.Handle("/jobs/{id}", plain(s, s.cancel)).Methods(http.MethodDelete)
+	v1.Handle("/jobs/{id}/wait", plain(s, s.wait)).Methods(http.MethodGet)
+	v1.Handle("/jobs/{id}/explain", plain(s, s.explain)).Methods(http.MethodGet)
+	s.router.NotFoundHandler = plain(s, func(*http.Request) (struct{}, error) {
+		return struct{}{}, api.NewProblem(api.CodeNotFound, "", "no such path")
+	})
+	return s, nil
+}
+
+// Handler returns the HTTP handler.
+func (s *Server) Handler() http.Handler { return s.router }
+
+// HTTP returns a server with time and header limits for an address.
+func (s *Server) HTTP() *http.Server {
+	return &http.Server{
+		Handler: s.router, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout,
+		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+}
+
+// Drain makes the server close connections after the answer, so that callers reconnect elsewhere.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// body wraps a handler that takes a JSON body, with strict decoding and a size limit.
+func body[Req, Resp any](s *Server, h func(r *http.Request, q Req) (Resp, error)) http.Handler {
+	return plain(s, func(r *http.Request) (Resp, error) {
+		var q Req
+		if err := Decode(http.MaxBytesReader(nil, r.Body, api.MaxBodyBytes), &q); err != nil {
+			var none Resp
+			return none, err
+		}
+		return h(r, q)
+	})
+}
+
+// plain wraps a handler without a body and writes its answer or its problem.
+func plain[Resp any](s *Server, h func(r *http.Request) (Resp, error)) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		answer, err := h(r)
+		if err != nil {
+			s.fail(w, r, err)
+			return
+		}
+		s.write(w, statusOf(answer), "application/json", answer)
+	})
+}
+
+// statusOf maps the outcome of a synchronous request to a status; everything else is 200.
+func statusOf(answer any) int {
+	a, ok := answer.(api.Answer)
+	if !ok {
+		return http.StatusOK
+	}
+	switch a.Outcome {
+	case api.NotRun:
+		return http.StatusServiceUnavailable
+	case api.Failed:
+		return http.StatusBadGateway
+	case api.Unknown:
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusOK
+}
+
+func (s *Server) write(w http.ResponseWriter, status int, contentType string, value any) {
+	w.Header().Set("Content-Type", contentType)
+	w.WriteHeader(status)
+	if err := json.NewEncoder(w).Encode(value); err != nil {
+		s.config.Log.V(1).Info("answer was not written", "error", err.Error())
+	}
+}
+
+func (s *Server) fail(w http.ResponseWriter, r *http.Request, err error) {
+	var p *api.Problem
+	if !errors.As(err, &p) {
+		s.config.Log.Error(err, "request failed", "path", r.URL.Path)
+		p = api.NewProblem(api.CodeInternal, "", "internal error")
+		p.Outcome = api.Unknown
+	}
+	if p.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.FormatInt(int64((p.RetryAfter.Duration()+time.Second-1)/time.Second), 10))
+	}
+	s.config.Metrics.GetOrCreateCounter(fmt.Sprintf(`rosemaryspoke_refusals_total{code=%q}`, p.Code)).Inc()
+	s.write(w, p.Status, "application/problem+json", p)
+}
+
+// Decode reads one strict JSON value; every error is a problem that names the field where it can be told.
+func Decode(r io.Reader, into any) error {
+	d := json.NewDecoder(r)
+	d.DisallowUnknownFields()
+	err := d.Decode(into)
+	if err == nil {
+		if _, extra := d.Token(); !errors.Is(extra, io.EOF) {
+			return api.NewProblem(api.CodeInvalid, "", "unexpected data after the JSON value")
+		}
+		return nil
+	}
+	var tooLarge *http.MaxBytesError
+	var wrongType *json.UnmarshalTypeError
+	switch {
+	case errors.As(err, &tooLarge):
+		return api.NewProblem(api.CodeTooLarge, "", "the body is larger than %d bytes", tooLarge.Limit)
+	case errors.As(err, &wrongType):
+		return api.NewProblem(api.CodeInvalid, wrongType.Field, "must be of type %s and in its range, not %s", wrongType.Type, wrongType.Value)
+	case strings.HasPrefix(err.Error(), "json: unknown field "):
+		return api.NewProblem(api.CodeInvalid, strings.Trim(strings.TrimPrefix(err.Error(), "json: unknown field "), `"`), "unknown field")
+	}
+	return api.NewProblem(api.CodeInvalid, "", "the body isn't valid JSON: %v", err)
+}
--- /dev/null
+++ b/internal/caller/check.go
@@ -0,0 +1,128 @@
+package caller
+
+import (
+	"errors"
+	"net/http"
+	"strings"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/bundle"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/resource"
+)
+
+// secret returns the key of a request, or nothing.
+func secret(r *http.Request) string {
+	key, ok := strings.CutPrefix(r.Header.Get(api.KeyHeader), "Bearer ")
+	if !ok {
+		return ""
+	}
+	return strings.TrimSpace(key)
+}
+
+// admit checks the key and the fields of a spec and fills in defaults. Keyed work is only taken while the
+// configuration is known to be current, because the key may have been withdrawn.
+func (s *Server) admit(r *http.Request, spec *api.Spec) (bundle.Queue, error) {
+	c := s.config.Bundle()
+	if c == nil {
+		return bundle.Queue{}, unavailable("no configuration has been read yet")
+	}
+	q, err := s.queue(c, spec)
+	if err != nil {
+		return q, err
+	}
+	if !q.Open && !s.config.Fresh() {
+		p := api.NewProblem(api.CodeStale, "", "the configuration isn't confirmed as current, so keys are not accepted")
+		p.RetryAfter = 1000
+		return q, p
+	}
+	if err := authorize(c, spec.Team, spec.Queue, secret(r)); err != nil {
+		return q, err
+	}
+	return q, checkSpec(spec, q)
+}
+
+func unavailable(detail string) *api.Problem {
+	p := api.NewProblem(api.CodeUnavailable, "", "%s", detail)
+	p.RetryAfter = 1000
+	return p
+}
+
+func (s *Server) queue(c *bundle.Compiled, spec *api.Spec) (bundle.Queue, error) {
+	if err := ident.Check("team", string(spec.Team)); err != nil {
+		return bundle.Queue{}, api.NewProblem(api.CodeInvalid, "team", "%v", err)
+	}
+	if _, ok := c.Team(spec.Team); !ok {
+		return bundle.Queue{}, api.NewProblem(api.CodeInvalid, "team", "unknown team %q", spec.Team)
+	}
+	q, ok := c.Queue(spec.Queue)
+	if !ok {
+		return bundle.Queue{}, api.NewProblem(api.CodeInvalid, "queue", "unknown queue %q", spec.Queue)
+	}
+	return q, nil
+}
+
+func authorize(c *bundle.Compiled, team ident.TeamID, queue ident.QueueID, key string) error {
+	err := c.Authorize(team, queue, key)
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, bundle.ErrTeamNotAllowed):
+		return api.NewProblem(api.CodeUnauthorized, "queue", "team %q may not use queue %q", team, queue)
+	}
+	return api.NewProblem(api.CodeUnauthorized, "", "the key isn't valid for team %q", team)
+}
+
+// checkSpec refuses fields outside their range, so that nothing later overflows.
+func checkSpec(spec *api.Spec, q bundle.Queue) error {
+	if spec.Request != "" {
+		if err := ident.Check("request-id", string(spec.Request)); err != nil {
+			return api.NewProblem(api.CodeInvalid, "request-id", "%v", err)
+		}
+	}
+	if spec.NonIdempotent && spec.Request == "" {
+		return api.NewProblem(api.CodeInvalid, "request-id", "required when non-idempotent is set, so that a resubmission is recognized")
+	}
+	maxTasks := api.MaxTasks
+	if q.MaxTasks > 0 {
+		maxTasks = q.MaxTasks
+	}
+	if q.Kind == api.KindRequest {
+		maxTasks = 1
+	}
+	for _, f := range []struct {
+		field       string
+		value, most int64
+	}{
+		{"tasks", int64(spec.Tasks), int64(maxTasks)},
+		{"priority", int64(spec.Priority), api.MaxPriority},
+		{"run-time-ms", int64(spec.RunTime), api.MaxRunTime.Milliseconds()},
+		{"deadline-ms", int64(spec.Deadline), api.MaxDeadline.Milliseconds()},
+		{"payload", int64(len(spec.Payload)), api.MaxPayloadBytes},
+	} {
+		if f.value < 0 || f.value > f.most {
+			return api.NewProblem(api.CodeInvalid, f.field, "%d is outside 0 to %d", f.value, f.most)
+		}
+	}
+	return checkDemand(spec, q)
+}
+
+// maxDemand bounds a task's demand, far above any host but far below an overflow of sums.
+var maxDemand = resource.Vector{
+	CPU: resource.Cores(1 << 16), Memory: resource.Gigabytes(1 << 20), GPUs: 1 << 12, Slots: 1 << 10, Connections: 1 << 16,
+}
+
+func checkDemand(spec *api.Spec, q bundle.Queue) error {
+	d := &spec.Demand
+	if d.Negative() {
+		return api.NewProblem(api.CodeInvalid, "demand", "amounts must not be negative")
+	}
+	d.Slots, d.Connections = max(1, d.Slots), max(1, d.Connections)
+	if !d.Fits(maxDemand) {
+		return api.NewProblem(api.CodeInvalid, "demand", "%s is above the bound of %s", d, maxDemand)
+	}
+	if !q.MaxDemand.IsZero() && !d.Fits(q.MaxDemand.Max(resource.Vector{Slots: 1, Connections: 1})) {
+		return api.NewProblem(api.CodeInvalid, "demand", "%s is above the queue's bound of %s", d, q.MaxDemand)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/caller/handlers.go
@@ -0,0 +1,185 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/dispatch"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/job"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+const (
+	// recordTimeout is how long a submission waits for the store when the caller names no deadline.
+	recordTimeout = 30 * time.Second
+	// waitPause is the pause between two looks at a job that another daemon owns.
+	waitPause = 200 * time.Millisecond
+)
+
+// request holds the caller until the answer or the deadline.
+func (s *Server) request(r *http.Request, spec api.Spec) (api.Answer, error) {
+	q, err := s.admit(r, &spec)
+	if err != nil {
+		return api.Answer{}, err
+	}
+	if q.Kind != api.KindRequest {
+		return api.Answer{}, api.NewProblem(api.CodeInvalid, "queue", "queue %q takes %s work; submit it as a job", q.ID, q.Kind)
+	}
+	if spec.Request == "" {
+		spec.Request = ident.RequestID(ident.Random("r"))
+	}
+	answer, problem := s.config.Request(r.Context(), spec, q)
+	if problem != nil {
+		return api.Answer{}, problem
+	}
+	return answer, nil
+}
+
+// create records a durable job.
+func (s *Server) create(r *http.Request, spec api.Spec) (api.Job, error) {
+	q, err := s.admit(r, &spec)
+	if err != nil {
+		return api.Job{}, err
+	}
+	if q.Kind == api.KindRequest {
+		return api.Job{}, api.NewProblem(api.CodeInvalid, "queue", "queue %q takes synchronous requests; send it to /v1/requests", q.ID)
+	}
+	wait := recordTimeout
+	if spec.Deadline > 0 {
+		wait = spec.Deadline.Duration()
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), wait)
+	defer cancel()
+	j, err := s.config.Jobs.Create(ctx, spec, job.Policy{Kind: q.Kind, Urgent: q.Urgent, Priority: q.Priority, Retries: q.Retries})
+	return j, jobProblem(err)
+}
+
+// jobProblem maps an error of the job table to a problem with a true outcome.
+func jobProblem(err error) error {
+	var p *api.Problem
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &p):
+		return p
+	case errors.Is(err, dispatch.ErrImpossible):
+		return api.NewProblem(api.CodeImpossible, "demand", "%v", err)
+	case errors.Is(err, job.ErrNotFound):
+		return api.NewProblem(api.CodeNotFound, "", "no such job, or its owner can't be reached")
+	case errors.Is(err, job.ErrNotRecorded):
+		p = unavailable("the job was not recorded before the deadline and won't run")
+	case errors.Is(err, job.ErrUnknownOutcome):
+		p = unavailable(err.Error())
+		p.Outcome = api.Unknown
+	default:
+		return err
+	}
+	return p
+}
+
+// owned returns a job if the key of the request may see it.
+func (s *Server) owned(r *http.Request) (api.Job, error) {
+	id := ident.JobID(mux.Vars(r)["id"])
+	if err := ident.Check("id", string(id)); err != nil {
+		return api.Job{}, api.NewProblem(api.CodeInvalid, "id", "%v", err)
+	}
+	j, err := s.config.Jobs.Get(r.Context(), id)
+	if err != nil {
+		return j, jobProblem(err)
+	}
+	c := s.config.Bundle()
+	if c == nil {
+		return j, unavailable("no configuration has been read yet")
+	}
+	if q, ok := c.Queue(j.Spec.Queue); ok && !q.Open && !s.config.Fresh() {
+		return j, api.NewProblem(api.CodeStale, "", "the configuration isn't confirmed as current, so keys are not accepted")
+	}
+	return j, authorize(c, j.Spec.Team, j.Spec.Queue, secret(r))
+}
+
+func (s *Server) get(r *http.Request) (api.Job, error) { return s.owned(r) }
+
+func (s *Server) list(r *http.Request) ([]api.Job, error) {
+	c := s.config.Bundle()
+	if c == nil {
+		return nil, unavailable("no configuration has been read yet")
+	}
+	team := ident.TeamID(r.URL.Query().Get("team"))
+	if _, ok := c.Team(team); !ok {
+		return nil, api.NewProblem(api.CodeInvalid, "team", "unknown team %q", team)
+	}
+	if !s.config.Fresh() {
+		return nil, api.NewProblem(api.CodeStale, "", "the configuration isn't confirmed as current, so keys are not accepted")
+	}
+	if err := c.AuthorizeTeam(team, secret(r)); err != nil {
+		return nil, api.NewProblem(api.CodeUnauthorized, "", "the key isn't valid for team %q", team)
+	}
+	jobs, err := s.config.Jobs.List(r.Context(), team)
+	if jobs == nil {
+		jobs = []api.Job{}
+	}
+	return jobs, jobProblem(err)
+}
+
+func (s *Server) cancel(r *http.Request) (api.Job, error) {
+	j, err := s.owned(r)
+	if err != nil {
+		return j, err
+	}
+	if err := s.config.Jobs.Cancel(r.Context(), j.ID, "cancelled by the caller"); err != nil {
+		return j, jobProblem(err)
+	}
+	j, err = s.config.Jobs.Get(r.Context(), j.ID)
+	return j, jobProblem(err)
+}
+
+// wait returns the job when it has ended, or its present state after the timeout.
+func (s *Server) wait(r *http.Request) (api.Job, error) {
+	timeout := maxWait
+	if text := r.URL.Query().Get("timeout-ms"); text != "" {
+		n, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || n < 0 || n > maxWait.Milliseconds() {
+			return api.Job{}, api.NewProblem(api.CodeInvalid, "timeout-ms", "must be from 0 to %d", maxWait.Milliseconds())
+		}
+		timeout = time.Duration(n) * time.Millisecond
+	}
+	j, err := s.owned(r)
+	if err != nil {
+		return j, err
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), timeout)
+	defer cancel()
+	for !j.Phase.Done() {
+		select {
+		case <-ctx.Done():
+			return j, nil
+		case <-time.After(waitPause):
+		}
+		found, err := s.config.Jobs.Get(ctx, j.ID)
+		if err == nil {
+			j = found
+		} else if ctx.Err() == nil && !errors.Is(err, job.ErrNotFound) {
+			return j, jobProblem(err)
+		}
+	}
+	return j, nil
+}
+
+func (s *Server) explain(r *http.Request) (api.Explanation, error) {
+	j, err := s.owned(r)
+	if err != nil {
+		return api.Explanation{}, err
+	}
+	e, err := s.config.Jobs.Explain(r.Context(), j.ID)
+	if err != nil {
+		return e, jobProblem(err)
+	}
+	e.Job, e.Phase = j.ID, j.Phase
+	return e, nil
+}
--- /dev/null
+++ b/internal/claim/dump.go
@@ -0,0 +1,32 @@
+package claim
+
+import (
+	"github.com/rosemaryspoke/rosemaryspoke/internal/peer/wire"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+// Dump is the state of the book; it holds no answers.
+type Dump struct {
+	Epoch  ident.Epoch             `json:"epoch"`
+	Claims map[wire.ClaimState]int `json:"claims"`
+	Kept   int64                   `json:"kept"`         // claims and barred nonces
+	Bytes  int64                   `json:"answer-bytes"` // of completed claims
+}
+
+// Dump returns the state for the state dump.
+func (b *Book) Dump() Dump {
+	d := Dump{
+		Epoch: ident.Epoch(b.epoch.Load()), Claims: map[wire.ClaimState]int{}, Kept: b.kept.Load(), Bytes: b.bytes.Load(),
+	}
+	for i := range b.shards {
+		s := &b.shards[i]
+		s.lock.Lock()
+		for _, claims := range s.entries {
+			for _, c := range claims {
+				d.Claims[c.State]++
+			}
+		}
+		s.lock.Unlock()
+	}
+	return d
+}
--- /dev/null
+++ b/internal/command/host.go
@@ -0,0 +1,87 @@
+package command
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"github.com/spf13/cobra"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/operator"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+func newHost(o *options) *cobra.Command {
+	host := &cobra.Command{Use: "host", Short: "List and drain hosts"}
+	host.AddCommand(hostList(o), hostDrain(o))
+	return host
+}
+
+func hostTable(hosts []operator.HostReply) table {
+	t := table{header: []string{"HOST", "DATA CENTRE", "RACK", "STATE", "OWNER"}}
+	for _, h := range hosts {
+		t.rows = append(t.rows, []string{string(h.ID), string(h.DataCentre), string(h.Rack), string(h.State), string(h.Owner)})
+	}
+	return t
+}
+
+func hostList(o *options) *cobra.Command {
+	return &cobra.Command{
+		Use: "list", Short: "List the platform's hosts with their owners", Args: noArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			ctx, cancel := o.context(c)
+			defer cancel()
+			hosts, err := operate[[]operator.HostReply](ctx, o, http.MethodGet, "/v1/hosts", nil)
+			if err != nil {
+				return err
+			}
+			return o.show(c, hosts, hostTable(hosts))
+		},
+	}
+}
+
+func hostDrain(o *options) *cobra.Command {
+	var undo bool
+	c := &cobra.Command{
+		Use: "drain HOST", Short: "Give a host no new work, on every daemon", Args: oneArg("the host's id"),
+		RunE: func(c *cobra.Command, args []string) error {
+			ctx, cancel := o.context(c)
+			defer cancel()
+			r := operator.DrainRequest{Host: ident.HostID(args[0]), Undo: undo}
+			drained, err := operate[[]ident.HostID](ctx, o, http.MethodPost, "/v1/hosts/drain", r)
+			if err != nil {
+				return err
+			}
+			t := table{header: []string{"DRAINED"}}
+			for _, h := range drained {
+				t.rows = append(t.rows, []string{string(h)})
+			}
+			return o.show(c, drained, t)
+		},
+	}
+	c.Flags().BoolVar(&undo, "undo", false, "let the host take work again")
+	return c
+}
+
+func newState(o *options) *cobra.Command {
+	state := &cobra.Command{Use: "state", Short: "Look into a daemon"}
+	state.AddCommand(&cobra.Command{
+		Use: "dump", Short: "Print the state of a daemon as JSON", Args: noArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			ctx, cancel := o.context(c)
+			defer cancel()
+			dump, err := operate[json.RawMessage](ctx, o, http.MethodGet, "/debug/state", nil)
+			if err != nil {
+				return err
+			}
+			var indented any
+			if err := json.Unmarshal(dump, &indented); err != nil {
+				return fmt.Errorf("decode the state: %w", err)
+			}
+			e := json.NewEncoder(c.OutOrStdout())
+			e.SetIndent("", "  ")
+			return e.Encode(indented)
+		},
+	})
+	return state
+}
--- /dev/null
+++ b/internal/command/job.go
@@ -0,0 +1,280 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
+	"golang.org/x/term"
+
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/client"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/resource"
+)
+
+// waitStep is the longest single wait, so that progress can be shown in between.
+const waitStep = 2 * time.Second
+
+func (o *options) client() *client.Client { return client.New(o.address, o.key, nil) }
+
+func (o *options) context(c *cobra.Command) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(c.Context(), o.timeout)
+}
+
+// specFlags are the flags that describe work.
+type specFlags struct {
+	spec     api.Spec
+	team     string
+	queue    string
+	request  string
+	payload  string
+	file     string
+	cores    float64
+	memory   int64
+	gpus     int64
+	runTime  time.Duration
+	deadline time.Duration
+}
+
+func (s *specFlags) add(f *pflag.FlagSet) {
+	f.StringVar(&s.team, "team", "", "team that the work counts against")
+	f.StringVar(&s.queue, "queue", "", "queue that takes the work")
+	f.StringVar(&s.request, "request-id", "", "identifier of the request, unique per team")
+	f.IntVar(&s.spec.Tasks, "tasks", 1, "number of tasks")
+	f.IntVar(&s.spec.Priority, "priority", 0, "priority inside the team, 0 to 100")
+	f.BoolVar(&s.spec.NonIdempotent, "non-idempotent", false, "run at most once")
+	f.StringVar(&s.payload, "payload", "", "payload of the work")
+	f.StringVar(&s.file, "payload-file", "", "file with the payload, - for standard input")
+	f.Float64Var(&s.cores, "cores", 1, "cores per task")
+	f.Int64Var(&s.memory, "memory-mb", 256, "memory per task in MB")
+	f.Int64Var(&s.gpus, "gpus", 0, "GPUs per task")
+	f.DurationVar(&s.runTime, "run-time", 0, "declared run time per task")
+	f.DurationVar(&s.deadline, "deadline", 0, "how long the caller waits")
+}
+
+func (s *specFlags) build(c *cobra.Command) (api.Spec, error) {
+	spec := s.spec
+	spec.Team, spec.Queue, spec.Request = ident.TeamID(s.team), ident.QueueID(s.queue), ident.RequestID(s.request)
+	spec.Demand = resource.Vector{
+		CPU: resource.MilliCPU(s.cores * 1000), Memory: resource.Megabytes(s.memory), GPUs: resource.Count(s.gpus),
+	}
+	spec.RunTime, spec.Deadline = api.Millis(s.runTime.Milliseconds()), api.Millis(s.deadline.Milliseconds())
+	spec.Payload = []byte(s.payload)
+	if s.file != "" {
+		text, err := readFile(s.file, c.InOrStdin())
+		if err != nil {
+			return spec, err
+		}
+		spec.Payload = text
+	}
+	return spec, nil
+}
+
+func newJob(o *options) *cobra.Command {
+	job := &cobra.Command{Use: "job", Short: "Submit and follow jobs"}
+	job.AddCommand(newSubmit(o), newRun(o), newGet(o), newWait(o), newCancel(o), newList(o), newExplain(o))
+	return job
+}
+
+func newRequest(o *options) *cobra.Command {
+	s := &specFlags{}
+	c := &cobra.Command{
+		Use: "request", Short: "Run a synchronous request and print its answer", Args: noArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			spec, err := s.build(c)
+			if err != nil {
+				return err
+			}
+			ctx, cancel := o.context(c)
+			defer cancel()
+			a, err := o.client().Request(ctx, spec)
+			if err != nil {
+				return err
+			}
+			t := table{header: []string{"OUTCOME", "REQUEST", "HOST", "WAITED", "ANSWER", "REASON"}, rows: [][]string{{
+				string(a.Outcome), string(a.Request), string(a.Host), a.Waited.Duration().String(), string(a.Payload), a.Reason,
+			}}}
+			if err := o.show(c, a, t); err != nil {
+				return err
+			}
+			if a.Outcome != api.Answered {
+				return &outcomeError{a.Outcome, a.Reason}
+			}
+			return nil
+		},
+	}
+	s.add(c.Flags())
+	return c
+}
+
+func jobTable(jobs ...api.Job) table {
+	t := table{header: []string{"JOB", "TEAM", "QUEUE", "KIND", "PHASE", "OUTCOME", "TASKS", "HOSTS"}}
+	for _, j := range jobs {
+		hosts := ""
+		for i, k := range j.Tasks {
+			if i < 4 && k.Host != "" {
+				hosts += string(k.Host) + " "
+			}
+		}
+		t.rows = append(t.rows, []string{
+			string(j.ID), string(j.Spec.Team), string(j.Spec.Queue), string(j.Kind), string(j.Phase), string(j.Outcome),
+			strconv.Itoa(len(j.Tasks)), hosts,
+		})
+	}
+	return t
+}
+
+func newSubmit(o *options) *cobra.Command {
+	s := &specFlags{}
+	c := &cobra.Command{
+		Use: "submit", Short: "Record a job and print its id", Args: noArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			j, err := o.submit(c, s)
+			if err != nil {
+				return err
+			}
+			return o.show(c, j, jobTable(j))
+		},
+	}
+	s.add(c.Flags())
+	return c
+}
+
+func (o *options) submit(c *cobra.Command, s *specFlags) (api.Job, error) {
+	spec, err := s.build(c)
+	if err != nil {
+		return api.Job{}, err
+	}
+	ctx, cancel := o.context(c)
+	defer cancel()
+	return o.client().Submit(ctx, spec)
+}
+
+func newRun(o *options) *cobra.Command {
+	s := &specFlags{}
+	c := &cobra.Command{
+		Use: "run", Short: "Submit a job and wait for its end", Args: noArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			j, err := o.submit(c, s)
+			if err != nil {
+				return err
+			}
+			return o.follow(c, j.ID)
+		},
+	}
+	s.add(c.Flags())
+	return c
+}
+
+// follow waits for a job and shows progress on a terminal.
+func (o *options) follow(c *cobra.Command, id ident.JobID) error {
+	ctx, cancel := o.context(c)
+	defer cancel()
+	terminal := term.IsTerminal(2)
+	for {
+		j, err := o.client().Wait(ctx, id, waitStep)
+		if err != nil {
+			return err
+		}
+		if terminal {
+			_, _ = fmt.Fprintf(c.ErrOrStderr(), "\rjob %s: %s    ", id, j.Phase)
+		}
+		if j.Phase.Done() {
+			if terminal {
+				_, _ = fmt.Fprintln(c.ErrOrStderr())
+			}
+			if err := o.show(c, j, jobTable(j)); err != nil {
+				return err
+			}
+			if j.Outcome != api.Answered {
+				return &outcomeError{j.Outcome, fmt.Sprintf("job %s ended as %s", id, j.Phase)}
+			}
+			return nil
+		}
+		if ctx.Err() != nil {
+			return fmt.Errorf("job %s is still %s: %w", id, j.Phase, ctx.Err())
+		}
+	}
+}
+
+// jobCommand is a command on one job that prints the job.
+func jobCommand(o *options, use, short string, call func(ctx context.Context, id ident.JobID) (api.Job, error)) *cobra.Command {
+	return &cobra.Command{
+		Use: use + " JOB", Short: short, Args: oneArg("the job's id"),
+		RunE: func(c *cobra.Command, args []string) error {
+			ctx, cancel := o.context(c)
+			defer cancel()
+			j, err := call(ctx, ident.JobID(args[0]))
+			if err != nil {
+				return err
+			}
+			return o.show(c, j, jobTable(j))
+		},
+	}
+}
+
+func newGet(o *options) *cobra.Command {
+	return jobCommand(o, "get", "Print a job", func(ctx context.Context, id ident.JobID) (api.Job, error) {
+		return o.client().Get(ctx, id)
+	})
+}
+
+func newCancel(o *options) *cobra.Command {
+	return jobCommand(o, "cancel", "End a job", func(ctx context.Context, id ident.JobID) (api.Job, error) {
+		return o.client().Cancel(ctx, id)
+	})
+}
+
+func newWait(o *options) *cobra.Command {
+	return &cobra.Command{
+		Use: "wait JOB", Short: "Wait for the end of a job", Args: oneArg("the job's id"),
+		RunE: func(c *cobra.Command, args []string) error { return o.follow(c, ident.JobID(args[0])) },
+	}
+}
+
+func newList(o *options) *cobra.Command {
+	var team string
+	c := &cobra.Command{
+		Use: "list", Short: "List the jobs of a team", Args: noArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if team == "" {
+				return usageError{errors.New("--team must be set")}
+			}
+			ctx, cancel := o.context(c)
+			defer cancel()
+			jobs, err := o.client().List(ctx, ident.TeamID(team))
+			if err != nil {
+				return err
+			}
+			return o.show(c, jobs, jobTable(jobs...))
+		},
+	}
+	c.Flags().StringVar(&team, "team", "", "team whose jobs are listed")
+	return c
+}
+
+func newExplain(o *options) *cobra.Command {
+	return &cobra.Command{
+		Use: "explain JOB", Short: "Print why a job waits, or where and why it ran", Args: oneArg("the job's id"),
+		RunE: func(c *cobra.Command, args []string) error {
+			ctx, cancel := o.context(c)
+			defer cancel()
+			e, err := o.client().Explain(ctx, ident.JobID(args[0]))
+			if err != nil {
+				return err
+			}
+			t := table{header: []string{"TIME", "TASK", "DECISION", "HOST", "DAEMON", "REASON"}}
+			for _, d := range e.Decisions {
+				t.rows = append(t.rows, []string{
+					d.At.Format(time.TimeOnly + ".000"), strconv.Itoa(d.Task), d.What, string(d.Host), string(d.Member), d.Reason,
+				})
+			}
+			return o.show(c, e, t)
+		},
+	}
+}
--- /dev/null
+++ b/internal/command/key.go
@@ -0,0 +1,97 @@
+package command
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/bundle"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+func newKey(o *options) *cobra.Command {
+	var signing []string
+	key := &cobra.Command{Use: "key", Short: "Grant, withdraw and list the teams' keys"}
+	key.PersistentFlags().StringSliceVar(&signing, "signing-key", nil, "operator's Ed25519 seed in base64, or a file that holds it; may be repeated")
+	key.AddCommand(
+		keyChange(o, &signing, "grant", "Grant a new key and print its secret once",
+			func(b bundle.Bundle, team ident.TeamID, id string) (bundle.Bundle, string, error) {
+				return bundle.GrantKey(b, team, id)
+			}),
+		keyChange(o, &signing, "withdraw", "Withdraw a key, which stops working within seconds",
+			func(b bundle.Bundle, team ident.TeamID, id string) (bundle.Bundle, string, error) {
+				after, err := bundle.WithdrawKey(b, team, id)
+				return after, "", err
+			}),
+		keyList(o),
+	)
+	return key
+}
+
+type changeKey func(b bundle.Bundle, team ident.TeamID, id string) (bundle.Bundle, string, error)
+
+func keyChange(o *options, signing *[]string, use, short string, change changeKey) *cobra.Command {
+	return &cobra.Command{
+		Use: use + " TEAM KEY", Short: short,
+		Args: func(c *cobra.Command, args []string) error {
+			if len(args) != 2 {
+				return usageError{fmt.Errorf("%s takes a team and a key id", c.CommandPath())}
+			}
+			return nil
+		},
+		RunE: func(c *cobra.Command, args []string) error {
+			ctx, cancel := o.context(c)
+			defer cancel()
+			return o.changeKey(ctx, c, *signing, ident.TeamID(args[0]), args[1], change)
+		},
+	}
+}
+
+func (o *options) changeKey(ctx context.Context, c *cobra.Command, signing []string, team ident.TeamID, id string, change changeKey) error {
+	now, err := o.current(ctx)
+	if err != nil {
+		return fmt.Errorf("read the version in force: %w", err)
+	}
+	after, secret, err := change(now.Bundle, team, id)
+	if err != nil {
+		return usageError{fmt.Errorf("change key: %w", err)}
+	}
+	reply, err := o.publish(ctx, after, now.Version, signing)
+	if err != nil {
+		return err
+	}
+	if secret != "" {
+		_, _ = fmt.Fprintf(c.OutOrStdout(), "secret: %s\n", secret)
+	}
+	return o.showPublish(c, reply)
+}
+
+// keyInfo is a key without its hash.
+type keyInfo struct {
+	Team ident.TeamID `json:"team"`
+	Key  string       `json:"key"`
+}
+
+func keyList(o *options) *cobra.Command {
+	return &cobra.Command{
+		Use: "list", Short: "List the ids of all keys", Args: noArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			ctx, cancel := o.context(c)
+			defer cancel()
+			now, err := o.current(ctx)
+			if err != nil {
+				return err
+			}
+			var keys []keyInfo
+			t := table{header: []string{"TEAM", "KEY"}}
+			for _, team := range now.Bundle.Teams {
+				for _, k := range team.Keys {
+					keys = append(keys, keyInfo{team.ID, k.ID})
+					t.rows = append(t.rows, []string{string(team.ID), k.ID})
+				}
+			}
+			return o.show(c, keys, t)
+		},
+	}
+}
--- /dev/null
+++ b/internal/command/output.go
@@ -0,0 +1,42 @@
+package command
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+)
+
+// table is a value that can be shown in rows.
+type table struct {
+	header []string
+	rows   [][]string
+}
+
+// show prints a value as JSON or as a table.
+func (o *options) show(c *cobra.Command, value any, t table) error {
+	if o.output == "json" {
+		e := json.NewEncoder(c.OutOrStdout())
+		e.SetIndent("", "  ")
+		if err := e.Encode(value); err != nil {
+			return fmt.Errorf("write JSON: %w", err)
+		}
+		return nil
+	}
+	return t.write(c.OutOrStdout())
+}
+
+func (t table) write(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, strings.Join(t.header, "\t"))
+	for _, row := range t.rows {
+		_, _ = fmt.Fprintln(w, strings.Join(row, "\t"))
+	}
+	if err := w.Flush(); err != nil {
+		return fmt.Errorf("write table: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/daemon/admin.go
@@ -0,0 +1,39 @@
+package daemon
+
+import (
+	"context"
+	"crypto/ed25519"
+	"fmt"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/bundle"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/rollout"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+// PublishSigned prepares a bundle, signs it off with an operator's key and publishes it as the version after expect.
+func (d *Daemon) PublishSigned(ctx context.Context, b bundle.Bundle, expect ident.Version, key ed25519.PrivateKey) (rollout.Receipt, error) {
+	proposal, err := d.rollout.Prepare(ctx, b, expect)
+	if err != nil {
+		return rollout.Receipt{}, fmt.Errorf("prepare bundle: %w", err)
+	}
+	receipt, err := d.rollout.Publish(ctx, b, expect, []bundle.SignOff{bundle.Sign(key, proposal.Digest)})
+	if err != nil {
+		return receipt, fmt.Errorf("publish bundle: %w", err)
+	}
+	return receipt, nil
+}
+
+// Settled reports whether every owned backend server is attached.
+func (d *Daemon) Settled() bool {
+	_, complete := d.table.Complete()
+	return complete
+}
+
+// Owned returns the number of owned backend servers.
+func (d *Daemon) Owned() int { return len(d.table.Owned()) }
+
+// Version returns the configuration version in force.
+func (d *Daemon) Version() ident.Version { return d.rollout.Current().Version() }
+
+// Held returns the number of callers that wait for an answer.
+func (d *Daemon) Held() int { return d.requests.Held() }
--- /dev/null
+++ b/internal/daemon/build.go
@@ -0,0 +1,377 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/backend"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/bundle"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/caller"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/claim"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/dispatch"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/fleet"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/job"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/limit"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/member"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/operator"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/ownership"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/peer"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/peer/wire"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/placement"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/platform"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/request"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/retry"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/rollout"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/settings"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/resource"
+)
+
+func buildPlatform(d *Daemon) error {
+	c := platform.HTTPConfig{BaseURL: d.settings.StoreURL, Region: d.settings.Region, Metrics: d.metrics}
+	store, err := platform.NewHTTPStore(c)
+	if err != nil {
+		return fmt.Errorf("create store client: %w", err)
+	}
+	hosts, err := platform.NewHTTPHostList(c)
+	if err != nil {
+		return fmt.Errorf("create host list client: %w", err)
+	}
+	d.store, d.hosts = store, hosts
+	return nil
+}
+
+func buildPeer(d *Daemon) error {
+	var err error
+	if d.settings.PeerCertificate != "" {
+		d.certs, err = peer.NewCertificates(peer.CertificateSource{
+			Certificate: d.settings.PeerCertificate, Key: d.settings.PeerKey, Authorities: d.settings.PeerAuthority,
+		})
+		if err != nil {
+			return fmt.Errorf("load peer certificates: %w", err)
+		}
+	}
+	d.node, err = peer.New(peer.Config{
+		Self: d.sender,
+		Address: func(id ident.MemberID) (string, bool) {
+			m, ok := d.members.View().Find(id)
+			return m.Address, ok
+		},
+		TLS: d.certs, Log: d.log.WithName("peer"), Metrics: d.metrics,
+	})
+	if err != nil {
+		return fmt.Errorf("create peer node: %w", err)
+	}
+	return nil
+}
+
+// secure puts TLS on the caller and operator ports when a certificate is set.
+func (d *Daemon) secure() error {
+	if d.settings.CallerCert == "" {
+		return nil
+	}
+	cert, err := settings.PEM(d.settings.CallerCert)
+	if err != nil {
+		return fmt.Errorf("read caller certificate: %w", err)
+	}
+	key, err := settings.PEM(d.settings.CallerKey)
+	if err != nil {
+		return fmt.Errorf("read caller key: %w", err)
+	}
+	pair, err := tls.X509KeyPair(cert, key)
+	if err != nil {
+		return fmt.Errorf("load caller certificate: %w", err)
+	}
+	c := &tls.Config{Certificates: []tls.Certificate{pair}, MinVersion: tls.VersionTLS12, NextProtos: []string{"http/1.1"}}
+	d.callerL, d.operL = tls.NewListener(d.callerL, c), tls.NewListener(d.operL, c)
+	return nil
+}
+
+func (d *Daemon) sender() wire.Sender {
+	m := d.members.Self()
+	return wire.Sender{Member: m.ID, Incarnation: m.Incarnation, Epoch: d.members.View().Epoch}
+}
+
+func buildMembers(d *Daemon) error {
+	s := d.settings
+	var err error
+	d.members, err = member.New(member.Config{
+		Store:    d.store,
+		Self:     member.Member{ID: s.Member, Address: s.PeerAddress, DataCentre: s.DataCentre, Region: s.Region},
+		LeaseTTL: s.LeaseTTL, Interval: s.MemberInterval, ProbeTimeout: s.ProbeTimeout,
+		Probe: func(ctx context.Context, m member.Member) error {
+			reply, err := peer.CallAddress[wire.ProbeRequest, wire.ProbeReply](ctx, d.node, m.Address, wire.MethodProbe, wire.ProbeRequest{Sender: d.sender()})
+			if err == nil && (reply.Member != m.ID || reply.Incarnation != m.Incarnation) {
+				return fmt.Errorf("address %s answers as %s incarnation %d", m.Address, reply.Member, reply.Incarnation)
+			}
+			return err
+		},
+		Log: d.log.WithName("member"),
+	})
+	if err != nil {
+		return fmt.Errorf("create member group: %w", err)
+	}
+	return nil
+}
+
+func buildConfiguration(d *Daemon) error {
+	keys, err := d.settings.SignerKeys()
+	if err != nil {
+		return err
+	}
+	d.rollout, err = rollout.New(rollout.Config{
+		Store: d.store, StoreRegion: d.settings.StoreRegion, Self: d.members.Self, View: d.members.View,
+		Signers: keys, Required: d.settings.RequiredSigners,
+		Freshness: d.settings.Freshness, ReadInterval: d.settings.ReadInterval,
+		Pull:    call[wire.ConfigPull, wire.ConfigPullReply](d, wire.MethodConfigPull),
+		Version: call[wire.ConfigVersion, wire.ConfigVersionReply](d, wire.MethodConfigVersion),
+		Now:     time.Now, Log: d.log.WithName("rollout"),
+	})
+	if err != nil {
+		return fmt.Errorf("create rollout: %w", err)
+	}
+	return nil
+}
+
+func buildLimits(d *Daemon) error {
+	var err error
+	d.limits, err = limit.New(limit.Config{
+		Store: d.store, Self: d.members.Self, View: d.members.View,
+		Limit: func(t ident.TeamID) (int, bool) {
+			team, ok := d.rollout.Current().Team(t)
+			return team.Limit, ok
+		},
+		Teams: func() []ident.TeamID {
+			var ids []ident.TeamID
+			for _, t := range d.rollout.Current().Teams() {
+				ids = append(ids, t.ID)
+			}
+			return ids
+		},
+		Ask:      call[wire.LimitRequest, wire.LimitReply](d, wire.MethodLimitRequest),
+		Cleared:  d.clearance.cleared,
+		Gained:   func(ident.TeamID) { d.dispatcher.Wake() },
+		Interval: d.settings.LimitInterval, Now: time.Now, Log: d.log.WithName("limit"),
+	})
+	if err != nil {
+		return fmt.Errorf("create limit split: %w", err)
+	}
+	return nil
+}
+
+func buildServers(d *Daemon) error {
+	var err error
+	d.pool, err = placement.New(placement.Config{
+		Blocked: d.blame.Blocked,
+		KindOf: func(q ident.QueueID) api.Kind {
+			found, _ := d.rollout.Current().Queue(q)
+			return found.Kind
+		},
+		Seed: rand.Uint64(), Now: time.Now,
+	})
+	if err != nil {
+		return fmt.Errorf("create pool: %w", err)
+	}
+	s := d.settings
+	d.table, err = ownership.New(ownership.Config{
+		Self: d.members.Self, View: d.members.View, StoreHealthy: d.members.StoreHealthy, Hosts: d.listHosts,
+		Dial: func(h platform.Host) backend.Server {
+			return backend.NewHTTP(backend.HTTPConfig{Client: d.client, Address: h.Address})
+		},
+		Events: ownership.Events{
+			Attached: func(h platform.Host, i backend.Inventory) { d.owners.seen(h); d.dispatcher.Attached(h, i) },
+			Updated: func(h ident.HostID, r backend.PollReply) {
+				d.pool.Update(h, r.Capacity, r.Leaving)
+				d.pool.Usage(h, r.Usage)
+			},
+			Finished: func(h ident.HostID, r backend.Result) { d.dispatcher.Finished(h, r) },
+			Detached: func(h ident.HostID, r ownership.DetachReason) { d.dispatcher.Detached(h, r) },
+		},
+		Probe: func(ctx context.Context, id ident.MemberID) error {
+			_, err := peer.Call[wire.ProbeRequest, wire.ProbeReply](ctx, d.node, id, wire.MethodProbe, wire.ProbeRequest{Sender: d.sender()})
+			return err
+		},
+		MinRenewal: s.MinRenewal, MaxRenewal: s.MaxRenewal, Drift: s.ClockDrift, HostsInterval: s.HostsInterval,
+		ControlBytesPerSecond: s.ControlBytes, Now: time.Now, Jitter: rand.Float64, Log: d.log.WithName("ownership"),
+	})
+	if err != nil {
+		return fmt.Errorf("create ownership table: %w", err)
+	}
+	return nil
+}
+
+func buildDispatcher(d *Daemon) error {
+	var err error
+	d.fleet, err = fleet.New(fleet.Config{
+		Self: d.members.Self, View: d.members.View, TeamUsage: d.pool.TeamUsage, Rooms: d.pool.Rooms,
+		Backlog: func() int { return d.dispatcher.Backlog() },
+		Version: func() ident.Version { return d.rollout.Current().Version() },
+		Push:    call[wire.Summary, wire.SummaryReply](d, wire.MethodSummary),
+		Changed: func() { d.dispatcher.Wake() }, Log: d.log.WithName("fleet"),
+	})
+	if err != nil {
+		return fmt.Errorf("create fleet: %w", err)
+	}
+	budget, err := retry.NewBudget(retry.BudgetConfig{Ratio: d.settings.RetryRatio})
+	if err != nil {
+		return fmt.Errorf("create retry budget: %w", err)
+	}
+	backoff, err := retry.NewBackoff(retry.BackoffConfig{Seed: rand.Uint64()})
+	if err != nil {
+		return fmt.Errorf("create backoff: %w", err)
+	}
+	d.dispatcher, err = dispatch.New(dispatch.Config{
+		Self: d.members.Self, View: d.members.View, Pool: d.pool, Fleet: d.fleet, Blame: d.blame,
+		Budget: budget, Backoff: backoff,
+		Limits: dispatch.Limits{Reserve: d.limits.Reserve, Release: d.limits.Release, Arrive: d.arrive, Depart: d.depart},
+		Servers: dispatch.Servers{
+			Start: d.table.Start, Stop: d.table.Stop, Checkpoint: d.table.Checkpoint, Throttle: d.table.Throttle,
+			Acknowledge: d.table.Acknowledge, Complete: d.table.Complete,
+		},
+		Peers:      d.dispatchPeers(),
+		QueueLimit: d.queueLimit,
+		Share:      func(t ident.TeamID) float64 { return max(1, float64(d.rollout.Current().Share(t))) },
+		Usage:      d.usage,
+		Total:      d.capacity,
+		Now:        time.Now, Log: d.log.WithName("dispatch"), Metrics: d.metrics,
+	})
+	if err != nil {
+		return fmt.Errorf("create dispatcher: %w", err)
+	}
+	return nil
+}
+
+func (d *Daemon) queueLimit(t ident.TeamID) int {
+	if team, ok := d.rollout.Current().Team(t); ok && team.QueueLimit > 0 {
+		return team.QueueLimit
+	}
+	return d.settings.QueueLimit
+}
+
+// usage returns the team's dominant share of the fleet. Own figures are taken at most every usageAge.
+func (d *Daemon) usage(t ident.TeamID) float64 {
+	own := d.owners.load(d.pool)
+	return d.fleet.Share(t, own.teams[t], own.capacity)
+}
+
+func (d *Daemon) capacity() resource.Vector {
+	return d.fleet.Capacity().Add(d.owners.load(d.pool).capacity)
+}
+
+func buildClaims(d *Daemon) error {
+	var err error
+	d.claims, err = claim.New(claim.Config{
+		Self: d.members.Self, View: d.members.View,
+		Region: func(t ident.TeamID) (ident.Region, bool) {
+			team, ok := d.rollout.Current().Team(t)
+			return team.ClaimRegion, ok
+		},
+		Call: func(ctx context.Context, to ident.MemberID, method string, r wire.ClaimRequest) (wire.ClaimReply, error) {
+			return peer.Call[wire.ClaimRequest, wire.ClaimReply](ctx, d.node, to, method, r)
+		},
+		Transfer: call[wire.ClaimTransfer, wire.ClaimTransferReply](d, wire.MethodClaimTransfer),
+		Inventories: func(ctx context.Context, k wire.ClaimKey) (bool, bool) {
+			// A run that has ended and was acknowledged leaves no trace, so its absence rules nothing out.
+			_, known, _ := d.dispatcher.Find(ctx, k)
+			return known, false
+		},
+		Retention: d.settings.ClaimRetention, Now: time.Now, Log: d.log.WithName("claim"),
+	})
+	if err != nil {
+		return fmt.Errorf("create claim book: %w", err)
+	}
+	return nil
+}
+
+func buildJobs(d *Daemon) error {
+	var err error
+	d.jobs, err = job.New(job.Config{
+		Store: d.store, Self: d.members.Self, View: d.members.View,
+		Dispatcher: job.Dispatcher{
+			Submit: d.dispatcher.Submit, SubmitGang: d.dispatcher.SubmitGang, Resume: d.dispatcher.Resume,
+			Cancel: d.dispatcher.Cancel, AdoptOrigin: d.dispatcher.AdoptOrigin, CouldFit: d.dispatcher.CouldFit,
+			Forget: d.dispatcher.Forget,
+		},
+		FlushInterval: d.settings.FlushInterval, Retention: d.settings.JobRetention,
+		Now: time.Now, Log: d.log.WithName("job"),
+	})
+	if err != nil {
+		return fmt.Errorf("create job table: %w", err)
+	}
+	return nil
+}
+
+func buildRequests(d *Daemon) error {
+	var err error
+	d.requests, err = request.New(request.Config{
+		View: d.members.View,
+		Claims: request.Claims{
+			Acquire: d.claims.Acquire, Validate: d.claims.Validate, Complete: d.claims.Complete,
+			Release: d.claims.Release, Lookup: d.lookupClaim,
+		},
+		Dispatcher: request.Dispatcher{Submit: d.dispatcher.Submit, Abandon: d.dispatcher.Abandon, Find: d.dispatcher.Find},
+		Now:        time.Now, Log: d.log.WithName("request"),
+	})
+	if err != nil {
+		return fmt.Errorf("create request service: %w", err)
+	}
+	return nil
+}
+
+func buildCallers(d *Daemon) error {
+	var err error
+	d.callers, err = caller.New(caller.Config{
+		Bundle: func() *bundle.Compiled {
+			if c := d.rollout.Current(); c.Version() > 0 {
+				return c
+			}
+			return nil
+		},
+		Fresh:   d.rollout.Fresh,
+		Request: d.requests.Do,
+		Jobs: caller.Jobs{
+			Create: d.jobs.Create, Get: d.getJob, List: d.listJobs, Cancel: d.cancelJob, Explain: d.explainJob,
+		},
+		Log: d.log.WithName("caller"), Metrics: d.metrics,
+	})
+	if err != nil {
+		return fmt.Errorf("create caller server: %w", err)
+	}
+	return nil
+}
+
+// connect joins the parts that follow the view and the configuration.
+func connect(d *Daemon) {
+	d.members.OnChange(func(v member.View) {
+		d.owners.viewChanged(v)
+		d.table.ViewChanged()
+		d.fleet.ViewChanged(v)
+		d.claims.ViewChanged()
+		d.dispatcher.SuspectPeer()
+		d.jobs.ViewChanged()
+		d.dispatcher.Wake()
+	})
+	d.members.OnRemoved(func() {
+		d.log.Info("this incarnation was removed from the view; everything owned is dropped")
+		d.table.Drop()
+		d.limits.Dropped()
+		d.jobs.Drop()
+	})
+	d.rollout.OnChange(func(*bundle.Compiled) { d.dispatcher.Wake() })
+}
+
+func buildOperators(d *Daemon) error {
+	var err error
+	d.operators, err = operator.New(operator.Config{
+		Token: d.settings.OperatorToken, Ready: d.Ready, Dump: d.dump, Metrics: d.metrics, Rollout: d.rollout,
+		Hosts: d.listHosts, Drain: d.drainHost, Owner: d.ownerOf, Rotate: d.rotate, Log: d.log.WithName("operator"),
+	})
+	if err != nil {
+		return fmt.Errorf("create operator server: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/daemon/drain.go
@@ -0,0 +1,99 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/platform"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+// drainKey holds the hosts that operators drain, in addition to the platform's own leaving state.
+const drainKey = "drained-hosts"
+
+// drainTries bounds the attempts to change the record while other operators change it too.
+const drainTries = 10
+
+// drainRecord is the value of drainKey.
+type drainRecord struct {
+	Hosts []ident.HostID `json:"hosts"`
+	Nonce string         `json:"nonce"`
+}
+
+// drains is the last known set of drained hosts. It is kept while the store is down.
+type drains struct {
+	mu    sync.Mutex
+	hosts []ident.HostID
+}
+
+func readDrains(ctx context.Context, store platform.Store) (drainRecord, platform.Revision, error) {
+	var r drainRecord
+	item, err := store.Get(ctx, drainKey)
+	if errors.Is(err, platform.ErrNotFound) {
+		return r, 0, nil
+	}
+	if err != nil {
+		return r, 0, fmt.Errorf("read drained hosts: %w", err)
+	}
+	if err := json.Unmarshal(item.Value, &r); err != nil {
+		return r, 0, fmt.Errorf("decode drained hosts: %w", err)
+	}
+	return r, item.Revision, nil
+}
+
+// listHosts returns the platform's list, with the hosts that operators drain as leaving.
+func (d *Daemon) listHosts(ctx context.Context) ([]platform.Host, error) {
+	hosts, err := d.hosts.Hosts(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("read host list: %w", err)
+	}
+	record, _, err := readDrains(ctx, d.store)
+	d.drains.mu.Lock()
+	defer d.drains.mu.Unlock()
+	if err == nil {
+		d.drains.hosts = record.Hosts
+	}
+	for i := range hosts {
+		if slices.Contains(d.drains.hosts, hosts[i].ID) {
+			hosts[i].State = platform.HostLeaving
+		}
+	}
+	return hosts, nil
+}
+
+// drainHost adds a host to the drained ones, or takes it out, and returns them.
+func (d *Daemon) drainHost(ctx context.Context, host ident.HostID, undo bool) ([]ident.HostID, error) {
+	for range drainTries {
+		record, revision, err := readDrains(ctx, d.store)
+		if err != nil {
+			return nil, err
+		}
+		if slices.Contains(record.Hosts, host) != undo {
+			return record.Hosts, nil
+		}
+		if undo {
+			record.Hosts = slices.DeleteFunc(record.Hosts, func(h ident.HostID) bool { return h == host })
+		} else {
+			record.Hosts = append(record.Hosts, host)
+		}
+		record.Nonce = ident.Random("n")
+		value, err := json.Marshal(record)
+		if err != nil {
+			return nil, fmt.Errorf("encode drained hosts: %w", err)
+		}
+		_, err = d.store.CompareAndSwap(ctx, drainKey, revision, value, 0)
+		switch {
+		case err == nil:
+			return record.Hosts, nil
+		case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrUnknownOutcome):
+			// The next round reads what is in force and changes it only where that is still needed.
+		default:
+			return nil, fmt.Errorf("write drained hosts: %w", err)
+		}
+	}
+	return nil, errors.New("drained hosts were changed by others at every try")
+}
--- /dev/null
+++ b/internal/daemon/jobs.go
@@ -0,0 +1,134 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/job"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/member"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/peer"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/peer/wire"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+func (d *Daemon) handleJobGet(ctx context.Context, c wire.JobCall) (wire.JobReply, error) {
+	j, err := d.jobs.Get(ctx, c.Job)
+	if errors.Is(err, job.ErrNotFound) {
+		return wire.JobReply{}, nil
+	}
+	if err != nil {
+		return wire.JobReply{}, fmt.Errorf("get job: %w", err)
+	}
+	return encodeReply(j)
+}
+
+func (d *Daemon) handleJobList(_ context.Context, c wire.JobCall) (wire.JobReply, error) {
+	return encodeReply(d.jobs.List(c.Team))
+}
+
+func (d *Daemon) handleJobCancel(_ context.Context, c wire.JobCall) (wire.JobReply, error) {
+	err := d.jobs.Cancel(c.Job, c.Reason)
+	if errors.Is(err, job.ErrNotFound) {
+		return wire.JobReply{}, nil
+	}
+	return wire.JobReply{Found: err == nil}, err
+}
+
+func (d *Daemon) handleJobExplain(_ context.Context, c wire.JobCall) (wire.JobReply, error) {
+	_, decisions, ok := d.dispatcher.Explain(c.Job)
+	if !ok {
+		return wire.JobReply{}, nil
+	}
+	return encodeReply(api.Explanation{Job: c.Job, Decisions: decisions})
+}
+
+// ask calls a method on every other member side by side and hands each reply to take.
+func (d *Daemon) ask(ctx context.Context, method string, c wire.JobCall, take func(wire.JobReply)) (all bool) {
+	c.Sender = d.sender()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	all = true
+	for _, m := range d.members.View().Filter(member.Active, member.Draining, member.Unreachable) {
+		if m.ID == c.Member {
+			continue
+		}
+		wg.Go(func() {
+			reply, err := peer.Call[wire.JobCall, wire.JobReply](ctx, d.node, m.ID, method, c)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				all = false
+				return
+			}
+			if reply.Found {
+				take(reply)
+			}
+		})
+	}
+	wg.Wait()
+	return all
+}
+
+// find asks the other members for something that one of them has.
+func find[T any](ctx context.Context, d *Daemon, method string, c wire.JobCall) (T, error) {
+	var found T
+	var decoded, ok bool
+	var failure error
+	all := d.ask(ctx, method, c, func(r wire.JobReply) {
+		if ok {
+			return
+		}
+		ok = true
+		if len(r.Body) > 0 {
+			failure = json.Unmarshal(r.Body, &found)
+			decoded = failure == nil
+		}
+	})
+	switch {
+	case failure != nil:
+		return found, fmt.Errorf("decode the answer of %s: %w", method, failure)
+	case ok || decoded:
+		return found, nil
+	case !all:
+		return found, api.NewProblem(api.CodeUnavailable, "", "some daemons can't be reached, so it isn't known whether job %s exists", c.Job)
+	}
+	return found, fmt.Errorf("job %s: %w", c.Job, job.ErrNotFound)
+}
+
+func (d *Daemon) getJob(ctx context.Context, id ident.JobID) (api.Job, error) {
+	j, err := d.jobs.Get(ctx, id)
+	if errors.Is(err, job.ErrNotFound) {
+		return find[api.Job](ctx, d, wire.MethodJobGet, wire.JobCall{Job: id})
+	}
+	return j, err
+}
+
+func (d *Daemon) listJobs(ctx context.Context, team ident.TeamID) ([]api.Job, error) {
+	jobs := d.jobs.List(team)
+	d.ask(ctx, wire.MethodJobList, wire.JobCall{Team: team}, func(r wire.JobReply) {
+		var more []api.Job
+		if err := json.Unmarshal(r.Body, &more); err == nil {
+			jobs = append(jobs, more...)
+		}
+	})
+	return jobs, nil
+}
+
+func (d *Daemon) cancelJob(ctx context.Context, id ident.JobID, reason string) error {
+	err := d.jobs.Cancel(id, reason)
+	if errors.Is(err, job.ErrNotFound) {
+		_, err = find[struct{}](ctx, d, wire.MethodJobCancel, wire.JobCall{Job: id, Reason: reason})
+	}
+	return err
+}
+
+func (d *Daemon) explainJob(ctx context.Context, id ident.JobID) (api.Explanation, error) {
+	if _, decisions, ok := d.dispatcher.Explain(id); ok {
+		return api.Explanation{Job: id, Decisions: decisions}, nil
+	}
+	return find[api.Explanation](ctx, d, wire.MethodJobExplain, wire.JobCall{Job: id})
+}
--- /dev/null
+++ b/internal/demo/run.go
@@ -0,0 +1,238 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/bundle"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/standin/cell"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/resource"
+)
+
+// Row is one line of the demo's result.
+type Row struct {
+	Work    string      `json:"work"`
+	Team    string      `json:"team"`
+	Kind    api.Kind    `json:"kind"`
+	Through string      `json:"through"`
+	Outcome api.Outcome `json:"outcome"`
+	Where   string      `json:"where"`
+	Why     string      `json:"why"`
+}
+
+// Result is what the demo saw.
+type Result struct {
+	Rows       []Row    `json:"rows"`
+	Stopped    string   `json:"stopped"`
+	Violations []string `json:"violations"`
+}
+
+// OK reports whether all work ended as it should and no invariant was broken.
+func (r Result) OK() bool {
+	for _, row := range r.Rows {
+		if row.Outcome != api.Answered {
+			return false
+		}
+	}
+	return len(r.Rows) > 0 && len(r.Violations) == 0
+}
+
+// Teams and queues of the demo.
+const (
+	teamQuoting = ident.TeamID("quoting")
+	teamLayout  = ident.TeamID("floor-plan")
+)
+
+// Sites are the demo's daemons, two in one region and one in the other.
+func Sites() []Site {
+	return []Site{
+		{"daemon-1", "sfax", "sfax-a"}, {"daemon-2", "sfax", "sfax-b"}, {"daemon-3", "tunis", "tunis-a"},
+	}
+}
+
+// Standins are the demo's backend servers: small ones for quotes and large ones with accelerators.
+func Standins() cell.Config {
+	small := resource.Vector{CPU: resource.Cores(16), Memory: resource.Gigabytes(32), Slots: 8, Connections: 64}
+	large := resource.Vector{CPU: resource.Cores(128), Memory: resource.Gigabytes(256), GPUs: 8, Slots: 8, Connections: 64}
+	return cell.Config{Seed: 1, Groups: []cell.Group{
+		{Region: "sfax", DataCentre: "sfax-a", Prefix: "quote-a", Count: 3, PerRack: 2, Capacity: small},
+		{Region: "sfax", DataCentre: "sfax-b", Prefix: "quote-b", Count: 3, PerRack: 2, Capacity: small},
+		{Region: "sfax", DataCentre: "sfax-a", Prefix: "plan-a", Count: 1, PerRack: 1, Capacity: large},
+		{Region: "tunis", DataCentre: "tunis-a", Prefix: "plan-t", Count: 2, PerRack: 1, Capacity: large},
+	}}
+}
+
+// Bundle returns the demo's configuration and the secret of each team's key.
+func Bundle() (bundle.Bundle, map[ident.TeamID]string, error) {
+	b := bundle.Bundle{
+		Teams: []bundle.Team{
+			{ID: teamQuoting, Share: 3, Limit: 40, ClaimRegion: "sfax"},
+			{ID: teamLayout, Share: 1, Limit: 30, ClaimRegion: "sfax"},
+		},
+		Queues: []bundle.Queue{
+			{ID: "quotes", Kind: api.KindRequest, Urgent: true, Priority: 50, Deadline: 10_000, Retries: 2},
+			{ID: "services", Kind: api.KindService, Priority: 40, Retries: 3},
+			{ID: "renders", Kind: api.KindBatch, Priority: 10, Retries: 3},
+			{ID: "gangs", Kind: api.KindAllAtOnce, Priority: 20, Retries: 3},
+			{ID: "public", Kind: api.KindRequest, Open: true, Deadline: 10_000, Retries: 2},
+		},
+	}
+	secrets := map[ident.TeamID]string{}
+	for _, t := range []ident.TeamID{teamQuoting, teamLayout} {
+		after, secret, err := bundle.GrantKey(b, t, "first")
+		if err != nil {
+			return b, nil, fmt.Errorf("grant key to %s: %w", t, err)
+		}
+		b, secrets[t] = after, secret
+	}
+	return b, secrets, nil
+}
+
+// Run starts the cell, runs all kinds of work while one daemon is stopped, and returns what ran where and why.
+func Run(ctx context.Context, log logr.Logger) (Result, error) {
+	b, secrets, err := Bundle()
+	if err != nil {
+		return Result{}, err
+	}
+	c, err := Start(ctx, Config{Standins: Standins(), Sites: Sites(), Bundle: b, Log: log})
+	if err != nil {
+		return Result{}, fmt.Errorf("start cell: %w", err)
+	}
+	defer c.Close()
+	r := &run{cell: c, secrets: secrets}
+	if err := r.work(ctx); err != nil {
+		return r.result, err
+	}
+	for _, v := range c.Standins.Ledger.Violations() {
+		r.result.Violations = append(r.result.Violations, v.String())
+	}
+	return r.result, nil
+}
+
+type run struct {
+	cell    *Cell
+	secrets map[ident.TeamID]string
+	result  Result
+	mu      sync.Mutex
+}
+
+func demand(cores, gigabytes, gpus int64) resource.Vector {
+	return resource.Vector{CPU: resource.Cores(cores), Memory: resource.Gigabytes(gigabytes), GPUs: resource.Count(gpus)}
+}
+
+// work submits every kind of work, stops a daemon while it runs, and waits for all of it.
+func (r *run) work(ctx context.Context) error {
+	specs := []struct {
+		name string
+		via  ident.MemberID
+		spec api.Spec
+	}{
+		{"service", "daemon-2", api.Spec{Team: teamLayout, Queue: "services", Tasks: 3, Demand: demand(2, 2, 0)}},
+		{"batch", "daemon-2", api.Spec{Team: teamLayout, Queue: "renders", Tasks: 6, Demand: demand(8, 8, 1), RunTime: 3000, Payload: []byte("hall")}},
+		{"all-at-once", "daemon-1", api.Spec{Team: teamLayout, Queue: "gangs", Tasks: 4, Demand: demand(4, 4, 2), RunTime: 1500, Payload: []byte("grid")}},
+	}
+	jobs := make([]api.Job, len(specs))
+	for i, s := range specs {
+		j, err := r.cell.Client(s.via, r.secrets[s.spec.Team]).Submit(ctx, s.spec)
+		if err != nil {
+			return fmt.Errorf("submit %s: %w", s.name, err)
+		}
+		jobs[i] = j
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() { r.requests(ctx, "daemon-1", 4) })
+	wg.Go(func() { r.requests(ctx, "daemon-2", 4) })
+	time.Sleep(300 * time.Millisecond)
+	if err := r.cell.Stop(ctx, "daemon-2"); err != nil {
+		return fmt.Errorf("stop daemon-2: %w", err)
+	}
+	r.result.Stopped = "daemon-2"
+	wg.Wait()
+	r.requests(ctx, "daemon-3", 2)
+	for i, s := range specs {
+		if err := r.await(ctx, s.name, s.via, jobs[i], s.spec); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// requests sends non-idempotent quotes one after another.
+func (r *run) requests(ctx context.Context, via ident.MemberID, n int) {
+	c := r.cell.Client(via, r.secrets[teamQuoting])
+	for i := range n {
+		a, err := c.Request(ctx, api.Spec{
+			Team: teamQuoting, Queue: "quotes", Request: ident.RequestID(fmt.Sprintf("quote-%s-%d", via, i)),
+			NonIdempotent: true, Demand: demand(1, 1, 0), RunTime: 100, Payload: []byte("treadmill"),
+		})
+		row := Row{
+			Work: fmt.Sprintf("quote-%s-%d", via, i), Team: string(teamQuoting), Kind: api.KindRequest, Through: string(via),
+			Outcome: a.Outcome, Where: string(a.Host), Why: fmt.Sprintf("waited %s; %s", a.Waited.Duration(), a.Reason),
+		}
+		if err != nil {
+			row.Outcome, row.Why = api.Unknown, err.Error()
+		}
+		r.mu.Lock()
+		r.result.Rows = append(r.result.Rows, row)
+		r.mu.Unlock()
+	}
+}
+
+// await waits for a job through a daemon that still runs; a service is cancelled once it runs again everywhere.
+func (r *run) await(ctx context.Context, name string, via ident.MemberID, j api.Job, spec api.Spec) error {
+	c := r.cell.Client("daemon-1", r.secrets[spec.Team])
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	row := Row{Work: string(j.ID), Team: string(spec.Team), Kind: j.Kind, Through: string(via)}
+	for {
+		now, err := c.Get(ctx, j.ID)
+		if ctx.Err() != nil {
+			return fmt.Errorf("%s job %s is %s after %s: %w", name, j.ID, now.Phase, readyTimeout, ctx.Err())
+		}
+		if err == nil && (now.Phase.Done() || j.Kind == api.KindService && running(now) == len(now.Tasks)) {
+			row.Outcome, row.Where = now.Outcome, places(now)
+			break
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	if e, err := c.Explain(ctx, j.ID); err == nil && len(e.Decisions) > 0 {
+		last := e.Decisions[len(e.Decisions)-1]
+		row.Why = last.What + ": " + last.Reason
+	}
+	if j.Kind == api.KindService {
+		// A running service is what was asked for; cancelling it ends the demo.
+		row.Outcome = api.Answered
+		if _, err := c.Cancel(ctx, j.ID); err != nil {
+			return fmt.Errorf("cancel service: %w", err)
+		}
+	}
+	r.result.Rows = append(r.result.Rows, row)
+	return nil
+}
+
+func running(j api.Job) int {
+	n := 0
+	for _, t := range j.Tasks {
+		if t.Phase == api.Running {
+			n++
+		}
+	}
+	return n
+}
+
+func places(j api.Job) string {
+	text := ""
+	for _, t := range j.Tasks {
+		if text != "" {
+			text += " "
+		}
+		text += string(t.Host)
+	}
+	return text
+}
--- /dev/null
+++ b/internal/dispatch/audit.go
@@ -0,0 +1,139 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/backend"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/member"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/peer/wire"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+const (
+	// lostAudits is how many complete audits in a row must miss an attempt before it counts as gone. A single
+	// one could miss an attempt whose server changes owners between two replies.
+	lostAudits = 2
+	// queryTimeout bounds one question to a peer.
+	queryTimeout = 2 * time.Second
+)
+
+// audit looks for attempts whose place isn't known any more: their server has another owner, or their
+// start had an unknown outcome.
+func (d *Dispatcher) audit() {
+	view := d.config.View()
+	self := d.config.Self().ID
+	for i := range d.shards {
+		for _, e := range d.suspects(&d.shards[i], view, self) {
+			d.spawn(func(ctx context.Context) { d.search(ctx, e) })
+		}
+	}
+}
+
+func (d *Dispatcher) suspects(s *shard, view member.View, self ident.MemberID) []*entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var found []*entry
+	for _, e := range s.entries {
+		if e.searching {
+			continue
+		}
+		switch e.phase {
+		case uncertain:
+		case running:
+			if e.member == self {
+				if _, ok := d.config.Pool.Find(e.attempt); ok || d.orphans.seen(e.attempt) {
+					continue
+				}
+			} else if _, ok := view.Find(e.member); ok && !e.suspect {
+				continue
+			}
+		default:
+			continue
+		}
+		e.searching = true
+		found = append(found, e)
+	}
+	return found
+}
+
+// SuspectPeer makes the audit look again for the attempts believed to run at a peer, after its servers moved.
+func (d *Dispatcher) SuspectPeer() {
+	for i := range d.shards {
+		s := &d.shards[i]
+		s.mu.Lock()
+		for _, e := range s.entries {
+			e.suspect = true
+		}
+		s.mu.Unlock()
+	}
+}
+
+// search asks every daemon for one attempt. An attempt that no complete daemon knows has ended without a trace.
+func (d *Dispatcher) search(ctx context.Context, e *entry) {
+	var attempt ident.AttemptID
+	d.with(e.key, func(e *entry) { attempt = e.attempt })
+	host, owner, complete := d.locate(ctx, attempt)
+	gone := false
+	d.with(e.key, func(e *entry) {
+		e.searching = false
+		if e.attempt != attempt || (e.phase != uncertain && e.phase != running) {
+			return
+		}
+		switch {
+		case owner != "":
+			e.phase, e.host, e.member, e.suspect, e.lost = running, host, owner, false, 0
+		case complete:
+			e.lost++
+			gone = e.lost >= lostAudits
+		default:
+			e.lost = 0
+		}
+	})
+	if gone {
+		d.vanished(e, attempt)
+	}
+}
+
+// vanished treats an attempt that no backend server knows like one whose lease has lapsed.
+func (d *Dispatcher) vanished(e *entry, attempt ident.AttemptID) {
+	t := e.work.Task
+	d.complete("", backend.Result{
+		Attempt: attempt, Job: t.Job, Index: t.Index, Team: t.Team, Exit: backend.ExitLeaseLapsed,
+		Message: "no backend server knows the attempt any more",
+	}, func() {})
+}
+
+// locate asks all members for an attempt. complete means that every owner answered for all of its servers
+// at this view's epoch or above, so that a command of an older owner is refused everywhere.
+func (d *Dispatcher) locate(ctx context.Context, attempt ident.AttemptID) (ident.HostID, ident.MemberID, bool) {
+	view, self := d.config.View(), d.config.Self().ID
+	members := view.Filter(member.Active, member.Draining, member.Unreachable)
+	replies := make([]wire.QueryReply, len(members))
+	answered := make([]bool, len(members))
+	var wg sync.WaitGroup
+	for i, m := range members {
+		wg.Go(func() {
+			q := wire.Query{Sender: d.sender(), Attempt: attempt}
+			var err error
+			if m.ID == self {
+				replies[i], err = d.HandleQuery(ctx, q)
+			} else {
+				call, cancel := context.WithTimeout(ctx, queryTimeout)
+				defer cancel()
+				replies[i], err = d.config.Peers.Query(call, m.ID, q)
+			}
+			answered[i] = err == nil
+		})
+	}
+	wg.Wait()
+	complete := true
+	for i, m := range members {
+		if answered[i] && replies[i].Known {
+			return replies[i].Host, m.ID, true
+		}
+		complete = complete && answered[i] && replies[i].Complete && replies[i].Epoch >= view.Epoch
+	}
+	return "", "", complete
+}
--- /dev/null
+++ b/internal/dispatch/forward.go
@@ -0,0 +1,124 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/backend"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/peer/wire"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/placement"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+// forward asks a peer to start the current attempt on one of its backend servers.
+func (d *Dispatcher) forward(ctx context.Context, e *entry, to ident.MemberID) {
+	f := wire.Forward{Sender: d.sender(), Kind: string(e.work.Kind), Urgent: e.work.Urgent, Hops: 1}
+	d.with(e.key, func(e *entry) {
+		f.Task = e.work.Task
+		f.Task.Attempt, f.Task.Origin = e.attempt, f.Member
+		f.Avoid = append(f.Avoid, e.avoid...)
+	})
+	if err := d.prepare(ctx, e); err != nil {
+		d.endInvalid(e, err)
+		return
+	}
+	reply, err := d.config.Peers.Forward(ctx, to, f)
+	switch {
+	case err != nil && d.config.Peers.NotDelivered(err):
+		d.config.Fleet.Refused(to, f.Task.Team)
+		d.requeue(e, "retried", fmt.Sprintf("daemon %s was not reached", to))
+	case err != nil:
+		d.lose(e, f.Task.Attempt, fmt.Sprintf("the reply of daemon %s was lost: %v", to, err))
+	case !reply.Taken:
+		d.config.Fleet.Refused(to, f.Task.Team)
+		d.requeue(e, "waits", fmt.Sprintf("daemon %s refused: %s", to, reply.Reason))
+	default:
+		d.started(e, f.Task.Attempt, reply.Host, to)
+	}
+}
+
+// HandleForward starts a peer's task on an own backend server. Refused means that it never starts here.
+func (d *Dispatcher) HandleForward(ctx context.Context, f wire.Forward) (wire.ForwardReply, error) {
+	if reason := d.refuse(f.Sender, f.Hops); reason != "" {
+		return wire.ForwardReply{Reason: reason}, nil
+	}
+	t := f.Task
+	if !d.config.Limits.Reserve(t.Team, 1) {
+		return wire.ForwardReply{Reason: "no part of the team's limit is left"}, nil
+	}
+	placed, err := d.config.Pool.Pick(placement.Request{
+		Attempt: t.Attempt, Job: t.Job, Index: t.Index, Team: t.Team, Queue: t.Queue, Kind: api.Kind(f.Kind),
+		Demand: t.Demand, Priority: t.Priority, NonIdempotent: t.NonIdempotent, Urgent: f.Urgent,
+		Avoid: f.Avoid, Task: t,
+	})
+	if err != nil {
+		d.config.Limits.Release(t.Team, 1)
+		return wire.ForwardReply{Reason: reasonOf(err)}, nil
+	}
+	// The start must be settled even when the sender gives up, or the attempt would hold room for nothing.
+	reply := make(chan wire.ForwardReply, 1)
+	d.spawn(func(ctx context.Context) { reply <- d.startForwarded(ctx, placed.Host, t) })
+	select {
+	case r := <-reply:
+		return r, nil
+	case <-ctx.Done():
+		return wire.ForwardReply{}, fmt.Errorf("start attempt %s: %w", t.Attempt, ctx.Err())
+	}
+}
+
+func (d *Dispatcher) startForwarded(ctx context.Context, host ident.HostID, t backend.Task) wire.ForwardReply {
+	state, err := d.send(ctx, host, t)
+	if state == startNever {
+		d.freed(host, t.Attempt, t.Team)
+		return wire.ForwardReply{Reason: fmt.Sprintf("start on %s refused: %v", host, err)}
+	}
+	// A lost start counts as taken: it may run, so only its result or a lapsed lease may free it.
+	return wire.ForwardReply{Taken: true, Host: host}
+}
+
+// refuse returns why a peer's task isn't taken, or nothing.
+func (d *Dispatcher) refuse(s wire.Sender, hops int) string {
+	if !d.config.View().Has(s.Member, s.Incarnation) {
+		return fmt.Sprintf("sender %s with incarnation %d isn't in the member view", s.Member, s.Incarnation)
+	}
+	if hops > MaxHops {
+		return "too many hops"
+	}
+	return ""
+}
+
+// HandleCancel stops an attempt on an own backend server for its origin.
+func (d *Dispatcher) HandleCancel(ctx context.Context, c wire.Cancel) (wire.CancelReply, error) {
+	host := c.Host
+	if p, ok := d.config.Pool.Find(c.Attempt); ok {
+		host = p.Host
+	}
+	if host == "" {
+		return wire.CancelReply{}, nil
+	}
+	state, err := d.config.Servers.Stop(ctx, host, c.Attempt)
+	if err != nil {
+		return wire.CancelReply{}, fmt.Errorf("stop attempt %s on %s: %w", c.Attempt, host, err)
+	}
+	return wire.CancelReply{State: state, Known: true}, nil
+}
+
+// HandleQuery says whether an attempt runs or waits here. The sender is the attempt's origin, so results go there:
+// the backend server itself may still name an origin that has died.
+func (d *Dispatcher) HandleQuery(_ context.Context, q wire.Query) (wire.QueryReply, error) {
+	epoch, complete := d.config.Servers.Complete()
+	reply := wire.QueryReply{Epoch: epoch, Complete: complete}
+	if p, ok := d.config.Pool.Find(q.Attempt); ok {
+		d.config.Pool.SetOrigin(q.Attempt, q.Member)
+		reply.Known, reply.Host = true, p.Host
+		return reply, nil
+	}
+	if o, ok := d.orphans.get(q.Attempt); ok {
+		reply.Known, reply.Host = true, o.host
+		if o.result.Origin != q.Member {
+			d.redeliver(o, q.Member)
+		}
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/internal/dispatch/gang.go
@@ -0,0 +1,388 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/backend"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/member"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/peer/wire"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/placement"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/resource"
+)
+
+const (
+	// DefaultGangExpiry is how long a member holds room for an all-at-once job that isn't committed.
+	DefaultGangExpiry = 2 * time.Second
+	// gangCallTimeout bounds one reservation call, well below the expiry.
+	gangCallTimeout = 500 * time.Millisecond
+)
+
+// gang is an all-at-once job. Its first member's entry is queued and stands for all of them.
+type gang struct {
+	leader  Key
+	members []Key
+
+	mu      sync.Mutex
+	round   int // rounds that started tasks
+	open    int // tasks of this round without a result
+	failure string
+	results []gangDone
+}
+
+type gangDone struct {
+	key    Key
+	host   ident.HostID
+	result backend.Result
+	keep   func()
+}
+
+// SubmitGang queues an all-at-once job. An error means that nothing of it was taken.
+func (d *Dispatcher) SubmitGang(works []Work) error {
+	if len(works) == 0 {
+		return fmt.Errorf("gang without tasks: %w", ErrImpossible)
+	}
+	if ok, reason := d.CouldFit(works[0]); !ok {
+		return fmt.Errorf("%w: %s", ErrImpossible, reason)
+	}
+	g := &gang{leader: works[0].key()}
+	entries := make([]*entry, len(works))
+	for i, w := range works {
+		g.members = append(g.members, w.key())
+		entries[i] = &entry{key: w.key(), work: w, phase: queued, submitted: d.config.Now(), gang: g}
+	}
+	for i, e := range entries {
+		if err := d.insert(e); err != nil {
+			d.removeAll(g.members[:i])
+			return err
+		}
+	}
+	if err := d.queue.Push(d.item(entries[0])); err != nil {
+		d.removeAll(g.members)
+		return fmt.Errorf("queue gang %s: %w", g.leader.Job, err)
+	}
+	d.Wake()
+	return nil
+}
+
+func (d *Dispatcher) removeAll(keys []Key) {
+	for _, k := range keys {
+		d.remove(k)
+	}
+}
+
+// held is the room that one member holds for a gang.
+type held struct {
+	member ident.MemberID
+	tasks  int
+}
+
+// placeGang reserves room on the members in id order and starts the tasks only when all of it is held.
+// The fixed order and the expiry keep two gangs from blocking each other for longer than one expiry.
+func (d *Dispatcher) placeGang(ctx context.Context, e *entry) {
+	id := ident.Random("gang")
+	reservations, missing := d.reserveGang(ctx, e, id)
+	if missing > 0 {
+		d.cancelGang(ctx, id, reservations)
+		d.regroup(e, fmt.Sprintf("room for %d of %d tasks is missing", missing, len(e.gang.members)))
+		return
+	}
+	if err := d.prepare(ctx, e); err != nil {
+		d.cancelGang(ctx, id, reservations)
+		d.endGang(e.gang, err.Error())
+		return
+	}
+	d.commitGang(ctx, e, id, reservations)
+}
+
+func (d *Dispatcher) reserveGang(ctx context.Context, e *entry, id string) ([]held, int) {
+	missing := len(e.gang.members)
+	var reservations []held
+	for _, m := range d.gangOrder() {
+		if missing == 0 {
+			break
+		}
+		r := wire.GangReserve{
+			Sender: d.sender(), Gang: id, Team: e.work.Task.Team, Demand: e.work.Task.Demand, Tasks: missing,
+			Expiry: backend.ToMillis(d.config.GangExpiry), Avoid: e.avoid,
+		}
+		reply, err := d.callReserve(ctx, m.ID, r)
+		if err != nil || reply.Held > 0 {
+			// After a lost reply the member may hold room, so it is part of a cancellation.
+			reservations = append(reservations, held{m.ID, reply.Held})
+		}
+		missing -= reply.Held
+	}
+	return reservations, missing
+}
+
+// gangOrder returns the active members in id order, those of the own region first, so that payloads stay inside.
+func (d *Dispatcher) gangOrder() []member.Member {
+	region := d.config.Self().Region
+	members := d.config.View().Filter(member.Active)
+	slices.SortStableFunc(members, func(a, b member.Member) int {
+		switch {
+		case a.Region == region && b.Region != region:
+			return -1
+		case a.Region != region && b.Region == region:
+			return 1
+		}
+		return 0
+	})
+	return members
+}
+
+func (d *Dispatcher) callReserve(ctx context.Context, to ident.MemberID, r wire.GangReserve) (wire.GangReserveReply, error) {
+	if to == d.config.Self().ID {
+		return d.HandleGangReserve(ctx, r)
+	}
+	call, cancel := context.WithTimeout(ctx, gangCallTimeout)
+	defer cancel()
+	return d.config.Peers.GangReserve(call, to, r)
+}
+
+func (d *Dispatcher) cancelGang(ctx context.Context, id string, reservations []held) {
+	for _, h := range reservations {
+		c := wire.GangCancel{Sender: d.sender(), Gang: id}
+		if h.member == d.config.Self().ID {
+			_, _ = d.HandleGangCancel(ctx, c)
+			continue
+		}
+		call, cancel := context.WithTimeout(ctx, gangCallTimeout)
+		if _, err := d.config.Peers.GangCancel(call, h.member, c); err != nil {
+			d.config.Log.V(1).Info("cancel of a gang reservation failed, it expires", "gang", id, "member", h.member)
+		}
+		cancel()
+	}
+}
+
+// regroup queues the whole gang again after a backoff.
+func (d *Dispatcher) regroup(e *entry, reason string) {
+	for _, k := range e.gang.members {
+		d.with(k, func(m *entry) { m.phase = waiting })
+	}
+	d.record(e, "waits", reason)
+	pause := d.config.Backoff.Delay(1)
+	d.spawn(func(ctx context.Context) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+		if reason := d.gangCancelled(e.gang); reason != "" {
+			d.endGang(e.gang, reason)
+			return
+		}
+		for _, k := range e.gang.members {
+			d.with(k, func(m *entry) { m.phase = queued })
+		}
+		d.requeue(e, "waits", "asks for room again")
+	})
+}
+
+func (d *Dispatcher) gangCancelled(g *gang) string {
+	reason := ""
+	for _, k := range g.members {
+		d.with(k, func(m *entry) {
+			if m.cancelled != "" {
+				reason = m.cancelled
+			}
+		})
+	}
+	return reason
+}
+
+// commitGang starts the tasks where their room is held.
+func (d *Dispatcher) commitGang(ctx context.Context, e *entry, id string, reservations []held) {
+	g := e.gang
+	g.mu.Lock()
+	g.open, g.failure, g.results = len(g.members), "", nil
+	g.round++
+	g.mu.Unlock()
+	next := 0
+	for _, h := range reservations {
+		keys := g.members[next : next+h.tasks]
+		next += h.tasks
+		tasks := make([]backend.Task, len(keys))
+		for i, k := range keys {
+			attempt := d.newAttempt(k)
+			d.with(k, func(m *entry) {
+				m.attempt, m.phase, m.member = attempt, placing, h.member
+				tasks[i] = m.work.Task
+				tasks[i].Attempt, tasks[i].Origin = attempt, d.config.Self().ID
+			})
+		}
+		if len(tasks) > 0 {
+			d.commitPart(ctx, g, id, h.member, keys, tasks)
+		}
+	}
+}
+
+func (d *Dispatcher) commitPart(ctx context.Context, g *gang, id string, to ident.MemberID, keys []Key, tasks []backend.Task) {
+	c := wire.GangCommit{Sender: d.sender(), Gang: id, Tasks: tasks}
+	var reply wire.GangCommitReply
+	var err error
+	if to == d.config.Self().ID {
+		reply, err = d.HandleGangCommit(ctx, c)
+	} else {
+		reply, err = d.config.Peers.GangCommit(ctx, to, c)
+	}
+	for i, k := range keys {
+		var m *entry
+		if !d.with(k, func(found *entry) { m = found }) {
+			continue
+		}
+		switch {
+		case err != nil && !d.config.Peers.NotDelivered(err):
+			d.lose(m, tasks[i].Attempt, fmt.Sprintf("the reply of daemon %s was lost: %v", to, err))
+		case err != nil || !reply.Taken || i >= len(reply.Hosts) || reply.Hosts[i] == "":
+			d.gangResult(m, "", backend.Result{
+				Attempt: tasks[i].Attempt, Job: k.Job, Index: k.Index, Exit: backend.ExitStopped,
+				Message: fmt.Sprintf("daemon %s did not start the task: %s", to, reply.Reason),
+			}, func() {})
+		default:
+			d.started(m, tasks[i].Attempt, reply.Hosts[i], to)
+		}
+	}
+	g.mu.Lock()
+	failed := g.failure
+	g.mu.Unlock()
+	if failed != "" {
+		d.stopGang(g)
+	}
+}
+
+// gangResult takes the end of one task. When one fails, the others are stopped, and the job starts again as a whole.
+func (d *Dispatcher) gangResult(e *entry, host ident.HostID, r backend.Result, keep func()) {
+	g := e.gang
+	g.mu.Lock()
+	g.open--
+	g.results = append(g.results, gangDone{e.key, host, r, keep})
+	first := false
+	if r.Exit != backend.ExitSucceeded && g.failure == "" {
+		g.failure, first = fmt.Sprintf("task %d ended as %s: %s", e.key.Index, r.Exit, r.Message), true
+	}
+	done, failure, results := g.open == 0, g.failure, g.results
+	g.mu.Unlock()
+	if first {
+		d.stopGang(g)
+	}
+	if done {
+		d.endRound(e, failure, results)
+	}
+}
+
+func (d *Dispatcher) stopGang(g *gang) {
+	for _, k := range g.members {
+		d.with(k, func(m *entry) {
+			if m.phase == running || m.phase == uncertain {
+				d.spawn(func(ctx context.Context) { d.stopAttempt(ctx, m) })
+			}
+		})
+	}
+}
+
+// endRound finishes the job, or starts it again when a task failed and attempts are left.
+func (d *Dispatcher) endRound(e *entry, failure string, results []gangDone) {
+	g := e.gang
+	if failure != "" && d.mayRegroup(e, results) {
+		for _, r := range results {
+			r.keep()
+		}
+		leader := e
+		d.with(g.leader, func(m *entry) { leader = m })
+		d.regroup(leader, failure)
+		return
+	}
+	for _, r := range results {
+		var m *entry
+		if !d.with(r.key, func(found *entry) { m, found.phase = found, finished }) {
+			continue
+		}
+		f := d.final(m, r.host, r.result, failure)
+		if failure != "" && f.Outcome == api.Answered {
+			f.Outcome = api.Failed
+		}
+		d.finish(m, f, r.keep)
+	}
+}
+
+func (d *Dispatcher) mayRegroup(e *entry, results []gangDone) bool {
+	if d.gangCancelled(e.gang) != "" || e.work.Task.NonIdempotent {
+		return false
+	}
+	failed := slices.ContainsFunc(results, func(r gangDone) bool { return r.result.Exit == backend.ExitFailed })
+	if !failed {
+		return true // Lost room, a lapsed lease or preemption doesn't use up attempts.
+	}
+	e.gang.mu.Lock()
+	rounds := e.gang.round
+	e.gang.mu.Unlock()
+	return d.config.Budget.Retry(rounds, e.work.Retries) == nil
+}
+
+// endGang ends a gang whose tasks don't run.
+func (d *Dispatcher) endGang(g *gang, reason string) {
+	for _, k := range g.members {
+		var m *entry
+		var f *Final
+		d.with(k, func(found *entry) { m, found.phase, f = found, finished, found.notStarted(reason) })
+		if m != nil {
+			d.finish(m, *f, func() {})
+		}
+	}
+}
+
+// gangTable holds the reservations that this daemon's backend servers keep for gangs.
+type gangTable struct {
+	mu    sync.Mutex
+	holds map[string]gangHold
+}
+
+type gangHold struct {
+	team   ident.TeamID
+	demand resource.Vector
+	tasks  int
+	until  time.Time
+}
+
+func newGangTable() *gangTable { return &gangTable{holds: map[string]gangHold{}} }
+
+func (t *gangTable) take(id string) (gangHold, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h, ok := t.holds[id]
+	delete(t.holds, id)
+	return h, ok
+}
+
+func (t *gangTable) expire(now time.Time, release func(id string, h gangHold)) {
+	t.mu.Lock()
+	var expired []string
+	for id, h := range t.holds {
+		if now.After(h.until) {
+			expired = append(expired, id)
+		}
+	}
+	t.mu.Unlock()
+	for _, id := range expired {
+		if h, ok := t.take(id); ok {
+			release(id, h)
+		}
+	}
+}
+
+func (d *Dispatcher) releaseGang(id string, h gangHold) {
+	d.config.Pool.Cancel(id)
+	d.config.Limits.Release(h.team, h.tasks)
+	d.Wake()
+}
+
+func gangRequest(r wire.GangReserve) placement.Request {
+	return placement.Request{Team: r.Team, Kind: api.KindAllAtOnce, Demand: r.Demand, Avoid: r.Avoid}
+}
--- /dev/null
+++ b/internal/dispatch/preempt.go
@@ -0,0 +1,68 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/backend"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/placement"
+)
+
+// preemptPause is how long an urgent task waits for the room of its victims before it asks for more.
+const preemptPause = 500 * time.Millisecond
+
+// preempt frees room for an urgent task by checkpointing, throttling or stopping lower work.
+func (d *Dispatcher) preempt(e *entry) {
+	now := d.config.Now()
+	due := false
+	d.with(e.key, func(e *entry) {
+		if now.Sub(e.started) >= preemptPause {
+			e.started, due = now, true
+		}
+	})
+	if !due {
+		return
+	}
+	victims, err := d.config.Pool.Victims(e.request())
+	if err != nil || len(victims) == 0 {
+		return
+	}
+	d.record(e, "waits", fmt.Sprintf("%d lower tasks on %s give way", len(victims), victims[0].Host))
+	for _, v := range victims {
+		d.spawn(func(ctx context.Context) { d.displace(ctx, v) })
+	}
+}
+
+// displace takes the room of one victim; its origin queues it again.
+func (d *Dispatcher) displace(ctx context.Context, v placement.Victim) {
+	d.counts.preemptions.Inc()
+	err := d.act(ctx, v)
+	if errors.Is(err, backend.ErrUnsupported) {
+		// The next choice of victims takes another action for this task.
+		d.config.Pool.Refused(v.Host, v.Attempt, v.Action)
+		d.Wake()
+		return
+	}
+	if err != nil {
+		d.config.Log.Info("preemption failed", "attempt", v.Attempt, "host", v.Host, "error", err.Error())
+	}
+}
+
+func (d *Dispatcher) act(ctx context.Context, v placement.Victim) error {
+	switch v.Action {
+	case placement.ActionCheckpoint:
+		return d.config.Servers.Checkpoint(ctx, v.Host, v.Attempt)
+	case placement.ActionThrottle:
+		err := d.config.Servers.Throttle(ctx, v.Host, v.Attempt, v.Percent)
+		if err == nil {
+			d.config.Pool.Throttled(v.Host, v.Attempt, v.Percent)
+			d.Wake()
+		}
+		return err
+	default:
+		_, err := d.config.Servers.Stop(ctx, v.Host, v.Attempt)
+		return err
+	}
+}
--- /dev/null
+++ b/internal/dispatch/results.go
@@ -0,0 +1,223 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/backend"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/ownership"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/peer/wire"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/platform"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+const (
+	// answerRetryPause is the pause before an undelivered result is pushed to its origin again.
+	answerRetryPause = 500 * time.Millisecond
+	// answerTimeout bounds one push; a durable origin confirms only after its store write.
+	answerTimeout = 10 * time.Second
+)
+
+// Attached takes the inventory of a backend server that this daemon has come to own.
+func (d *Dispatcher) Attached(host platform.Host, inventory backend.Inventory) {
+	d.config.Pool.Attach(host, inventory)
+	self := d.config.Self().ID
+	for _, r := range inventory.Running {
+		d.config.Limits.Arrive(host, r.Team, 1)
+		d.with(Key{r.Job, r.Index}, func(e *entry) {
+			if e.attempt == r.Attempt && (e.phase == running || e.phase == uncertain) {
+				e.phase, e.host, e.member, e.lost = running, host.ID, self, 0
+			}
+		})
+	}
+	d.Wake()
+}
+
+// Detached forgets a backend server. After a lapse its attempts have certainly stopped, and their origins are told.
+func (d *Dispatcher) Detached(host ident.HostID, reason ownership.DetachReason) {
+	if reason != ownership.Lapsed {
+		d.orphans.dropHost(host)
+	}
+	for _, p := range d.config.Pool.Detach(host) {
+		if reason != ownership.Lapsed {
+			d.config.Limits.Depart(host, p.Task.Team, 1)
+			continue
+		}
+		d.config.Limits.Release(p.Task.Team, 1)
+		d.deliver(host, backend.Result{
+			Attempt: p.Task.Attempt, Job: p.Task.Job, Index: p.Task.Index, Team: p.Task.Team, Queue: p.Task.Queue,
+			Request: p.Task.Request, Origin: p.Task.Origin, Exit: backend.ExitLeaseLapsed,
+			Message: "the lease of the backend server lapsed",
+		})
+	}
+}
+
+// Finished takes the result of an attempt from an own backend server.
+func (d *Dispatcher) Finished(host ident.HostID, r backend.Result) {
+	if p, ok := d.config.Pool.Find(r.Attempt); ok {
+		r.Origin = p.Task.Origin // The origin may have changed since the start; see HandleQuery.
+	}
+	d.freed(host, r.Attempt, r.Team)
+	switch r.Exit {
+	case backend.ExitSucceeded:
+		d.config.Blame.Success(host, r.Job)
+	case backend.ExitFailed:
+		d.config.Blame.Failure(host, r.Job)
+	}
+	if !r.Whole() {
+		d.counts.damaged.Inc()
+		d.config.Log.Info("result has another length or checksum than announced", "attempt", r.Attempt, "host", host)
+		return // Not acknowledged, so the backend server sends it again.
+	}
+	d.deliver(host, r)
+}
+
+// deliver brings a result to its origin and acknowledges it once the origin keeps it.
+func (d *Dispatcher) deliver(host ident.HostID, r backend.Result) {
+	if d.orphans.seen(r.Attempt) {
+		return
+	}
+	acknowledge := func() {
+		d.orphans.remove(r.Attempt)
+		d.config.Servers.Acknowledge(host, r.Attempt)
+	}
+	d.orphans.add(host, r, d.config.Now())
+	if r.Origin == d.config.Self().ID {
+		d.complete(host, r, acknowledge)
+		return
+	}
+	d.spawn(func(ctx context.Context) { d.pushAnswer(ctx, host, r, acknowledge) })
+}
+
+// pushAnswer repeats the push until the origin keeps the result, doesn't know it, or has left the view.
+func (d *Dispatcher) pushAnswer(ctx context.Context, host ident.HostID, r backend.Result, acknowledge func()) {
+	for {
+		if _, ok := d.config.View().Find(r.Origin); !ok {
+			return // The result waits as an orphan for a resubmission or an adopting origin.
+		}
+		call, cancel := context.WithTimeout(ctx, answerTimeout)
+		reply, err := d.config.Peers.Answer(call, r.Origin, wire.AnswerPush{Sender: d.sender(), Host: host, Result: r})
+		cancel()
+		if err == nil {
+			if reply.Kept {
+				acknowledge()
+			}
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(answerRetryPause):
+		}
+	}
+}
+
+// HandleAnswer takes a result that a peer collected for this origin, and confirms once it is safe.
+func (d *Dispatcher) HandleAnswer(ctx context.Context, a wire.AnswerPush) (wire.AnswerReply, error) {
+	if !a.Result.Whole() {
+		d.counts.damaged.Inc()
+		return wire.AnswerReply{}, fmt.Errorf("result of attempt %s has another length or checksum than announced", a.Result.Attempt)
+	}
+	kept := make(chan struct{})
+	if !d.complete(a.Host, a.Result, func() { close(kept) }) {
+		return wire.AnswerReply{}, nil
+	}
+	select {
+	case <-kept:
+		return wire.AnswerReply{Kept: true}, nil
+	case <-ctx.Done():
+		return wire.AnswerReply{}, fmt.Errorf("keep result of attempt %s: %w", a.Result.Attempt, ctx.Err())
+	}
+}
+
+// complete matches a result with the task that waits for it. A result of another attempt is dropped,
+// so that a late answer never reaches the wrong caller. It returns false when the origin doesn't know the task.
+func (d *Dispatcher) complete(host ident.HostID, r backend.Result, keep func()) bool {
+	var e *entry
+	current := false
+	d.with(Key{r.Job, r.Index}, func(found *entry) {
+		e = found
+		current = e.attempt == r.Attempt && e.work.Task.Team == r.Team && e.phase != finished
+		if current {
+			e.mayHave, e.host = true, host
+			if e.phase == placing || e.phase == uncertain {
+				e.attempts++ // The result came before the confirmation of the start.
+			}
+			e.phase = waiting
+		}
+	})
+	if e == nil {
+		return false
+	}
+	if !current {
+		d.counts.dropped.Inc()
+		keep()
+		return true
+	}
+	d.settleResult(e, host, r, keep)
+	return true
+}
+
+// settleResult decides whether a finished attempt ends its task or is followed by another attempt.
+func (d *Dispatcher) settleResult(e *entry, host ident.HostID, r backend.Result, keep func()) {
+	if e.gang != nil {
+		d.gangResult(e, host, r, keep)
+		return
+	}
+	restart, reason := d.next(e, r)
+	if restart {
+		if r.Exit == backend.ExitFailed {
+			d.with(e.key, func(e *entry) { e.avoidHost(host) })
+		}
+		keep()
+		d.retryLater(e, reason)
+		return
+	}
+	d.with(e.key, func(e *entry) { e.phase = finished })
+	d.finish(e, d.final(e, host, r, reason), keep)
+}
+
+// next says whether another attempt follows a result, and why.
+func (d *Dispatcher) next(e *entry, r backend.Result) (bool, string) {
+	if e.cancelled != "" {
+		return false, e.cancelled
+	}
+	service := e.work.Kind == api.KindService
+	switch r.Exit {
+	case backend.ExitSucceeded:
+		return service, "service ended and is restarted"
+	case backend.ExitCheckpointed, backend.ExitStopped:
+		if e.work.Task.NonIdempotent {
+			return false, "stopped; non-idempotent work isn't retried"
+		}
+		d.with(e.key, func(e *entry) { e.attempts-- })
+		return true, "gave way to urgent work"
+	case backend.ExitLeaseLapsed:
+		if e.work.Task.NonIdempotent {
+			return false, r.Message
+		}
+		return true, r.Message
+	default:
+		ok, why := d.mayRetry(e)
+		if ok {
+			return true, fmt.Sprintf("attempt failed: %s", r.Message)
+		}
+		return false, fmt.Sprintf("attempt failed: %s; %s", r.Message, why)
+	}
+}
+
+func (d *Dispatcher) final(e *entry, host ident.HostID, r backend.Result, reason string) Final {
+	f := Final{
+		Result: r, Host: host, Attempt: r.Attempt, Attempts: e.attempts, Reason: reason,
+		Waited: max(0, e.started.Sub(e.submitted)), Outcome: api.Failed,
+	}
+	switch r.Exit {
+	case backend.ExitSucceeded:
+		f.Outcome, f.Reason = api.Answered, ""
+	case backend.ExitLeaseLapsed:
+		f.Outcome = api.Unknown
+	}
+	return f
+}
--- /dev/null
+++ b/internal/dispatch/submit.go
@@ -0,0 +1,241 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/backend"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/peer/wire"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/queue"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+// stopTimeout bounds the stop of an attempt whose caller no longer waits.
+const stopTimeout = 2 * time.Second
+
+// ErrDuplicate reports that the task is already on its way.
+var ErrDuplicate = errors.New("task is already on its way")
+
+// ErrImpossible reports that no host could run the task, even when empty.
+var ErrImpossible = errors.New("no host could run the task")
+
+// Submit queues a task. An error means that it was not taken and won't run.
+func (d *Dispatcher) Submit(w Work) error {
+	if ok, reason := d.CouldFit(w); !ok {
+		return fmt.Errorf("%w: %s", ErrImpossible, reason)
+	}
+	e := &entry{key: w.key(), work: w, phase: queued, submitted: d.config.Now()}
+	e.attempt = d.newAttempt(e.key)
+	if err := d.insert(e); err != nil {
+		return err
+	}
+	if err := d.queue.Push(d.item(e)); err != nil {
+		d.remove(e.key)
+		return fmt.Errorf("queue task %s: %w", e.key, err)
+	}
+	d.Wake()
+	return nil
+}
+
+// CouldFit reports whether any known host could run the task when empty. While peers are unheard, it says yes.
+func (d *Dispatcher) CouldFit(w Work) (bool, string) {
+	ok, reason := d.config.Pool.CouldFit(w.Task.Demand)
+	if ok || d.config.Fleet.CouldFit(w.Task.Demand) || !d.config.Fleet.Heard() {
+		return true, ""
+	}
+	if _, complete := d.config.Servers.Complete(); !complete {
+		return true, ""
+	}
+	return false, reason
+}
+
+func (d *Dispatcher) insert(e *entry) error {
+	e.work.Task.Origin = d.config.Self().ID
+	s := d.shard(e.key.Job)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.entries[e.key]; ok {
+		return fmt.Errorf("task %s: %w", e.key, ErrDuplicate)
+	}
+	s.entries[e.key] = e
+	return nil
+}
+
+func (d *Dispatcher) remove(k Key) {
+	s := d.shard(k.Job)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.entries, k)
+}
+
+func (d *Dispatcher) item(e *entry) queue.Item[*entry] {
+	t := e.work.Task
+	demand := t.Demand
+	if e.gang != nil {
+		demand = demand.Times(int64(len(e.gang.members)))
+	}
+	return queue.Item[*entry]{
+		Key: e.key.String(), Team: t.Team, Queue: t.Queue, Kind: e.work.Kind, Demand: demand,
+		Priority: t.Priority, Urgent: e.work.Urgent, Enqueued: e.submitted, Deadline: e.work.Deadline, Value: e,
+	}
+}
+
+// requeue puts a task that certainly doesn't run back into the queue with a new attempt id.
+func (d *Dispatcher) requeue(e *entry, what, reason string) {
+	var final *Final
+	known := d.with(e.key, func(e *entry) {
+		e.attempt = d.newAttempt(e.key)
+		e.host, e.member = "", ""
+		e.phase = queued
+		if e.cancelled != "" || e.expired(d.config.Now()) {
+			e.phase = finished
+			final = e.notStarted(e.reasonToStop())
+		}
+	})
+	if !known {
+		return
+	}
+	if final != nil {
+		d.finish(e, *final, func() {})
+		return
+	}
+	d.record(e, what, reason)
+	if err := d.queue.Restore(d.item(e)); err != nil {
+		d.finish(e, *e.notStarted(err.Error()), func() {})
+		return
+	}
+	d.Wake()
+}
+
+func (e *entry) expired(now time.Time) bool {
+	return !e.work.Deadline.IsZero() && !now.Before(e.work.Deadline)
+}
+
+func (e *entry) reasonToStop() string {
+	if e.cancelled != "" {
+		return e.cancelled
+	}
+	return "deadline passed"
+}
+
+// notStarted is the end of a task whose last attempt certainly did not run; earlier ones may have.
+func (e *entry) notStarted(reason string) *Final {
+	outcome := api.NotRun
+	if e.mayHave {
+		outcome = api.Failed
+	}
+	return &Final{Outcome: outcome, Attempts: e.attempts, Reason: reason}
+}
+
+// finish removes the task and reports its end; keep is called once the result is safe.
+func (d *Dispatcher) finish(e *entry, f Final, keep func()) {
+	what := "finished"
+	if f.Outcome == api.NotRun {
+		what = "refused"
+	}
+	reason := f.Reason
+	if reason == "" {
+		reason = string(f.Outcome)
+	}
+	d.record(e, what, reason)
+	d.remove(e.key)
+	d.counts.outcome(e.work.Kind, f.Outcome)
+	e.work.Done(f, keep)
+}
+
+// Cancel ends a task: a queued one at once, a running one by stopping it. It returns false for unknown tasks.
+func (d *Dispatcher) Cancel(k Key, reason string) bool {
+	var stop, done *entry
+	var whole *gang
+	known := d.with(k, func(e *entry) {
+		if e.phase == finished {
+			return
+		}
+		e.cancelled = reason
+		if e.gang != nil && (e.phase == queued || e.phase == waiting) {
+			whole = e.gang // A waiting gang ends when its pause is over; see regroup.
+			return
+		}
+		switch e.phase {
+		case queued:
+			if d.queue.Remove(k.String()) {
+				e.phase = finished
+				done = e
+			}
+		case waiting:
+			e.phase = finished
+			done = e
+		case running, uncertain:
+			stop = e
+		}
+	})
+	if whole != nil && d.queue.Remove(whole.leader.String()) {
+		d.endGang(whole, reason)
+	}
+	if done != nil {
+		d.finish(done, *done.notStarted(reason), func() {})
+	}
+	if stop != nil {
+		d.spawn(func(ctx context.Context) { d.stopAttempt(ctx, stop) })
+	}
+	return known
+}
+
+// Abandon is called when the caller stops waiting. It returns the outcome that is true then.
+func (d *Dispatcher) Abandon(ctx context.Context, k Key, reason string) api.Outcome {
+	outcome := api.Unknown
+	var e *entry
+	var done, stop bool
+	known := d.with(k, func(found *entry) {
+		e = found
+		switch {
+		case e.phase == queued && d.queue.Remove(k.String()), e.phase == waiting:
+			e.phase, done = finished, true
+		case e.phase == finished:
+		default:
+			e.cancelled, e.abandoned, stop = reason, true, e.phase != placing
+		}
+	})
+	if !known {
+		return outcome
+	}
+	if done {
+		f := e.notStarted(reason)
+		d.finish(e, *f, func() {})
+		return f.Outcome
+	}
+	if stop {
+		sctx, cancel := context.WithTimeout(ctx, stopTimeout)
+		defer cancel()
+		if d.stopAttempt(sctx, e) == backend.StopNeverStarted && !e.mayHave {
+			outcome = api.NotRun
+		}
+	}
+	return outcome
+}
+
+// stopAttempt asks the owner of the attempt's server to stop it and returns what the stop found.
+func (d *Dispatcher) stopAttempt(ctx context.Context, e *entry) backend.StopState {
+	var attempt ident.AttemptID
+	var host ident.HostID
+	var to ident.MemberID
+	d.with(e.key, func(e *entry) { attempt, host, to = e.attempt, e.host, e.member })
+	if host == "" && to == "" {
+		return ""
+	}
+	if to == d.config.Self().ID {
+		state, err := d.config.Servers.Stop(ctx, host, attempt)
+		if err != nil {
+			d.config.Log.V(1).Info("stop of an attempt failed", "attempt", attempt, "host", host, "error", err.Error())
+		}
+		return state
+	}
+	reply, err := d.config.Peers.Cancel(ctx, to, wire.Cancel{Sender: d.sender(), Attempt: attempt, Host: host})
+	if err != nil {
+		d.config.Log.V(1).Info("cancel at the peer failed", "attempt", attempt, "member", to, "error", err.Error())
+	}
+	return reply.State
+}
--- /dev/null
+++ b/internal/fleet/push.go
@@ -0,0 +1,138 @@
+package fleet
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/member"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/peer/wire"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+// Run sends summaries to the peers until the context ends.
+func (f *Fleet) Run(ctx context.Context) error {
+	tick := time.NewTicker(f.config.RegionInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			f.PushAll(ctx)
+		}
+	}
+}
+
+// PushAll sends a summary to every peer that is due, and waits for the replies.
+func (f *Fleet) PushAll(ctx context.Context) {
+	self, now := f.config.Self(), f.config.Now()
+	usage, rooms := f.config.TeamUsage(), f.config.Rooms()
+	var wg sync.WaitGroup
+	for _, m := range f.config.View().Filter(member.Active, member.Draining, member.Unreachable) {
+		if m.ID == self.ID {
+			continue
+		}
+		s, due := f.prepare(m, self, now, usage, rooms)
+		if !due {
+			continue
+		}
+		wg.Go(func() { f.push(ctx, m.ID, s, usage, rooms) })
+	}
+	wg.Wait()
+}
+
+// prepare returns what changed since the last summary that the peer confirmed.
+func (f *Fleet) prepare(m, self member.Member, now time.Time, usage []wire.TeamUsage, rooms []wire.Room) (wire.Summary, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	state, ok := f.sent[m.ID]
+	if !ok {
+		state = &sentState{teams: map[ident.TeamID]wire.TeamUsage{}, full: true}
+		f.sent[m.ID] = state
+	}
+	if now.Before(state.next) {
+		return wire.Summary{}, false
+	}
+	if m.Region != self.Region {
+		state.next = now.Add(f.config.RemoteInterval)
+	}
+	s := wire.Summary{
+		Sender: wire.Sender{Member: self.ID, Incarnation: self.Incarnation, Epoch: f.config.View().Epoch},
+		Full:   state.full || state.count%fullEvery == 0, Backlog: f.config.Backlog(), Version: f.config.Version(),
+	}
+	state.count++
+	s.Teams = changes(state.teams, usage, s.Full)
+	if s.Full || !slices.Equal(rooms, state.rooms) {
+		s.Rooms = rooms
+	}
+	return s, true
+}
+
+// changes lists the teams whose usage differs from what was sent; a team that has ended is sent as zero.
+func changes(sent map[ident.TeamID]wire.TeamUsage, usage []wire.TeamUsage, full bool) []wire.TeamUsage {
+	if full {
+		return usage
+	}
+	var changed []wire.TeamUsage
+	seen := make(map[ident.TeamID]bool, len(usage))
+	for _, u := range usage {
+		seen[u.Team] = true
+		if sent[u.Team] != u {
+			changed = append(changed, u)
+		}
+	}
+	for t := range sent {
+		if !seen[t] {
+			changed = append(changed, wire.TeamUsage{Team: t})
+		}
+	}
+	return changed
+}
+
+func (f *Fleet) push(ctx context.Context, to ident.MemberID, s wire.Summary, usage []wire.TeamUsage, rooms []wire.Room) {
+	reply, err := f.config.Push(ctx, to, s)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	state, ok := f.sent[to]
+	if !ok {
+		return
+	}
+	// After a lost reply it isn't known whether the delta was applied, so the next summary is a full one.
+	state.full = err != nil || reply.WantFull
+	if state.full {
+		return
+	}
+	clear(state.teams)
+	for _, u := range usage {
+		state.teams[u.Team] = u
+	}
+	state.rooms = rooms
+}
+
+// Load is the last known load of one peer, for the state dump.
+type Load struct {
+	Member  ident.MemberID `json:"member"`
+	Rooms   []wire.Room    `json:"rooms"`
+	Teams   int            `json:"teams"`
+	Backlog int            `json:"backlog"`
+	Version ident.Version  `json:"version"`
+	Age     string         `json:"age"`
+}
+
+// Dump returns the load of every peer.
+func (f *Fleet) Dump() []Load {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	var loads []Load
+	for id, p := range f.peers {
+		loads = append(loads, Load{
+			Member: id, Rooms: p.rooms, Teams: len(p.teams), Backlog: p.backlog, Version: p.version,
+			Age: f.config.Now().Sub(p.heard).Round(time.Millisecond).String(),
+		})
+	}
+	slices.SortFunc(loads, func(a, b Load) int { return cmp.Compare(a.Member, b.Member) })
+	return loads
+}
--- /dev/null
+++ b/internal/job/job.go
@@ -0,0 +1,214 @@
+// Package job keeps durable jobs: it records them in the store in batches before they are acknowledged,
+// follows their tasks, and takes over the batches of dead members.
+package job
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/dispatch"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/member"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/platform"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+// Defaults of the job table.
+const (
+	// DefaultFlushInterval bounds the store writes: one member writes at most ten batches a second plus changes.
+	DefaultFlushInterval = 100 * time.Millisecond
+	// DefaultRetention is how long a finished job can be read.
+	DefaultRetention = time.Hour
+	// DefaultScanInterval is how often one member looks for batches without a live owner.
+	DefaultScanInterval = time.Minute
+	// maxBatchBytes keeps a batch well below the store's value limit while results are added.
+	maxBatchBytes = platform.MaxValueBytes / 2
+	// maxBatchJobs bounds the jobs of a batch, so that a change of one rewrites little else.
+	maxBatchJobs = 64
+	// maxInlineBytes is the largest result that is kept in the batch record; larger ones get a key of their own.
+	maxInlineBytes = 512
+	// taskOverhead is the estimated size of a task's state in the record.
+	taskOverhead = 256
+)
+
+// ErrNotRecorded reports that the job was not written before the deadline; it won't run.
+var ErrNotRecorded = errors.New("job was not recorded before the deadline")
+
+// ErrUnknownOutcome reports that the job may or may not have been recorded; its id can be asked later.
+var ErrUnknownOutcome = errors.New("outcome of the job record is unknown")
+
+// ErrNotFound reports that no such job exists.
+var ErrNotFound = errors.New("job not found")
+
+// Dispatcher runs the tasks of jobs.
+type Dispatcher struct {
+	Submit      func(dispatch.Work) error
+	SubmitGang  func([]dispatch.Work) error
+	Resume      func(dispatch.Work, dispatch.Adopted) error
+	Cancel      func(k dispatch.Key, reason string) bool
+	AdoptOrigin func(ctx context.Context, origin ident.MemberID, jobs []ident.JobID) ([]dispatch.Adopted, bool)
+	CouldFit    func(dispatch.Work) (bool, string)
+	Forget      func(k dispatch.Key)
+}
+
+// Config holds the dependencies of a Table.
+type Config struct {
+	Store         platform.Store
+	Self          func() member.Member
+	View          func() member.View
+	Dispatcher    Dispatcher
+	FlushInterval time.Duration
+	Retention     time.Duration
+	ScanInterval  time.Duration
+	Now           func() time.Time
+	Log           logr.Logger
+}
+
+// Table holds the jobs that this member owns.
+type Table struct {
+	config Config
+
+	mu      sync.Mutex
+	batches map[string]*batch
+	jobs    map[ident.JobID]*batch
+	pending []*submission
+	dirty   map[string]*batch
+	changed chan struct{} // closed and replaced at every change of a job
+	wake    chan struct{}
+	base    context.Context
+	stop    context.CancelFunc
+	wg      sync.WaitGroup
+}
+
+// batch is a record in the store and what waits for its next write.
+type batch struct {
+	key       string
+	revision  platform.Revision
+	record    record
+	written   []func() // called after the next successful write
+	recovered bool     // the record came from a dead owner
+}
+
+// submission is a new job that waits for its record.
+type submission struct {
+	job  *jobRecord
+	done chan error
+	// taken is set under the table's lock when the job goes into a batch that is being written.
+	taken bool
+}
+
+// New returns an empty table.
+func New(c Config) (*Table, error) {
+	if c.Store == nil || c.Self == nil || c.View == nil || c.Dispatcher.Submit == nil || c.Dispatcher.AdoptOrigin == nil {
+		return nil, errors.New("job: Store, Self, View and Dispatcher must be set")
+	}
+	if c.FlushInterval <= 0 {
+		c.FlushInterval = DefaultFlushInterval
+	}
+	if c.Retention <= 0 {
+		c.Retention = DefaultRetention
+	}
+	if c.ScanInterval <= 0 {
+		c.ScanInterval = DefaultScanInterval
+	}
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	base, stop := context.WithCancel(context.Background())
+	return &Table{
+		config: c, batches: map[string]*batch{}, jobs: map[ident.JobID]*batch{}, dirty: map[string]*batch{},
+		changed: make(chan struct{}), wake: make(chan struct{}, 1), base: base, stop: stop,
+	}, nil
+}
+
+// Run writes records and looks for batches of dead members until the context ends.
+func (t *Table) Run(ctx context.Context) error {
+	defer t.wg.Wait()
+	defer t.stop()
+	t.wg.Go(func() { t.scanLoop(ctx) })
+	tick := time.NewTicker(t.config.FlushInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			t.flush(ctx)
+		}
+	}
+}
+
+// Policy is what the queue says about a job when it is submitted.
+type Policy struct {
+	Kind     api.Kind
+	Urgent   bool
+	Priority int
+	Retries  int
+}
+
+// Create records a job and hands its tasks to the dispatcher. It returns after the record is in the store,
+// with ErrNotRecorded when the context ended before, or ErrUnknownOutcome when the write can't be settled.
+func (t *Table) Create(ctx context.Context, spec api.Spec, p Policy) (api.Job, error) {
+	j := newJobRecord(spec, p, t.config.Now())
+	if ok, reason := t.config.Dispatcher.CouldFit(j.work(0, t)); !ok {
+		return api.Job{}, fmt.Errorf("%w: %s", dispatch.ErrImpossible, reason)
+	}
+	if j.size() > maxBatchBytes {
+		return api.Job{}, fmt.Errorf("job record of %d bytes is above the bound of %d", j.size(), maxBatchBytes)
+	}
+	s := &submission{job: j, done: make(chan error, 1)}
+	t.mu.Lock()
+	t.pending = append(t.pending, s)
+	t.mu.Unlock()
+	select {
+	case err := <-s.done:
+		if err != nil {
+			return api.Job{ID: j.ID}, err
+		}
+		return j.view(t.config.Self().ID), nil
+	case <-ctx.Done():
+		return api.Job{ID: j.ID}, t.withdraw(s, ctx.Err())
+	}
+}
+
+// withdraw takes back a submission that isn't in a write yet.
+func (t *Table) withdraw(s *submission, cause error) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s.taken {
+		return fmt.Errorf("%w: %w", ErrUnknownOutcome, cause)
+	}
+	for i, p := range t.pending {
+		if p == s {
+			t.pending = append(t.pending[:i], t.pending[i+1:]...)
+			break
+		}
+	}
+	return fmt.Errorf("%w: %w", ErrNotRecorded, cause)
+}
+
+// Drop forgets every job, because this incarnation was removed and another member takes them over.
+func (t *Table) Drop() {
+	t.mu.Lock()
+	var keys []dispatch.Key
+	for _, b := range t.batches {
+		for _, j := range b.record.Jobs {
+			for i := range j.Tasks {
+				keys = append(keys, dispatch.Key{Job: j.ID, Index: i})
+			}
+		}
+	}
+	clear(t.batches)
+	clear(t.jobs)
+	clear(t.dirty)
+	t.mu.Unlock()
+	for _, k := range keys {
+		t.config.Dispatcher.Forget(k)
+	}
+	t.config.Log.Info("dropped all jobs because the incarnation was removed", "tasks", len(keys))
+}
--- /dev/null
+++ b/internal/job/record.go
@@ -0,0 +1,141 @@
+package job
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/backend"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/dispatch"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+// record is the value of a batch in the store.
+type record struct {
+	Owner       ident.MemberID    `json:"owner"`
+	Incarnation ident.Incarnation `json:"incarnation"`
+	Nonce       string            `json:"nonce"` // differs in every write, to settle unknown outcomes
+	Jobs        []*jobRecord      `json:"jobs"`
+}
+
+type jobRecord struct {
+	ID        ident.JobID  `json:"id"`
+	Spec      api.Spec     `json:"spec"`
+	Policy    Policy       `json:"policy"`
+	Submitted time.Time    `json:"submitted"`
+	Finished  time.Time    `json:"finished,omitzero"`
+	Cancelled string       `json:"cancelled,omitempty"`
+	Tasks     []taskRecord `json:"tasks"`
+}
+
+type taskRecord struct {
+	Phase      api.Phase       `json:"phase"`
+	Outcome    api.Outcome     `json:"outcome,omitempty"`
+	Attempt    ident.AttemptID `json:"attempt,omitempty"`
+	Attempts   int             `json:"attempts,omitempty"`
+	Host       ident.HostID    `json:"host,omitempty"`
+	Payload    []byte          `json:"payload,omitempty"`
+	Stored     bool            `json:"stored,omitempty"`     // the payload has a key of its own
+	Dispatched bool            `json:"dispatched,omitempty"` // a non-idempotent task may have been started
+	Reason     string          `json:"reason,omitempty"`
+}
+
+func newJobRecord(spec api.Spec, p Policy, now time.Time) *jobRecord {
+	spec.Tasks = max(1, spec.Tasks)
+	j := &jobRecord{ID: ident.JobID(ident.Random("job")), Spec: spec, Policy: p, Submitted: now, Tasks: make([]taskRecord, spec.Tasks)}
+	for i := range j.Tasks {
+		j.Tasks[i].Phase = api.Queued
+	}
+	return j
+}
+
+// size estimates the encoded size in bytes; payloads are encoded as base64.
+func (j *jobRecord) size() int {
+	return 512 + len(j.Spec.Payload)*4/3 + len(j.Tasks)*taskOverhead
+}
+
+func (j *jobRecord) phase() api.Phase {
+	queued, running, broken := 0, 0, 0
+	for _, k := range j.Tasks {
+		switch k.Phase {
+		case api.Queued:
+			queued++
+		case api.Running:
+			running++
+		case api.Broken, api.Cancelled:
+			broken++
+		}
+	}
+	switch {
+	case running > 0:
+		return api.Running
+	case queued > 0:
+		return api.Queued
+	case j.Cancelled != "":
+		return api.Cancelled
+	case broken > 0:
+		return api.Broken
+	}
+	return api.Succeeded
+}
+
+// outcome is the outcome of a finished job: the least certain one of its tasks.
+func (j *jobRecord) outcome() api.Outcome {
+	if !j.phase().Done() {
+		return ""
+	}
+	for _, o := range []api.Outcome{api.Unknown, api.Failed, api.NotRun} {
+		if slices.ContainsFunc(j.Tasks, func(k taskRecord) bool { return k.Outcome == o }) {
+			if o == api.NotRun && slices.ContainsFunc(j.Tasks, func(k taskRecord) bool { return k.Outcome == api.Answered }) {
+				return api.Failed
+			}
+			return o
+		}
+	}
+	return api.Answered
+}
+
+func (j *jobRecord) view(owner ident.MemberID) api.Job {
+	v := api.Job{
+		ID: j.ID, Spec: j.Spec, Kind: j.Policy.Kind, Phase: j.phase(), Outcome: j.outcome(),
+		Submitted: j.Submitted, Finished: j.Finished, Owner: owner, Tasks: make([]api.TaskStatus, len(j.Tasks)),
+	}
+	for i, k := range j.Tasks {
+		v.Tasks[i] = api.TaskStatus{
+			Index: i, Phase: k.Phase, Outcome: k.Outcome, Attempt: k.Attempt, Attempts: k.Attempts,
+			Host: k.Host, Payload: k.Payload, Reason: k.Reason,
+		}
+	}
+	return v
+}
+
+// work returns the dispatcher's work for one task.
+func (j *jobRecord) work(index int, t *Table) dispatch.Work {
+	w := dispatch.Work{
+		Task: backend.Task{
+			Job: j.ID, Index: index, Team: j.Spec.Team, Queue: j.Spec.Queue, Request: j.Spec.Request,
+			Demand: j.Spec.Demand, NonIdempotent: j.Spec.NonIdempotent, Priority: j.Policy.Priority + j.Spec.Priority,
+			Payload: j.Spec.Payload, RunTime: backend.Millis(j.Spec.RunTime),
+		},
+		Kind: j.Policy.Kind, Urgent: j.Policy.Urgent, Retries: j.Policy.Retries,
+		Started: func(a ident.AttemptID, h ident.HostID, n int) { t.started(j.ID, index, a, h, n) },
+		Done:    func(f dispatch.Final, keep func()) { t.done(j.ID, index, f, keep) },
+	}
+	if j.Spec.NonIdempotent {
+		w.Prepare = t.markDispatched(j.ID, index)
+	}
+	return w
+}
+
+func (j *jobRecord) unfinished() []int {
+	var left []int
+	for i, k := range j.Tasks {
+		if !k.Phase.Done() {
+			left = append(left, i)
+		}
+	}
+	return left
+}
+
+func resultKey(job ident.JobID, index int) string { return fmt.Sprintf("results/%s/%d", job, index) }
--- /dev/null
+++ b/internal/job/recover.go
@@ -0,0 +1,276 @@
+package job
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/dispatch"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/member"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/platform"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+// adoptPause is the pause before the daemons are asked again where a dead member's tasks run.
+const adoptPause = time.Second
+
+// ViewChanged starts a scan for the batches of members that have left.
+func (t *Table) ViewChanged() {
+	select {
+	case t.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (t *Table) scanLoop(ctx context.Context) {
+	tick := time.NewTicker(t.config.ScanInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.wake:
+		case <-tick.C:
+		}
+		if err := t.scan(ctx); err != nil {
+			t.config.Log.Info("scan for job batches failed", "error", err.Error())
+			// The store may be down for long; the next try comes soon because a dead member's jobs wait for it.
+			if !sleep(ctx, adoptPause) {
+				return
+			}
+			t.ViewChanged()
+		}
+	}
+}
+
+// scan takes over the batches whose owner isn't in the view any more. One member does it, the first active one
+// in id order; compare-and-swap on the batch decides when views differ.
+func (t *Table) scan(ctx context.Context) error {
+	view, self := t.config.View(), t.config.Self()
+	active := view.Filter(member.Active)
+	if len(active) == 0 || active[0].ID != self.ID {
+		return nil
+	}
+	items, err := t.config.Store.List(ctx, prefix)
+	if err != nil {
+		return fmt.Errorf("list job batches: %w", err)
+	}
+	for _, item := range items {
+		var r record
+		if err := json.Unmarshal(item.Value, &r); err != nil {
+			t.config.Log.Error(err, "job batch can't be decoded", "batch", item.Key)
+			continue
+		}
+		if view.Has(r.Owner, r.Incarnation) {
+			continue
+		}
+		if err := t.adopt(ctx, item, r); err != nil && !errors.Is(err, platform.ErrConflict) {
+			return err
+		}
+	}
+	return nil
+}
+
+// adopt makes this member the owner of a dead member's batch and recovers its jobs.
+func (t *Table) adopt(ctx context.Context, item platform.Item, r record) error {
+	dead, self := r.Owner, t.config.Self()
+	r.Owner, r.Incarnation, r.Nonce = self.ID, self.Incarnation, ident.Random("n")
+	value, err := json.Marshal(r)
+	if err != nil {
+		return fmt.Errorf("encode batch %s: %w", item.Key, err)
+	}
+	revision, err := t.write(ctx, item.Key, item.Revision, value, r.Nonce)
+	if err != nil {
+		return fmt.Errorf("adopt batch %s: %w", item.Key, err)
+	}
+	b := &batch{key: item.Key, revision: revision, record: r, recovered: true}
+	t.mu.Lock()
+	t.batches[b.key] = b
+	for _, j := range r.Jobs {
+		t.jobs[j.ID] = b
+	}
+	t.mu.Unlock()
+	t.config.Log.Info("took over a job batch", "batch", b.key, "member", dead, "jobs", len(r.Jobs))
+	t.wg.Go(func() { t.recoverBatch(t.base, b, dead) })
+	return nil
+}
+
+// recoverBatch finds out which tasks still run, resumes those, and starts the others again.
+// Nothing is started before every daemon has answered for all of its backend servers.
+func (t *Table) recoverBatch(ctx context.Context, b *batch, dead ident.MemberID) {
+	t.mu.Lock()
+	var jobs []ident.JobID
+	for _, j := range b.record.Jobs {
+		if len(j.unfinished()) > 0 {
+			jobs = append(jobs, j.ID)
+		}
+	}
+	t.mu.Unlock()
+	if len(jobs) == 0 {
+		return
+	}
+	found := map[dispatch.Key]dispatch.Adopted{}
+	for {
+		attempts, complete := t.config.Dispatcher.AdoptOrigin(ctx, dead, jobs)
+		for _, a := range attempts {
+			found[dispatch.Key{Job: a.Job, Index: a.Index}] = a
+		}
+		if complete {
+			break
+		}
+		if !sleep(ctx, adoptPause) {
+			return
+		}
+	}
+	for _, id := range jobs {
+		t.mu.Lock()
+		j := b.find(id)
+		left := j.unfinished()
+		t.mu.Unlock()
+		t.resume(j, left, found)
+	}
+}
+
+// resume continues one recovered job.
+func (t *Table) resume(j *jobRecord, left []int, found map[dispatch.Key]dispatch.Adopted) {
+	running := slices.DeleteFunc(slices.Clone(left), func(i int) bool {
+		_, ok := found[dispatch.Key{Job: j.ID, Index: i}]
+		return !ok
+	})
+	if j.Policy.Kind == api.KindAllAtOnce && len(running) < len(j.Tasks) {
+		t.restartGang(j, left, running, found)
+		return
+	}
+	for _, i := range left {
+		key, w := dispatch.Key{Job: j.ID, Index: i}, j.work(i, t)
+		a, runs := found[key]
+		switch {
+		case runs:
+			if err := t.config.Dispatcher.Resume(w, a); err != nil {
+				t.config.Log.Info("running task was not resumed", "job", j.ID, "task", i, "error", err.Error())
+				continue
+			}
+			t.started(j.ID, i, a.Attempt, a.Host, 1)
+			if j.Cancelled != "" {
+				t.config.Dispatcher.Cancel(key, j.Cancelled)
+			}
+		case j.Cancelled != "":
+			t.recordEnd(j.ID, i, dispatch.Final{Outcome: api.Failed, Reason: j.Cancelled}, func() {}, nil, false)
+		case j.Spec.NonIdempotent && j.Tasks[i].Dispatched:
+			t.recordEnd(j.ID, i, dispatch.Final{
+				Outcome: api.Unknown, Reason: "the owner died after the task was sent, and no backend server knows its attempt",
+			}, func() {}, nil, false)
+		default:
+			t.offer(func() error { return t.config.Dispatcher.Submit(w) }, []dispatch.Work{w})
+		}
+	}
+}
+
+// restartGang ends what still runs of an all-at-once job and starts it again as a whole.
+func (t *Table) restartGang(j *jobRecord, left, running []int, found map[dispatch.Key]dispatch.Adopted) {
+	if j.Cancelled != "" || j.Spec.NonIdempotent && slices.ContainsFunc(j.Tasks, func(k taskRecord) bool { return k.Dispatched }) {
+		outcome, reason := api.Unknown, "the owner died while the non-idempotent job was starting"
+		if j.Cancelled != "" {
+			outcome, reason = api.Failed, j.Cancelled
+		}
+		for _, i := range left {
+			t.recordEnd(j.ID, i, dispatch.Final{Outcome: outcome, Reason: reason}, func() {}, nil, false)
+		}
+		return
+	}
+	start := func() { t.dispatch(j) }
+	open := len(running)
+	if open == 0 {
+		start()
+		return
+	}
+	ended := make(chan struct{}, open)
+	for _, i := range running {
+		key := dispatch.Key{Job: j.ID, Index: i}
+		w := j.work(i, t)
+		w.Started = nil
+		w.Done = func(_ dispatch.Final, keep func()) { keep(); ended <- struct{}{} }
+		if err := t.config.Dispatcher.Resume(w, found[key]); err != nil {
+			ended <- struct{}{}
+			continue
+		}
+		t.config.Dispatcher.Cancel(key, "the job starts again as a whole after its owner died")
+	}
+	t.wg.Go(func() {
+		for range open {
+			select {
+			case <-ended:
+			case <-t.base.Done():
+				return
+			}
+		}
+		start()
+	})
+}
+
+// List returns the jobs of a team that this member owns, newest first, without payloads.
+func (t *Table) List(team ident.TeamID) []api.Job {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var jobs []api.Job
+	for _, b := range t.batches {
+		for _, j := range b.record.Jobs {
+			if j.Spec.Team == team {
+				v := j.view(b.record.Owner)
+				v.Spec.Payload = nil
+				for i := range v.Tasks {
+					v.Tasks[i].Payload = nil
+				}
+				jobs = append(jobs, v)
+			}
+		}
+	}
+	slices.SortFunc(jobs, func(a, b api.Job) int {
+		return cmp.Or(b.Submitted.Compare(a.Submitted), cmp.Compare(a.ID, b.ID))
+	})
+	return jobs
+}
+
+// Get returns a job that this member owns, with its results.
+func (t *Table) Get(ctx context.Context, id ident.JobID) (api.Job, error) {
+	t.mu.Lock()
+	b, ok := t.jobs[id]
+	if !ok {
+		t.mu.Unlock()
+		return api.Job{}, fmt.Errorf("job %s: %w", id, ErrNotFound)
+	}
+	j := b.find(id)
+	v, tasks := j.view(b.record.Owner), slices.Clone(j.Tasks)
+	t.mu.Unlock()
+	for i, k := range tasks {
+		payload, err := t.payload(ctx, id, i, k)
+		if err != nil {
+			return v, err
+		}
+		v.Tasks[i].Payload = payload
+	}
+	return v, nil
+}
+
+// Wait returns the job once it has ended, or its present state when the context ends first.
+func (t *Table) Wait(ctx context.Context, id ident.JobID) (api.Job, error) {
+	for {
+		t.mu.Lock()
+		changed := t.changed
+		t.mu.Unlock()
+		j, err := t.Get(ctx, id)
+		if err != nil || j.Phase.Done() {
+			return j, err
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return j, nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/job/update.go
@@ -0,0 +1,208 @@
+package job
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/dispatch"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+// update changes one task's record; after is called once the change is in the store.
+func (t *Table) update(id ident.JobID, index int, after func(), change func(j *jobRecord, k *taskRecord)) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	b, ok := t.jobs[id]
+	if !ok {
+		return false
+	}
+	j := b.find(id)
+	change(j, &j.Tasks[index])
+	if j.phase().Done() && j.Finished.IsZero() {
+		j.Finished = t.config.Now()
+	}
+	if after != nil {
+		b.written = append(b.written, after)
+	}
+	t.dirty[b.key] = b
+	t.notify()
+	return true
+}
+
+// notify wakes everyone who waits for a job; the caller holds the lock.
+func (t *Table) notify() {
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
+func (b *batch) find(id ident.JobID) *jobRecord {
+	for _, j := range b.record.Jobs {
+		if j.ID == id {
+			return j
+		}
+	}
+	return nil
+}
+
+func (t *Table) started(id ident.JobID, index int, a ident.AttemptID, h ident.HostID, attempts int) {
+	t.update(id, index, nil, func(_ *jobRecord, k *taskRecord) {
+		if !k.Phase.Done() {
+			k.Phase, k.Attempt, k.Host, k.Attempts = api.Running, a, h, attempts
+		}
+	})
+}
+
+// markDispatched records that a non-idempotent task may run, before it is sent. After the owner's death
+// such a task ends as unknown unless its attempt is found; one without the mark is safe to start.
+func (t *Table) markDispatched(id ident.JobID, index int) func(ctx context.Context) error {
+	return func(ctx context.Context) error {
+		recorded := make(chan struct{})
+		known := t.update(id, index, func() { close(recorded) }, func(_ *jobRecord, k *taskRecord) { k.Dispatched = true })
+		if !known {
+			return fmt.Errorf("job %s: %w", id, ErrNotFound)
+		}
+		select {
+		case <-recorded:
+			return nil
+		case <-ctx.Done():
+			return fmt.Errorf("record dispatch of %s/%d: %w", id, index, ctx.Err())
+		}
+	}
+}
+
+// done records the end of a task and calls keep once the store has it.
+func (t *Table) done(id ident.JobID, index int, f dispatch.Final, keep func()) {
+	answer := f.Result.Answer
+	if len(answer) > maxInlineBytes {
+		t.wg.Go(func() {
+			if err := t.storeResult(t.base, id, index, answer); err != nil {
+				t.config.Log.Info("result was not stored; the backend server keeps it", "job", id, "task", index, "error", err.Error())
+				return
+			}
+			t.recordEnd(id, index, f, keep, nil, true)
+		})
+		return
+	}
+	t.recordEnd(id, index, f, keep, answer, false)
+}
+
+func (t *Table) recordEnd(id ident.JobID, index int, f dispatch.Final, keep func(), payload []byte, stored bool) {
+	known := t.update(id, index, keep, func(j *jobRecord, k *taskRecord) {
+		k.Outcome, k.Reason, k.Payload, k.Stored = f.Outcome, f.Reason, payload, stored
+		k.Attempts = max(k.Attempts, f.Attempts)
+		if f.Host != "" {
+			k.Host, k.Attempt = f.Host, f.Attempt
+		}
+		switch {
+		case f.Outcome == api.Answered:
+			k.Phase = api.Succeeded
+		case j.Cancelled != "":
+			k.Phase = api.Cancelled
+		default:
+			k.Phase = api.Broken
+		}
+	})
+	if !known {
+		// Another member has taken the batch over; it asks the backend servers for the result.
+		t.config.Log.V(1).Info("result of a job that isn't owned any more", "job", id, "task", index)
+	}
+}
+
+// storeResult writes a large result under a key of its own, repeating until the store takes it.
+func (t *Table) storeResult(ctx context.Context, id ident.JobID, index int, answer []byte) error {
+	key := resultKey(id, index)
+	for {
+		_, err := t.config.Store.CompareAndSwap(ctx, key, 0, answer, 0)
+		if err == nil || isConflict(err) {
+			return nil // A conflict means that an earlier write whose reply was lost has taken effect.
+		}
+		if isTooLarge(err) {
+			return fmt.Errorf("store result %s: %w", key, err)
+		}
+		if !sleep(ctx, t.config.FlushInterval) {
+			return fmt.Errorf("store result %s: %w", key, ctx.Err())
+		}
+	}
+}
+
+// payload returns a task's result, reading it from its own key when it is large.
+func (t *Table) payload(ctx context.Context, id ident.JobID, index int, k taskRecord) ([]byte, error) {
+	if !k.Stored {
+		return k.Payload, nil
+	}
+	item, err := t.config.Store.Get(ctx, resultKey(id, index))
+	if err != nil {
+		return nil, fmt.Errorf("read result of %s/%d: %w", id, index, err)
+	}
+	return item.Value, nil
+}
+
+// Cancel ends a job's tasks. The cancellation is recorded, so that a later owner doesn't start it again.
+func (t *Table) Cancel(id ident.JobID, reason string) error {
+	t.mu.Lock()
+	b, ok := t.jobs[id]
+	if !ok {
+		t.mu.Unlock()
+		return fmt.Errorf("job %s: %w", id, ErrNotFound)
+	}
+	j := b.find(id)
+	if !j.phase().Done() && j.Cancelled == "" {
+		j.Cancelled = reason
+		t.dirty[b.key] = b
+	}
+	left := j.unfinished()
+	t.mu.Unlock()
+	for _, i := range left {
+		t.config.Dispatcher.Cancel(dispatch.Key{Job: id, Index: i}, reason)
+	}
+	return nil
+}
+
+// collect drops finished jobs after the retention and returns the keys of batches that are empty then.
+func (t *Table) collect() []*batch {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.config.Now()
+	var empty []*batch
+	for _, b := range t.batches {
+		expired := 0
+		for _, j := range b.record.Jobs {
+			if !j.Finished.IsZero() && now.Sub(j.Finished) > t.config.Retention {
+				expired++
+			}
+		}
+		if expired == len(b.record.Jobs) {
+			empty = append(empty, b)
+		}
+	}
+	return empty
+}
+
+func (t *Table) remove(ctx context.Context, b *batch) {
+	if err := t.config.Store.Delete(ctx, b.key, b.revision); err != nil && !isConflict(err) && !isNotFound(err) {
+		return // The next collection tries again.
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, j := range b.record.Jobs {
+		delete(t.jobs, j.ID)
+		for i, k := range j.Tasks {
+			if k.Stored {
+				t.wg.Go(func() { t.removeResult(resultKey(j.ID, i)) })
+			}
+		}
+	}
+	delete(t.batches, b.key)
+	delete(t.dirty, b.key)
+}
+
+func (t *Table) removeResult(key string) {
+	item, err := t.config.Store.Get(t.base, key)
+	if err != nil {
+		return
+	}
+	if err := t.config.Store.Delete(t.base, key, item.Revision); err != nil {
+		t.config.Log.V(1).Info("result key was not removed", "key", key, "error", err.Error())
+	}
+}
--- /dev/null
+++ b/internal/operator/bundle.go
@@ -0,0 +1,136 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/bundle"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/caller"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/platform"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/rollout"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+// PublishRequest is a bundle with the version that it follows and the operators' sign-offs.
+type PublishRequest struct {
+	Bundle   bundle.Bundle    `json:"bundle"`
+	Expect   ident.Version    `json:"expect"`
+	SignOffs []bundle.SignOff `json:"sign-offs,omitempty"`
+}
+
+// PublishReply is the receipt of a publish and what each daemon has in force.
+type PublishReply struct {
+	Receipt rollout.Receipt        `json:"receipt"`
+	Members []rollout.MemberStatus `json:"members,omitempty"`
+}
+
+// BundleReply is the configuration in force. The keys are hashes.
+type BundleReply struct {
+	Version ident.Version `json:"version"`
+	Bundle  bundle.Bundle `json:"bundle"`
+}
+
+// HostReply is a host of the platform's list with its owner.
+type HostReply struct {
+	platform.Host
+	Owner ident.MemberID `json:"owner"`
+}
+
+func decode(r *http.Request) (PublishRequest, error) {
+	var p PublishRequest
+	if err := caller.Decode(http.MaxBytesReader(nil, r.Body, maxBundleBytes), &p); err != nil {
+		return p, err
+	}
+	if err := bundle.Validate(p.Bundle); err != nil {
+		return p, api.NewProblem(api.CodeInvalid, "bundle", "%v", err)
+	}
+	return p, nil
+}
+
+func (s *Server) show(*http.Request) (any, error) {
+	c := s.config.Rollout.Current()
+	return BundleReply{Version: c.Version(), Bundle: bundle.Bundle{Teams: c.Teams(), Queues: c.Queues()}}, nil
+}
+
+// prepare returns the digest that operators sign before the publish.
+func (s *Server) prepare(r *http.Request) (any, error) {
+	p, err := decode(r)
+	if err != nil {
+		return nil, err
+	}
+	proposal, err := s.config.Rollout.Prepare(r.Context(), p.Bundle, p.Expect)
+	if err != nil {
+		return nil, fmt.Errorf("prepare bundle: %w", err)
+	}
+	return proposal, nil
+}
+
+// publish swaps the index and waits until the version is in force, at most acceptTimeout.
+func (s *Server) publish(r *http.Request) (any, error) {
+	p, err := decode(r)
+	if err != nil {
+		return nil, err
+	}
+	// The publish goes on when the operator's connection breaks, so that its outcome is known here.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), acceptTimeout)
+	defer cancel()
+	receipt, err := s.config.Rollout.Publish(ctx, p.Bundle, p.Expect, p.SignOffs)
+	if errors.Is(err, rollout.ErrUndecided) {
+		receipt.Outcome, err = s.config.Rollout.Resolve(ctx, receipt)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("publish bundle: %w", err)
+	}
+	members, err := s.config.Rollout.Await(ctx, receipt.Version)
+	if err == nil {
+		receipt.Outcome = rollout.Accepted
+	}
+	return PublishReply{Receipt: receipt, Members: members}, nil
+}
+
+func (s *Server) status(r *http.Request) (any, error) {
+	return s.config.Rollout.Status(r.Context()), nil
+}
+
+func (s *Server) hosts(r *http.Request) (any, error) {
+	hosts, err := s.config.Hosts(r.Context())
+	if err != nil {
+		return nil, api.NewProblem(api.CodeUnavailable, "", "the host list can't be read: %v", err)
+	}
+	replies := make([]HostReply, len(hosts))
+	for i, h := range hosts {
+		replies[i] = HostReply{Host: h, Owner: s.config.Owner(h)}
+	}
+	return replies, nil
+}
+
+func (s *Server) rotate(*http.Request) (any, error) {
+	if err := s.config.Rotate(); err != nil {
+		return nil, fmt.Errorf("reload certificates: %w", err)
+	}
+	return struct{}{}, nil
+}
+
+// DrainRequest names a host that gets no new work, or takes work again.
+type DrainRequest struct {
+	Host ident.HostID `json:"host"`
+	Undo bool         `json:"undo,omitempty"`
+}
+
+func (s *Server) drain(r *http.Request) (any, error) {
+	var q DrainRequest
+	if err := caller.Decode(http.MaxBytesReader(nil, r.Body, api.MaxBodyBytes), &q); err != nil {
+		return nil, err
+	}
+	if err := ident.Check("host", string(q.Host)); err != nil {
+		return nil, api.NewProblem(api.CodeInvalid, "host", "%v", err)
+	}
+	hosts, err := s.config.Drain(r.Context(), q.Host, q.Undo)
+	if err != nil {
+		return nil, fmt.Errorf("drain host %s: %w", q.Host, err)
+	}
+	return hosts, nil
+}
--- a/internal/ownership/entry.go
+++ b/internal/ownership/entry.go
@@ -20,26 +20,28 @@
 	done      chan struct{}
 	wake      chan struct{} // ends a wait between two tries
 
-	lock        *sync.Mutex // of the shard; guards the fields below
-	host        platform.Host
-	fence       backend.Fence // of the last attach that succeeded
-	attached    bool
-	reattach    bool        // attach again after the present poll
-	confirmed   ident.Epoch // no other member can be owner in any view from the fence's epoch up to this one
-	blocked     ident.Epoch // another member attached at this epoch; wait for a newer view
-	boot        string
-	cursor      uint64
-	validUntil  time.Time // starts are allowed before it; from the time before the last renewal was sent
-	leaseOver   time.Time // the last lease that a renewal of this member may have set ends before it
-	othersOver  time.Time // the last lease of an earlier owner ends before it; zero after an attach
-	lapsed      bool      // the last possible lease is certainly over
-	leaving     bool      // said by the server
-	listLeaving bool      // leaving in the host list, or gone from it
-	acknowledge []ident.AttemptID
-	flush       bool   // the next poll returns at once
-	interrupt   func() // ends the poll in flight; nil when there is none
-	removed     bool
-	reason      DetachReason // of the removal
+	lock         *sync.Mutex // of the shard; guards the fields below
+	host         platform.Host
+	fence        backend.Fence // of the last attach that succeeded
+	attached     bool
+	reattach     bool        // attach again after the present poll
+	ownedSince   ident.Epoch // first view of an unbroken run of views that name this member as owner
+	ownedThrough ident.Epoch // last view of that run
+	confirmed    ident.Epoch // no other member can be owner in any view from the fence's epoch up to this one
+	blocked      ident.Epoch // another member attached at this epoch; wait for a newer view
+	boot         string
+	cursor       uint64
+	validUntil   time.Time // starts are allowed before it; from the time before the last renewal was sent
+	leaseOver    time.Time // the last lease that a renewal of this member may have set ends before it
+	othersOver   time.Time // the last lease of an earlier owner ends before it; zero after an attach
+	lapsed       bool      // the last possible lease is certainly over
+	leaving      bool      // said by the server
+	listLeaving  bool      // leaving in the host list, or gone from it
+	acknowledge  []ident.AttemptID
+	flush        bool   // the next poll returns at once
+	interrupt    func() // ends the poll in flight; nil when there is none
+	removed      bool
+	reason       DetachReason // of the removal
 
 	// Used by the entry's goroutine only.
 	reported bool // Attached was reported and Detached wasn't
--- a/internal/ownership/reconcile.go
+++ b/internal/ownership/reconcile.go
@@ -158,6 +158,10 @@
 	}
 	e.host = h
 	e.listLeaving = !listed || h.State == platform.HostLeaving
+	if e.ownedSince == 0 || !gapless {
+		e.ownedSince = epoch
+	}
+	e.ownedThrough = epoch
 	switch {
 	case e.caretaker:
 	case e.blocked > 0 && epoch > e.blocked, !gapless && epoch > e.confirmed:
--- a/internal/ownership/renew.go
+++ b/internal/ownership/renew.go
@@ -50,6 +50,10 @@
 	e.fence, e.boot, e.cursor = fence, inventory.Boot, inventory.Cursor
 	e.attached = !e.removed
 	e.confirmed = max(e.confirmed, epoch)
+	if epoch >= e.ownedSince {
+		// Views that came while the attach was on its way kept this owner, so they need no attach of their own.
+		e.confirmed = max(e.confirmed, e.ownedThrough)
+	}
 	e.leaving = inventory.Leaving
 	e.validUntil = sent.Add(lease - t.config.Drift)
 	e.othersOver, e.lapsed, e.blocked = time.Time{}, false, 0
--- a/internal/peer/wire/wire.go
+++ b/internal/peer/wire/wire.go
@@ -16,6 +16,7 @@
 	MethodQuery         = "task.query"
 	MethodCancel        = "task.cancel"
 	MethodAdoptOrigin   = "task.adopt-origin"
+	MethodFind          = "task.find"
 	MethodGangReserve   = "gang.reserve"
 	MethodGangCommit    = "gang.commit"
 	MethodGangCancel    = "gang.cancel"
@@ -31,6 +32,7 @@
 	MethodJobGet        = "job.get"
 	MethodJobCancel     = "job.cancel"
 	MethodJobList       = "job.list"
+	MethodJobExplain    = "job.explain"
 )
 
 // Sender identifies the sending daemon in every message.
@@ -53,13 +55,14 @@
 	Used    resource.Vector `json:"u"`
 }
 
-// Room is the largest free host and the total free capacity of a member in one data centre.
+// Room is the free capacity of a member in one data centre: in total and on its emptiest host.
 type Room struct {
-	DataCentre ident.DataCentre `json:"dc"`
-	Region     ident.Region     `json:"region"`
-	Total      resource.Vector  `json:"total"`
-	Largest    resource.Vector  `json:"largest"`
-	Capacity   resource.Vector  `json:"capacity"`
+	DataCentre  ident.DataCentre `json:"dc"`
+	Region      ident.Region     `json:"region"`
+	Total       resource.Vector  `json:"total"`
+	Largest     resource.Vector  `json:"largest"`
+	Capacity    resource.Vector  `json:"capacity"`
+	LargestHost resource.Vector  `json:"largest-host"` // capacity of the largest host when empty
 }
 
 // Summary is what a member tells its peers about its load. Teams holds changes only, unless Full is set.
@@ -119,6 +122,7 @@
 	Host     ident.HostID `json:"host,omitempty"`
 	Complete bool         `json:"complete"`
 	Epoch    ident.Epoch  `json:"epoch"`
+	Adopting int          `json:"adopting,omitempty"` // adopted tasks whose part of a limit has not been moved yet
 }
 
 // Cancel asks the owner of a server to stop an attempt.
@@ -156,6 +160,21 @@
 	Epoch    ident.Epoch      `json:"epoch"`
 }
 
+// Find asks for the attempt of a request, running or finished, on the servers that the receiver owns.
+type Find struct {
+	Sender
+	ClaimKey
+}
+
+// FindReply carries the result when the attempt has finished and its result wasn't acknowledged.
+type FindReply struct {
+	Known    bool            `json:"known"`
+	Host     ident.HostID    `json:"host,omitempty"`
+	Result   *backend.Result `json:"result,omitempty"`
+	Complete bool            `json:"complete"`
+	Epoch    ident.Epoch     `json:"epoch"`
+}
+
 // GangReserve asks a member to hold room for up to Tasks tasks of an all-at-once job.
 type GangReserve struct {
 	Sender
@@ -327,8 +346,9 @@
 // JobCall asks the owner of a job about it.
 type JobCall struct {
 	Sender
-	Job  ident.JobID  `json:"job,omitempty"`
-	Team ident.TeamID `json:"team,omitempty"`
+	Job    ident.JobID  `json:"job,omitempty"`
+	Team   ident.TeamID `json:"team,omitempty"`
+	Reason string       `json:"reason,omitempty"`
 }
 
 // JobReply carries an encoded api.Job, a list of them, or an api.Explanation.
--- /dev/null
+++ b/internal/placement/origin.go
@@ -0,0 +1,55 @@
+package placement
+
+import "github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+
+// SetOrigin changes the daemon that waits for an attempt's result.
+func (p *Pool) SetOrigin(id ident.AttemptID, origin ident.MemberID) {
+	placed, ok := p.Find(id)
+	if !ok {
+		return
+	}
+	host := placed.Host
+	s := p.shardOf(host)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if h, ok := s.hosts[host]; ok && h.attempts[id] != nil {
+		h.attempts[id].Task.Origin = origin
+	}
+}
+
+// Redirect changes the origin of the attempts of an origin's jobs and returns those attempts.
+func (p *Pool) Redirect(from ident.MemberID, jobs map[ident.JobID]bool, to ident.MemberID) []Placed {
+	var found []Placed
+	p.each(func(t *Placed) {
+		if t.Task.Origin == from && jobs[t.Task.Job] {
+			t.Task.Origin = to
+			found = append(found, *t)
+		}
+	})
+	return found
+}
+
+// FindRequest returns the attempt of a team's request.
+func (p *Pool) FindRequest(team ident.TeamID, request ident.RequestID) (Placed, bool) {
+	var found Placed
+	ok := false
+	p.each(func(t *Placed) {
+		if t.Task.Team == team && t.Task.Request == request {
+			found, ok = *t, true
+		}
+	})
+	return found, ok
+}
+
+// each calls f on every attempt while its shard is locked.
+func (p *Pool) each(f func(t *Placed)) {
+	for _, s := range p.shards {
+		s.mu.Lock()
+		for _, h := range s.list {
+			for _, t := range h.attempts {
+				f(t)
+			}
+		}
+		s.mu.Unlock()
+	}
+}
--- a/internal/placement/report.go
+++ b/internal/placement/report.go
@@ -25,6 +25,7 @@
 				rooms[h.info.DataCentre] = r
 			}
 			r.Capacity = r.Capacity.Add(h.capacity)
+			r.LargestHost = r.LargestHost.Max(h.capacity)
 			if h.free.Negative() {
 				continue // takes no work until some of its own has ended
 			}
--- /dev/null
+++ b/internal/request/request.go
@@ -0,0 +1,299 @@
+// Package request serves synchronous requests: it claims non-idempotent ones, dispatches the work and holds the
+// caller until the answer or the deadline.
+package request
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/backend"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/bundle"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/claim"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/dispatch"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/member"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/peer/wire"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/queue"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+const (
+	// DefaultDeadline is how long a caller waits when neither the request nor the queue says so.
+	DefaultDeadline = 30 * time.Second
+	// lookupPause is the pause between two questions for the answer of a claim that another daemon holds.
+	lookupPause = 100 * time.Millisecond
+	// claimTimeout bounds the calls that complete or release a claim.
+	claimTimeout = 3 * time.Second
+)
+
+// Claims decides which daemon may run a non-idempotent request.
+type Claims struct {
+	Acquire  func(ctx context.Context, k wire.ClaimKey) (claim.Grant, error)
+	Validate func(g claim.Grant) error
+	Complete func(ctx context.Context, g claim.Grant, answer []byte) error
+	Release  func(ctx context.Context, g claim.Grant) error
+	Lookup   func(ctx context.Context, k wire.ClaimKey) (wire.Claim, bool, error)
+}
+
+// Dispatcher runs the work of requests.
+type Dispatcher struct {
+	Submit  func(dispatch.Work) error
+	Abandon func(ctx context.Context, k dispatch.Key, reason string) api.Outcome
+	Find    func(ctx context.Context, k wire.ClaimKey) (result *backend.Result, known, complete bool)
+}
+
+// Config holds the dependencies of a Service.
+type Config struct {
+	View       func() member.View
+	Claims     Claims
+	Dispatcher Dispatcher
+	Now        func() time.Time
+	Log        logr.Logger
+}
+
+// Service holds the callers of this daemon.
+type Service struct {
+	config Config
+	held   atomic.Int64
+	wg     sync.WaitGroup
+}
+
+// New returns a service without callers.
+func New(c Config) (*Service, error) {
+	if c.View == nil || c.Claims.Acquire == nil || c.Dispatcher.Submit == nil {
+		return nil, errors.New("request: View, Claims and Dispatcher must be set")
+	}
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	return &Service{config: c}, nil
+}
+
+// Held returns the number of callers that wait for an answer.
+func (s *Service) Held() int { return int(s.held.Load()) }
+
+// Wait blocks until every claim that is being completed or released has been settled.
+func (s *Service) Wait() { s.wg.Wait() }
+
+// Do runs one request. A problem always carries a true outcome: not-run or unknown.
+func (s *Service) Do(ctx context.Context, spec api.Spec, q bundle.Queue) (api.Answer, *api.Problem) {
+	s.held.Add(1)
+	defer s.held.Add(-1)
+	now := s.config.Now()
+	deadline := now.Add(waitOf(spec, q))
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	call := &call{service: s, spec: spec, queue: q, deadline: deadline, done: make(chan api.Answer, 1)}
+	if spec.NonIdempotent {
+		answer, problem, claimed := call.acquire(ctx)
+		if !claimed {
+			return answer, problem
+		}
+	}
+	return call.run(ctx)
+}
+
+func waitOf(spec api.Spec, q bundle.Queue) time.Duration {
+	switch {
+	case spec.Deadline > 0:
+		return spec.Deadline.Duration()
+	case q.Deadline > 0:
+		return q.Deadline.Duration()
+	}
+	return DefaultDeadline
+}
+
+// call is one held request.
+type call struct {
+	service  *Service
+	spec     api.Spec
+	queue    bundle.Queue
+	deadline time.Time
+	grant    *claim.Grant
+	done     chan api.Answer
+}
+
+func (c *call) key() wire.ClaimKey { return wire.ClaimKey{Team: c.spec.Team, Request: c.spec.Request} }
+
+// run dispatches the work and waits for its end.
+func (c *call) run(ctx context.Context) (api.Answer, *api.Problem) {
+	w := c.work()
+	if err := c.service.config.Dispatcher.Submit(w); err != nil {
+		c.release()
+		return api.Answer{}, refusal(err)
+	}
+	select {
+	case a := <-c.done:
+		return a, nil
+	case <-ctx.Done():
+	}
+	// The caller's context is over, so the stop runs under its own bound.
+	outcome := c.service.config.Dispatcher.Abandon(context.WithoutCancel(ctx),
+		dispatch.Key{Job: w.Task.Job, Index: 0}, "the caller's deadline passed")
+	select {
+	case a := <-c.done:
+		return a, nil // The end came while the attempt was being abandoned.
+	default:
+	}
+	return c.answer(outcome, "the deadline passed before the answer came"), nil
+}
+
+func (c *call) work() dispatch.Work {
+	w := dispatch.Work{
+		Task: backend.Task{
+			Job: ident.JobID(ident.Random("req")), Team: c.spec.Team, Queue: c.spec.Queue, Request: c.spec.Request,
+			Demand: c.spec.Demand, NonIdempotent: c.spec.NonIdempotent, Priority: c.queue.Priority + c.spec.Priority,
+			Payload: c.spec.Payload, RunTime: backend.Millis(c.spec.RunTime),
+		},
+		Kind: api.KindRequest, Urgent: c.queue.Urgent, Deadline: c.deadline, Retries: c.queue.Retries,
+		Done: c.finish,
+	}
+	if c.grant != nil {
+		w.Validate = func() error { return c.service.config.Claims.Validate(*c.grant) }
+	}
+	return w
+}
+
+func (c *call) answer(o api.Outcome, reason string) api.Answer {
+	return api.Answer{Outcome: o, Request: c.spec.Request, Team: c.spec.Team, Reason: reason}
+}
+
+// finish takes the end of the work. The claim is completed before the caller is answered, so that a
+// resubmission through another daemon never finds less than the caller already has.
+func (c *call) finish(f dispatch.Final, keep func()) {
+	a := c.answer(f.Outcome, f.Reason)
+	a.Attempt, a.Host, a.Waited = f.Attempt, f.Host, api.Millis(f.Waited/time.Millisecond)
+	if f.Outcome == api.Answered {
+		a.Payload, a.Length, a.Checksum = f.Result.Answer, f.Result.Length, f.Result.Checksum
+	}
+	if c.grant == nil {
+		c.done <- a
+		keep()
+		return
+	}
+	c.service.wg.Go(func() {
+		if f.Outcome == api.NotRun {
+			c.release()
+		} else {
+			c.complete(a)
+		}
+		c.done <- a
+		keep()
+	})
+}
+
+func (c *call) complete(a api.Answer) {
+	body, err := json.Marshal(a)
+	if err == nil {
+		ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
+		defer cancel()
+		err = c.service.config.Claims.Complete(ctx, *c.grant, body)
+	}
+	if err != nil {
+		c.service.config.Log.Info("claim was not completed; a resubmission gets the outcome unknown",
+			"team", c.spec.Team, "request", c.spec.Request, "error", err.Error())
+	}
+}
+
+func (c *call) release() {
+	if c.grant == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
+	defer cancel()
+	if err := c.service.config.Claims.Release(ctx, *c.grant); err != nil {
+		c.service.config.Log.Info("claim was not released; it ends with its retention",
+			"team", c.spec.Team, "request", c.spec.Request, "error", err.Error())
+	}
+}
+
+// refusal maps an error of Submit to a problem; the work did not run.
+func refusal(err error) *api.Problem {
+	switch {
+	case errors.Is(err, dispatch.ErrImpossible):
+		return api.NewProblem(api.CodeImpossible, "demand", "%v", err)
+	case errors.Is(err, queue.ErrFull), errors.Is(err, queue.ErrTooLate):
+		p := api.NewProblem(api.CodeOverloaded, "", "%v", err)
+		p.RetryAfter = 1000
+		return p
+	}
+	return api.NewProblem(api.CodeUnavailable, "", "%v", err)
+}
+
+// acquire claims a non-idempotent request, or answers from the claim that exists already.
+func (c *call) acquire(ctx context.Context) (api.Answer, *api.Problem, bool) {
+	grant, err := c.service.config.Claims.Acquire(ctx, c.key())
+	var held *claim.HeldError
+	switch {
+	case err == nil:
+		c.grant = &grant
+		return api.Answer{}, nil, true
+	case errors.As(err, &held):
+		return c.await(ctx, held.Claim), nil, false
+	case errors.Is(err, claim.ErrUncertain):
+		return c.recoverAnswer(ctx), nil, false
+	}
+	p := api.NewProblem(api.CodeUnavailable, "request-id", "the request was not claimed: %v", err)
+	p.RetryAfter = 500
+	return api.Answer{}, p, false
+}
+
+// await waits for the first submission's answer.
+func (c *call) await(ctx context.Context, held wire.Claim) api.Answer {
+	for {
+		if held.State == wire.ClaimComplete {
+			var a api.Answer
+			if err := json.Unmarshal(held.Answer, &a); err != nil {
+				return c.answer(api.Unknown, "the stored answer can't be decoded")
+			}
+			return a
+		}
+		if !c.service.config.View().Has(held.Claimer, held.Incarnation) {
+			if a := c.recoverAnswer(ctx); a.Outcome != "" {
+				return a
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return c.answer(api.Unknown, "another submission of the request has not been answered yet")
+		case <-time.After(lookupPause):
+		}
+		if found, ok, err := c.service.config.Claims.Lookup(ctx, c.key()); err == nil && ok {
+			held = found
+		}
+	}
+}
+
+// recoverAnswer looks for the run of a request whose claimer has died. It returns no outcome while the run goes on.
+func (c *call) recoverAnswer(ctx context.Context) api.Answer {
+	for {
+		result, known, complete := c.service.config.Dispatcher.Find(ctx, c.key())
+		switch {
+		case result != nil:
+			return c.recovered(*result)
+		case !known && complete:
+			return c.answer(api.Unknown, "the daemon that held the request died and no backend server knows its run")
+		}
+		select {
+		case <-ctx.Done():
+			return c.answer(api.Unknown, "the run of an earlier submission can't be ruled out")
+		case <-time.After(lookupPause):
+		}
+	}
+}
+
+func (c *call) recovered(r backend.Result) api.Answer {
+	if r.Exit != backend.ExitSucceeded {
+		return c.answer(api.Failed, fmt.Sprintf("the attempt ended as %s: %s", r.Exit, r.Message))
+	}
+	a := c.answer(api.Answered, "")
+	a.Attempt, a.Payload, a.Length, a.Checksum = r.Attempt, r.Answer, r.Length, r.Checksum
+	return a
+}
--- /dev/null
+++ b/internal/settings/check.go
@@ -0,0 +1,174 @@
+package settings
+
+import (
+	"cmp"
+	"crypto/ed25519"
+	"encoding/base64"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+// minTokenBytes is the shortest operator credential.
+const minTokenBytes = 16
+
+// Check returns the first wrong setting, or nil.
+func (s *Serve) Check() error {
+	s.PeerAddress = cmp.Or(s.PeerAddress, s.PeerListen)
+	for _, check := range []func() error{s.checkIdentity, s.checkAddresses, s.checkTLS, s.checkOperators, s.checkDurations, s.checkNumbers} {
+		if err := check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Serve) checkIdentity() error {
+	for _, f := range []struct{ name, value string }{
+		{"member", string(s.Member)}, {"region", string(s.Region)}, {"data-centre", string(s.DataCentre)},
+	} {
+		if err := ident.Check(f.name, f.value); err != nil {
+			return &Error{f.name, f.value, strings.TrimPrefix(err.Error(), f.name+": ")}
+		}
+	}
+	return nil
+}
+
+func (s *Serve) checkAddresses() error {
+	for _, f := range []struct{ name, value string }{
+		{"caller-listen", s.CallerListen},
+		{"operator-listen", s.OperatorListen},
+		{"peer-listen", s.PeerListen},
+		{"peer-address", s.PeerAddress},
+	} {
+		if _, err := netip.ParseAddrPort(f.value); err != nil {
+			return &Error{f.name, f.value, "an IP address and a port, such as 10.0.0.5:7102"}
+		}
+	}
+	if s.StoreRegion != "" {
+		if err := ident.Check("store-region", string(s.StoreRegion)); err != nil {
+			return &Error{"store-region", string(s.StoreRegion), strings.TrimPrefix(err.Error(), "store-region: ")}
+		}
+	}
+	u, err := url.Parse(s.StoreURL)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		return &Error{"store-url", s.StoreURL, "an http or https URL"}
+	}
+	return nil
+}
+
+func (s *Serve) checkTLS() error {
+	given := s.PeerCertificate != "" && s.PeerKey != "" && s.PeerAuthority != ""
+	some := s.PeerCertificate != "" || s.PeerKey != "" || s.PeerAuthority != ""
+	if some && !given {
+		return &Error{"peer-certificate", "(incomplete)", "peer-certificate, peer-key and peer-authority together, or none of them"}
+	}
+	if !given && (!loopback(s.PeerListen) || !loopback(s.PeerAddress)) {
+		return &Error{"peer-listen", s.PeerListen, "a loopback address unless peer-certificate, peer-key and peer-authority are set"}
+	}
+	if (s.CallerCert == "") != (s.CallerKey == "") {
+		return &Error{"caller-certificate", "(incomplete)", "caller-certificate and caller-key together, or none of them"}
+	}
+	for _, f := range []struct{ name, value string }{
+		{"peer-certificate", s.PeerCertificate},
+		{"peer-key", s.PeerKey},
+		{"peer-authority", s.PeerAuthority},
+		{"caller-certificate", s.CallerCert},
+		{"caller-key", s.CallerKey},
+	} {
+		if _, err := PEM(f.value); err != nil {
+			return &Error{f.name, "(hidden)", err.Error()}
+		}
+	}
+	return nil
+}
+
+// PEM returns the PEM text of a setting: the value itself, or the contents of the file that it names.
+func PEM(value string) ([]byte, error) {
+	if value == "" || strings.Contains(value, "-----BEGIN ") {
+		return []byte(value), nil
+	}
+	text, err := os.ReadFile(value)
+	if err != nil {
+		return nil, fmt.Errorf("PEM text or the path of a readable file: %w", err)
+	}
+	return text, nil
+}
+
+func (s *Serve) checkOperators() error {
+	if len(s.OperatorToken) < minTokenBytes {
+		return &Error{"operator-token", "(hidden)", fmt.Sprintf("at least %d bytes", minTokenBytes)}
+	}
+	if s.RequiredSigners < 1 || s.RequiredSigners > max(1, len(s.Signers)) {
+		return &Error{"required-signers", fmt.Sprint(s.RequiredSigners), "from 1 to the number of signers"}
+	}
+	_, err := s.SignerKeys()
+	return err
+}
+
+// SignerKeys returns the operators' public keys.
+func (s *Serve) SignerKeys() ([]ed25519.PublicKey, error) {
+	if len(s.Signers) == 0 {
+		return nil, &Error{"signers", "", "at least one base64 Ed25519 public key of 32 bytes"}
+	}
+	var keys []ed25519.PublicKey
+	for _, text := range s.Signers {
+		raw, err := base64.StdEncoding.DecodeString(text)
+		if err != nil || len(raw) != ed25519.PublicKeySize {
+			return nil, &Error{"signers", text, "base64 Ed25519 public keys of 32 bytes"}
+		}
+		keys = append(keys, raw)
+	}
+	return keys, nil
+}
+
+func (s *Serve) checkDurations() error {
+	for _, f := range []struct {
+		name           string
+		value          time.Duration
+		least, largest time.Duration
+	}{
+		{"lease-ttl", s.LeaseTTL, 500 * time.Millisecond, 5 * time.Minute},
+		{"member-interval", s.MemberInterval, 50 * time.Millisecond, s.LeaseTTL / 3},
+		{"probe-timeout", s.ProbeTimeout, 20 * time.Millisecond, s.LeaseTTL},
+		{"min-renewal", s.MinRenewal, 100 * time.Millisecond, 10 * time.Minute},
+		{"max-renewal", s.MaxRenewal, s.MinRenewal, 10 * time.Minute},
+		{"clock-drift", s.ClockDrift, time.Millisecond, time.Minute},
+		// A leaving backend server must get no new work 3 s after the list says so.
+		{"hosts-interval", s.HostsInterval, 50 * time.Millisecond, 2 * time.Second},
+		// A withdrawn key must stop working within seconds, and a change must be in force within 12 s.
+		{"freshness", s.Freshness, 500 * time.Millisecond, 10 * time.Second},
+		{"read-interval", s.ReadInterval, 50 * time.Millisecond, s.Freshness / 3},
+		{"claim-retention", s.ClaimRetention, time.Second, 24 * time.Hour},
+		{"job-retention", s.JobRetention, time.Second, 30 * 24 * time.Hour},
+		{"flush-interval", s.FlushInterval, 10 * time.Millisecond, 5 * time.Second},
+		{"limit-interval", s.LimitInterval, 20 * time.Millisecond, 10 * time.Second},
+		{"drain-timeout", s.DrainTimeout, time.Second, time.Hour},
+	} {
+		if f.value < f.least || f.value > f.largest {
+			return &Error{f.name, f.value.String(), fmt.Sprintf("from %s to %s", f.least, f.largest)}
+		}
+	}
+	return nil
+}
+
+func (s *Serve) checkNumbers() error {
+	if s.ControlBytes < 512 {
+		return &Error{"control-bytes-per-second", fmt.Sprint(s.ControlBytes), "at least 512"}
+	}
+	if s.QueueLimit < 1 || s.QueueLimit > 1_000_000 {
+		return &Error{"queue-limit", fmt.Sprint(s.QueueLimit), "from 1 to 1000000"}
+	}
+	if s.RetryRatio < 0 || s.RetryRatio > 1 {
+		return &Error{"retry-ratio", fmt.Sprint(s.RetryRatio), "from 0 to 1"}
+	}
+	if s.LogLevel < 0 || s.LogLevel > 10 {
+		return &Error{"log-level", fmt.Sprint(s.LogLevel), "from 0 to 10"}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,152 @@
+// Package settings holds every setting of the daemon as a flag and an environment variable, with its check.
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/spf13/pflag"
+
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+// EnvironmentPrefix opens the name of every environment variable.
+const EnvironmentPrefix = "ROSEMARYSPOKE_"
+
+// Serve holds the settings of a daemon.
+type Serve struct {
+	Member     ident.MemberID
+	Region     ident.Region
+	DataCentre ident.DataCentre
+
+	CallerListen   string
+	OperatorListen string
+	PeerListen     string
+	PeerAddress    string
+
+	StoreURL    string
+	StoreRegion ident.Region
+
+	PeerCertificate string
+	PeerKey         string
+	PeerAuthority   string
+	CallerCert      string
+	CallerKey       string
+
+	OperatorToken   string
+	Signers         []string
+	RequiredSigners int
+
+	LeaseTTL       time.Duration
+	MemberInterval time.Duration
+	ProbeTimeout   time.Duration
+
+	MinRenewal    time.Duration
+	MaxRenewal    time.Duration
+	ClockDrift    time.Duration
+	HostsInterval time.Duration
+	ControlBytes  int
+
+	Freshness      time.Duration
+	ReadInterval   time.Duration
+	ClaimRetention time.Duration
+	JobRetention   time.Duration
+	FlushInterval  time.Duration
+	LimitInterval  time.Duration
+	QueueLimit     int
+	RetryRatio     float64
+	DrainTimeout   time.Duration
+
+	LogLevel int
+	LogJSON  bool
+}
+
+// Error is a wrong setting with its name, its value and what is allowed.
+type Error struct {
+	Name    string
+	Value   string
+	Allowed string
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return fmt.Sprintf("setting --%s (%s): value %q is not allowed: %s", e.Name, Environment(e.Name), e.Value, e.Allowed)
+}
+
+// Environment returns the name of a setting's environment variable.
+func Environment(name string) string {
+	return EnvironmentPrefix + strings.ToUpper(strings.ReplaceAll(name, "-", "_"))
+}
+
+// Secret reports whether the value of a setting must not be shown.
+func Secret(name string) bool {
+	return name == "peer-key" || name == "caller-key" || name == "operator-token"
+}
+
+// Flags adds the flags of a daemon with their defaults to a set.
+func (s *Serve) Flags(f *pflag.FlagSet) {
+	f.StringVar((*string)(&s.Member), "member", "", "id of this daemon, unique in the cell")
+	f.StringVar((*string)(&s.Region), "region", "", "region of this host")
+	f.StringVar((*string)(&s.DataCentre), "data-centre", "", "data centre of this host")
+	f.StringVar(&s.CallerListen, "caller-listen", "127.0.0.1:7100", "IP address and port for callers")
+	f.StringVar(&s.OperatorListen, "operator-listen", "127.0.0.1:7101", "IP address and port for operators, metrics and health")
+	f.StringVar(&s.PeerListen, "peer-listen", "127.0.0.1:7102", "IP address and port for other daemons")
+	f.StringVar(&s.PeerAddress, "peer-address", "", "IP address and port under which other daemons reach this one; empty means peer-listen")
+	f.StringVar(&s.StoreURL, "store-url", "", "URL of the platform's key-value service and host list")
+	f.StringVar((*string)(&s.StoreRegion), "store-region", "", "region of the store; the other regions read the configuration through its daemons; empty means that every region reads the store")
+	f.StringVar(&s.PeerCertificate, "peer-certificate", "", "certificate for other daemons: PEM text or the path of a file")
+	f.StringVar(&s.PeerKey, "peer-key", "", "private key of the peer certificate: PEM text or the path of a file")
+	f.StringVar(&s.PeerAuthority, "peer-authority", "", "certificates that sign the other daemons' certificates: PEM text or the path of a file")
+	f.StringVar(&s.CallerCert, "caller-certificate", "", "certificate of the caller and operator ports: PEM text or the path of a file")
+	f.StringVar(&s.CallerKey, "caller-key", "", "private key of the caller certificate: PEM text or the path of a file")
+	f.StringVar(&s.OperatorToken, "operator-token", "", "credential of the operator endpoints that change or show state, at least 16 bytes")
+	f.StringSliceVar(&s.Signers, "signers", nil, "Ed25519 public keys of the operators who sign bundles, base64, separated by commas")
+	f.IntVar(&s.RequiredSigners, "required-signers", 1, "number of distinct operators who must sign a bundle")
+	f.DurationVar(&s.LeaseTTL, "lease-ttl", 10*time.Second, "time to live of this member's lease in the store")
+	f.DurationVar(&s.MemberInterval, "member-interval", 2*time.Second, "interval of lease renewal and membership checks")
+	f.DurationVar(&s.ProbeTimeout, "probe-timeout", time.Second, "time a peer has to answer a probe")
+	f.DurationVar(&s.MinRenewal, "min-renewal", 2*time.Second, "shortest interval of lease renewal per backend server; the lease is three intervals")
+	f.DurationVar(&s.MaxRenewal, "max-renewal", 60*time.Second, "longest interval of lease renewal per backend server")
+	f.DurationVar(&s.ClockDrift, "clock-drift", 500*time.Millisecond, "largest difference of two hosts' clocks over one lease")
+	f.DurationVar(&s.HostsInterval, "hosts-interval", time.Second, "interval of reading the host list")
+	f.IntVar(&s.ControlBytes, "control-bytes-per-second", 9*1024, "control traffic that lease renewals may use, in bytes per second")
+	f.DurationVar(&s.Freshness, "freshness", 5*time.Second, "how long a confirmed configuration counts as current")
+	f.DurationVar(&s.ReadInterval, "read-interval", time.Second, "interval of configuration checks")
+	f.DurationVar(&s.ClaimRetention, "claim-retention", 10*time.Minute, "how long the answer of a non-idempotent request is kept for a resubmission")
+	f.DurationVar(&s.JobRetention, "job-retention", time.Hour, "how long a finished job can be read")
+	f.DurationVar(&s.FlushInterval, "flush-interval", 50*time.Millisecond, "interval of writing job records")
+	f.DurationVar(&s.LimitInterval, "limit-interval", 200*time.Millisecond, "interval of balancing the parts of the teams' limits")
+	f.IntVar(&s.QueueLimit, "queue-limit", 10000, "most queued tasks per team in this daemon, unless the bundle says otherwise")
+	f.Float64Var(&s.RetryRatio, "retry-ratio", 0.2, "retries allowed per first start, over all work of this daemon")
+	f.DurationVar(&s.DrainTimeout, "drain-timeout", 2*time.Minute, "longest time a shutdown waits for held requests")
+	f.IntVar(&s.LogLevel, "log-level", 0, "verbosity of the log; higher shows more")
+	f.BoolVar(&s.LogJSON, "log-json", false, "write the log as JSON")
+}
+
+// FromEnvironment sets every flag that wasn't given on the command line from its environment variable.
+func FromEnvironment(f *pflag.FlagSet) error {
+	var wrong error
+	f.VisitAll(func(g *pflag.Flag) {
+		value, ok := os.LookupEnv(Environment(g.Name))
+		if !ok || g.Changed || wrong != nil {
+			return
+		}
+		if err := f.Set(g.Name, value); err != nil {
+			shown := value
+			if Secret(g.Name) {
+				shown = "(hidden)"
+			}
+			wrong = &Error{Name: g.Name, Value: shown, Allowed: fmt.Sprintf("a value of type %s", g.Value.Type())}
+		}
+	})
+	return wrong
+}
+
+// loopback reports whether an address is an IP on the loopback interface.
+func loopback(address string) bool {
+	a, err := netip.ParseAddrPort(address)
+	return err == nil && a.Addr().IsLoopback()
+}
--- /dev/null
+++ b/pkg/client/client.go
@@ -0,0 +1,124 @@
+// Package client is the Go client of the caller API.
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+// maxAnswerBytes bounds an answer that is read into memory.
+const maxAnswerBytes = 64 << 20
+
+// Client calls one cell through one or more addresses. It is safe for concurrent use.
+type Client struct {
+	base string
+	key  string
+	http *http.Client
+}
+
+// New returns a client for a base URL such as http://10.0.0.5:7100 with a team's key, which may be empty for open queues.
+func New(base, key string, h *http.Client) *Client {
+	if h == nil {
+		h = http.DefaultClient
+	}
+	return &Client{base: strings.TrimSuffix(base, "/"), key: key, http: h}
+}
+
+// Request runs a synchronous request. A *api.Problem error carries the outcome of a refused request; any other
+// error means that the answer did not arrive, so the outcome is unknown.
+func (c *Client) Request(ctx context.Context, s api.Spec) (api.Answer, error) {
+	return call[api.Answer](ctx, c, http.MethodPost, "/v1/requests", s)
+}
+
+// Submit records a durable job.
+func (c *Client) Submit(ctx context.Context, s api.Spec) (api.Job, error) {
+	return call[api.Job](ctx, c, http.MethodPost, "/v1/jobs", s)
+}
+
+// Get returns a job.
+func (c *Client) Get(ctx context.Context, id ident.JobID) (api.Job, error) {
+	return call[api.Job](ctx, c, http.MethodGet, "/v1/jobs/"+url.PathEscape(string(id)), nil)
+}
+
+// List returns the jobs of a team.
+func (c *Client) List(ctx context.Context, team ident.TeamID) ([]api.Job, error) {
+	return call[[]api.Job](ctx, c, http.MethodGet, "/v1/jobs?team="+url.QueryEscape(string(team)), nil)
+}
+
+// Cancel ends a job.
+func (c *Client) Cancel(ctx context.Context, id ident.JobID) (api.Job, error) {
+	return call[api.Job](ctx, c, http.MethodDelete, "/v1/jobs/"+url.PathEscape(string(id)), nil)
+}
+
+// Explain returns the decisions about a job.
+func (c *Client) Explain(ctx context.Context, id ident.JobID) (api.Explanation, error) {
+	return call[api.Explanation](ctx, c, http.MethodGet, "/v1/jobs/"+url.PathEscape(string(id))+"/explain", nil)
+}
+
+// Wait returns the job once it has ended, or its present state after the timeout, at most a minute.
+func (c *Client) Wait(ctx context.Context, id ident.JobID, timeout time.Duration) (api.Job, error) {
+	path := fmt.Sprintf("/v1/jobs/%s/wait?timeout-ms=%d", url.PathEscape(string(id)), timeout.Milliseconds())
+	return call[api.Job](ctx, c, http.MethodGet, path, nil)
+}
+
+func call[Resp any](ctx context.Context, c *Client, method, path string, body any) (Resp, error) {
+	var answer Resp
+	var reader io.Reader
+	if body != nil {
+		text, err := json.Marshal(body)
+		if err != nil {
+			return answer, fmt.Errorf("encode %s %s: %w", method, path, err)
+		}
+		reader = bytes.NewReader(text)
+	}
+	r, err := http.NewRequestWithContext(ctx, method, c.base+path, reader)
+	if err != nil {
+		return answer, fmt.Errorf("prepare %s %s: %w", method, path, err)
+	}
+	if c.key != "" {
+		r.Header.Set(api.KeyHeader, "Bearer "+c.key)
+	}
+	if body != nil {
+		r.Header.Set("Content-Type", "application/json")
+	}
+	reply, err := c.http.Do(r)
+	if err != nil {
+		return answer, fmt.Errorf("%s %s: %w", method, path, err)
+	}
+	defer func() { _ = reply.Body.Close() }()
+	return answer, decode(reply, &answer)
+}
+
+// decode reads an answer or a problem. A synchronous request's outcome other than answered comes as an
+// answer with an error status, so the content type tells the two apart.
+func decode(reply *http.Response, into any) error {
+	text, err := io.ReadAll(io.LimitReader(reply.Body, maxAnswerBytes+1))
+	if err != nil {
+		return fmt.Errorf("read the answer: %w", err)
+	}
+	if len(text) > maxAnswerBytes {
+		return errors.New("the answer is larger than the client's bound")
+	}
+	if strings.HasPrefix(reply.Header.Get("Content-Type"), "application/problem+json") {
+		p := &api.Problem{}
+		if err := json.Unmarshal(text, p); err != nil {
+			return fmt.Errorf("decode the problem with status %d: %w", reply.StatusCode, err)
+		}
+		return p
+	}
+	if err := json.Unmarshal(text, into); err != nil {
+		return fmt.Errorf("decode the answer with status %d: %w", reply.StatusCode, err)
+	}
+	return nil
+}
