--- /dev/null
+++ b/internal/bundle/bundle_test.go
@@ -0,0 +1,255 @@
+package bundle
+
+import (
+	"bytes"
+	"crypto/ed25519"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+func teamID(i int) ident.TeamID   { return ident.TeamID(fmt.Sprintf("team-%03d", i)) }
+func queueID(i int) ident.QueueID { return ident.QueueID(fmt.Sprintf("queue-%02d", i)) }
+
+// Guards against work that is admitted without the team's key, and against closed doors for the rightful team.
+func TestAuthorize(t *testing.T) {
+	b := Bundle{
+		Teams: []Team{{ID: "a", Share: 2, Limit: 5, ClaimRegion: "x"}, {ID: "b", Share: 1, Limit: 1, ClaimRegion: "x"}},
+		Queues: []Queue{
+			{ID: "closed", Kind: "batch"},
+			{ID: "only-a", Kind: "batch", Teams: []ident.TeamID{"a"}},
+			{ID: "open", Kind: "request", Open: true},
+		},
+	}
+	b, secretA, err := GrantKey(b, "a", "one")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, secretB, err := GrantKey(b, "b", "one")
+	if err != nil {
+		t.Fatal(err)
+	}
+	withdrawn, err := WithdrawKey(b, "a", "one")
+	if err != nil {
+		t.Fatal(err)
+	}
+	before, after := Compile(b, 1), Compile(withdrawn, 2)
+	cases := map[string]struct {
+		at     *Compiled
+		team   ident.TeamID
+		queue  ident.QueueID
+		secret string
+		want   error
+	}{
+		"own key":                {before, "a", "closed", secretA, nil},
+		"key of another team":    {before, "a", "closed", secretB, ErrKeyRefused},
+		"no key":                 {before, "a", "closed", "", ErrKeyRefused},
+		"hash instead of secret": {before, "a", "closed", HashSecret(secretA), ErrKeyRefused},
+		"cut key":                {before, "a", "closed", secretA[:len(secretA)-1], ErrKeyRefused},
+		"very long key":          {before, "a", "closed", strings.Repeat("x", MaxSecretBytes+1), ErrKeyRefused},
+		"open queue, no key":     {before, "a", "open", "", nil},
+		"open queue, wrong key":  {before, "b", "open", "nonsense", nil},
+		"unknown team, open":     {before, "c", "open", "", ErrUnknownTeam},
+		"unknown team":           {before, "c", "closed", secretA, ErrUnknownTeam},
+		"unknown queue":          {before, "a", "none", secretA, ErrUnknownQueue},
+		"allowed team":           {before, "a", "only-a", secretA, nil},
+		"team not allowed":       {before, "b", "only-a", secretB, ErrTeamNotAllowed},
+		"not allowed, no key":    {before, "b", "only-a", "", ErrKeyRefused},
+		"withdrawn key":          {after, "a", "closed", secretA, ErrKeyRefused},
+		"other key stays":        {after, "b", "closed", secretB, nil},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			if err := c.at.Authorize(c.team, c.queue, c.secret); !errors.Is(err, c.want) {
+				t.Errorf("got %v, want %v", err, c.want)
+			}
+		})
+	}
+	if before.Limit("a") != 5 || before.Share("a") != 2 || before.Limit("c") != 0 || len(before.Teams()) != 2 {
+		t.Error("wrong lookups")
+	}
+	for _, team := range before.Teams() {
+		if team.Keys != nil {
+			t.Error("a lookup returns key hashes")
+		}
+	}
+}
+
+// Guards against key changes that hit the wrong bundle, team or key.
+func TestKeyChangesRefuse(t *testing.T) {
+	b := large(2, 1)
+	if _, _, err := GrantKey(b, "none", "x"); !errors.Is(err, ErrUnknownTeam) {
+		t.Errorf("got %v", err)
+	}
+	if _, secret, err := GrantKey(b, teamID(0), "key-0"); err == nil || secret != "" {
+		t.Errorf("got %v for a key id that is taken", err)
+	}
+	if _, err := WithdrawKey(b, teamID(0), "none"); !errors.Is(err, ErrUnknownKey) {
+		t.Errorf("got %v", err)
+	}
+	granted, secret, err := GrantKey(b, teamID(0), "new")
+	if err != nil || len(b.Teams[0].Keys) != 1 || len(granted.Teams[0].Keys) != 2 {
+		t.Errorf("the given bundle changed: %v", err)
+	}
+	if dump := fmt.Sprintf("%+v", granted); strings.Contains(dump, secret) {
+		t.Error("the bundle holds the secret")
+	}
+}
+
+// Guards against changes that operators don't see, and against key hashes in what they see.
+func TestDiff(t *testing.T) {
+	b := large(3, 2)
+	reordered := Bundle{Teams: slices.Clone(b.Teams), Queues: slices.Clone(b.Queues)}
+	slices.Reverse(reordered.Teams)
+	slices.Reverse(reordered.Queues)
+	if changes := Diff(b, reordered); len(changes) != 0 {
+		t.Errorf("order counts as a change: %v", changes)
+	}
+	after, _, err := GrantKey(b, teamID(1), "new")
+	if err != nil {
+		t.Fatal(err)
+	}
+	after.Teams[0].Limit = 7
+	after.Teams = slices.Delete(after.Teams, 2, 3)
+	after.Queues = append(slices.Clone(after.Queues), Queue{ID: "z", Kind: "service"})
+	want := []string{
+		"removed keys/team-002", "changed keys/team-001 key new added", "added queue/z", "removed team/team-002",
+		"changed team/team-000 limit: 400 -> 7",
+	}
+	var got []string
+	for _, c := range Diff(b, after) {
+		got = append(got, c.String())
+	}
+	slices.Sort(want)
+	slices.Sort(got)
+	if !slices.Equal(got, want) {
+		t.Errorf("got %q, want %q", got, want)
+	}
+	after.Teams[1].ClaimRegion = "tunis"
+	if err := CheckSuccessor(b, after); !errors.Is(err, ErrClaimRegion) {
+		t.Errorf("claim region changed: %v", err)
+	}
+}
+
+// Guards against segments that are taken for something that they aren't.
+func TestJoinRefuses(t *testing.T) {
+	cases := map[string]func(map[string][]byte){
+		"keys without team":  func(s map[string][]byte) { delete(s, "team/team-000") },
+		"content of another": func(s map[string][]byte) { s["team/team-000"] = s["team/team-001"] },
+		"unknown kind":       func(s map[string][]byte) { s["limit/x"] = []byte("{}") },
+		"unknown field":      func(s map[string][]byte) { s["queue/queue-00"] = []byte(`{"id":"queue-00","cost":1}`) },
+		"keys inside a team": func(s map[string][]byte) { s["team/team-000"] = []byte(`{"id":"team-000","keys":[]}`) },
+		"trailing data":      func(s map[string][]byte) { s["queue/queue-00"] = append(s["queue/queue-00"], '1') },
+		"wrong type":         func(s map[string][]byte) { s["keys/team-000"] = []byte(`[{"id":"k","hash":17}]`) },
+		"cut short":          func(s map[string][]byte) { s["keys/team-000"] = s["keys/team-000"][:9] },
+	}
+	for name, change := range cases {
+		t.Run(name, func(t *testing.T) {
+			segments := Split(large(2, 1))
+			change(segments)
+			if _, err := Join(segments); !errors.Is(err, ErrSegment) {
+				t.Errorf("got %v", err)
+			}
+		})
+	}
+}
+
+// Guards against an index that is accepted although a part of it was changed, and against two encodings of one index.
+func TestIndexIsTamperProof(t *testing.T) {
+	segments := Split(large(20, 2))
+	index := NewIndex(5, 4, segments)
+	index.Writer, index.Nonce = "m1", "n1"
+	root := index.Encode()
+	decoded, err := DecodeRoot(root)
+	if err != nil || !bytes.Equal(decoded.Encode(), root) {
+		t.Fatalf("root doesn't survive: %v", err)
+	}
+	if _, err := decoded.Complete(index.Entries); err != nil {
+		t.Fatal(err)
+	}
+	swapped := slices.Clone(index.Entries)
+	swapped[0].Hash, swapped[1].Hash = swapped[1].Hash, swapped[0].Hash
+	lists := map[string][]Entry{
+		"swapped hashes": swapped, "one missing": index.Entries[1:], "one more": append(slices.Clone(index.Entries), Entry{"team/x", "y"}),
+		"one twice": append(slices.Clone(index.Entries), index.Entries[0]), "none": nil,
+	}
+	for name, entries := range lists {
+		if _, err := decoded.Complete(entries); !errors.Is(err, ErrIndex) {
+			t.Errorf("%s: got %v", name, err)
+		}
+	}
+	roots := map[string][]byte{
+		"space added": append([]byte(" "), root...), "cut": root[:len(root)-2], "empty": nil,
+		"too large":      bytes.Repeat([]byte(" "), MaxRootBytes+1),
+		"field added":    bytes.Replace(root, []byte("{"), []byte(`{"x":1,`), 1),
+		"version zero":   bytes.Replace(root, []byte(`"version":5`), []byte(`"version":0`), 1),
+		"previous ahead": bytes.Replace(root, []byte(`"previous":4`), []byte(`"previous":5`), 1),
+		"page missing":   bytes.Replace(root, []byte(index.Pages[0]), nil, 1)[:len(root)/2],
+	}
+	for name, data := range roots {
+		if _, err := DecodeRoot(data); !errors.Is(err, ErrIndex) {
+			t.Errorf("%s: got %v", name, err)
+		}
+	}
+	for name, change := range map[string]func(*Root){
+		"version": func(r *Root) { r.Version++ }, "previous": func(r *Root) { r.Previous-- },
+		"page": func(r *Root) { r.Pages = slices.Clone(r.Pages); r.Pages[3] = "other" },
+	} {
+		changed := decoded
+		if change(&changed); changed.Digest() == decoded.Digest() {
+			t.Errorf("the digest doesn't cover %s", name)
+		}
+	}
+}
+
+// Guards against configurations that too few operators agreed to.
+func TestVerify(t *testing.T) {
+	var private []ed25519.PrivateKey
+	var public []ed25519.PublicKey
+	for seed := range byte(3) {
+		key := ed25519.NewKeyFromSeed(bytes.Repeat([]byte{seed + 1}, ed25519.SeedSize))
+		private, public = append(private, key), append(public, key.Public().(ed25519.PublicKey))
+	}
+	digest, other := Digest{1}, Digest{2}
+	forged := Sign(private[2], digest)
+	forged.Signer = SignerID(public[1])
+	cases := map[string]struct {
+		signOffs []SignOff
+		want     error
+	}{
+		"two operators":        {[]SignOff{Sign(private[0], digest), Sign(private[1], digest)}, nil},
+		"none":                 {nil, ErrUnsigned},
+		"one":                  {[]SignOff{Sign(private[0], digest)}, ErrUnsigned},
+		"one operator twice":   {[]SignOff{Sign(private[0], digest), Sign(private[0], digest)}, ErrUnsigned},
+		"unknown operator":     {[]SignOff{Sign(private[0], digest), Sign(private[2], digest)}, ErrUnsigned},
+		"of another digest":    {[]SignOff{Sign(private[0], digest), Sign(private[1], other)}, ErrWrongSignature},
+		"under another's name": {[]SignOff{Sign(private[0], digest), forged}, ErrWrongSignature},
+		"empty signature":      {[]SignOff{Sign(private[0], digest), {Signer: SignerID(public[1])}}, ErrWrongSignature},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			if err := Verify(digest, c.signOffs, public[:2], 2); !errors.Is(err, c.want) {
+				t.Errorf("got %v, want %v", err, c.want)
+			}
+		})
+	}
+}
+
+// Cost of Authorize on the path of a request, by keys of the team.
+func BenchmarkAuthorize(b *testing.B) {
+	for _, keys := range []int{1, 5, 300} {
+		b.Run(fmt.Sprintf("keys-%d", keys), func(b *testing.B) {
+			c := Compile(large(110, keys), 1)
+			b.ReportAllocs()
+			for b.Loop() {
+				if err := c.Authorize("team-055", "queue-01", "secret-55-0"); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/internal/bundle/schema.go
+++ b/internal/bundle/schema.go
@@ -5,6 +5,7 @@
 	"regexp"
 
 	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/token"
 )
 
 // schema describes the shape of one node of a bundle file.
@@ -96,7 +97,7 @@
 			s.integer(field, line, i)
 			return
 		}
-		if f, ok := n.(*ast.FloatNode); ok && wholeNumber.MatchString(f.Token.Value) {
+		if t := n.GetToken(); (t.Type == token.StringType || t.Type == token.FloatType) && wholeNumber.MatchString(t.Value) {
 			s.add(line, field, "number is too large")
 			return
 		}
@@ -118,7 +119,7 @@
 	}
 }
 
-// wholeNumber matches the numbers beyond 64 bits that the YAML parser returns as floating point.
+// wholeNumber matches the numbers beyond 64 bits that the YAML parser returns as another type.
 var wholeNumber = regexp.MustCompile(`^[-+]?[0-9]+$`)
 
 // plainName matches names that are safe to print; a secret pasted as a field name contains digits or capitals.
