--- a/internal/rollout/fake_test.go
+++ b/internal/rollout/fake_test.go
@@ -280,7 +280,9 @@
 func (c *cell) publish(name ident.MemberID, b bundle.Bundle) Receipt {
 	c.t.Helper()
 	r := c.nodes[name]
-	r.sync(context.Background())
+	if _, err := r.readIndex(context.Background()); err != nil {
+		c.t.Fatal(err)
+	}
 	expect := r.Current().Version()
 	receipt, err := r.Publish(context.Background(), b, expect, c.sign(r, b, expect, 2))
 	if err != nil {
