Retry claims during a view change and guard job records in recovery

Cause: a request that was claimed while the member view changed was refused as not run, although the holders agree again within a few milliseconds (seen in TestRun: 1 of 10 requests). The claim is now asked for again for at most two seconds. The demo sends a request again through another daemon when its own has gone.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -7,8 +7,10 @@
 	"crypto/ed25519"
 	"encoding/base64"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -41,9 +43,10 @@
 // Cell is a set of daemons on a cell of stand-ins.
 type Cell struct {
 	Standins *cell.Cell
-	Daemons  map[ident.MemberID]*daemon.Daemon
-	Sites    []Site
 
+	mu       sync.Mutex
+	daemons  map[ident.MemberID]*daemon.Daemon
+	sites    []Site
 	operator ed25519.PrivateKey
 	adjust   func(*settings.Serve)
 	log      logr.Logger
@@ -70,7 +73,7 @@
 		return nil, fmt.Errorf("create operator key: %w", err)
 	}
 	s := &Cell{
-		Standins: standins, Daemons: map[ident.MemberID]*daemon.Daemon{}, Sites: c.Sites, operator: key,
+		Standins: standins, daemons: map[ident.MemberID]*daemon.Daemon{}, sites: c.Sites, operator: key,
 		adjust: c.Adjust, log: c.Log,
 	}
 	for _, site := range c.Sites {
@@ -99,7 +102,9 @@
 	if err := d.Start(ctx); err != nil {
 		return fmt.Errorf("start daemon %s: %w", site.Member, err)
 	}
-	s.Daemons[site.Member] = d
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.daemons[site.Member] = d
 	return nil
 }
 
@@ -109,7 +114,7 @@
 	public, _ := s.operator.Public().(ed25519.PublicKey)
 	c.Member, c.Region, c.DataCentre = site.Member, site.Region, site.DataCentre
 	c.StoreURL, c.OperatorToken = s.Standins.StoreURL(), Token
-	c.StoreRegion = s.Sites[0].Region
+	c.StoreRegion = s.sites[0].Region
 	c.Signers = []string{base64.StdEncoding.EncodeToString(public)}
 	c.CallerListen, c.OperatorListen = "127.0.0.1:0", "127.0.0.1:0"
 	address, err := freeAddress()
@@ -138,7 +143,7 @@
 
 // Publish signs a bundle and publishes it through any daemon.
 func (s *Cell) Publish(ctx context.Context, b bundle.Bundle) error {
-	for _, d := range s.Daemons {
+	for _, d := range s.all() {
 		receipt, err := d.PublishSigned(ctx, b, s.version, s.operator)
 		if err != nil {
 			return fmt.Errorf("publish bundle: %w", err)
@@ -158,33 +163,53 @@
 	defer cancel()
 	for {
 		ready, owned := 0, 0
-		for _, d := range s.Daemons {
+		for _, d := range s.all() {
 			if d.Ready() && d.Settled() {
 				ready++
 			}
 			owned += d.Owned()
 		}
-		if ready == len(s.Daemons) && owned == len(s.Standins.Hosts) {
+		if ready == len(s.all()) && owned == len(s.Standins.Hosts) {
 			return nil
 		}
 		select {
 		case <-ctx.Done():
 			return fmt.Errorf("%d of %d daemons ready, %d of %d backend servers owned: %w",
-				ready, len(s.Daemons), owned, len(s.Standins.Hosts), ctx.Err())
+				ready, len(s.all()), owned, len(s.Standins.Hosts), ctx.Err())
 		case <-time.After(readyPause):
 		}
 	}
 }
 
+// Daemon returns a running daemon, or nil.
+func (s *Cell) Daemon(id ident.MemberID) *daemon.Daemon {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.daemons[id]
+}
+
+func (s *Cell) all() map[ident.MemberID]*daemon.Daemon {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.daemons)
+}
+
+func (s *Cell) take(id ident.MemberID) *daemon.Daemon {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d := s.daemons[id]
+	delete(s.daemons, id)
+	return d
+}
+
 // Client returns a client of one daemon.
 func (s *Cell) Client(id ident.MemberID, key string) *client.Client {
-	return client.New("http://"+s.Daemons[id].CallerAddress(), key, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}})
+	return client.New("http://"+s.Daemon(id).CallerAddress(), key, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}})
 }
 
 // Stop shuts one daemon down gracefully.
 func (s *Cell) Stop(ctx context.Context, id ident.MemberID) error {
-	d := s.Daemons[id]
-	delete(s.Daemons, id)
+	d := s.take(id)
 	if err := d.Stop(ctx); err != nil {
 		return fmt.Errorf("stop daemon %s: %w", id, err)
 	}
@@ -193,14 +218,13 @@
 
 // Kill ends one daemon like the death of its process.
 func (s *Cell) Kill(id ident.MemberID) {
-	d := s.Daemons[id]
-	delete(s.Daemons, id)
+	d := s.take(id)
 	d.Kill()
 }
 
 // Close ends the daemons and the stand-ins.
 func (s *Cell) Close() {
-	for _, d := range s.Daemons {
+	for _, d := range s.all() {
 		d.Kill()
 	}
 	s.Standins.Close()
--- a/internal/demo/run.go
+++ b/internal/demo/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -165,18 +166,23 @@
 
 // requests sends non-idempotent quotes one after another.
 func (r *run) requests(ctx context.Context, via ident.MemberID, n int) {
-	c := r.cell.Client(via, r.secrets[teamQuoting])
+	c, other := r.cell.Client(via, r.secrets[teamQuoting]), r.cell.Client("daemon-1", r.secrets[teamQuoting])
 	for i := range n {
-		a, err := c.Request(ctx, api.Spec{
+		spec := api.Spec{
 			Team: teamQuoting, Queue: "quotes", Request: ident.RequestID(fmt.Sprintf("quote-%s-%d", via, i)),
 			NonIdempotent: true, Demand: demand(1, 1, 0), RunTime: 100, Payload: []byte("treadmill"),
-		})
+		}
+		a, err := c.Request(ctx, spec)
+		if err != nil && outcomeOf(err) == api.Unknown {
+			// The daemon has gone. The same request through another one runs at most once, whatever happened.
+			a, err = other.Request(ctx, spec)
+		}
 		row := Row{
 			Work: fmt.Sprintf("quote-%s-%d", via, i), Team: string(teamQuoting), Kind: api.KindRequest, Through: string(via),
 			Outcome: a.Outcome, Where: string(a.Host), Why: fmt.Sprintf("waited %s; %s", a.Waited.Duration(), a.Reason),
 		}
 		if err != nil {
-			row.Outcome, row.Why = api.Unknown, err.Error()
+			row.Outcome, row.Why = outcomeOf(err), err.Error()
 		}
 		r.mu.Lock()
 		r.result.Rows = append(r.result.Rows, row)
@@ -216,6 +222,15 @@
 	return nil
 }
 
+// outcomeOf returns what is known after an error: a refusal carries its outcome, a broken connection tells nothing.
+func outcomeOf(err error) api.Outcome {
+	var p *api.Problem
+	if errors.As(err, &p) {
+		return p.Outcome
+	}
+	return api.Unknown
+}
+
 func running(j api.Job) int {
 	n := 0
 	for _, t := range j.Tasks {
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -170,6 +170,8 @@
 		if err != nil {
 			return api.Job{ID: j.ID}, err
 		}
+		t.mu.Lock()
+		defer t.mu.Unlock()
 		return j.view(t.config.Self().ID), nil
 	case <-ctx.Done():
 		return api.Job{ID: j.ID}, t.withdraw(s, ctx.Err())
--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -128,6 +128,13 @@
 	return w
 }
 
+// snapshot returns a copy whose tasks don't change; the caller holds the table's lock.
+func (j *jobRecord) snapshot() *jobRecord {
+	c := *j
+	c.Tasks = slices.Clone(j.Tasks)
+	return &c
+}
+
 func (j *jobRecord) unfinished() []int {
 	var left []int
 	for i, k := range j.Tasks {
--- a/internal/job/recover.go
+++ b/internal/job/recover.go
@@ -129,14 +129,13 @@
 	}
 	for _, id := range jobs {
 		t.mu.Lock()
-		j := b.find(id)
-		left := j.unfinished()
+		j := b.find(id).snapshot()
 		t.mu.Unlock()
-		t.resume(j, left, found)
+		t.resume(j, j.unfinished(), found)
 	}
 }
 
-// resume continues one recovered job.
+// resume continues one recovered job, given as a snapshot.
 func (t *Table) resume(j *jobRecord, left []int, found map[dispatch.Key]dispatch.Adopted) {
 	running := slices.DeleteFunc(slices.Clone(left), func(i int) bool {
 		_, ok := found[dispatch.Key{Job: j.ID, Index: i}]
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,6 +30,8 @@
 	DefaultDeadline = 30 * time.Second
 	// lookupPause is the pause between two questions for the answer of a claim that another daemon holds.
 	lookupPause = 100 * time.Millisecond
+	// voteTimeout bounds the time to get a claim; a change of the member view takes less.
+	voteTimeout = 2 * time.Second
 	// claimTimeout bounds the calls that complete or release a claim.
 	claimTimeout = 3 * time.Second
 )
@@ -229,7 +232,7 @@
 
 // acquire claims a non-idempotent request, or answers from the claim that exists already.
 func (c *call) acquire(ctx context.Context) (api.Answer, *api.Problem, bool) {
-	grant, err := c.service.config.Claims.Acquire(ctx, c.key())
+	grant, err := c.vote(ctx)
 	var held *claim.HeldError
 	switch {
 	case err == nil:
@@ -245,6 +248,23 @@
 	return api.Answer{}, p, false
 }
 
+// vote asks the holders, and asks again for a short time while they move to another view or votes are split.
+func (c *call) vote(ctx context.Context) (claim.Grant, error) {
+	ctx, cancel := context.WithTimeout(ctx, voteTimeout)
+	defer cancel()
+	for {
+		grant, err := c.service.config.Claims.Acquire(ctx, c.key())
+		if !errors.Is(err, claim.ErrUnavailable) && !errors.Is(err, claim.ErrSplit) {
+			return grant, err
+		}
+		select {
+		case <-ctx.Done():
+			return grant, err
+		case <-time.After(lookupPause/2 + rand.N(lookupPause)):
+		}
+	}
+}
+
 // await waits for the first submission's answer.
 func (c *call) await(ctx context.Context, held wire.Claim) api.Answer {
 	for {
