Space early poll replies and test the remaining rules of ownership

Cause: deleting single mechanisms in a scratch copy left six of 36 changes unnoticed: order of events, late lease timer, reply bound, single lost probe, a refused start that interrupts a hanging poll, and a redundant condition, which is removed. A server whose replies ignore the wait or the cursor would have been polled without a pause. Repeated runs showed a second, needless attach when a reconciliation came while an attach at the same epoch was in flight; the entry now records the epoch to reach. The pause case started before its goroutine had passed the table's check in one of three runs; it now waits for that.

--- a/internal/backend/fault_test.go
+++ b/internal/backend/fault_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/rosemaryspoke/rosemaryspoke/internal/backend"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/standin/worker"
@@ -161,7 +162,7 @@
 		"server error": {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) }, backend.ErrUnknownOutcome},
 		"not JSON":     {func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("{")) }, backend.ErrUnknownOutcome},
 		"too long": {func(w http.ResponseWriter, _ *http.Request) {
-			_, _ = w.Write([]byte(`{"boot":"` + strings.Repeat("x", 2000) + `"}`))
+			_, _ = w.Write([]byte(`{"boot":"x"}` + strings.Repeat(" ", 2000)))
 		}, backend.ErrUnknownOutcome},
 		"cut short": {func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Content-Length", "100")
@@ -186,6 +187,22 @@
 	}
 }
 
+// Guards against commands that a server takes between its wake-up and the late timer of its lease.
+func TestLateLeaseTimer(t *testing.T) {
+	f := newFixture(t)
+	now := f.clock.Now()
+	w := worker.New(worker.Config{
+		Host: "h", Capacity: slots(4), Now: func() time.Time { return now },
+		AfterFunc: func(time.Duration, func()) func() bool { return func() bool { return true } },
+	})
+	f.server = w.Server()
+	f.attach(owner)
+	f.start("t")
+	now = now.Add(lease)
+	f.fails("start", f.server.Start(f.Context(), owner, task("u")), backend.ErrLeaseLapsed)
+	equal(t, "exit", w.Runs()[0].Exit, backend.ExitLeaseLapsed)
+}
+
 // Guards against a dial that failed being taken for a start that may have happened.
 func TestHTTPUnreachable(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/ownership/caretaker.go
+++ b/internal/ownership/caretaker.go
@@ -100,7 +100,7 @@
 		if down {
 			next[id] = t.suspects[id] + 1
 		}
-		changed = changed || next[id] == suspectProbes || !down && t.suspects[id] >= suspectProbes
+		changed = changed || next[id] == suspectProbes
 	}
 	for id, count := range t.suspects {
 		changed = changed || count >= suspectProbes && next[id] == 0
--- a/internal/ownership/cell_test.go
+++ b/internal/ownership/cell_test.go
@@ -43,6 +43,10 @@
 	events []string
 	stale  *member.View // shown instead of the cell's view
 	cut    bool         // from all backend servers
+	hang   bool         // polls get no reply
+	calls  int          // attach calls
+	polled func(*backend.PollRequest)
+	slow   bool // Detached takes a second
 	gate   chan struct{}
 }
 
@@ -139,6 +143,13 @@
 	}
 }
 
+// setDead sets whether a member answers probes.
+func (c *cell) setDead(id ident.MemberID, dead bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dead[id] = dead
+}
+
 func (c *cell) storeDown(down bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -185,7 +196,15 @@
 			},
 			Updated:  func(ident.HostID, backend.PollReply) {},
 			Finished: func(h ident.HostID, r backend.Result) { n.add("finished %s %s %s", h, r.Attempt, r.Exit) },
-			Detached: func(h ident.HostID, r DetachReason) { n.add("detached %s %s", h, r) },
+			Detached: func(h ident.HostID, r DetachReason) {
+				n.mu.Lock()
+				slow := n.slow
+				n.mu.Unlock()
+				if slow {
+					time.Sleep(time.Second)
+				}
+				n.add("detached %s %s", h, r)
+			},
 		},
 		MinRenewal: minRenewal, MaxRenewal: maxRenewal, Jitter: func() float64 { return 0.5 },
 	})
@@ -205,19 +224,13 @@
 
 // kill ends the member without a word to anybody.
 func (n *node) kill() {
-	n.cell.mu.Lock()
-	n.cell.dead[n.id] = true
-	n.cell.mu.Unlock()
+	n.cell.setDead(n.id, true)
 	n.cancel()
 	<-n.ended
 }
 
-// keep freezes the member's view.
-func (n *node) keep(v member.View) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.stale = &v
-}
+// keep freezes the member's view; nil lets it follow the cell's again.
+func (n *node) keep(v *member.View) { n.set(func(n *node) { n.stale = v }) }
 
 // hold lets the member's calls to backend servers wait until open, as in a pause after its last check of the lease.
 func (n *node) hold() {
@@ -235,10 +248,11 @@
 	}
 }
 
-func (n *node) setCut(cut bool) {
+// set changes the node's fields.
+func (n *node) set(change func(*node)) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.cut = cut
+	change(n)
 }
 
 func (n *node) add(format string, args ...any) {
@@ -298,6 +312,7 @@
 
 // Attach implements backend.Server.
 func (l link) Attach(ctx context.Context, f backend.Fence, lease backend.Millis) (backend.Inventory, error) {
+	l.n.set(func(n *node) { n.calls++ })
 	if err := l.pass(); err != nil {
 		return backend.Inventory{}, err
 	}
@@ -309,6 +324,16 @@
 	if err := l.pass(); err != nil {
 		return backend.PollReply{}, err
 	}
+	l.n.mu.Lock()
+	hang := l.n.hang
+	if l.n.polled != nil {
+		l.n.polled(&r)
+	}
+	l.n.mu.Unlock()
+	if hang {
+		<-ctx.Done()
+		return backend.PollReply{}, backend.ErrUnknownOutcome
+	}
 	return l.Server.Poll(ctx, r)
 }
 
--- a/internal/ownership/entry.go
+++ b/internal/ownership/entry.go
@@ -24,7 +24,7 @@
 	host        platform.Host
 	fence       backend.Fence // of the last attach that succeeded
 	attached    bool
-	reattach    bool        // attach again after the present poll
+	reattach    ident.Epoch // attach again after the present poll unless confirmed at this epoch
 	confirmed   ident.Epoch // no other member can be owner in any view from the fence's epoch up to this one
 	blocked     ident.Epoch // another member attached at this epoch; wait for a newer view
 	boot        string
@@ -44,6 +44,7 @@
 	// Used by the entry's goroutine only.
 	reported bool // Attached was reported and Detached wasn't
 	failures int
+	early    int // replies in a row that came early without new results
 }
 
 // interruptLocked ends the poll in flight, so that the next one goes out at once and returns at once.
@@ -106,7 +107,7 @@
 // step makes one call to the backend server and returns how long to wait before the next.
 func (t *Table) step(ctx context.Context, e *entry) time.Duration {
 	e.lock.Lock()
-	attach := !e.attached || e.reattach
+	attach := !e.attached || e.reattach > e.confirmed
 	e.lock.Unlock()
 	var err error
 	switch {
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/rosemaryspoke/rosemaryspoke/internal/backend"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/member"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/platform"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/standin/worker"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
@@ -38,13 +40,14 @@
 			a, b := c.join("a"), c.join("b")
 			old := c.change("a")
 			time.Sleep(settled)
-			a.keep(old)
+			a.keep(&old)
 			a.hold()
 			refused := make(chan struct{})
 			go func() {
 				defer close(refused)
 				a.starts("h", service("late", "job"), backend.ErrStaleEpoch)
 			}()
+			synctest.Wait() // the start has passed the table's own check
 			c.change("b")
 			time.Sleep(settled)
 			b.starts("h", service("new", "job"), nil)
@@ -61,7 +64,7 @@
 			a := c.join("a")
 			c.change("a")
 			time.Sleep(settled)
-			a.setCut(true)
+			a.set(func(n *node) { n.cut = true })
 			time.Sleep(leaseIntervals*minRenewal + time.Second)
 			a.starts("h", service("t", "job"), backend.ErrLeaseLapsed)
 		},
@@ -169,18 +172,70 @@
 			a.complete(true)
 			a.saw("attached h running=0 finished=0 slots=4")
 			old := c.view
-			a.keep(old)
+			a.keep(&old)
 			c.change("a")
 			c.change("a")
-			a.mu.Lock()
-			a.stale = nil
-			a.mu.Unlock()
+			a.keep(nil)
 			a.ViewChanged()
 			a.complete(false) // another member may have been owner in the view that was missed
 			time.Sleep(settled)
 			a.complete(true)
 			a.saw("attached h running=0 finished=0 slots=4")
 		},
+		// Order of one host's events: the new entry waits for the last event of the old one.
+		"address changes": func(c *cell) {
+			c.host("h")
+			a := c.join("a")
+			c.change("a")
+			time.Sleep(settled)
+			a.set(func(n *node) { n.slow = true })
+			c.setHost("h", func(h *platform.Host) { h.Address = "h:2" })
+			time.Sleep(settled)
+			a.saw("attached h running=0 finished=0 slots=4", "detached h moved", "attached h running=0 finished=0 slots=4")
+		},
+		// A refused start ends a poll that hangs on a dead connection.
+		"restart seen by a start first": func(c *cell) {
+			w := c.host("h")
+			a := c.join("a")
+			c.change("a")
+			time.Sleep(settled)
+			a.set(func(n *node) { n.hang = true })
+			time.Sleep(minRenewal)
+			a.set(func(n *node) { n.hang = false })
+			w.Restart(slots(4))
+			a.starts("h", service("t", "job"), backend.ErrLeaseLapsed)
+			a.saw("attached h running=0 finished=0 slots=4", "detached h lapsed", "attached h running=0 finished=0 slots=4")
+		},
+		// A view may be seen by an attach before the reconciliation with it.
+		"attach between a view change and its reconciliation": func(c *cell) {
+			w := c.host("h")
+			a, b := c.join("a"), c.join("b")
+			c.change("a")
+			time.Sleep(settled)
+			c.mu.Lock()
+			c.view = member.View{Epoch: 9, Members: []member.Member{{ID: "b", Incarnation: 1, State: member.Active}}}
+			c.mu.Unlock()
+			w.Restart(slots(4))
+			time.Sleep(settled)
+			a.saw("attached h running=0 finished=0 slots=4")
+			b.ViewChanged()
+			b.complete(true)
+		},
+		// Spacing: a server whose replies ignore the wait must not use up the control budget.
+		"replies without a wait": func(c *cell) {
+			c.host("h")
+			a := c.join("a")
+			c.change("a")
+			time.Sleep(settled)
+			var usual, polls atomic.Int32
+			a.set(func(n *node) { n.polled = func(*backend.PollRequest) { usual.Add(1) } })
+			time.Sleep(settled)
+			a.set(func(n *node) { n.polled = func(r *backend.PollRequest) { polls.Add(1); r.Wait = 0 } })
+			time.Sleep(settled)
+			if polls.Load() > 4*usual.Load() {
+				c.Errorf("%d polls, usually %d", polls.Load(), usual.Load())
+			}
+		},
 		// Many acknowledgements interrupt the poll.
 		"acknowledgements": func(c *cell) {
 			c.host("h")
--- a/internal/ownership/reconcile.go
+++ b/internal/ownership/reconcile.go
@@ -162,7 +162,7 @@
 	case e.caretaker:
 	case e.blocked > 0 && epoch > e.blocked, !gapless && epoch > e.confirmed:
 		e.othersOver, e.lapsed, e.blocked = t.config.Now().Add(t.maxLease()), false, 0
-		e.reattach = true
+		e.reattach = epoch
 	case gapless && e.confirmed > 0 && e.confirmed == t.epoch:
 		e.confirmed = epoch
 	}
--- a/internal/ownership/renew.go
+++ b/internal/ownership/renew.go
@@ -19,7 +19,6 @@
 	host := e.host
 	blocked := e.blocked
 	e.attached = false // starts under the old fence would be refused from here on
-	e.reattach = false
 	e.lock.Unlock()
 	// The view may be newer than the last reconciliation. An attach by another member than its owner would make the
 	// owner's attach at the same epoch fail.
@@ -85,9 +84,21 @@
 	t.acknowledged(e, request.Acknowledge, reply)
 	t.config.Events.Updated(e.id, reply)
 	t.finished(e, reply.Finished)
+	if reply.Cursor != request.After || t.config.Now().Sub(sent) >= request.Wait.Duration()/2 {
+		e.early = 0
+	} else if e.early++; e.early > earlyReplies {
+		return errEarly
+	}
 	return nil
 }
 
+// earlyReplies is the number of replies in a row that may come before the wait is over without new results, because
+// the state changed. More of them are spaced like failures, so that no backend server can use up the control budget.
+const earlyReplies = 3
+
+// errEarly reports a reply that came too early once too often.
+var errEarly = errors.New("poll returns early without new results")
+
 // request builds the next poll and, unless it returns at once, lets interrupt end it.
 func (t *Table) request(e *entry, interrupt func()) backend.PollRequest {
 	interval := t.interval()
--- a/internal/ownership/takeover_test.go
+++ b/internal/ownership/takeover_test.go
@@ -77,29 +77,36 @@
 		"owner returns while the store is down": func(c *cell) {
 			owner, other := pair(c)
 			c.storeDown(true)
-			c.mu.Lock()
-			c.dead[owner.id] = true
-			c.mu.Unlock()
+			c.setDead(owner.id, true)
 			time.Sleep(settled)
 			owner.starts("h", batch("t"), nil) // not dead, only unreachable for the other member
-			c.mu.Lock()
-			c.dead[owner.id] = false
-			c.mu.Unlock()
+			c.setDead(owner.id, false)
 			time.Sleep(settled)
 			if d := other.Dump().Hosts; len(d) != 0 {
 				c.Errorf("still takes care of %+v", d)
 			}
 			owner.starts("h", batch("u"), nil)
 		},
+		// Two probes in a row: one may be lost.
+		"one lost probe": func(c *cell) {
+			owner, other := pair(c)
+			c.storeDown(true)
+			time.Sleep(DefaultHostsInterval / 2) // between two probes
+			c.setDead(owner.id, true)
+			time.Sleep(DefaultHostsInterval)
+			c.setDead(owner.id, false)
+			synctest.Wait()
+			if d := other.Dump(); len(d.Hosts) != 0 || d.Suspects[owner.id] != 1 {
+				c.Errorf("dump %+v, want one failed probe and no host", d)
+			}
+		},
 		// A caretaker may renew the lease unseen, so a cut-off owner can't know that the tasks stopped.
 		"owner cut off from the server with the store down": func(c *cell) {
 			owner, other := pair(c)
 			owner.starts("h", service("t", "job"), nil)
 			c.storeDown(true)
-			owner.setCut(true)
-			c.mu.Lock()
-			c.dead[owner.id] = true // between the two members as well
-			c.mu.Unlock()
+			owner.set(func(n *node) { n.cut = true })
+			c.setDead(owner.id, true) // between the two members as well
 			time.Sleep(2 * lapsed)
 			owner.saw()
 			other.saw()
@@ -152,15 +159,21 @@
 		// Stale view: the member that missed a change is refused, and takes over again once it sees a newer view.
 		"stale view": func(c *cell) {
 			owner, other := pair(c)
-			owner.keep(c.view)
+			view := c.view
+			owner.keep(&view)
 			c.change(other.id)
 			time.Sleep(settled)
 			owner.saw("detached h moved")
+			owner.set(func(n *node) { n.calls = 0 })
+			time.Sleep(lapsed)
+			owner.set(func(n *node) {
+				if n.calls > 0 {
+					c.Errorf("%d attaches that can't succeed with the view", n.calls)
+				}
+			})
 			owner.starts("h", service("t", "job"), ErrNotOwner)
 			other.starts("h", service("t2", "job"), nil)
-			owner.mu.Lock()
-			owner.stale = nil
-			owner.mu.Unlock()
+			owner.keep(nil)
 			c.change(owner.id)
 			time.Sleep(settled)
 			owner.saw("attached h running=1 finished=0 slots=4")
@@ -169,13 +182,12 @@
 		// A member that lags behind attaches late; a view that it skipped must not count as seen.
 		"owner in every second view": func(c *cell) {
 			owner, other := pair(c)
-			owner.keep(c.view)
+			view := c.view
+			owner.keep(&view)
 			c.change(other.id)
 			time.Sleep(settled)
 			other.starts("h", service("t", "job"), nil)
-			owner.mu.Lock()
-			owner.stale = nil
-			owner.mu.Unlock()
+			owner.keep(nil)
 			c.change(owner.id, other.id)
 			time.Sleep(settled)
 			owner.complete(true)
