Bound the other members' leases by the length of the host list

Cause: the bound was three times MaxRenewal, 6 min even in a cell of 48 servers, so tasks of a dead server whose owner died too waited that long for their restart. A member can't give a longer lease than one that polls every host. With 48 servers the bound is 26 s by the same formula.

--- a/internal/ownership/entry.go
+++ b/internal/ownership/entry.go
@@ -58,12 +58,18 @@
 
 // interval returns the renewal interval that keeps the renewals of all polled hosts within the control budget.
 func (t *Table) interval() time.Duration {
-	paced := time.Duration(t.polled.Load()) * BytesPerExchange * time.Second / time.Duration(t.config.ControlBytesPerSecond)
-	return min(max(paced, t.config.MinRenewal), t.config.MaxRenewal)
+	return t.paced(t.polled.Load())
 }
 
-// maxLease is the longest lease that any member gives.
-func (t *Table) maxLease() time.Duration { return leaseIntervals * t.config.MaxRenewal }
+// paced returns the renewal interval of a member that polls this many hosts.
+func (t *Table) paced(hosts int64) time.Duration {
+	interval := time.Duration(hosts) * BytesPerExchange * time.Second / time.Duration(t.config.ControlBytesPerSecond)
+	return min(max(interval, t.config.MinRenewal), t.config.MaxRenewal)
+}
+
+// maxLease is the longest lease that any member gives: that of a member which polls every host. Its host list may lag
+// or be ahead, so it is taken as up to twice as long as the longest that this member has seen.
+func (t *Table) maxLease() time.Duration { return leaseIntervals * t.paced(2*t.mostHosts.Load()) }
 
 // loop polls the entry's backend server until the entry is removed or ctx ends.
 func (t *Table) loop(ctx context.Context, e *entry) {
--- a/internal/ownership/exchange_test.go
+++ b/internal/ownership/exchange_test.go
@@ -94,6 +94,10 @@
 			if got := table.interval(); got != c.want {
 				t.Errorf("%d hosts: interval %v, want %v", c.hosts, got, c.want)
 			}
+			table.mostHosts.Store(c.hosts)
+			if got := table.maxLease(); got < leaseIntervals*c.want || got > leaseIntervals*max(2*c.want, DefaultMinRenewal) {
+				t.Errorf("%d hosts: longest lease %v for interval %v", c.hosts, got, c.want)
+			}
 		})
 	}
 }
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -75,7 +75,8 @@
 	Detached func(host ident.HostID, reason DetachReason)
 }
 
-// Config holds the dependencies of a Table; the functions are required, the other fields have defaults.
+// Config holds the dependencies of a Table; the functions are required, the other fields have defaults. The renewal
+// settings must be the same at every member, because each one computes how long the others' leases can last.
 type Config struct {
 	Self         func() member.Member
 	View         func() member.View
@@ -86,7 +87,7 @@
 	Probe        func(ctx context.Context, id ident.MemberID) error // nil when the member answers
 
 	MinRenewal            time.Duration // shortest renewal interval
-	MaxRenewal            time.Duration // longest renewal interval; must be the same at every member
+	MaxRenewal            time.Duration // longest renewal interval
 	Drift                 time.Duration // clock drift over a lease
 	HostsInterval         time.Duration // between two reads of the host list
 	ViewLag               time.Duration // age of the view while the store is healthy
@@ -98,13 +99,14 @@
 
 // Table keeps the backend servers that this member owns. It is safe for concurrent use.
 type Table struct {
-	config   Config
-	shards   [shardCount]shard
-	seed     maphash.Seed
-	attaches atomic.Uint64 // number of the last attach
-	polled   atomic.Int64  // hosts that are polled, which sets the renewal interval
-	drops    atomic.Uint64 // number of Drop calls
-	wake     chan struct{} // asks for a reconciliation
+	config    Config
+	shards    [shardCount]shard
+	seed      maphash.Seed
+	attaches  atomic.Uint64 // number of the last attach
+	polled    atomic.Int64  // hosts that are polled, which sets the renewal interval
+	mostHosts atomic.Int64  // length of the longest host list so far
+	drops     atomic.Uint64 // number of Drop calls
+	wake      chan struct{} // asks for a reconciliation
 
 	mu        sync.Mutex // guards the fields below and the set of entries; never held over a network call or an event
 	hosts     map[ident.HostID]platform.Host
--- a/internal/ownership/reconcile.go
+++ b/internal/ownership/reconcile.go
@@ -68,15 +68,17 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	same := t.loaded && len(hosts) == len(t.hosts)
-	next := make(map[ident.HostID]platform.Host, len(hosts))
-	for _, h := range hosts {
-		next[h.ID] = h
-		same = same && t.hosts[h.ID] == h
+	for i := 0; same && i < len(hosts); i++ {
+		same = t.hosts[hosts[i].ID] == hosts[i]
 	}
 	if same {
 		return
 	}
-	t.hosts, t.loaded = next, true
+	t.hosts, t.loaded = make(map[ident.HostID]platform.Host, len(hosts)), true
+	for _, h := range hosts {
+		t.hosts[h.ID] = h
+	}
+	t.mostHosts.Store(max(t.mostHosts.Load(), int64(len(hosts))))
 	t.ViewChanged()
 }
 
@@ -101,7 +103,7 @@
 	}
 	// After a missed view another member may have been owner in between, or may still attach with its epoch.
 	gapless := view.Epoch == t.epoch || view.Epoch == t.epoch+1
-	known := map[ident.HostID]platform.Host{}
+	known := make(map[ident.HostID]platform.Host, len(t.hosts))
 	t.each(func(e *entry) {
 		h, listed := t.hosts[e.id]
 		if !listed {
