Test preemption on random fleets and refuse to end a throttling without room

Ending a throttling when the freed CPU was given away would have overcommitted the host; Throttled now refuses.

--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -28,10 +28,14 @@
 
 // load places tasks until the given part of the slots is taken and returns them.
 func (f *fixture) load(r *rand.Rand, hosts int, part float64) []Placed {
+	return f.loadTeams(r, hosts, part, 110)
+}
+
+func (f *fixture) loadTeams(r *rand.Rand, hosts int, part float64, teams int) []Placed {
 	var placed []Placed
 	for i := range int(part * float64(hosts) * 8) {
 		q := request(i, api.KindBatch, mixed(r))
-		q.Team = ident.TeamID(fmt.Sprintf("team-%d", i%110))
+		q.Team = ident.TeamID(fmt.Sprintf("team-%d", i%teams))
 		if t, err := f.Pick(q); err == nil {
 			placed = append(placed, t)
 		}
@@ -43,29 +47,36 @@
 func BenchmarkPick(b *testing.B) {
 	for _, kind := range []api.Kind{api.KindRequest, api.KindService, api.KindBatch, api.KindAllAtOnce} {
 		for _, n := range fleetSizes {
-			b.Run(fmt.Sprintf("%s/hosts=%d", kind, n), func(b *testing.B) {
-				f := newFixture(b)
-				f.fleet(n)
-				r := rand.New(rand.NewPCG(7, 7))
-				placed := f.load(r, n, 0.75)
-				i := 1 << 30
-				var full int
-				for b.Loop() {
-					i++
-					at := r.IntN(len(placed))
-					f.Release(placed[at].Host, placed[at].Task.Attempt)
-					q := request(i, kind, mixed(r))
-					q.Job = ident.JobID(fmt.Sprintf("job-%d", i%100))
-					t, err := f.Pick(q)
-					if err != nil {
-						full++
-						continue
-					}
-					placed[at] = t
-				}
-				b.ReportMetric(float64(full)/float64(b.N), "full/op")
-			})
+			for _, teams := range []int{6, 110} {
+				b.Run(fmt.Sprintf("%s/hosts=%d/teams=%d", kind, n, teams), func(b *testing.B) {
+					benchmarkPick(b, kind, n, teams)
+				})
+			}
+		}
+	}
+}
+
+func benchmarkPick(b *testing.B, kind api.Kind, n, teams int) {
+	f := newFixture(b)
+	f.fleet(n)
+	r := rand.New(rand.NewPCG(7, 7))
+	placed := f.loadTeams(r, n, 0.75, teams)
+	requests := make([]Request, 4096)
+	for i := range requests {
+		requests[i] = request(1<<30+i, kind, mixed(r))
+		requests[i].Job = ident.JobID(fmt.Sprintf("job-%d", i%100))
+		requests[i].Team = ident.TeamID(fmt.Sprintf("team-%d", i%teams))
+	}
+	for i := 0; b.Loop(); i++ {
+		at := i % len(requests)
+		if i >= len(requests) { // its attempt was placed one round ago
+			if p, ok := f.Find(requests[at].Attempt); ok {
+				f.Release(p.Host, p.Task.Attempt)
+			}
+		} else if i < len(placed) {
+			f.Release(placed[i].Host, placed[i].Task.Attempt)
 		}
+		_, _ = f.Pick(requests[at])
 	}
 }
 
--- a/internal/placement/host.go
+++ b/internal/placement/host.go
@@ -249,22 +249,30 @@
 	}
 }
 
-// Throttled records that an attempt may use percent of its demanded CPU; 100 ends the throttling.
-func (p *Pool) Throttled(id ident.HostID, attempt ident.AttemptID, percent int) {
+// Throttled records that an attempt may use percent of its demanded CPU; 100 ends the throttling. It is called after the
+// host confirmed a lower percentage, and before it is told a higher one. It returns false and changes nothing when the
+// attempt isn't there or the host has no room for the higher percentage.
+func (p *Pool) Throttled(id ident.HostID, attempt ident.AttemptID, percent int) bool {
 	s := p.shardOf(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	h, ok := s.hosts[id]
 	if !ok {
-		return
+		return false
+	}
+	t, ok := h.attempts[attempt]
+	if !ok || percent <= 0 {
+		return false
+	}
+	changed := *t
+	if changed.Throttled = percent; percent >= 100 {
+		changed.Throttled = 0
 	}
-	if t, ok := h.attempts[attempt]; ok && percent > 0 {
-		s.recharge(h, t, func(t *Placed) {
-			if t.Throttled = percent; percent >= 100 {
-				t.Throttled = 0
-			}
-		})
+	if grown := changed.charge().CPU - t.charge().CPU; grown > 0 && grown > h.free.CPU {
+		return false
 	}
+	s.recharge(h, t, func(t *Placed) { t.Throttled = changed.Throttled })
+	return true
 }
 
 // Release frees the room of an attempt that ended or was never started. It returns false when it isn't there.
--- a/internal/placement/property_test.go
+++ b/internal/placement/property_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -261,3 +262,74 @@
 		}
 	}
 }
+
+// TestVictimsOnRandomFleets guards against preempted work that mustn't be (non-idempotent, of the same or a higher
+// priority, not yet running), spread over several hosts, or that doesn't make room.
+func TestVictimsOnRandomFleets(t *testing.T) {
+	found := 0
+	for seed := range uint64(40) {
+		r := rand.New(rand.NewPCG(seed, 5))
+		f := newFixture(t)
+		f.fleet(12)
+		for i := range 200 {
+			q := request(i, []api.Kind{api.KindBatch, api.KindService, api.KindRequest}[r.IntN(3)], mixed(r))
+			q.Priority, q.NonIdempotent, q.Urgent = r.IntN(80), r.IntN(3) == 0, r.IntN(10) == 0
+			p, err := f.Pick(q)
+			if err != nil {
+				continue
+			}
+			if r.IntN(5) > 0 {
+				f.Running(p.Host, q.Attempt)
+			}
+			if r.IntN(4) == 0 {
+				f.Refused(p.Host, q.Attempt, []Action{ActionCheckpoint, ActionThrottle}[r.IntN(2)])
+			}
+		}
+		for i := range 40 {
+			q := request(1000+i, api.KindRequest, mixed(r).Times(2))
+			q.Priority, q.Urgent = 50, r.IntN(2) == 0
+			victims, err := f.Victims(q)
+			if err != nil {
+				continue
+			}
+			found++
+			for _, v := range victims {
+				p, ok := f.Find(v.Attempt)
+				if !ok || p.Host != victims[0].Host || p.Task.NonIdempotent || p.Task.Priority >= 50 || !p.Running ||
+					p.Urgent && !q.Urgent || v.Action == ActionCheckpoint && p.noCheckpoint || v.Action == ActionThrottle && p.noThrottle {
+					t.Fatalf("seed %d: %+v must not be a victim: %+v", seed, v, p)
+				}
+				if v.Action == ActionThrottle {
+					f.Throttled(v.Host, v.Attempt, v.Percent)
+				} else {
+					f.Release(v.Host, v.Attempt)
+				}
+			}
+			if h := f.shardOf(victims[0].Host).hosts[victims[0].Host]; !q.Demand.Fits(h.free) {
+				t.Fatalf("seed %d: %v leave free %v for %v", seed, victims, h.free, q.Demand)
+			}
+			if _, err := f.Pick(q); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	if found < 100 {
+		t.Fatalf("only %d searches found victims", found)
+	}
+}
+
+// TestSeedDecidesTheChoices guards against choices that can't be repeated from a seed.
+func TestSeedDecidesTheChoices(t *testing.T) {
+	run := func() []ident.HostID {
+		f := newFixture(t)
+		f.fleet(100)
+		var hosts []ident.HostID
+		for _, p := range f.load(rand.New(rand.NewPCG(2, 2)), 100, 0.9) {
+			hosts = append(hosts, p.Host)
+		}
+		return hosts
+	}
+	if a, b := run(), run(); !slices.Equal(a, b) {
+		t.Fatal("two runs differ")
+	}
+}
