Let the deadlock test of gangs fail without expiry

Without Expire the test still passed, because an origin that died came back under the same gang id and replaced its old reservations.

--- a/internal/placement/gang_test.go
+++ b/internal/placement/gang_test.go
@@ -166,6 +166,7 @@
 		type origin struct {
 			at      int // next owner to ask
 			wait    int // steps until it asks again
+			lives   int // a restarted origin doesn't know its earlier reservations
 			started bool
 		}
 		origins := []*origin{{}, {}}
@@ -183,14 +184,16 @@
 				if o.wait--; o.started || o.wait > 0 {
 					continue
 				}
-				id := fmt.Sprint("origin-", i)
+				id := fmt.Sprint("origin-", i, "-", o.lives)
 				f := order(i, o.at)
 				if f.Reserve(id, request(0, api.KindAllAtOnce, small), 30, f.now.Add(expiry)) == 30 {
 					o.at++
 				} else {
-					if r.IntN(2) == 0 { // otherwise it dies and the reservations expire
+					if r.IntN(2) == 0 {
 						owners[0].Cancel(id)
 						owners[1].Cancel(id)
+					} else { // it dies and its reservations have to expire
+						o.lives++
 					}
 					o.at, o.wait = 0, 1+r.IntN(8)
 				}
