Test certificates, rotation, hostile peers and the frame decoder

Wrong names, authorities, usages and dates are refused before a handler runs and counted; a rotation closes connections that the new authorities don't verify, and damaged files leave the old material in use. A hostile server's replies end as an unknown outcome, never as an answer. Two tests compared counters before the other side had counted; they now wait for its Close.

--- /dev/null
+++ b/internal/peer/certificates_test.go
@@ -0,0 +1,254 @@
+package peer
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"errors"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/peer/wire"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+// authority signs the certificates of a test.
+type authority struct {
+	t    *testing.T
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+	pem  string
+}
+
+func newAuthority(t *testing.T) *authority {
+	t.Helper()
+	a := &authority{t: t}
+	a.key = newKey(t)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "cell authority"}, IsCA: true,
+		BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &a.key.PublicKey, a.key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if a.cert, err = x509.ParseCertificate(der); err != nil {
+		t.Fatal(err)
+	}
+	a.pem = encode("CERTIFICATE", der)
+	return a
+}
+
+func newKey(t *testing.T) *ecdsa.PrivateKey {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return key
+}
+
+func encode(kind string, der []byte) string {
+	return string(pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}))
+}
+
+// issue returns the material of a member; change may alter the certificate before it is signed.
+func (a *authority) issue(name string, change func(*x509.Certificate)) CertificateSource {
+	a.t.Helper()
+	key := newKey(a.t)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: name},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	if change != nil {
+		change(template)
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	private, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	return CertificateSource{
+		Certificate: encode("CERTIFICATE", der), Key: encode("EC PRIVATE KEY", private), Authorities: a.pem,
+	}
+}
+
+func load(t *testing.T, s CertificateSource) *Certificates {
+	t.Helper()
+	c, err := NewCertificates(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// Guards against peers that are accepted with another member's certificate, another authority's or none.
+func TestCertificates(t *testing.T) {
+	good, other := newAuthority(t), newAuthority(t)
+	bySAN := func(name string) func(*x509.Certificate) {
+		return func(c *x509.Certificate) { c.DNSNames = []string{"host.example", name} }
+	}
+	foreign := other.issue("a", nil)
+	foreign.Authorities = good.pem
+	cases := map[string]struct {
+		client, server CertificateSource
+		sender         ident.MemberID
+		is             error
+		code           Code
+		counted        refusal // at the server
+	}{
+		"common name":           {client: good.issue("a", nil), server: good.issue("b", nil), sender: "a"},
+		"DNS name":              {client: good.issue("pod", bySAN("a")), server: good.issue("pod", bySAN("b")), sender: "a"},
+		"server is another":     {client: good.issue("a", nil), server: good.issue("c", nil), sender: "a", is: ErrUnreachable},
+		"client is another":     {client: good.issue("c", nil), server: good.issue("b", nil), sender: "a", code: CodeWrongSender, counted: refusedSender},
+		"client of another CA":  {client: foreign, server: good.issue("b", nil), sender: "a", is: ErrUnreachable, counted: refusedCertificate},
+		"server of another CA":  {client: good.issue("a", nil), server: other.issue("b", nil), sender: "a", is: ErrUnreachable},
+		"client cert expired":   {client: good.issue("a", func(c *x509.Certificate) { c.NotAfter = time.Now().Add(-time.Minute) }), server: good.issue("b", nil), sender: "a", is: ErrUnreachable, counted: refusedCertificate},
+		"client without usage":  {client: good.issue("a", func(c *x509.Certificate) { c.ExtKeyUsage = c.ExtKeyUsage[:1] }), server: good.issue("b", nil), sender: "a", is: ErrUnreachable, counted: refusedCertificate},
+		"message without names": {client: good.issue("", nil), server: good.issue("b", nil), sender: "", code: CodeWrongSender, counted: refusedSender},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newBook()
+			server := startNode(t, b, "b", func(g *Config) { g.TLS = load(t, c.server) })
+			handleEcho(server)
+			client := startNode(t, b, "a", func(g *Config) {
+				g.TLS = load(t, c.client)
+				g.Self = func() wire.Sender { return wire.Sender{Member: c.sender} }
+			})
+			_, err := Call[echo, echoed](t.Context(), client, "b", "test.echo", echo{Text: "x"})
+			var remote *RemoteError
+			switch {
+			case c.is != nil && !errors.Is(err, c.is), c.is == nil && c.code == 0 && err != nil:
+				t.Errorf("got %v, want %v", err, c.is)
+			case c.code != 0 && (!errors.As(err, &remote) || remote.Code != c.code):
+				t.Errorf("got %v, want code %d", err, c.code)
+			}
+			if err != nil && !NotDelivered(err) {
+				t.Errorf("%v must prove that nothing ran", err)
+			}
+			server.Close() // waits until the refusal is counted
+			if c.counted != "" && server.count.refused(c.counted) != 1 {
+				t.Errorf("refusal %q was not counted", c.counted)
+			}
+		})
+	}
+}
+
+// Guards against a server that answers clients without a certificate or below TLS 1.3.
+func TestForeignClients(t *testing.T) {
+	a := newAuthority(t)
+	b := newBook()
+	own := load(t, a.issue("a", nil)).current()
+	cases := map[string]*tls.Config{
+		"no certificate": {InsecureSkipVerify: true},
+		"TLS 1.2":        {InsecureSkipVerify: true, Certificates: []tls.Certificate{*own}, MaxVersion: tls.VersionTLS12},
+	}
+	for name, config := range cases {
+		t.Run(name, func(t *testing.T) {
+			server := startNode(t, b, "b", func(g *Config) { g.TLS = load(t, a.issue("b", nil)) })
+			conn, err := tls.Dial("tcp", b.at["b"], config)
+			if err == nil {
+				defer conn.Close()
+				if n, err := conn.Read(make([]byte, 1)); err == nil {
+					t.Errorf("server answered with %d bytes", n)
+				}
+			}
+			server.Close() // waits until the refusal is counted
+			if server.count.refused(refusedCertificate) != 1 {
+				t.Error("refusal was not counted")
+			}
+		})
+	}
+}
+
+// Guards against a rotation that needs a restart, that keeps connections of a withdrawn authority or that leaves the
+// member without a certificate when the new files are damaged.
+func TestRotation(t *testing.T) {
+	first, second := newAuthority(t), newAuthority(t)
+	directory := t.TempDir()
+	write := func(member string, s CertificateSource) CertificateSource {
+		files := CertificateSource{
+			Certificate: filepath.Join(directory, member+".pem"), Key: filepath.Join(directory, member+".key"),
+			Authorities: filepath.Join(directory, member+".ca"),
+		}
+		for path, text := range map[string]string{files.Certificate: s.Certificate, files.Key: s.Key, files.Authorities: s.Authorities} {
+			if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		return files
+	}
+	a, b := load(t, write("a", first.issue("a", nil))), load(t, write("b", first.issue("b", nil)))
+	addresses := newBook()
+	client := startNode(t, addresses, "a", func(g *Config) { g.TLS = a })
+	server := startNode(t, addresses, "b", func(g *Config) { g.TLS = b })
+	handleEcho(server)
+	call := func() error {
+		_, err := Call[echo, echoed](t.Context(), client, "b", "test.echo", echo{Text: "x"})
+		return err
+	}
+	if err := call(); err != nil {
+		t.Fatal(err)
+	}
+	damaged := first.issue("b", nil)
+	damaged.Key = "-----BEGIN nothing"
+	write("b", damaged)
+	if err := b.Reload(); err == nil {
+		t.Error("a damaged key was accepted")
+	}
+	if err := call(); err != nil {
+		t.Errorf("after a failed reload: %v", err)
+	}
+	write("b", second.issue("b", nil))
+	if err := b.Reload(); err != nil {
+		t.Fatal(err)
+	}
+	// The connection may be found closed only while the call is written, so the outcome can be unknown; never success.
+	if err := call(); err == nil {
+		t.Error("a client of the withdrawn authority was served")
+	}
+	write("a", second.issue("a", nil))
+	if err := a.Reload(); err != nil {
+		t.Fatal(err)
+	}
+	client.linksLock.Lock()
+	k := client.links["member/b"]
+	client.linksLock.Unlock()
+	k.lock.Lock()
+	k.notUntil = time.Time{}
+	k.lock.Unlock()
+	if err := call(); err != nil {
+		t.Errorf("after both sides rotated: %v", err)
+	}
+}
+
+// Guards against plain connections that leave the host.
+func TestInsecureAddresses(t *testing.T) {
+	b := newBook()
+	client := startNode(t, b, "a", nil)
+	b.set("b", "192.0.2.1:7000")
+	if _, err := Call[echo, echoed](t.Context(), client, "b", "test.echo", echo{}); !errors.Is(err, ErrInsecure) || !NotDelivered(err) {
+		t.Errorf("dial: %v", err)
+	}
+	l, err := net.Listen("tcp", "0.0.0.0:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := client.Serve(t.Context(), l); !errors.Is(err, ErrInsecure) {
+		t.Errorf("serve: %v", err)
+	}
+}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -267,6 +267,7 @@
 	if client.count.sent[Control].Get() != control || client.count.sent[Work].Get() == 0 || client.count.received[Work].Get() < 300 {
 		t.Error("a forward must count as work in both directions")
 	}
+	server.Close() // waits until the last reply is counted
 	for _, class := range []Class{Control, Work} {
 		if client.count.sent[class].Get() != server.count.received[class].Get() ||
 			client.count.received[class].Get() != server.count.sent[class].Get() {
--- /dev/null
+++ b/internal/peer/stream_test.go
@@ -0,0 +1,161 @@
+package peer
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/peer/wire"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// FuzzFrame guards against bytes that panic the decoder or make it return more than the bound.
+func FuzzFrame(f *testing.F) {
+	for _, body := range []string{
+		``, `{}`, `null`, `[]`, `{"id":1,"method":"member.probe","params":{"member":"a"}}`, `{"id":1,"result":null}`,
+		`{"id":"x","error":{"code":-32000,"message":"busy"}}`, `{"id":-1,"method":"m"}`, `{"id":1e9,"method":"m","meta":1}`,
+		`[{"id":1,"method":"m"}]`, `{"id":18446744073709551615,"result":{}}`, `{"method":null,"result":1,"error":2}`,
+	} {
+		f.Add(append(appendLength(nil, len(body)), body...))
+		f.Add(append(appendLength(nil, len(body)+1), body...))
+	}
+	f.Add([]byte("\xff\xff\xff\xff\xff\xff\xff\xff\xff\x01{}"))
+	f.Fuzz(func(t *testing.T, input []byte) {
+		const limit = 1 << 10
+		r := bufio.NewReader(bytes.NewReader(input))
+		for {
+			frame, err := readFrame(r, limit)
+			if err != nil {
+				return
+			}
+			if len(frame) == 0 || len(frame) > limit {
+				t.Fatalf("frame of %d bytes", len(frame))
+			}
+			var request jsonrpc2.Request
+			_ = decodeFrame(frame, &request)
+			var response jsonrpc2.Response
+			_ = decodeFrame(frame, &response)
+		}
+	})
+}
+
+// plainServer accepts one connection, sends the greeting and runs f on it.
+func plainServer(t *testing.T, b *book, f func(net.Conn)) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.set("b", l.Addr().String())
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			f(conn)
+			_ = conn.Close()
+		}
+	}()
+}
+
+// Guards against replies of a damaged or hostile peer that are taken for an answer or for a request that never ran.
+func TestHostileServer(t *testing.T) {
+	reply := func(body string) func(net.Conn) {
+		return func(conn net.Conn) {
+			_ = sendGreeting(conn)
+			_, _ = readFrame(bufio.NewReader(conn), 1<<16)
+			_, _ = conn.Write(append(appendLength(nil, len(body)), body...))
+			_, _ = conn.Read(make([]byte, 1))
+		}
+	}
+	cases := map[string]struct {
+		serve func(net.Conn)
+		is    error
+	}{
+		"closes before the greeting": {func(net.Conn) {}, ErrUnreachable},
+		"speaks another version":     {func(conn net.Conn) { _, _ = conn.Write([]byte{9}) }, ErrUnreachable},
+		"closes after the request": {func(conn net.Conn) {
+			_ = sendGreeting(conn)
+			_, _ = readFrame(bufio.NewReader(conn), 1<<16)
+		}, ErrUnknownOutcome},
+		"reply of another type":  {reply(`{"id":1,"result":[1,2]}`), ErrUnknownOutcome},
+		"reply without id":       {reply(`{"result":{"text":"x"}}`), ErrUnknownOutcome},
+		"reply to another call":  {reply(`{"id":77,"result":{"text":"x"}}`), ErrUnknownOutcome},
+		"request from the peer":  {reply(`{"id":1,"method":"test.echo","params":{}}`), ErrUnknownOutcome},
+		"oversize reply":         {reply(`{"id":1,"result":"` + string(bytes.Repeat([]byte("x"), 1<<17)) + `"}`), ErrUnknownOutcome},
+		"never answers":          {reply(` `), ErrUnknownOutcome},
+		"answers with not JSON":  {reply(`<html>`), ErrUnknownOutcome},
+		"answers with a batch":   {reply(`[{"id":1,"result":{"text":"x"}}]`), ErrUnknownOutcome},
+		"neither result nor err": {reply(`{"id":1}`), ErrUnknownOutcome},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newBook()
+			plainServer(t, b, c.serve)
+			client := startNode(t, b, "a", func(g *Config) { g.MaxFrameBytes, g.CallTimeout = 1<<16, 300*time.Millisecond })
+			_, err := Call[echo, echoed](t.Context(), client, "b", "test.echo", echo{Text: "y"})
+			if !errors.Is(err, c.is) || NotDelivered(err) != (c.is == ErrUnreachable) {
+				t.Errorf("got %v, want %v", err, c.is)
+			}
+		})
+	}
+}
+
+// Guards against a peer that is dialled by every caller while it is down, and against one that stays given up.
+func TestRedialBackoff(t *testing.T) {
+	b := newBook()
+	client := startNode(t, b, "a", nil)
+	now := time.Unix(1_000_000, 0)
+	client.now = func() time.Time { return now }
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	_ = l.Close()
+	call := func() error {
+		_, err := CallAddress[echo, echoed](t.Context(), client, address, "test.echo", echo{Text: "x"})
+		return err
+	}
+	for range 50 {
+		if err := call(); !errors.Is(err, ErrUnreachable) {
+			t.Fatalf("got %v", err)
+		}
+	}
+	if dials := client.count.dials.Get(); dials != 1 {
+		t.Errorf("%d dials without time passing, want 1", dials)
+	}
+	for range 10 {
+		now = now.Add(maxBackoff)
+		_ = call()
+	}
+	if dials := client.count.dials.Get(); dials != 11 {
+		t.Errorf("%d dials, want one per pause", dials)
+	}
+	server := startNode(t, b, "b", nil)
+	handleEcho(server)
+	address = b.at["b"]
+	if err := call(); err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against a member that is still reached at its old address after it moved.
+func TestAddressChange(t *testing.T) {
+	b := newBook()
+	client := startNode(t, b, "a", nil)
+	for _, name := range []string{"old", "new"} {
+		server := startNode(t, b, "b", nil)
+		Handle(server, "test.echo", func(context.Context, echo) (echoed, error) { return echoed{Text: name}, nil })
+		got, err := Call[echo, echoed](t.Context(), client, "b", "test.echo", echo{Sender: wire.Sender{Member: "z"}})
+		if err != nil || got.Text != name {
+			t.Errorf("got %+v, %v, want %s", got, err, name)
+		}
+	}
+}
