Size parts by the pool and measure store calls at the two-year peak

A chunk is now at least half of an equal share of the pool and at most a whole one, members with starts give half of what they have free, and a member that is short gives in turns of 20 s and only towards even parts.

--- a/internal/limit/demand.go
+++ b/internal/limit/demand.go
@@ -16,6 +16,11 @@
 	lookahead = time.Second
 	// rateWindow is the time over which the start rate is averaged.
 	rateWindow = 5 * time.Second
+	// minWindow is the shortest time over which a rate is computed; one start then asks for five more at most.
+	minWindow = 2 * time.Second
+	// shortGiverPause is how long a member that is short itself keeps its part after it gave some. Members of a team at
+	// its limit then take turns, and its parts don't move with every task that ends.
+	shortGiverPause = 20 * time.Second
 	// maxPauseIntervals bounds the pause between fruitless attempts, in intervals.
 	maxPauseIntervals = 8
 	// missedLife is how long tasks that didn't fit count as wanted; callers that still want them try again within it.
@@ -29,11 +34,13 @@
 type demand struct {
 	count  int       // starts since window began
 	window time.Time // start of the current window
+	latest time.Time // last start
 	rate   float64   // starts per second
 	missed int       // largest number of tasks that didn't fit since the last gain
 	missAt time.Time // when tasks didn't fit last
 	held   int       // part gained for missed tasks, kept from other members until heldTo
 	heldTo time.Time
+	gave   time.Time // when a part was given to another member last
 	next   time.Time // earliest next attempt
 	pause  int       // length of the last pause in intervals; 0 after a gain
 	woken  time.Time // the attempt that the loop was woken for
@@ -43,6 +50,7 @@
 func (d *demand) started(n int, now time.Time) {
 	d.roll(now)
 	d.count += n
+	d.latest = now
 	d.held = max(0, d.held-n)
 }
 
@@ -63,10 +71,11 @@
 	d.count, d.window = 0, now
 }
 
-// during is the number of starts expected in a time. Starts of the open window count in full when they exceed the
-// average, so that a new team gets a chunk at once.
+// during is the number of starts expected in a time. The open window counts when it exceeds the average, so that a
+// growing team gets a chunk that fits at once.
 func (d *demand) during(t time.Duration) float64 {
-	return max(d.rate, float64(d.count)/rateWindow.Seconds()) * t.Seconds()
+	open := max(minWindow, d.latest.Sub(d.window))
+	return max(d.rate, float64(d.count)/open.Seconds()) * t.Seconds()
 }
 
 // chunk is the part that lasts for the chunk horizon.
@@ -131,18 +140,26 @@
 	return min(max(missing, t.demand.chunk()-max(0, t.free(limit))), limit)
 }
 
-// spare is what can be given away: half of the free part at least, and all but the own next starts at most.
+// spare is what can be given away: all that is free from an idle member, half of it from one with starts, so that both
+// sides have room afterwards, and a little in turns from one that is short itself.
 func (t *team) spare(limit int, now time.Time) int {
 	free := t.free(limit)
 	if now.Before(t.demand.heldTo) {
 		free -= t.demand.held
 	}
-	if free <= 0 {
+	short := t.demand.missed > 0
+	switch {
+	case free <= 0, short && now.Sub(t.demand.gave) < shortGiverPause:
 		return 0
+	case short, t.demand.during(lookahead) > 0 && now.Sub(t.demand.latest) < chunkHorizon:
+		return (free + 1) / 2
 	}
-	return free - min(t.demand.ahead(), free/2)
+	return free
 }
 
+// balanced bounds what a member that is short gives: no more than evens out the two parts.
+func balanced(n, giver, taker int) int { return max(0, min(n, (giver-taker+1)/2)) }
+
 // Budget of store calls. The store takes 400 writes/s and 2,000 reads/s; the split of limits uses less than a fifth.
 const (
 	storeWritesPerSecond = 400
--- a/internal/limit/give.go
+++ b/internal/limit/give.go
@@ -43,14 +43,20 @@
 		return wire.LimitReply{}, nil
 	}
 	c, err := s.write(ctx, t, self, func(next *record, c *change) bool {
-		own := next.find(self.ID, self.Incarnation)
+		own, taker := next.find(self.ID, self.Incarnation), next.find(r.Member, r.Incarnation)
 		_, unlock := s.locked(t.id)
 		c.given = max(0, min(giving, own.Part-own.Excess-t.promised()-t.used))
+		if t.demand.missed > 0 {
+			c.given = balanced(c.given, own.Part, taker.Part)
+		}
 		unlock()
-		return next.move(own, next.find(r.Member, r.Incarnation), c.given) > 0
+		return next.move(own, taker, c.given) > 0
 	})
 	_, unlock = s.locked(r.Team)
 	t.giving = 0
+	if c.given > 0 {
+		t.demand.gave = s.config.Now()
+	}
 	unlock()
 	switch {
 	case err == nil:
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -107,10 +107,16 @@
 					t.Error("an unknown outcome must not be reported as given")
 				}
 				c.part("m0", 4, 0)
-				c.get("m1", 4)
-				c.pass(3)
+				c.splits["m0"].tick(t.Context())
 				c.part("m0", 4, 0)
 				c.refused("m0", 5)
+				c.get("m1", 4)
+				c.pass(3)
+				for id, s := range c.splits {
+					if part, _ := s.Part(grain); part != c.record().find(id, 1).Part {
+						t.Errorf("%s counts %d, record %+v", id, part, c.record())
+					}
+				}
 			},
 		},
 		"write arrives after the giver gave up": {
--- /dev/null
+++ b/internal/limit/load_test.go
@@ -0,0 +1,183 @@
+package limit
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/member"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+// Guards against a split whose store calls grow with the start rate: at the two-year sizes they must stay under a
+// fifth of what the store takes (400 writes/s and 2,000 reads/s).
+func TestStoreCallsAtPeak(t *testing.T) {
+	const (
+		teams, members  = 110, 9
+		starts          = 3300 // per second
+		running         = 39_000
+		steps           = 4 // per second
+		warmup, measure = 30, 30
+	)
+	cases := map[string]struct {
+		limit int // of each team
+		// pick chooses the member of a start.
+		pick func(r *rand.Rand, second, team int) int
+		// most of the starts that fit in the fleet must find a part.
+		admitted float64
+	}{
+		"even load": {600, func(r *rand.Rand, _, _ int) int { return r.IntN(members) }, 0.99},
+		"load of each team moves between members": {600, func(r *rand.Rand, second, team int) int {
+			return (second/30 + team + r.IntN(2)) % members
+		}, 0.9},
+		"every team at its limit": {200, func(r *rand.Rand, _, _ int) int { return r.IntN(members) }, 0},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := newCell(t, 0, members)
+			for i := range teams {
+				c.limits[ident.TeamID(fmt.Sprintf("team-%d", i))] = test.limit
+			}
+			random := rand.New(rand.NewPCG(7, 11))
+			type ending struct {
+				team   ident.TeamID
+				member ident.MemberID
+			}
+			const total = (warmup + measure) * steps
+			ends := make([][]ending, total+1)
+			tried, admitted, reads, writes, asks := 0, 0, 0, 0, 0
+			for step := range total {
+				if step == warmup*steps {
+					reads, writes, asks, tried, admitted = c.store.reads, c.store.writes, c.asks, 0, 0
+				}
+				for _, e := range ends[step] {
+					c.splits[e.member].Release(e.team, 1)
+				}
+				for range starts / steps {
+					n := random.IntN(teams)
+					id, at := ident.TeamID(fmt.Sprintf("team-%d", n)), ident.MemberID(fmt.Sprintf("m%d", test.pick(random, step/steps, n)))
+					tried++
+					if !c.splits[at].Reserve(id, 1) {
+						continue
+					}
+					admitted++
+					life := 1 + int(random.ExpFloat64()*running/starts*steps)
+					if end := step + life; end < total {
+						ends[end] = append(ends[end], ending{id, at})
+					}
+				}
+				c.now = c.now.Add(time.Second / steps)
+				for _, m := range c.view.Members {
+					c.splits[m.ID].tick(t.Context())
+				}
+			}
+			reads, writes = c.store.reads-reads, c.store.writes-writes
+			share := float64(admitted) / float64(tried)
+			t.Logf("%.1f reads/s, %.1f writes/s, %.1f requests/s, %.1f %% of the starts admitted",
+				float64(reads)/measure, float64(writes)/measure, float64(c.asks-asks)/measure, 100*share)
+			if reads > measure*storeReadsPerSecond/storeFraction || writes > measure*storeWritesPerSecond/storeFraction {
+				t.Errorf("%d reads and %d writes in %d s", reads, writes, measure)
+			}
+			if share < test.admitted {
+				t.Errorf("%.1f %% of the starts admitted, want %.0f %%", 100*share, 100*test.admitted)
+			}
+			for id, limit := range c.limits {
+				used := 0
+				for _, s := range c.splits {
+					_, n := s.Part(id)
+					used += n
+				}
+				if used > limit && limit > 0 {
+					t.Errorf("%s runs %d, limit %d", id, used, limit)
+				}
+			}
+		})
+	}
+}
+
+// Guards against any order of starts, ends, deaths, rejoins, moves of backend servers and faults of the store in
+// which more tasks run than the limit allows. The sum counts tasks wherever they run, known to a member or not.
+func TestRandomHistories(t *testing.T) {
+	const limit = 20
+	for seed := range uint64(60) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 1))
+			c := newCell(t, limit, 4)
+			c.store.fault = func(string) fault {
+				return []fault{none, none, none, none, none, none, down, lostReply, delayed}[random.IntN(9)]
+			}
+			running := map[ident.MemberID]int{} // by the owner that counts them
+			orphans := map[ident.MemberID]int{} // of dead members, not adopted yet
+			next := 10
+			pick := func() member.Member { return c.view.Members[random.IntN(len(c.view.Members))] }
+			for step := range 400 {
+				m := pick()
+				s := c.splits[m.ID]
+				switch n := 1 + random.IntN(4); random.IntN(12) {
+				case 0, 1, 2, 3:
+					if s.Reserve(grain, n) {
+						running[m.ID] += n
+					}
+				case 4, 5:
+					n = min(n, running[m.ID])
+					s.Release(grain, n)
+					running[m.ID] -= n
+				case 6, 7:
+					c.pass(1)
+				case 8:
+					c.store.deliver()
+				case 9: // a backend server moves between live members
+					to := pick()
+					if n = min(n, running[m.ID]); n > 0 && to.ID != m.ID {
+						s.Handover(grain, n, to)
+						c.splits[to.ID].Receive(grain, n)
+						running[m.ID] -= n
+						running[to.ID] += n
+					}
+				case 10: // a member dies and another one joins
+					if random.IntN(4) > 0 {
+						continue
+					}
+					c.remove(m.ID)
+					orphans[m.ID], running[m.ID] = running[m.ID], 0
+					fresh := member.Member{ID: ident.MemberID(fmt.Sprintf("m%d", next)), Incarnation: 1, State: member.Active}
+					next++
+					c.view = member.View{Epoch: c.view.Epoch + 1, Members: append(c.view.Members, fresh)}
+					c.join(fresh)
+				case 11: // backend servers of dead members are adopted in parts, or their tasks end
+					for _, id := range slices.Sorted(maps.Keys(orphans)) {
+						if n = min(n, orphans[id]); n > 0 {
+							orphans[id] -= n
+							if random.IntN(3) > 0 {
+								s.Adopt(grain, n)
+								running[m.ID] += n
+							}
+							break
+						}
+						n = 1 + random.IntN(4)
+					}
+				}
+				for id, left := range orphans {
+					// Cleared is literal: nothing that the member started runs, wherever it is counted.
+					c.cleared[id] = left == 0 && step%7 == 0 && sum(running) == 0
+				}
+				if total := sum(running) + sum(orphans); total > limit {
+					t.Fatalf("step %d: %d tasks run, limit %d; record %+v", step, total, limit, c.record())
+				}
+				c.record()
+			}
+		})
+	}
+}
+
+func sum(counts map[ident.MemberID]int) int {
+	total := 0
+	for _, n := range counts {
+		total += n
+	}
+	return total
+}
--- a/internal/limit/loop.go
+++ b/internal/limit/loop.go
@@ -48,13 +48,17 @@
 	}
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(parallelTeams)
+	var first, later []*team
 	for i := range s.shards {
-		for _, t := range s.due(&s.shards[i], now) {
-			group.Go(func() error {
-				s.attempt(ctx, t, self, view)
-				return nil
-			})
-		}
+		short, due := s.due(&s.shards[i], now)
+		first, later = append(first, short...), append(later, due...)
+	}
+	// Teams with waiting tasks use the budget before those that only look ahead, and the order changes with time.
+	for _, t := range append(rotate(first, now), later...) {
+		group.Go(func() error {
+			s.attempt(ctx, t, self, view)
+			return nil
+		})
 	}
 	_ = group.Wait() // attempts report no errors
 }
@@ -62,22 +66,35 @@
 // paused reports whether the store was unavailable a moment ago; the parts are frozen then.
 func (s *Split) paused(now time.Time) bool { return now.UnixNano() < s.resume.Load() }
 
-// due lists the teams of a shard that need a write or more of their limit.
-func (s *Split) due(sh *shard, now time.Time) []*team {
+// rotate begins a list at another place every second.
+func rotate(teams []*team, now time.Time) []*team {
+	if len(teams) == 0 {
+		return nil
+	}
+	slices.SortFunc(teams, func(a, b *team) int { return cmp.Compare(a.id, b.id) })
+	i := int(uint64(now.Unix()) * 7 % uint64(len(teams)))
+	return append(slices.Clone(teams[i:]), teams[:i]...)
+}
+
+// due lists the teams of a shard with tasks that didn't fit, and the others that need a write or more of their limit.
+func (s *Split) due(sh *shard, now time.Time) (short, due []*team) {
 	sh.lock.Lock()
 	defer sh.lock.Unlock()
-	var due []*team
 	for _, t := range sh.teams {
 		limit, ok := s.config.Limit(t.id)
 		if now.Sub(t.demand.missAt) > missedLife {
 			t.demand.missed = 0
 		}
 		t.demand.roll(now)
-		if ok && !now.Before(t.demand.next) && (t.wants(limit) || t.mustWrite(limit)) {
+		switch {
+		case !ok || now.Before(t.demand.next):
+		case t.free(limit) < max(0, t.demand.missed):
+			short = append(short, t)
+		case t.wants(limit) || t.mustWrite(limit):
 			due = append(due, t)
 		}
 	}
-	return due
+	return short, due
 }
 
 // mustWrite reports whether the record must change for another reason than the need for more.
@@ -129,7 +146,7 @@
 	limit := r.Limit
 	_, unlock := s.locked(t.id)
 	handovers, adopted, used := slices.Clone(t.handovers), t.adopted, t.used
-	want := 0
+	want, missing := 0, max(1, t.demand.missed)-t.free(limit)
 	if t.wants(limit) {
 		want = t.want(limit)
 	}
@@ -150,7 +167,14 @@
 		own.Part = keep
 		changed = true
 	}
-	if c.taken = max(0, min(want-c.moved, limit-r.sum()-(own.Part-r.find(self.ID, self.Incarnation).Part))); c.taken > 0 {
+	pool := limit - r.sum() - (own.Part - r.find(self.ID, self.Incarnation).Part)
+	if want > 0 {
+		// At least half of an equal share of the pool and at most a whole one: a new team on all members needs few
+		// writes, and the first members leave room to the others.
+		share := pool / max(1, len(view.Members))
+		want = min(max(want, share/2), max(missing, share))
+	}
+	if c.taken = max(0, min(want-c.moved, pool)); c.taken > 0 {
 		own.Part += c.taken
 		changed = true
 	}
