Drop evaluations that a pause interrupted

A probe whose deadline passed during a pause of the own process looked like a failed probe, and the other leases had lapsed in the same pause. A probe that takes much longer than its timeout now restarts the healthy period, which drops the evaluation. A join that is under way no longer undoes a leave, and a record that is gone is reported instead of being created again.

--- a/internal/member/evaluate.go
+++ b/internal/member/evaluate.go
@@ -316,7 +316,12 @@
 	probe := func(f func(context.Context) error) bool {
 		bounded, cancel := context.WithTimeout(ctx, g.config.ProbeTimeout)
 		defer cancel()
-		return f(bounded) == nil
+		started := g.config.Now()
+		err := f(bounded)
+		if g.config.Now().Sub(started) > g.config.ProbeTimeout+g.config.LeaseTTL/2 {
+			g.health.reset() // this process was paused, so the failure of the probe and the lapse of leases show nothing
+		}
+		return err == nil
 	}
 	for range directProbes {
 		if probe(func(ctx context.Context) error { return g.config.Probe(ctx, m) }) {
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/rosemaryspoke/rosemaryspoke/internal/platform"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 )
 
@@ -111,6 +112,19 @@
 			c.t.Fatal(err)
 		}
 	},
+	"the steady state costs few calls": func(c *cell) {
+		c.run(sfax...)
+		c.agree(active(sfax...), sfax...)
+		before := c.server.Counts()
+		renewals := func() uint64 { return c.server.Counts()[platform.CallRenew] - before[platform.CallRenew] }
+		c.eventually("many renewals", func() bool { return renewals() >= 300 })
+		total := c.server.Counts().Total() - before.Total()
+		c.t.Logf("%d calls for %d renewals", total, renewals())
+		// Two polls per ten renewals, and room for tickers that a busy machine delays.
+		if total > 2*renewals() {
+			c.t.Fatalf("calls %v after %v", c.server.Counts(), before)
+		}
+	},
 	"a member drains and leaves": func(c *cell) {
 		c.run(sfax...)
 		c.agree(active(sfax...), sfax...)
--- a/internal/member/presence.go
+++ b/internal/member/presence.go
@@ -80,6 +80,9 @@
 	replaced := false
 	err := g.change(ctx, func(next *record) bool {
 		replaced = false
+		if g.leaving.Load() {
+			return false
+		}
 		e, own := next.find(g.config.Self.ID), g.Self().Incarnation
 		if e != nil && e.Instance == g.instance {
 			if e.State == state || e.State == Unreachable {
--- a/internal/member/record.go
+++ b/internal/member/record.go
@@ -155,6 +155,9 @@
 func (g *Group) load(ctx context.Context) (platform.Revision, error) {
 	item, err := g.store.get(ctx, KeyMembers)
 	if errors.Is(err, platform.ErrNotFound) {
+		if epoch := g.View().Epoch; epoch > 0 {
+			return 0, fmt.Errorf("member record is gone, its last known epoch is %d: %w", epoch, err)
+		}
 		return 0, nil
 	}
 	if err != nil {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -50,11 +50,13 @@
 	Get(ctx context.Context, key string) (Item, error)
 	// List returns the items under a prefix in key order.
 	List(ctx context.Context, prefix string) ([]Item, error)
-	// CompareAndSwap writes value if the key's revision is expect (0 creates), bound to lease when it isn't 0.
+	// CompareAndSwap writes value if the key's revision is expect (0 creates), bound to lease when it isn't 0. The key
+	// leaves its former lease. ErrNotFound reports that the lease doesn't exist.
 	CompareAndSwap(ctx context.Context, key string, expect Revision, value []byte, lease LeaseID) (Revision, error)
 	// Delete removes the key if its revision is expect.
 	Delete(ctx context.Context, key string, expect Revision) error
 	// Watch waits up to wait for changes under prefix after a revision and returns the revision to continue from.
+	// Several changes of one key may be merged into the newest. No revision is too old to continue from.
 	Watch(ctx context.Context, prefix string, after Revision, wait time.Duration) ([]Event, Revision, error)
 	// GrantLease creates a lease; its keys are deleted when it lapses.
 	GrantLease(ctx context.Context, ttl time.Duration) (LeaseID, error)
--- /dev/null
+++ b/internal/standin/kv/control_test.go
@@ -0,0 +1,79 @@
+package kv_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/platform"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/standin/kv"
+)
+
+// TestControl guards against faults that are set over HTTP and not applied, or wrong ones that are applied.
+func TestControl(t *testing.T) {
+	for name, c := range map[string]struct {
+		path, body string
+		status     int
+		check      func(f fixture) bool
+	}{
+		"down": {kv.PathFaults, `{"down":true}`, http.StatusOK, func(f fixture) bool { return f.server.Faults().Down }},
+		"partition and lost replies": {
+			kv.PathFaults, `{"cut-regions":["east"],"lose-replies":2,"delay-millis":1}`, http.StatusOK,
+			func(f fixture) bool {
+				faults := f.server.Faults()
+				return len(faults.CutRegions) == 1 && faults.LoseReplies == 2 && faults.DelayMillis == 1
+			},
+		},
+		"wrong probability": {
+			kv.PathFaults, `{"down":true,"lose-probability":2}`, http.StatusBadRequest,
+			func(f fixture) bool { return !f.server.Faults().Down },
+		},
+		"not JSON": {kv.PathFaults, `down`, http.StatusBadRequest, func(f fixture) bool { return !f.server.Faults().Down }},
+		"hosts": {
+			kv.PathSetHosts, `{"hosts":[{"id":"h1","state":"live"}]}`, http.StatusOK,
+			func(f fixture) bool {
+				f.clock.Advance(ttl)
+				hosts, err := f.hosts.Hosts(t.Context())
+				return err == nil && len(hosts) == 1 && hosts[0].ID == "h1"
+			},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			clk := &clock{now: time.Unix(1_000_000, 0)}
+			server := kv.New(kv.Config{Now: clk.Now, HostLag: ttl})
+			listener := httptest.NewServer(server.Handler())
+			defer listener.Close()
+			request, err := http.NewRequestWithContext(t.Context(), http.MethodPut, listener.URL+c.path, strings.NewReader(c.body))
+			must(t, err)
+			response, err := http.DefaultClient.Do(request)
+			must(t, err)
+			must(t, response.Body.Close())
+			f := fixture{server: server, clock: clk, hosts: server.HostListFrom("")}
+			if response.StatusCode != c.status || !c.check(f) {
+				t.Fatalf("status %d, faults %+v", response.StatusCode, server.Faults())
+			}
+		})
+	}
+}
+
+// TestCounts guards against calls that the stand-in doesn't count, also while it is down.
+func TestCounts(t *testing.T) {
+	server := kv.New(kv.Config{})
+	listener := httptest.NewServer(server.Handler())
+	defer listener.Close()
+	server.SetDown(true)
+	_, _ = server.Store().Get(t.Context(), "a")
+	_, _ = server.HostListFrom("").Hosts(t.Context())
+	_, _, _ = server.Store().Watch(t.Context(), "a", 0, 0)
+	response, err := http.Get(listener.URL + kv.PathCounts)
+	must(t, err)
+	defer func() { _ = response.Body.Close() }()
+	var counts platform.Calls
+	must(t, json.NewDecoder(response.Body).Decode(&counts))
+	if counts.Total() != 3 || counts[platform.CallWatch] != 1 {
+		t.Fatalf("counts %v", counts)
+	}
+}
