Poll for changes in the stepped membership tests

The tests read and decoded the whole record in each step, and never ran the code that applies polled events. They now poll as the real loops do.

--- a/internal/member/cell_test.go
+++ b/internal/member/cell_test.go
@@ -46,6 +46,8 @@
 	cell         *cell
 	evaluation   *evaluation
 	last         ident.Epoch
+	record       platform.Revision // from which the record is polled; 0 loads it
+	alive        platform.Revision // the same for the presence keys
 	paused, dead bool
 	removed      int // calls of OnRemoved
 	err          error
@@ -173,14 +175,14 @@
 	t.Helper()
 	ctx := t.Context()
 	before := n.View().Epoch
-	_, _ = n.load(ctx) // without the store the view stays as it is
+	n.poll(ctx, &n.record, KeyMembers, n.load, n.applyRecord)
 	n.err = n.maintain(ctx)
 	n.last = n.deliver(n.last) // after maintain, which must not rejoin before the callbacks
 	if errors.Is(n.err, ErrReplaced) {
 		n.dead = true
 		return
 	}
-	if _, err := n.loadPresence(ctx); err != nil {
+	if !n.poll(ctx, &n.alive, PrefixAlive, n.loadPresence, n.applyPresence) {
 		n.watch.unsynced()
 	}
 	if err := n.evaluate(ctx, n.evaluation); err != nil {
@@ -191,6 +193,25 @@
 	}
 }
 
+// poll does one turn of follow with a poll that doesn't wait, and reports whether the store answered.
+func (n *node) poll(
+	ctx context.Context, after *platform.Revision, prefix string,
+	load func(context.Context) (platform.Revision, error), apply func([]platform.Event) error,
+) bool {
+	var events []platform.Event
+	next, err := *after, error(nil)
+	if next == 0 {
+		next, err = load(ctx)
+	} else if events, next, err = n.store.watch(ctx, prefix, next, 0); err == nil {
+		err = apply(events)
+	}
+	if err != nil {
+		next = 0
+	}
+	*after = next
+	return err == nil
+}
+
 // checkedStore fails the test when a change of the record doesn't raise the epoch by exactly one.
 type checkedStore struct {
 	platform.Store
@@ -200,8 +221,18 @@
 func (s checkedStore) CompareAndSwap(
 	ctx context.Context, key string, expect platform.Revision, value []byte, lease platform.LeaseID,
 ) (platform.Revision, error) {
-	item, err := s.Get(ctx, key)
-	if key == KeyMembers && err == nil && item.Revision == expect {
+	if key == KeyMembers {
+		s.check(ctx, expect, value)
+	}
+	if key == s.cell.lose {
+		s.cell.lose = ""
+		s.cell.server.LoseReplies(1)
+	}
+	return s.Store.CompareAndSwap(ctx, key, expect, value, lease)
+}
+
+func (s checkedStore) check(ctx context.Context, expect platform.Revision, value []byte) {
+	if item, err := s.Get(ctx, KeyMembers); err == nil && item.Revision == expect {
 		var old, next record
 		if err := errors.Join(json.Unmarshal(item.Value, &old), json.Unmarshal(value, &next)); err != nil {
 			s.cell.t.Error(err)
@@ -210,11 +241,6 @@
 			s.cell.t.Errorf("epoch %d after %d", next.Epoch, old.Epoch)
 		}
 	}
-	if key == s.cell.lose {
-		s.cell.lose = ""
-		s.cell.server.LoseReplies(1)
-	}
-	return s.Store.CompareAndSwap(ctx, key, expect, value, lease)
 }
 
 // states returns the members of a view with their states.
--- a/internal/member/failure_test.go
+++ b/internal/member/failure_test.go
@@ -176,7 +176,7 @@
 		c.hook = func() error {
 			c.mu.Lock()
 			defer c.mu.Unlock()
-			c.clock = c.clock.Add(2 * testTTL)
+			c.clock = c.clock.Add(testTTL - testInterval)
 			return context.DeadlineExceeded
 		}
 		c.steps(1) // the lease of sfax-2 lapses and its probe meets the pause
--- a/internal/member/follow.go
+++ b/internal/member/follow.go
@@ -99,28 +99,32 @@
 
 // followRecord keeps the view up to date.
 func (g *Group) followRecord(ctx context.Context) error {
-	return g.follow(ctx, KeyMembers, g.load, func(events []platform.Event) error {
-		for _, e := range events {
-			if e.Key != KeyMembers || e.Deleted {
-				continue
-			}
-			if err := g.decode(e.Item); err != nil {
-				return err
-			}
-		}
-		return nil
-	}, func() {})
+	return g.follow(ctx, KeyMembers, g.load, g.applyRecord, func() {})
 }
 
 // followPresence keeps the presence keys up to date.
 func (g *Group) followPresence(ctx context.Context) error {
-	return g.follow(ctx, PrefixAlive, g.loadPresence, func(events []platform.Event) error {
-		g.watch.apply(events)
-		if g.watch.lost(g.config.Self.ID, g.instance) {
-			wake(g.kicked)
+	return g.follow(ctx, PrefixAlive, g.loadPresence, g.applyPresence, g.watch.unsynced)
+}
+
+func (g *Group) applyRecord(events []platform.Event) error {
+	for _, e := range events {
+		if e.Key != KeyMembers || e.Deleted {
+			continue
 		}
-		return nil
-	}, g.watch.unsynced)
+		if err := g.decode(e.Item); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (g *Group) applyPresence(events []platform.Event) error {
+	g.watch.apply(events)
+	if g.watch.lost(g.config.Self.ID, g.instance) {
+		wake(g.kicked)
+	}
+	return nil
 }
 
 func (g *Group) loadPresence(ctx context.Context) (platform.Revision, error) {
