--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -42,8 +42,9 @@
 	})
 }
 
-// run starts the loops of the members on the real clock and returns a function that ends one of them.
-func (c *cell) run(ids ...ident.MemberID) (stop func(ident.MemberID) error) {
+// run starts the loops of the members on the real clock. It returns a function that ends one of them and one that
+// waits until one has ended by itself.
+func (c *cell) run(ids ...ident.MemberID) (stop, wait func(ident.MemberID) error) {
 	c.add(time.Now, ids...)
 	cancels, done := map[ident.MemberID]context.CancelFunc{}, map[ident.MemberID]chan error{}
 	for _, id := range ids {
@@ -52,13 +53,16 @@
 		cancels[id], done[id] = cancel, result
 		go func() { result <- n.Run(ctx) }()
 	}
-	stop = func(id ident.MemberID) error {
-		c.set(kill, id)
-		cancels[id]()
+	wait = func(id ident.MemberID) error {
 		err := <-done[id]
 		done[id] <- err
 		return err
 	}
+	stop = func(id ident.MemberID) error {
+		c.set(kill, id)
+		cancels[id]()
+		return wait(id)
+	}
 	c.t.Cleanup(func() {
 		for _, id := range ids {
 			if err := stop(id); err != nil && !errors.Is(err, ErrReplaced) {
@@ -66,13 +70,13 @@
 			}
 		}
 	})
-	return stop
+	return stop, wait
 }
 
 // running are cases on the real clock with the loops of Run.
 var running = map[string]func(c *cell){
 	"members join at once and one dies": func(c *cell) {
-		stop := c.run(sfax...)
+		stop, _ := c.run(sfax...)
 		c.agree(active(sfax...), sfax...)
 		if err := stop("sfax-1"); err != nil {
 			c.t.Fatal(err)
@@ -102,14 +106,16 @@
 		}
 	},
 	"a second process with the same id ends the first": func(c *cell) {
-		first := c.run("sfax-1")
+		_, wait := c.run("sfax-1")
 		c.agree(active("sfax-1"), "sfax-1")
 		old := c.node("sfax-1")
 		c.run("sfax-1", "sfax-2")
 		c.agree(active("sfax-1", "sfax-2"), "sfax-1", "sfax-2")
-		c.eventually("the first process is told", func() bool { return !old.Joined() })
-		if err := first("sfax-1"); !errors.Is(err, ErrReplaced) && err != nil {
-			c.t.Fatal(err)
+		if err := wait("sfax-1"); !errors.Is(err, ErrReplaced) {
+			c.t.Fatalf("error %v, want %v", err, ErrReplaced)
+		}
+		if old.Joined() || old.removed != 1 {
+			c.t.Fatalf("%d calls of OnRemoved, dump %+v", old.removed, old.Dump())
 		}
 	},
 	"the steady state costs few calls": func(c *cell) {
