--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -1,9 +1,9 @@
 // Package member keeps the member view: one store record that is changed only by compare-and-swap.
 //
 // Store calls per member in the steady state: one lease renewal per Interval and two long polls (the record and the
-// presence keys) per WatchWait. Each change of the view costs every member one more poll. A removal costs its
-// evaluator one list and one compare-and-swap; joining costs one grant, two compare-and-swaps and two reads. With an
-// Interval of 1 s and a WatchWait of 10 s that is 1.2 calls/s per member, or 11 calls/s for nine members.
+// presence keys) per ten intervals, so 1.2 calls per interval; with an Interval of 1 s and nine members the store sees
+// 11 calls/s. Each change of the view costs every member one more poll. A removal costs its evaluator one list and one
+// compare-and-swap. Joining costs one grant, two compare-and-swaps and two or three reads.
 package member
 
 import (
--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -36,7 +36,7 @@
 	CallTimeout   time.Duration     // bound of one call; a watch may take its wait in addition; 0 means the default
 	MaxReplyBytes int64             // bound of a reply body; 0 means the default
 	Transport     http.RoundTripper // nil means a transport of its own
-	Metrics       *metrics.Set      // receives the call counters; nil means a set of its own
+	Metrics       *metrics.Set      // receives the counters; adapters with one set share them; nil means a set of its own
 }
 
 // transport sends calls and maps failures to the errors of the contract.
--- a/internal/standin/kv/kv.go
+++ b/internal/standin/kv/kv.go
@@ -84,7 +84,7 @@
 	return s
 }
 
-// Run ends lapsed leases at every tick until ctx ends.
+// Run ends lapsed leases at every tick until ctx ends. Without it pending watches see a lapse at the next call.
 func (s *Server) Run(ctx context.Context) error {
 	ticker := time.NewTicker(s.config.Tick)
 	defer ticker.Stop()
