Probe quarantined hosts with one task, and preempt on peers for urgent work

Cause: a quarantined host whose cooldown had passed would have received any number of tasks at once, and urgent work with no lower work on the own backend servers waited for room although peers could have preempted. The choice now asks the blame tracker for a probe, and an urgent task without room anywhere makes own lower work give way, or asks a peer that owns a large enough host.

--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -38,7 +38,8 @@
 	attempts  int            // attempts that count against the retries
 	submitted time.Time
 	started   time.Time
-	mayHave   bool // an attempt may have run
+	preempted time.Time // last time that lower work was asked to give way
+	mayHave   bool      // an attempt may have run
 	cancelled string
 	abandoned bool // the caller was told unknown; a late result still completes the claim
 	lost      int  // audits in a row that did not find the attempt
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -47,11 +47,15 @@
 	if !d.config.Limits.Reserve(t.Team, 1) {
 		return wire.ForwardReply{Reason: "no part of the team's limit is left"}, nil
 	}
-	placed, err := d.config.Pool.Pick(placement.Request{
+	r := placement.Request{
 		Attempt: t.Attempt, Job: t.Job, Index: t.Index, Team: t.Team, Queue: t.Queue, Kind: api.Kind(f.Kind),
 		Demand: t.Demand, Priority: t.Priority, NonIdempotent: t.NonIdempotent, Urgent: f.Urgent,
 		Avoid: f.Avoid, Task: t,
-	})
+	}
+	placed, err := d.pick(r)
+	if err != nil && f.Urgent {
+		d.preempt(r) // The origin asks again when the victims have given way.
+	}
 	if err != nil {
 		d.config.Limits.Release(t.Team, 1)
 		return wire.ForwardReply{Reason: reasonOf(err)}, nil
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
 	"github.com/rosemaryspoke/rosemaryspoke/internal/backend"
@@ -13,26 +12,27 @@
 // preemptPause is how long an urgent task waits for the room of its victims before it asks for more.
 const preemptPause = 500 * time.Millisecond
 
-// preempt frees room for an urgent task by checkpointing, throttling or stopping lower work.
-func (d *Dispatcher) preempt(e *entry) {
-	now := d.config.Now()
+// preemptionDue reports whether the last preemption for the task is long enough ago.
+func (d *Dispatcher) preemptionDue(e *entry) bool {
 	due := false
-	d.with(e.key, func(e *entry) {
-		if now.Sub(e.started) >= preemptPause {
-			e.started, due = now, true
-		}
-	})
-	if !due {
-		return
-	}
-	victims, err := d.config.Pool.Victims(e.request())
+	d.with(e.key, func(e *entry) { due = d.config.Now().Sub(e.preempted) >= preemptPause })
+	return due
+}
+
+func (d *Dispatcher) markPreemption(e *entry) {
+	d.with(e.key, func(e *entry) { e.preempted = d.config.Now() })
+}
+
+// preempt frees room for an urgent task by checkpointing, throttling or stopping lower work on one own server.
+func (d *Dispatcher) preempt(r placement.Request) bool {
+	victims, err := d.config.Pool.Victims(r)
 	if err != nil || len(victims) == 0 {
-		return
+		return false
 	}
-	d.record(e, "waits", fmt.Sprintf("%d lower tasks on %s give way", len(victims), victims[0].Host))
 	for _, v := range victims {
 		d.spawn(func(ctx context.Context) { d.displace(ctx, v) })
 	}
+	return true
 }
 
 // displace takes the room of one victim; its origin queues it again.
--- a/internal/dispatch/pump.go
+++ b/internal/dispatch/pump.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/rosemaryspoke/rosemaryspoke/internal/placement"
@@ -46,16 +47,25 @@
 	if !d.config.Limits.Reserve(team, 1) {
 		return d.tryPeers(e, queue.SkipTeam, "the own part of the team's limit is used up")
 	}
-	placed, err := d.config.Pool.Pick(e.request())
+	placed, err := d.pick(e.request())
 	if err == nil {
 		d.startLocal(e, placed)
 		return queue.Taken
 	}
 	d.config.Limits.Release(team, 1)
-	if e.work.Urgent {
-		d.preempt(e)
+	return d.tryPeers(e, queue.SkipLarger, reasonOf(err))
+}
+
+// pick reserves room on an own backend server. A quarantined one whose cooldown has passed gets one task as a probe.
+func (d *Dispatcher) pick(r placement.Request) (placement.Placed, error) {
+	for {
+		placed, err := d.config.Pool.Pick(r)
+		if err != nil || d.config.Blame.Probe(placed.Host) {
+			return placed, err
+		}
+		d.config.Pool.Release(placed.Host, r.Attempt)
+		r.Avoid = append(slices.Clone(r.Avoid), placed.Host)
 	}
-	return d.tryPeers(e, queue.Skip, reasonOf(err))
 }
 
 func reasonOf(err error) string {
@@ -80,6 +90,12 @@
 // tryPeers hands the task to the best peer with room, or leaves it queued with the reason.
 func (d *Dispatcher) tryPeers(e *entry, otherwise queue.Verdict, reason string) queue.Verdict {
 	candidates := d.config.Fleet.Candidates(e.work.Task.Team, e.work.Task.Demand)
+	if len(candidates) == 0 && e.work.Urgent && d.preemptionDue(e) {
+		d.markPreemption(e)
+		if !d.preempt(e.request()) {
+			candidates = d.config.Fleet.Owners(e.work.Task.Demand)
+		}
+	}
 	if len(candidates) == 0 {
 		d.with(e.key, func(e *entry) {
 			if e.phase == placing {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -272,6 +272,24 @@
 	return false
 }
 
+// Owners returns the active members of the own region with a host that could hold the demand when empty.
+func (f *Fleet) Owners(demand resource.Vector) []ident.MemberID {
+	view, self := f.config.View(), f.config.Self()
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	var ids []ident.MemberID
+	for id, p := range f.peers {
+		m, ok := view.Find(id)
+		if !ok || m.State != member.Active || m.Region != self.Region {
+			continue
+		}
+		if slices.ContainsFunc(p.rooms, func(r wire.Room) bool { return demand.Fits(r.LargestHost) }) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // Heard reports whether every active peer of the view has sent a summary.
 func (f *Fleet) Heard() bool {
 	f.mu.RLock()
