Test durable jobs under store faults and adoption, expose gauges and log decisions

Cause: the job table had no test of its own, and a daemon's sizes could only be read from the state dump. The cases cover a lost reply of the record, a store that is down until the deadline, and every state in which an owner can die.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -91,7 +91,7 @@
 		fx.Provide(func() logr.Logger { return log }, metrics.NewSet, backend.NewHTTPClient),
 		fx.Invoke(
 			buildBase, buildPlatform, buildPeer, buildMembers, buildConfiguration, buildLimits, buildServers,
-			buildDispatcher, buildClaims, buildJobs, buildRequests, buildCallers, buildOperators, registerPeers, connect,
+			buildDispatcher, buildClaims, buildJobs, buildRequests, buildCallers, buildOperators, registerPeers, registerGauges, connect,
 		),
 	)
 	if err := app.Err(); err != nil {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -193,6 +193,7 @@
 	for i := range d.shards {
 		d.shards[i].entries = map[Key]*entry{}
 		d.shards[i].history = map[ident.JobID]*history{}
+		d.shards[i].log = c.Log
 	}
 	return d, nil
 }
--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"github.com/rosemaryspoke/rosemaryspoke/internal/placement"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
@@ -54,6 +56,7 @@
 	entries map[Key]*entry
 	history map[ident.JobID]*history
 	order   []ident.JobID
+	log     logr.Logger
 }
 
 type history struct {
@@ -129,6 +132,8 @@
 	if len(h.decisions) >= maxDecisions {
 		h.decisions = slices.Delete(h.decisions, 0, 1)
 	}
+	s.log.V(1).Info(what, "job", e.key.Job, "task", e.key.Index, "attempt", e.attempt, "team", e.work.Task.Team,
+		"host", e.host, "daemon", e.member, "reason", reason)
 	h.decisions = append(h.decisions, api.Decision{
 		At: now, Task: e.key.Index, Attempt: e.attempt, Host: e.host, Member: e.member, What: what, Reason: reason,
 	})
--- a/internal/dispatch/orphans.go
+++ b/internal/dispatch/orphans.go
@@ -36,6 +36,13 @@
 	}
 }
 
+// Unconfirmed returns the number of results that no origin has confirmed yet.
+func (d *Dispatcher) Unconfirmed() int {
+	d.orphans.mu.Lock()
+	defer d.orphans.mu.Unlock()
+	return len(d.orphans.results)
+}
+
 func (o *orphans) remove(a ident.AttemptID) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- /dev/null
+++ b/internal/job/job_test.go
@@ -0,0 +1,245 @@
+package job
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/backend"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/dispatch"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/member"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/peer/wire"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/standin/kv"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+// bench is a table over the store stand-in, with a dispatcher that only takes notes.
+type bench struct {
+	table *Table
+	store *kv.Server
+
+	mu        sync.Mutex
+	view      member.View
+	submitted map[dispatch.Key]dispatch.Work
+	resumed   []dispatch.Key
+	running   []dispatch.Adopted
+	complete  bool
+}
+
+func newBench(t *testing.T, self ident.MemberID, store *kv.Server, setup func(b *bench)) *bench {
+	t.Helper()
+	b := &bench{store: store, submitted: map[dispatch.Key]dispatch.Work{}, complete: true}
+	b.view = member.View{Epoch: 1, Members: []member.Member{{ID: self, Incarnation: 1, State: member.Active}}}
+	if setup != nil {
+		setup(b)
+	}
+	var err error
+	b.table, err = New(Config{
+		Store: store.Store(), FlushInterval: 5 * time.Millisecond, ScanInterval: 20 * time.Millisecond, Log: logr.Discard(),
+		Self: func() member.Member { return member.Member{ID: self, Incarnation: 1} },
+		View: func() member.View { return b.view },
+		Dispatcher: Dispatcher{
+			Submit: func(w dispatch.Work) error {
+				b.mu.Lock()
+				defer b.mu.Unlock()
+				b.submitted[dispatch.Key{Job: w.Task.Job, Index: w.Task.Index}] = w
+				return nil
+			},
+			Resume: func(w dispatch.Work, _ dispatch.Adopted) error {
+				b.mu.Lock()
+				defer b.mu.Unlock()
+				b.resumed = append(b.resumed, dispatch.Key{Job: w.Task.Job, Index: w.Task.Index})
+				return nil
+			},
+			Cancel:   func(dispatch.Key, string) bool { return true },
+			Forget:   func(dispatch.Key) {},
+			CouldFit: func(dispatch.Work) (bool, string) { return true, "" },
+			AdoptOrigin: func(context.Context, ident.MemberID, []ident.JobID) ([]dispatch.Adopted, bool) {
+				b.mu.Lock()
+				defer b.mu.Unlock()
+				return slices.Clone(b.running), b.complete
+			},
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = b.table.Run(ctx) })
+	t.Cleanup(func() { cancel(); wg.Wait() })
+	return b
+}
+
+func (b *bench) work(k dispatch.Key) (dispatch.Work, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w, ok := b.submitted[k]
+	return w, ok
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(20 * time.Second); !ok(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%s did not happen", what)
+		}
+	}
+}
+
+func create(t *testing.T, b *bench, s api.Spec) api.Job {
+	t.Helper()
+	j, err := b.table.Create(context.Background(), s, Policy{Kind: api.KindBatch})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return j
+}
+
+// TestCreate guards against a job that runs although its caller was told that it won't, and against a record that is
+// lost or written twice when the store fails.
+func TestCreate(t *testing.T) {
+	cases := map[string]struct {
+		faults func(s *kv.Server)
+		want   error
+		runs   bool
+	}{
+		"recorded before it is acknowledged": {faults: func(*kv.Server) {}, runs: true},
+		"reply of the record lost":           {faults: func(s *kv.Server) { s.LoseReplies(2) }, runs: true},
+		"store down until the deadline":      {faults: func(s *kv.Server) { s.SetDown(true) }, want: ErrNotRecorded},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			store := kv.New(kv.Config{})
+			b := newBench(t, "a", store, nil)
+			c.faults(store)
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			if c.want != nil {
+				ctx, cancel = context.WithTimeout(context.Background(), 50*time.Millisecond)
+			}
+			defer cancel()
+			j, err := b.table.Create(ctx, api.Spec{Team: "t"}, Policy{Kind: api.KindBatch})
+			if !errors.Is(err, c.want) && !(c.want != nil && errors.Is(err, ErrUnknownOutcome)) {
+				t.Fatalf("got %v, want %v", err, c.want)
+			}
+			if errors.Is(err, ErrNotRecorded) {
+				store.SetDown(false)
+				next := create(t, b, api.Spec{Team: "t"}) // A later job is written, so an earlier one would have been too.
+				if _, ok := b.work(dispatch.Key{Job: j.ID}); ok || next.ID == j.ID {
+					t.Fatal("a job that was refused as not run was started")
+				}
+				return
+			}
+			if _, ok := b.work(dispatch.Key{Job: j.ID}); c.runs && !ok {
+				t.Fatal("the recorded job was not started")
+			}
+			if items, _ := store.Store().List(context.Background(), prefix); c.runs && len(items) != 1 {
+				t.Fatalf("%d records, want 1", len(items))
+			}
+		})
+	}
+}
+
+// TestAdopt guards against work that is lost or run again after its owner has died.
+func TestAdopt(t *testing.T) {
+	cases := map[string]struct {
+		spec    api.Spec
+		before  func(t *testing.T, w dispatch.Work) // what the first owner did
+		running bool                                // a backend server still runs the attempt
+		started bool                                // the new owner starts the task again
+		resumed bool
+		outcome api.Outcome
+	}{
+		"queued task is started":          {started: true},
+		"running task is resumed":         {running: true, resumed: true},
+		"lost idempotent task runs again": {spec: api.Spec{}, started: true, before: markStarted},
+		"finished task isn't run again": {outcome: api.Answered, before: func(_ *testing.T, w dispatch.Work) {
+			w.Done(dispatch.Final{Outcome: api.Answered, Result: backend.Result{Answer: []byte("x")}}, func() {})
+		}},
+		"large result survives": {outcome: api.Answered, before: func(_ *testing.T, w dispatch.Work) {
+			w.Done(dispatch.Final{Outcome: api.Answered, Result: backend.Result{Answer: make([]byte, 4096)}}, func() {})
+		}},
+		"non-idempotent task not sent yet is started": {spec: api.Spec{NonIdempotent: true}, started: true},
+		"non-idempotent task that was sent is unknown": {
+			spec: api.Spec{NonIdempotent: true}, outcome: api.Unknown,
+			before: func(t *testing.T, w dispatch.Work) {
+				if err := w.Prepare(context.Background()); err != nil {
+					t.Fatal(err)
+				}
+			},
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			store := kv.New(kv.Config{})
+			first := newBench(t, "b", store, nil)
+			c.spec.Team = "t"
+			j := create(t, first, c.spec)
+			key := dispatch.Key{Job: j.ID}
+			if w, _ := first.work(key); c.before != nil {
+				c.before(t, w)
+			}
+			if c.outcome == api.Answered {
+				eventually(t, "the record of the result", func() bool { return recorded(store, j.ID, api.Succeeded) })
+			}
+			second := newBench(t, "a", store, func(b *bench) {
+				if c.running {
+					b.running = []dispatch.Adopted{{AdoptedAttempt: wire.AdoptedAttempt{Attempt: "x", Job: j.ID}, Owner: "a"}}
+				}
+			})
+			eventually(t, "the adoption", func() bool {
+				found, err := second.table.Get(context.Background(), j.ID)
+				_, started := second.work(key)
+				second.mu.Lock()
+				resumed := slices.Contains(second.resumed, key)
+				second.mu.Unlock()
+				return err == nil && started == c.started && resumed == c.resumed && found.Outcome == c.outcome
+			})
+		})
+	}
+}
+
+func markStarted(_ *testing.T, w dispatch.Work) { w.Started("x", "h", 1) }
+
+func recorded(store *kv.Server, id ident.JobID, phase api.Phase) bool {
+	items, err := store.Store().List(context.Background(), prefix)
+	if err != nil {
+		return false
+	}
+	for _, item := range items {
+		r, err := decode(item.Value)
+		if err != nil {
+			return false
+		}
+		b := &batch{record: r}
+		if j := b.find(id); j != nil {
+			return j.phase() == phase
+		}
+	}
+	return false
+}
+
+// TestIncomplete guards against starting a task while a daemon can't tell yet whether its attempt still runs.
+func TestIncomplete(t *testing.T) {
+	store := kv.New(kv.Config{})
+	first := newBench(t, "b", store, nil)
+	j := create(t, first, api.Spec{Team: "t"})
+	second := newBench(t, "a", store, func(b *bench) { b.complete = false })
+	eventually(t, "the adoption", func() bool {
+		_, err := second.table.Get(context.Background(), j.ID)
+		return err == nil
+	})
+	if _, ok := second.work(dispatch.Key{Job: j.ID}); ok {
+		t.Fatal("the task was started before every daemon had answered")
+	}
+	second.mu.Lock()
+	second.complete = true
+	second.mu.Unlock()
+	eventually(t, "the start", func() bool { _, ok := second.work(dispatch.Key{Job: j.ID}); return ok })
+}
--- a/internal/job/recover.go
+++ b/internal/job/recover.go
@@ -61,8 +61,8 @@
 		return fmt.Errorf("list job batches: %w", err)
 	}
 	for _, item := range items {
-		var r record
-		if err := json.Unmarshal(item.Value, &r); err != nil {
+		r, err := decode(item.Value)
+		if err != nil {
 			t.config.Log.Error(err, "job batch can't be decoded", "batch", item.Key)
 			continue
 		}
@@ -76,6 +76,14 @@
 	return nil
 }
 
+func decode(value []byte) (record, error) {
+	var r record
+	if err := json.Unmarshal(value, &r); err != nil {
+		return r, fmt.Errorf("decode job batch: %w", err)
+	}
+	return r, nil
+}
+
 // adopt makes this member the owner of a dead member's batch and recovers its jobs.
 func (t *Table) adopt(ctx context.Context, item platform.Item, r record) error {
 	dead, self := r.Owner, t.config.Self()
