--- /dev/null
+++ b/cmd/rosemaryspoke/main_test.go
@@ -0,0 +1,201 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/demo"
+)
+
+// runMain makes the test binary run the command line, so that the test needs no build of its own.
+const runMain = "TEST_RUN_MAIN"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(runMain) != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+const token = "process-test-token"
+
+type process struct {
+	*exec.Cmd
+	out bytes.Buffer
+}
+
+func start(ctx context.Context, args ...string) *process {
+	p := &process{Cmd: exec.CommandContext(ctx, os.Args[0], args...)}
+	p.Env = append(os.Environ(), runMain+"=1", "ROSEMARYSPOKE_OPERATOR_TOKEN="+token, "ROSEMARYSPOKE_TOKEN="+token)
+	p.Stderr = &p.out
+	return p
+}
+
+// run executes a client command and returns its standard output and exit code.
+func run(ctx context.Context, args ...string) (string, int) {
+	p := start(ctx, args...)
+	var out bytes.Buffer
+	p.Stdout = &out
+	_ = p.Run()
+	return out.String() + p.out.String(), p.ProcessState.ExitCode()
+}
+
+func freePorts(t *testing.T, n int) []string {
+	t.Helper()
+	addresses := make([]string, n)
+	for i := range addresses {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = l.Close() }()
+		addresses[i] = l.Addr().String()
+	}
+	return addresses
+}
+
+func startStandins(ctx context.Context, t *testing.T) (*process, string) {
+	t.Helper()
+	p := start(ctx, "standin")
+	out, err := p.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.Start(); err != nil {
+		t.Fatal(err)
+	}
+	line, err := bufio.NewReader(out).ReadString('\n')
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p, strings.TrimPrefix(strings.TrimSpace(line), "store-url ")
+}
+
+// TestProcesses guards against a path that only works inside one process: daemons, stand-ins and the command line run
+// as processes of their own, a daemon is ended by SIGTERM while it holds a request, and every exit code is checked.
+func TestProcesses(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 90*time.Second)
+	defer cancel()
+	standins, store := startStandins(ctx, t)
+	seed, public := operatorKey(ctx, t)
+	ports := freePorts(t, 6)
+	var daemons []*process
+	for i, site := range demo.Sites()[:2] {
+		d := start(ctx, "serve", "--member", string(site.Member), "--region", string(site.Region),
+			"--data-centre", string(site.DataCentre), "--store-url", store, "--signers", public,
+			"--caller-listen", ports[3*i], "--operator-listen", ports[3*i+1], "--peer-listen", ports[3*i+2],
+			"--lease-ttl", "3s", "--member-interval", "200ms")
+		if err := d.Start(); err != nil {
+			t.Fatal(err)
+		}
+		daemons = append(daemons, d)
+	}
+	secret := publish(ctx, t, seed, ports)
+	waitReady(ctx, t, ports[1], ports[4])
+
+	request := []string{
+		"request", "--team", "quoting", "--queue", "quotes", "--request-id", "r-1", "--non-idempotent",
+		"--payload", "rack", "--run-time", "300ms", "--key", secret, "-o", "json", "--address",
+	}
+	held := make(chan string, 1)
+	go func() {
+		out, code := run(ctx, append(request, "http://"+ports[0])...)
+		held <- fmt.Sprint(code, out)
+	}()
+	time.Sleep(100 * time.Millisecond)
+	if err := daemons[0].Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-held; !strings.HasPrefix(got, "0") || !strings.Contains(got, `"answered"`) {
+		t.Errorf("request held during SIGTERM: %s", got)
+	}
+	if err := daemons[0].Wait(); err != nil {
+		t.Errorf("drained daemon: %v\n%s", err, daemons[0].out.String())
+	}
+	if out, code := run(ctx, append(request, "http://"+ports[3])...); code != 0 || !strings.Contains(out, `"answered"`) {
+		t.Errorf("same request through the other daemon: exit code %d, %s", code, out)
+	}
+	if out, code := run(ctx, "job", "run", "--team", "floor-plan", "--queue", "renders", "--key", "wrong", "--address", "http://"+ports[3]); code != 3 {
+		t.Errorf("wrong key: exit code %d, want 3: %s", code, out)
+	}
+	if out, code := run(ctx, "serve", "--member", "x", "--lease-ttl", "1ms"); code != 2 || !strings.Contains(out, "region") {
+		t.Errorf("wrong settings: exit code %d, want 2: %s", code, out)
+	}
+	for _, p := range []*process{daemons[1], standins} {
+		_ = p.Process.Signal(syscall.SIGTERM)
+		if err := p.Wait(); err != nil {
+			t.Errorf("%v: %v\n%s", p.Args, err, p.out.String())
+		}
+	}
+}
+
+func operatorKey(ctx context.Context, t *testing.T) (seed, public string) {
+	t.Helper()
+	out, code := run(ctx, "bundle", "keygen", "-o", "json")
+	var key struct{ Seed, Public string }
+	if err := json.Unmarshal([]byte(out), &key); err != nil || code != 0 {
+		t.Fatalf("keygen: exit code %d, %v: %s", code, err, out)
+	}
+	return key.Seed, key.Public
+}
+
+// publish puts the demo's bundle in force and returns the secret of the quoting team.
+func publish(ctx context.Context, t *testing.T, seed string, ports []string) string {
+	t.Helper()
+	b, secrets, err := demo.Bundle()
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := yaml.Marshal(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(t.TempDir(), "bundle.yaml")
+	if err := os.WriteFile(file, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for {
+		out, code := run(ctx, "bundle", "publish", file, "--signing-key", seed, "--operator-address", "http://"+ports[1])
+		if code == 0 {
+			return secrets["quoting"]
+		}
+		if ctx.Err() != nil || code == 2 {
+			t.Fatalf("publish: exit code %d: %s", code, out)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+func waitReady(ctx context.Context, t *testing.T, addresses ...string) {
+	t.Helper()
+	for _, a := range addresses {
+		for {
+			reply, err := http.Get("http://" + a + "/readyz")
+			if err == nil {
+				_ = reply.Body.Close()
+				if reply.StatusCode == http.StatusOK {
+					break
+				}
+			}
+			if ctx.Err() != nil {
+				t.Fatalf("daemon at %s isn't ready: %v", a, err)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+}
--- a/internal/standin/cell/cell.go
+++ b/internal/standin/cell/cell.go
@@ -2,6 +2,7 @@
 package cell
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -18,6 +19,9 @@
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/resource"
 )
 
+// anyPort is a free port on loopback.
+const anyPort = "127.0.0.1:0"
+
 // Group is a number of equal backend servers in racks of one data centre.
 type Group struct {
 	Region     ident.Region
@@ -31,6 +35,7 @@
 // Config describes a cell.
 type Config struct {
 	Groups  []Group
+	Listen  string // address of the store; empty means a free port on loopback
 	HostLag time.Duration
 	Seed    uint64
 	Worker  func(c *worker.Config) // adjusts each backend server; nil leaves the defaults
@@ -56,7 +61,7 @@
 		KV: kv.New(kv.Config{HostLag: c.HostLag, Seed: c.Seed}), Workers: map[ident.HostID]*worker.Worker{},
 		Ledger: worker.NewLedger(), cancel: cancel,
 	}
-	address, err := s.serve(s.KV.Handler())
+	address, err := s.serve(cmp.Or(c.Listen, anyPort), s.KV.Handler())
 	if err != nil {
 		s.Close()
 		return nil, err
@@ -81,7 +86,7 @@
 			c.Worker(&config)
 		}
 		w := worker.New(config)
-		address, err := s.serve(w.Handler())
+		address, err := s.serve(anyPort, w.Handler())
 		if err != nil {
 			return err
 		}
@@ -94,8 +99,8 @@
 	return nil
 }
 
-func (s *Cell) serve(h http.Handler) (string, error) {
-	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+func (s *Cell) serve(address string, h http.Handler) (string, error) {
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return "", fmt.Errorf("listen for a stand-in: %w", err)
 	}
