Test that the store's present state decides about a lapse

Cause: removing the check of the store at the decision went unnoticed, because the probes sample the store as well. Measured: the new case fails without the check, and internal/ownership passes 8 times with -race with it.

--- a/internal/ownership/cell_test.go
+++ b/internal/ownership/cell_test.go
@@ -29,6 +29,7 @@
 	ledger  *worker.Ledger
 	workers map[ident.HostID]*worker.Worker
 	members map[ident.MemberID]*node
+	reads   time.Duration // between two reads of the host list and two probes; 0 for the default
 }
 
 // node is one member of a cell.
@@ -206,7 +207,7 @@
 				n.add("detached %s %s", h, r)
 			},
 		},
-		MinRenewal: minRenewal, MaxRenewal: maxRenewal, Jitter: func() float64 { return 0.5 },
+		MinRenewal: minRenewal, MaxRenewal: maxRenewal, HostsInterval: c.reads, Jitter: func() float64 { return 0.5 },
 	})
 	if err != nil {
 		c.Fatal(err)
--- a/internal/ownership/takeover_test.go
+++ b/internal/ownership/takeover_test.go
@@ -120,6 +120,18 @@
 				c.Errorf("exit %q at the time of the report", exit)
 			}
 		},
+		// The store's state at the time of the decision counts, not only at the last probe.
+		"server lost while the store is down between two probes": func(c *cell) {
+			c.reads = time.Hour
+			owner, _ := pair(c)
+			c.storeDown(true)
+			owner.set(func(n *node) { n.cut = true })
+			time.Sleep(2 * lapsed)
+			owner.saw()
+			c.storeDown(false)
+			time.Sleep(2 * lapsed)
+			owner.saw("detached h lapsed")
+		},
 		// Two failures at once: the new owner never attached, so it waits for the dead owner's last lease.
 		"owner and backend server die": func(c *cell) {
 			owner, other := pair(c)
