Cache the freshness on the path of a request and close gaps in the tests

Single faults put into a scratch copy showed which rules no test held: the new revision of a part written again, the removal list of a delta, the one reader per region, the wait before pulling over the link, the start of a watch's confirmation and the check for older versions on adoption. Each has a test now; the last of them, the wait before pulling over the link, was checked only by the new test passing.

--- a/internal/rollout/fresh.go
+++ b/internal/rollout/fresh.go
@@ -92,7 +92,21 @@
 // Fresh reports whether this daemon has confirmed within the freshness bound that its configuration is current. Only
 // then may it admit keyed work.
 func (r *Rollout) Fresh() bool {
-	return r.config.Now().Before(r.freshUntil())
+	now, version, epoch := r.config.Now(), r.held.Load().version(), r.config.View().Epoch
+	if c := r.cached.Load(); c != nil && c.version == version && c.epoch == epoch && now.Before(c.until) {
+		return true
+	}
+	until := r.freshUntil()
+	r.cached.Store(&freshness{until: until, version: version, epoch: epoch})
+	return now.Before(until)
+}
+
+// freshness is a result of freshUntil. It stays true until it lapses, because later answers can't change what was
+// confirmed for an earlier moment; another version or view needs its own.
+type freshness struct {
+	until   time.Time
+	version ident.Version
+	epoch   ident.Epoch
 }
 
 // freshUntil returns when the confirmations lapse; the zero time means that there is none.
--- a/internal/rollout/fresh_test.go
+++ b/internal/rollout/fresh_test.go
@@ -10,6 +10,7 @@
 	"github.com/rosemaryspoke/rosemaryspoke/internal/bundle"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/member"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/peer/wire"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/platform"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 )
 
@@ -159,6 +160,34 @@
 	}
 }
 
+// slowStore delays the reply of a watch by the whole freshness bound.
+type slowStore struct {
+	platform.Store
+	clock *fakeClock
+}
+
+func (s slowStore) Watch(ctx context.Context, prefix string, after platform.Revision, wait time.Duration) ([]platform.Event, platform.Revision, error) {
+	events, next, err := s.Store.Watch(ctx, prefix, after, wait)
+	s.clock.advance(testFreshness)
+	return events, next, err
+}
+
+// Guards against a watch that confirms the index as of its reply, which may describe the moment it was sent.
+func TestWatchConfirmsFromBeforeItWasSent(t *testing.T) {
+	c := newCell(t, "a1", "a2", "a3")
+	c.publish("a1", sample(2, 1))
+	r := c.nodes["a1"]
+	r.sync(context.Background())
+	if !r.Fresh() {
+		t.Fatal("not fresh after reading the store")
+	}
+	r.config.Store = slowStore{r.config.Store, c.clock}
+	r.sync(context.Background())
+	if r.Fresh() {
+		t.Error("fresh by a watch that was sent a whole bound ago")
+	}
+}
+
 // Guards against confirmations that don't count as a majority being taken for one.
 func TestMajority(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
--- a/internal/rollout/publish_test.go
+++ b/internal/rollout/publish_test.go
@@ -256,3 +256,25 @@
 		t.Errorf("a new daemon can't load: %v", err)
 	}
 }
+
+// Guards against a sweep that deletes the parts of a publish between their write and the swap of the index.
+func TestCollectDuringPublish(t *testing.T) {
+	ctx := context.Background()
+	c := newCell(t, "a1", "a2", "a3")
+	first, second := sample(3, 1), sample(3, 1)
+	second.Teams[0].Limit = 9
+	c.publish("a1", first)
+	c.publish("a1", second)
+	c.nodes["a1"].collect(ctx)
+	c.store.swap = func(key string) (error, error) {
+		if key == indexKey {
+			c.nodes["a1"].collect(ctx)
+		}
+		return nil, nil
+	}
+	c.publish("a2", first)
+	c.start("a3")
+	if _, err := c.nodes["a3"].readIndex(ctx); err != nil || c.nodes["a3"].Current().Version() != 3 {
+		t.Errorf("a new daemon is at version %d: %v", c.nodes["a3"].Current().Version(), err)
+	}
+}
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -65,6 +65,7 @@
 	config Config
 	held   atomic.Pointer[held]
 	counts counters
+	cached atomic.Pointer[freshness] // spares Fresh the count on the path of a request
 
 	adopting sync.Mutex // serializes changes of held
 
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -34,14 +34,17 @@
 	}
 	c.crossed = 0
 	changed := sample(6, 2)
-	changed.Teams[0].Limit = 7
-	c.publish("b2", changed)
-	c.round(4)
-	if got := c.versions(); slices.Min(got) != 2 {
-		t.Fatalf("versions %v after four rounds", got)
+	for i := range 10 {
+		changed.Teams = slices.Clone(changed.Teams)
+		changed.Teams[0].Limit = 16 - i
+		c.publish(six[i%len(six)], changed)
+		c.round(4)
+		if got := c.versions(); slices.Min(got) != ident.Version(i+2) {
+			t.Fatalf("versions %v after four rounds", got)
+		}
 	}
-	if c.crossed > 1 {
-		t.Errorf("%d copies crossed the region link", c.crossed)
+	if c.crossed > 10 {
+		t.Errorf("%d copies of ten changes crossed the region link", c.crossed)
 	}
 	if got := c.nodes["b1"].Current().Limit("team-000"); got != 7 {
 		t.Errorf("limit is %d on b1", got)
@@ -201,13 +204,57 @@
 	if len(reply.Segments) != 1 || reply.Segments[0].Name != "keys/team-007" || !slices.Equal(reply.Removed, []string{"keys/team-003", "team/team-003"}) {
 		t.Errorf("%d segments, removed %v", len(reply.Segments), reply.Removed)
 	}
-	c.round(2)
+	if err := c.nodes["a2"].applyReply("a1", reply); err != nil {
+		t.Fatal(err)
+	}
 	current := c.nodes["a2"].Current()
 	if _, ok := current.Team("team-003"); ok || current.Authorize("team-007", "closed", secret) != nil {
 		t.Errorf("version %d lacks a change", current.Version())
 	}
 }
 
+// Guards against an adoption that loses a race with a newer one and then replaces it.
+func TestAdoptKeepsTheNewest(t *testing.T) {
+	c := newCell(t, "a1", "a2", "a3")
+	c.publish("a1", sample(2, 1))
+	r := c.nodes["a1"]
+	old := r.held.Load()
+	c.publish("a1", sample(3, 1))
+	if err := r.adopt(old.index, old.segments); err != nil || r.Current().Version() != 2 {
+		t.Errorf("version %d, %v", r.Current().Version(), err)
+	}
+}
+
+// Guards against every daemon reading the store, whose rates grow more slowly than the fleet.
+func TestOneDaemonReadsTheStore(t *testing.T) {
+	c := newCell(t, six...)
+	c.publish("a1", sample(2, 1))
+	c.round(6)
+	clear(c.store.calls)
+	c.round(10)
+	if got := c.store.calls; got["watch"] != 10 || got["get"] != 0 {
+		t.Errorf("calls in ten rounds: %v", got)
+	}
+}
+
+// Guards against every daemon of a region pulling over the link as soon as it hears of a newer version there.
+func TestCatchUpOverTheLinkWaits(t *testing.T) {
+	ctx := context.Background()
+	c := newCell(t, six...)
+	c.publish("a1", sample(2, 1))
+	c.round(4)
+	c.publish("a1", sample(3, 1))
+	r := c.nodes["b2"]
+	r.ask(ctx, []ident.MemberID{"a1"})
+	if r.catchUp(ctx, ""); r.Current().Version() != 1 {
+		t.Error("pulled over the link at once")
+	}
+	c.clock.advance(3 * testInterval)
+	if r.catchUp(ctx, ""); r.Current().Version() != 2 {
+		t.Error("not pulled after its region's reader had time to")
+	}
+}
+
 // Guards against callbacks that miss the newest version or see versions out of order.
 func TestOnChangeSeesGrowingVersions(t *testing.T) {
 	c := newCell(t, "a1", "a2", "a3")
