Stop renewing leases when isolated, and repeat a start only under its fence

A member that was removed while it was cut off from the store and its peers, but still reached a backend server, went on renewing that server's lease, so its tasks could run beside their replacements. A removal now needs answers from at least half of the active members, none of which reaches the removed one, and a member without the store that reaches at most half of them and not all of its region stops renewing. Cost: a region without its link that also loses a daemon gives up its tasks, because it can't tell that case apart. 2. A start whose reply was lost was repeated under whatever fence was present, which could run the attempt again after a restart of the server. It is now repeated under the same fence only and then settled by a stop. The test that expected an unknown outcome after one lost reply now expects the duplicate that proves the single run, and the unknown outcome after all replies are lost.

--- a/cmd/rosemaryspoke/main_test.go
+++ b/cmd/rosemaryspoke/main_test.go
@@ -108,6 +108,14 @@
 	secret := publish(ctx, t, seed, ports)
 	waitReady(ctx, t, ports[1], ports[4])
 
+	out, code := run(ctx, "key", "grant", "floor-plan", "second", "--signing-key", seed, "--operator-address", "http://"+ports[1])
+	if code != 0 || !strings.Contains(out, "secret: ") {
+		t.Errorf("key grant: exit code %d: %s", code, out)
+	}
+	// A grant that loses the other keys would end every team's work.
+	if out, _ := run(ctx, "key", "list", "--operator-address", "http://"+ports[1]); strings.Count(out, "first") != 2 || !strings.Contains(out, "second") {
+		t.Errorf("keys after the grant: %s", out)
+	}
 	request := []string{
 		"request", "--team", "quoting", "--queue", "quotes", "--request-id", "r-1", "--non-idempotent",
 		"--payload", "rack", "--run-time", "300ms", "--key", secret, "-o", "json", "--address",
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -103,11 +103,10 @@
 		Store:    d.store,
 		Self:     member.Member{ID: s.Member, Address: s.PeerAddress, DataCentre: s.DataCentre, Region: s.Region},
 		LeaseTTL: s.LeaseTTL, Interval: s.MemberInterval, ProbeTimeout: s.ProbeTimeout,
-		Probe: func(ctx context.Context, m member.Member) error {
-			reply, err := peer.CallAddress[wire.ProbeRequest, wire.ProbeReply](ctx, d.node, m.Address, wire.MethodProbe, wire.ProbeRequest{Sender: d.sender()})
-			if err == nil && (reply.Member != m.ID || reply.Incarnation != m.Incarnation) {
-				return fmt.Errorf("address %s answers as %s incarnation %d", m.Address, reply.Member, reply.Incarnation)
-			}
+		Probe: d.probe,
+		ProbeVia: func(ctx context.Context, via, target member.Member) error {
+			r := wire.ProbeRequest{Sender: d.sender(), Target: target.ID, Incarnation: target.Incarnation}
+			_, err := peer.CallAddress[wire.ProbeRequest, wire.ProbeReply](ctx, d.node, via.Address, wire.MethodProbe, r)
 			return err
 		},
 		Log: d.log.WithName("member"),
@@ -118,6 +117,31 @@
 	return nil
 }
 
+// probe asks a member directly whether it is alive in the given incarnation.
+func (d *Daemon) probe(ctx context.Context, m member.Member) error {
+	reply, err := peer.CallAddress[wire.ProbeRequest, wire.ProbeReply](ctx, d.node, m.Address, wire.MethodProbe, wire.ProbeRequest{Sender: d.sender()})
+	if err != nil {
+		return fmt.Errorf("probe %s: %w", m.ID, err)
+	}
+	if reply.Member != m.ID || reply.Sender.Incarnation != m.Incarnation {
+		return fmt.Errorf("address %s answers as %s incarnation %d", m.Address, reply.Member, reply.Sender.Incarnation)
+	}
+	return nil
+}
+
+// handleProbe answers a probe of this member, or passes a probe on to the target that the request names.
+func (d *Daemon) handleProbe(ctx context.Context, r wire.ProbeRequest) (wire.ProbeReply, error) {
+	if r.Target == "" {
+		return wire.ProbeReply{Sender: d.sender()}, nil
+	}
+	target, ok := d.members.View().Find(r.Target)
+	if !ok {
+		return wire.ProbeReply{}, fmt.Errorf("member %s isn't in the view", r.Target)
+	}
+	target.Incarnation = r.Incarnation
+	return wire.ProbeReply{Sender: d.sender()}, d.probe(ctx, target)
+}
+
 func buildConfiguration(d *Daemon) error {
 	keys, err := d.settings.SignerKeys()
 	if err != nil {
@@ -178,7 +202,8 @@
 	}
 	s := d.settings
 	d.table, err = ownership.New(ownership.Config{
-		Self: d.members.Self, View: d.members.View, StoreHealthy: d.members.StoreHealthy, Hosts: d.listHosts,
+		Self: d.members.Self, View: d.members.View, StoreHealthy: d.members.StoreHealthy,
+		Isolated: d.members.Isolated, Hosts: d.listHosts,
 		Dial: func(h platform.Host) backend.Server {
 			return backend.NewHTTP(backend.HTTPConfig{Client: d.client, Address: h.Address})
 		},
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -12,9 +12,7 @@
 // registerPeers connects the methods of the peer protocol with their handlers.
 func registerPeers(d *Daemon) {
 	n := d.node
-	peer.Handle(n, wire.MethodProbe, func(context.Context, wire.ProbeRequest) (wire.ProbeReply, error) {
-		return wire.ProbeReply{Sender: d.sender()}, nil
-	})
+	peer.Handle(n, wire.MethodProbe, d.handleProbe)
 	peer.Handle(n, wire.MethodSummary, func(_ context.Context, s wire.Summary) (wire.SummaryReply, error) {
 		return d.fleet.Handle(s), nil
 	})
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -35,8 +35,6 @@
 	DefaultAuditInterval = time.Second
 	// DefaultOrphanRetention is how long a result waits for a resubmission or an adopting origin.
 	DefaultOrphanRetention = 10 * time.Minute
-	// startRetryPause is the pause before a start with an unknown outcome is sent again.
-	startRetryPause = 50 * time.Millisecond
 	// maxExplained bounds the jobs whose decisions are kept per shard.
 	maxExplained = 512
 	// maxDecisions bounds the decisions kept per job.
--- a/internal/dispatch/start.go
+++ b/internal/dispatch/start.go
@@ -71,33 +71,18 @@
 	}
 }
 
-// send starts an attempt on an own backend server and repeats the command until its outcome is known.
-// Repeating is safe because a backend server starts an attempt id once.
+// send starts an attempt on an own backend server. An outcome that stays unknown is settled by a stop.
 func (d *Dispatcher) send(ctx context.Context, host ident.HostID, t backend.Task) (startState, error) {
-	unknown := false
-	for {
-		err := d.config.Servers.Start(ctx, host, t)
-		switch {
-		case err == nil, errors.Is(err, backend.ErrDuplicate):
-			d.config.Pool.Running(host, t.Attempt)
-			d.counts.starts.Inc()
-			return startRuns, nil
-		case errors.Is(err, backend.ErrStopped):
-			return startNever, err
-		case errors.Is(err, backend.ErrUnknownOutcome), unknown && errors.Is(err, backend.ErrUnreachable):
-			unknown = true
-		case unknown:
-			// Refused for another reason after a send that may have arrived: only a stop can tell.
-			return d.settle(ctx, host, t, err)
-		default:
-			return startNever, err
-		}
-		select {
-		case <-ctx.Done():
-			return startLost, err
-		case <-time.After(startRetryPause):
-		}
+	err := d.config.Servers.Start(ctx, host, t)
+	switch {
+	case err == nil, errors.Is(err, backend.ErrDuplicate):
+		d.config.Pool.Running(host, t.Attempt)
+		d.counts.starts.Inc()
+		return startRuns, nil
+	case errors.Is(err, backend.ErrUnknownOutcome):
+		return d.settle(ctx, host, t, err)
 	}
+	return startNever, err
 }
 
 // settle asks the backend server to stop an attempt whose start may have arrived.
--- a/internal/member/evaluate.go
+++ b/internal/member/evaluate.go
@@ -15,8 +15,9 @@
 const (
 	// directProbes is the number of direct probes that must fail, so that one lost message removes nobody.
 	directProbes = 2
-	// indirectProbes is the number of other members that are asked to probe a suspect.
-	indirectProbes = 2
+	// indirectProbes is the number of other members that are asked to probe a suspect. It covers a whole cell of entry
+	// hosts, because a removal must be sure that no member reaches the suspect; see Isolated.
+	indirectProbes = 16
 	// maxProbes bounds the probes in flight.
 	maxProbes = 16
 )
@@ -97,6 +98,10 @@
 		n.next = now.Add(g.config.LeaseTTL)
 		e.noticed[m.ID] = n
 	}
+	if len(verdicts) > 0 && !g.mayRemove(ctx, s) {
+		g.config.Log.V(1).Info("fewer than half of the active members answer, so nobody is removed")
+		verdicts = slices.DeleteFunc(verdicts, func(v verdict) bool { return v.next == "" })
+	}
 	if len(verdicts) == 0 {
 		return nil
 	}
--- /dev/null
+++ b/internal/member/isolation.go
@@ -0,0 +1,90 @@
+package member
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// watchIsolation keeps the verdict of Isolated while the store doesn't answer.
+func (g *Group) watchIsolation(ctx context.Context) error {
+	for ctx.Err() == nil {
+		// The probes start before the store counts as unhealthy, so that the verdict is known by then.
+		if g.health.answeredWithin(g.config.LeaseTTL / 2) {
+			g.isolated.Store(false)
+		} else {
+			g.isolated.Store(g.cutOff(ctx))
+		}
+		sleep(ctx, g.config.Interval)
+	}
+	return nil
+}
+
+// Isolated reports whether this member may have been removed from the view without being able to see it. It must
+// then stop renewing leases of backend servers, because another member may own them and start their tasks again.
+//
+// A member is removed only by one that reaches at least half of the active members, none of which reaches the removed
+// one. So it is safe to go on while the store answers, or while more than half of the active members answer. In a
+// region that has lost its link the members are marked unreachable instead of removed, so it is also safe while all
+// active members of the own region answer.
+func (g *Group) Isolated() bool { return g.isolated.Load() && !g.health.healthy() }
+
+func (g *Group) cutOff(ctx context.Context) bool {
+	s := g.snapshot.Load()
+	if !s.joined {
+		return false
+	}
+	active := s.view.Filter(Active)
+	reached := g.directlyReached(ctx, s, active)
+	answers, whole := 0, true
+	for i, m := range active {
+		if reached[i] {
+			answers++
+		} else if m.Region == s.self.Region {
+			whole = false
+		}
+	}
+	return !whole && 2*answers <= len(active)
+}
+
+// directlyReached reports which members answer a direct probe; the own entry counts as reached.
+func (g *Group) directlyReached(ctx context.Context, s *snapshot, members []Member) []bool {
+	reached := make([]bool, len(members))
+	var group errgroup.Group
+	group.SetLimit(maxProbes)
+	for i, m := range members {
+		group.Go(func() error {
+			if m.ID == s.self.ID {
+				reached[i] = true
+				return nil
+			}
+			bounded, cancel := context.WithTimeout(ctx, g.config.ProbeTimeout)
+			defer cancel()
+			reached[i] = g.config.Probe(bounded, m) == nil
+			return nil
+		})
+	}
+	_ = group.Wait() // the probes report through reached
+	return reached
+}
+
+// mayRemove reports whether this member reaches at least half of the active members, so that a member that goes on
+// without the store can't be among the removed ones; see Isolated.
+func (g *Group) mayRemove(ctx context.Context, s *snapshot) bool {
+	active := s.view.Filter(Active)
+	answers := 0
+	for _, ok := range g.directlyReached(ctx, s, active) {
+		if ok {
+			answers++
+		}
+	}
+	return 2*answers >= len(active)
+}
+
+// answeredWithin reports whether a store call succeeded within d.
+func (h *health) answeredWithin(d time.Duration) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.last.IsZero() && h.now().Sub(h.last) <= d
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -70,6 +70,7 @@
 	snapshot atomic.Pointer[snapshot]
 	draining atomic.Bool
 	leaving  atomic.Bool
+	isolated atomic.Bool
 	changed  chan struct{} // wakes notify
 	kicked   chan struct{} // wakes keep
 
@@ -150,7 +151,7 @@
 func (g *Group) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	for _, loop := range []func(context.Context) error{
-		g.keep, g.followRecord, g.followPresence, g.evaluateAll, g.notify,
+		g.keep, g.followRecord, g.followPresence, g.evaluateAll, g.watchIsolation, g.notify,
 	} {
 		group.Go(func() error { return loop(ctx) })
 	}
--- a/internal/ownership/command.go
+++ b/internal/ownership/command.go
@@ -12,6 +12,9 @@
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 )
 
+// startRepeats is how often a start without a reply is repeated.
+const startRepeats = 2
+
 // fenced returns the entry of an attached host and the fence for a command.
 func (t *Table) fenced(host ident.HostID) (*entry, backend.Fence, error) {
 	s := t.shard(host)
@@ -44,14 +47,26 @@
 }
 
 // Start sends the attempt to an owned backend server. The task certainly doesn't run after any error but
-// backend.ErrUnknownOutcome, which a Stop resolves, and backend.ErrDuplicate. It isn't retried here: after a restart
-// of the backend server a repeated start would run the attempt a second time.
+// backend.ErrUnknownOutcome, which a Stop resolves, and backend.ErrDuplicate. After a lost reply the command is
+// repeated under the same fence only: a restarted backend server refuses that fence, while under a newer one it
+// would run the attempt a second time.
 func (t *Table) Start(ctx context.Context, host ident.HostID, task backend.Task) error {
 	e, fence, err := t.startable(host)
 	if err != nil {
 		return err
 	}
-	return t.note(e, fence, e.server.Start(ctx, fence, task))
+	err = e.server.Start(ctx, fence, task)
+	for range startRepeats {
+		if !errors.Is(err, backend.ErrUnknownOutcome) || ctx.Err() != nil {
+			break
+		}
+		again := e.server.Start(ctx, fence, task)
+		if again == nil || errors.Is(again, backend.ErrDuplicate) || errors.Is(again, backend.ErrStopped) {
+			err = again
+		}
+		// Any other refusal says nothing about the first command.
+	}
+	return t.note(e, fence, err)
 }
 
 // Stop ends an attempt; backend.StopNeverStarted says that it never ran and never will.
--- a/internal/ownership/entry.go
+++ b/internal/ownership/entry.go
@@ -82,7 +82,10 @@
 		<-e.previous // keeps the order of the host's events
 	}
 	for ctx.Err() == nil {
-		wait := t.step(ctx, e)
+		wait := t.config.MinRenewal
+		if !t.config.Isolated() {
+			wait = t.step(ctx, e)
+		}
 		if wait <= 0 {
 			continue
 		}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -81,6 +81,7 @@
 	Self         func() member.Member
 	View         func() member.View
 	StoreHealthy func() bool
+	Isolated     func() bool // stops attaches and renewals while true; nil means never
 	Hosts        func(ctx context.Context) ([]platform.Host, error)
 	Dial         func(platform.Host) backend.Server // makes no call
 	Events       Events
@@ -152,6 +153,9 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
+	if c.Isolated == nil {
+		c.Isolated = func() bool { return false }
+	}
 	if c.Jitter == nil {
 		c.Jitter = rand.Float64
 	}
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -74,10 +74,11 @@
 			a := c.join("a")
 			c.change("a")
 			time.Sleep(settled)
-			w.Faults().LoseReply(worker.OpStart, 2)
-			a.starts("h", service("t", "job"), backend.ErrUnknownOutcome)
+			// All tries of one start lose their reply, then the first try of the next one does.
+			w.Faults().LoseReply(worker.OpStart, 1+startRepeats+1)
 			a.starts("h", service("t", "job"), backend.ErrUnknownOutcome)
 			a.starts("h", service("t", "job"), backend.ErrDuplicate)
+			a.starts("h", service("t", "job"), backend.ErrDuplicate)
 			if state, err := a.Stop(context.Background(), "h", "t"); state != backend.StopStopped || err != nil {
 				c.Errorf("stop: %v, %v", state, err)
 			}
--- a/internal/peer/wire/wire.go
+++ b/internal/peer/wire/wire.go
@@ -42,8 +42,12 @@
 	Epoch       ident.Epoch       `json:"epoch"`
 }
 
-// ProbeRequest asks a member whether it is alive.
-type ProbeRequest struct{ Sender }
+// ProbeRequest asks a member whether it is alive, or whether it reaches the target.
+type ProbeRequest struct {
+	Sender
+	Target      ident.MemberID    `json:"target,omitempty"`
+	Incarnation ident.Incarnation `json:"target-incarnation,omitempty"`
+}
 
 // ProbeReply names the answering member.
 type ProbeReply struct{ Sender }
