--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -4,7 +4,9 @@
 	"cmp"
 	"crypto/ed25519"
 	"encoding/base64"
+	"errors"
 	"fmt"
+	"io/fs"
 	"net/netip"
 	"net/url"
 	"os"
@@ -95,6 +97,11 @@
 	}
 	text, err := os.ReadFile(value)
 	if err != nil {
+		// The path is left out, because a damaged private key is taken for a path.
+		var path *fs.PathError
+		if errors.As(err, &path) {
+			err = path.Err
+		}
 		return nil, fmt.Errorf("PEM text or the path of a readable file: %w", err)
 	}
 	return text, nil
