--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,120 @@
+package settings
+
+import (
+	"errors"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/spf13/pflag"
+)
+
+const (
+	testToken  = "0123456789abcdef-token"
+	testSigner = "AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA="
+)
+
+// valid returns the defaults with the required settings.
+func valid() *Serve {
+	s := &Serve{}
+	s.Flags(pflag.NewFlagSet("serve", pflag.ContinueOnError))
+	s.Member, s.Region, s.DataCentre = "m1", "sfax", "sfax-a"
+	s.StoreURL, s.OperatorToken, s.Signers = "http://127.0.0.1:7200", testToken, []string{testSigner}
+	return s
+}
+
+// Guards against a reference page that no longer matches the flags.
+func TestReferencePage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operations/settings.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(page) != Reference() {
+		t.Error("docs/operations/settings.md is out of date; run: go run ./cmd/rosemaryspoke settings > docs/operations/settings.md")
+	}
+}
+
+func TestValidSettings(t *testing.T) {
+	if err := valid().Check(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a wrong value that is accepted, reported without what is allowed, or shown although it is secret.
+func TestWrongSettings(t *testing.T) {
+	const secret = "MIIEvQsecretmaterial"
+	cases := map[string]struct {
+		change               func(*Serve)
+		name, value, allowed string
+	}{
+		"no member":           {func(s *Serve) { s.Member = "" }, "member", "", "empty"},
+		"region with space":   {func(s *Serve) { s.Region = "a b" }, "region", "a b", "letter"},
+		"host name":           {func(s *Serve) { s.CallerListen = "localhost:1" }, "caller-listen", "localhost:1", "IP address"},
+		"port too large":      {func(s *Serve) { s.OperatorListen = "127.0.0.1:65536" }, "operator-listen", "127.0.0.1:65536", "port"},
+		"store URL scheme":    {func(s *Serve) { s.StoreURL = "ftp://h" }, "store-url", "ftp://h", "http or https"},
+		"store region":        {func(s *Serve) { s.StoreRegion = "/" }, "store-region", "/", "letter"},
+		"peer port open":      {func(s *Serve) { s.PeerListen = "10.0.0.5:1" }, "peer-listen", "10.0.0.5:1", "loopback"},
+		"peer TLS incomplete": {func(s *Serve) { s.PeerKey = secret }, "peer-certificate", "(incomplete)", "peer-authority"},
+		"unreadable key": {func(s *Serve) {
+			s.CallerCert, s.CallerKey = "-----BEGIN CERTIFICATE-----", secret
+		}, "caller-key", "(hidden)", "PEM"},
+		"short token":           {func(s *Serve) { s.OperatorToken = "tok3n" }, "operator-token", "(hidden)", "16 bytes"},
+		"no signer":             {func(s *Serve) { s.Signers = nil }, "signers", "", "Ed25519"},
+		"signer not base64":     {func(s *Serve) { s.Signers = []string{"?"} }, "signers", "?", "base64"},
+		"too many required":     {func(s *Serve) { s.RequiredSigners = 2 }, "required-signers", "2", "number of signers"},
+		"negative lease":        {func(s *Serve) { s.LeaseTTL = -1 }, "lease-ttl", "-1ns", "500ms to 5m"},
+		"slow membership":       {func(s *Serve) { s.MemberInterval = 4 * time.Second }, "member-interval", "4s", "3.33"},
+		"renewals crossed":      {func(s *Serve) { s.MaxRenewal = time.Second }, "max-renewal", "1s", "2s to 10m"},
+		"slow host list":        {func(s *Serve) { s.HostsInterval = 3 * time.Second }, "hosts-interval", "3s", "to 2s"},
+		"freshness over bound":  {func(s *Serve) { s.Freshness = 11 * time.Second }, "freshness", "11s", "to 10s"},
+		"rare reads":            {func(s *Serve) { s.ReadInterval = 2 * time.Second }, "read-interval", "2s", "to 1.66"},
+		"overflowing retention": {func(s *Serve) { s.JobRetention = 1 << 62 }, "job-retention", "1281023h53m38.427387904s", "720h"},
+		"control bytes":         {func(s *Serve) { s.ControlBytes = -1 }, "control-bytes-per-second", "-1", "512"},
+		"queue limit":           {func(s *Serve) { s.QueueLimit = 0 }, "queue-limit", "0", "1 to 1000000"},
+		"retry ratio":           {func(s *Serve) { s.RetryRatio = 1.5 }, "retry-ratio", "1.5", "0 to 1"},
+		"log level":             {func(s *Serve) { s.LogLevel = 11 }, "log-level", "11", "0 to 10"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := valid()
+			c.change(s)
+			err := s.Check()
+			var wrong *Error
+			if !errors.As(err, &wrong) {
+				t.Fatalf("got %v, want a settings error", err)
+			}
+			if wrong.Name != c.name || wrong.Value != c.value || !strings.Contains(wrong.Allowed, c.allowed) {
+				t.Errorf("got %+v", wrong)
+			}
+			for _, want := range []string{"--" + c.name, Environment(c.name), c.value} {
+				if !strings.Contains(err.Error(), want) {
+					t.Errorf("%q doesn't contain %q", err, want)
+				}
+			}
+			if strings.Contains(err.Error(), secret) || strings.Contains(err.Error(), "tok3n") {
+				t.Errorf("a secret is shown: %v", err)
+			}
+		})
+	}
+}
+
+// Guards against an environment variable that is ignored, overrides a flag or fails without its name.
+func TestFromEnvironment(t *testing.T) {
+	t.Setenv("ROSEMARYSPOKE_QUEUE_LIMIT", "7")
+	t.Setenv("ROSEMARYSPOKE_LOG_LEVEL", "3")
+	var s Serve
+	f := pflag.NewFlagSet("serve", pflag.ContinueOnError)
+	s.Flags(f)
+	if err := f.Parse([]string{"--log-level=1"}); err != nil {
+		t.Fatal(err)
+	}
+	if err := FromEnvironment(f); err != nil || s.QueueLimit != 7 || s.LogLevel != 1 {
+		t.Errorf("got queue limit %d, log level %d, error %v", s.QueueLimit, s.LogLevel, err)
+	}
+	t.Setenv("ROSEMARYSPOKE_LEASE_TTL", "soon")
+	var wrong *Error
+	if err := FromEnvironment(f); !errors.As(err, &wrong) || wrong.Name != "lease-ttl" || wrong.Value != "soon" {
+		t.Errorf("got %v", err)
+	}
+}
