Report the outcome of refused calls about a job as unknown

A payload that isn't base64 is now refused with its field, and every refusal for a stale configuration says when to retry.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -72,10 +73,10 @@
 	v1.Handle("/requests", body(s, s.request)).Methods(http.MethodPost)
 	v1.Handle("/jobs", body(s, s.create)).Methods(http.MethodPost)
 	v1.Handle("/jobs", plain(s, s.list)).Methods(http.MethodGet)
-	v1.Handle("/jobs/{id}", plain(s, s.get)).Methods(http.MethodGet)
-	v1.Handle("/jobs/{id}", plain(s, s.cancel)).Methods(http.MethodDelete)
-	v1.Handle("/jobs/{id}/wait", plain(s, s.wait)).Methods(http.MethodGet)
-	v1.Handle("/jobs/{id}/explain", plain(s, s.explain)).Methods(http.MethodGet)
+	v1.Handle("/jobs/{id}", plain(s, aboutJob(s.get))).Methods(http.MethodGet)
+	v1.Handle("/jobs/{id}", plain(s, aboutJob(s.cancel))).Methods(http.MethodDelete)
+	v1.Handle("/jobs/{id}/wait", plain(s, aboutJob(s.wait))).Methods(http.MethodGet)
+	v1.Handle("/jobs/{id}/explain", plain(s, aboutJob(s.explain))).Methods(http.MethodGet)
 	s.router.NotFoundHandler = plain(s, func(*http.Request) (struct{}, error) {
 		return struct{}{}, api.NewProblem(api.CodeNotFound, "", "no such path")
 	})
@@ -175,11 +176,15 @@
 	}
 	var tooLarge *http.MaxBytesError
 	var wrongType *json.UnmarshalTypeError
+	var notBase64 base64.CorruptInputError
 	switch {
 	case errors.As(err, &tooLarge):
 		return api.NewProblem(api.CodeTooLarge, "", "the body is larger than %d bytes", tooLarge.Limit)
 	case errors.As(err, &wrongType):
 		return api.NewProblem(api.CodeInvalid, wrongType.Field, "must be of type %s and in its range, not %s", wrongType.Type, wrongType.Value)
+	case errors.As(err, &notBase64):
+		// The payload is the only field of bytes.
+		return api.NewProblem(api.CodeInvalid, "payload", "must be base64: %v", notBase64)
 	case strings.HasPrefix(err.Error(), "json: unknown field "):
 		return api.NewProblem(api.CodeInvalid, strings.Trim(strings.TrimPrefix(err.Error(), "json: unknown field "), `"`), "unknown field")
 	}
--- a/internal/caller/check.go
+++ b/internal/caller/check.go
@@ -32,9 +32,7 @@
 		return q, err
 	}
 	if !q.Open && !s.config.Fresh() {
-		p := api.NewProblem(api.CodeStale, "", "the configuration isn't confirmed as current, so keys are not accepted")
-		p.RetryAfter = 1000
-		return q, p
+		return q, stale()
 	}
 	if err := authorize(c, spec.Team, spec.Queue, secret(r)); err != nil {
 		return q, err
@@ -42,6 +40,12 @@
 	return q, checkSpec(spec, q)
 }
 
+func stale() *api.Problem {
+	p := api.NewProblem(api.CodeStale, "", "the configuration isn't confirmed as current, so keys are not accepted")
+	p.RetryAfter = 1000
+	return p
+}
+
 func unavailable(detail string) *api.Problem {
 	p := api.NewProblem(api.CodeUnavailable, "", "%s", detail)
 	p.RetryAfter = 1000
--- a/internal/caller/handlers.go
+++ b/internal/caller/handlers.go
@@ -83,6 +83,21 @@
 	return p
 }
 
+// aboutJob wraps a handler of calls about a job that exists or may exist. A refusal of such a call says nothing
+// about the job's run, so its outcome is unknown.
+func aboutJob[Resp any](h func(r *http.Request) (Resp, error)) func(r *http.Request) (Resp, error) {
+	return func(r *http.Request) (Resp, error) {
+		answer, err := h(r)
+		var p *api.Problem
+		if errors.As(err, &p) {
+			refused := *p
+			refused.Outcome = api.Unknown
+			err = &refused
+		}
+		return answer, err
+	}
+}
+
 // owned returns a job if the key of the request may see it.
 func (s *Server) owned(r *http.Request) (api.Job, error) {
 	id := ident.JobID(mux.Vars(r)["id"])
@@ -98,7 +113,7 @@
 		return j, unavailable("no configuration has been read yet")
 	}
 	if q, ok := c.Queue(j.Spec.Queue); ok && !q.Open && !s.config.Fresh() {
-		return j, api.NewProblem(api.CodeStale, "", "the configuration isn't confirmed as current, so keys are not accepted")
+		return j, stale()
 	}
 	return j, authorize(c, j.Spec.Team, j.Spec.Queue, secret(r))
 }
@@ -115,7 +130,7 @@
 		return nil, api.NewProblem(api.CodeInvalid, "team", "unknown team %q", team)
 	}
 	if !s.config.Fresh() {
-		return nil, api.NewProblem(api.CodeStale, "", "the configuration isn't confirmed as current, so keys are not accepted")
+		return nil, stale()
 	}
 	if err := c.AuthorizeTeam(team, secret(r)); err != nil {
 		return nil, api.NewProblem(api.CodeUnauthorized, "", "the key isn't valid for team %q", team)
