--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"regexp"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -163,6 +164,9 @@
 	s.write(w, p.Status, "application/problem+json", p)
 }
 
+// plainName matches field names that are safe to log; a secret pasted as a field name contains digits or capitals.
+var plainName = regexp.MustCompile(`^[a-z][a-z_-]{0,31}$`)
+
 // Decode reads one strict JSON value; every error is a problem that names the field where it can be told.
 func Decode(r io.Reader, into any) error {
 	d := json.NewDecoder(r)
@@ -186,7 +190,11 @@
 		// The payload is the only field of bytes.
 		return api.NewProblem(api.CodeInvalid, "payload", "must be base64: %v", notBase64)
 	case strings.HasPrefix(err.Error(), "json: unknown field "):
-		return api.NewProblem(api.CodeInvalid, strings.Trim(strings.TrimPrefix(err.Error(), "json: unknown field "), `"`), "unknown field")
+		name := strings.Trim(strings.TrimPrefix(err.Error(), "json: unknown field "), `"`)
+		if !plainName.MatchString(name) {
+			name = ""
+		}
+		return api.NewProblem(api.CodeInvalid, name, "unknown field")
 	}
 	return api.NewProblem(api.CodeInvalid, "", "the body isn't valid JSON: %v", err)
 }
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -118,6 +118,7 @@
 		"null":                  {quotes, testSecret, `null`, seams{}, 400, api.CodeInvalid, "team"},
 		"second value":          {quotes, testSecret, spec("") + `{}`, seams{}, 400, api.CodeInvalid, ""},
 		"unknown field":         {quotes, testSecret, spec(`,"taks":1`), seams{}, 400, api.CodeInvalid, "taks"},
+		"secret as a field":     {quotes, testSecret, spec(`,"rsk_Secret0":1`), seams{}, 400, api.CodeInvalid, ""},
 		"unknown demand":        {quotes, testSecret, `{"demand":{"tpus":1}}`, seams{}, 400, api.CodeInvalid, "tpus"},
 		"text for a number":     {quotes, testSecret, spec(`,"tasks":"1"`), seams{}, 400, api.CodeInvalid, "tasks"},
 		"list for an object":    {quotes, testSecret, `{"demand":[]}`, seams{}, 400, api.CodeInvalid, "demand"},
