--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -134,8 +134,11 @@
 	if err != nil {
 		return err.Error()
 	}
-	if r, ok := answer.(PublishReply); ok {
+	switch r := answer.(type) {
+	case PublishReply:
 		return fmt.Sprintf("version %d %s", r.Receipt.Version, r.Receipt.Outcome)
+	case []ident.HostID:
+		return fmt.Sprintf("drained hosts: %v", r)
 	}
 	return "done"
 }
