Show the bundle in force with its key hashes

The operator API returned the teams without keys. Since key grant and key withdraw publish what they read with one change, a grant withdrew every other key of every team, and a withdrawal always ended with an unknown key.

--- a/internal/operator/bundle.go
+++ b/internal/operator/bundle.go
@@ -51,8 +51,8 @@
 }
 
 func (s *Server) show(*http.Request) (any, error) {
-	c := s.config.Rollout.Current()
-	return BundleReply{Version: c.Version(), Bundle: bundle.Bundle{Teams: c.Teams(), Queues: c.Queues()}}, nil
+	b, version := s.config.Rollout.Bundle()
+	return BundleReply{Version: version, Bundle: b}, nil
 }
 
 // prepare returns the digest that operators sign before the publish.
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -123,6 +123,13 @@
 // Current returns the configuration in force. Before the first load it is empty and has version 0.
 func (r *Rollout) Current() *bundle.Compiled { return r.held.Load().compiled }
 
+// Bundle returns the configuration in force with its key hashes, from which an operator's next bundle is made, and its
+// version. The caller must not change it.
+func (r *Rollout) Bundle() (bundle.Bundle, ident.Version) {
+	current := r.held.Load()
+	return current.bundle, current.version()
+}
+
 // OnChange registers a callback for each new configuration. Calls are serialized, versions grow and may be skipped.
 func (r *Rollout) OnChange(callback func(*bundle.Compiled)) {
 	r.notifying.Lock()
