--- a/internal/operator/bundle.go
+++ b/internal/operator/bundle.go
@@ -51,7 +51,7 @@
 }
 
 func (s *Server) show(*http.Request) (any, error) {
-	version, b := s.config.Rollout.Bundle()
+	b, version := s.config.Rollout.Bundle()
 	return BundleReply{Version: version, Bundle: b}, nil
 }
 
