--- /dev/null
+++ b/internal/daemon/probe.go
@@ -0,0 +1,35 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/member"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/peer"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/peer/wire"
+)
+
+// probe asks a member directly whether it is alive in the given incarnation.
+func (d *Daemon) probe(ctx context.Context, m member.Member) error {
+	reply, err := peer.CallAddress[wire.ProbeRequest, wire.ProbeReply](ctx, d.node, m.Address, wire.MethodProbe, wire.ProbeRequest{Sender: d.sender()})
+	if err != nil {
+		return fmt.Errorf("probe %s: %w", m.ID, err)
+	}
+	if reply.Member != m.ID || reply.Sender.Incarnation != m.Incarnation {
+		return fmt.Errorf("address %s answers as %s incarnation %d", m.Address, reply.Member, reply.Sender.Incarnation)
+	}
+	return nil
+}
+
+// handleProbe answers a probe of this member, or passes a probe on to the target that the request names.
+func (d *Daemon) handleProbe(ctx context.Context, r wire.ProbeRequest) (wire.ProbeReply, error) {
+	if r.Target == "" {
+		return wire.ProbeReply{Sender: d.sender()}, nil
+	}
+	target, ok := d.members.View().Find(r.Target)
+	if !ok {
+		return wire.ProbeReply{}, fmt.Errorf("member %s isn't in the view", r.Target)
+	}
+	target.Incarnation = r.Incarnation
+	return wire.ProbeReply{Sender: d.sender()}, d.probe(ctx, target)
+}
