--- /dev/null
+++ b/internal/failure/failure_test.go
@@ -0,0 +1,311 @@
+// Package failure tests the invariants of whole cells while their parts fail.
+package failure
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/backend"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/demo"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/platform"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/standin/worker"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+// concurrentCells bounds the cells that run side by side, because timers of an overloaded process fire late.
+const concurrentCells = 5
+
+// TestFailures brings about the failures of section 6 of the design and checks what callers were told, what the
+// backend servers ran, and that these noticed no overcommitment, double run or stale command.
+func TestFailures(t *testing.T) {
+	cells := make(chan struct{}, concurrentCells)
+	for name, c := range map[string]struct {
+		limits map[ident.TeamID]int
+		run    func(s *scene)
+	}{
+		"I5 I6 I7 daemon killed with held requests":          {nil, killedHolder},
+		"I1 I2 owner killed under load":                      {nil, killedOwner},
+		"I4 limit while a daemon is killed and when lowered": {map[ident.TeamID]int{plans: 10}, keptLimit},
+		"I6 store down":                          {nil, storeDown},
+		"I2 store down and owner killed":         {nil, storeDownOwnerKilled},
+		"I9 rolling replacement":                 {nil, rollingReplacement},
+		"I8 leaving backend server":              {nil, leavingServer},
+		"I5 I7 lost replies of starts":           {nil, lostReplies},
+		"backend server that fails everything":   {nil, failingServer},
+		"job that fails everywhere":              {nil, failingJob},
+		"I7 urgent requests on a full fleet":     {map[ident.TeamID]int{plans: 100}, fullFleet},
+		"I2 I7 backend server vanishes":          {nil, vanishedServer},
+		"two all-at-once jobs of half the fleet": {map[ident.TeamID]int{plans: 100}, largeGangs},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			cells <- struct{}{}
+			defer func() { <-cells }()
+			s := newScene(t, c.limits)
+			c.run(s)
+			s.sound()
+		})
+	}
+}
+
+// killedHolder guards against a second run when a resubmission reaches a daemon that knows nothing of the first one.
+func killedHolder(s *scene) {
+	wait := s.askMany(quotes("held", 24, true, 800*time.Millisecond), "daemon-2", "daemon-1", "daemon-3")
+	s.until("most requests run", func() bool { return len(s.runs(every)) >= 12 })
+	s.cell.Kill("daemon-2")
+	wait()
+	if n := s.told(api.Answered, api.Unknown, api.NotRun); n[api.Answered] < 12 {
+		s.Errorf("outcomes %v, want the 12 running requests answered", n)
+	}
+}
+
+func every(ident.HostID, worker.Run) bool { return true }
+
+// killedOwner guards against tasks that are lost, repeated or placed beyond a server's capacity by its next owner.
+func killedOwner(s *scene) {
+	var jobs []ident.JobID
+	for _, m := range all {
+		jobs = append(jobs, s.submit(m, batch("renders", 16, 400*time.Millisecond)))
+	}
+	s.until("work runs", func() bool { return len(s.runs(every)) >= 16 })
+	s.cell.Kill("daemon-2")
+	s.finished(api.Succeeded, jobs...)
+	s.once(jobs...)
+}
+
+// keptLimit guards against a part of a limit that is used twice after its member's death or after the limit is lowered.
+func keptLimit(s *scene) {
+	ledger := s.cell.Standins.Ledger
+	jobs := []ident.JobID{
+		s.submit("daemon-1", batch("renders", 60, 300*time.Millisecond)),
+		s.submit("daemon-2", batch("renders", 40, 300*time.Millisecond)),
+	}
+	s.until("the limit is reached", func() bool { return ledger.Running(plans) >= 8 })
+	s.cell.Kill("daemon-2")
+	s.until("half has run", func() bool { return len(s.runs(every)) >= 60 })
+	s.setLimit(plans, 4)
+	s.publish()
+	s.until("the lowered limit is in force", func() bool { return ledger.Running(plans) <= 4 })
+	if peak := ledger.TakePeak(plans); peak > 10 {
+		s.Errorf("%d tasks ran under a limit of 10", peak)
+	}
+	s.finished(api.Succeeded, jobs...)
+	if peak := ledger.TakePeak(plans); peak > 4 {
+		s.Errorf("%d tasks ran under a limit of 4", peak)
+	}
+	s.once(jobs...)
+}
+
+// storeDown guards against a start that needs the store, and against a durable job that was refused and runs later.
+func storeDown(s *scene) {
+	s.cell.Standins.KV.SetDown(true)
+	end := time.Now().Add(4 * time.Second) // twice the freshness bound and more than two leases
+	s.askMany(quotes("early", 12, true, 100*time.Millisecond), all...)()
+	refused := batch("renders", 1, 100*time.Millisecond)
+	refused.Deadline = 1000
+	c, _ := s.client("daemon-1", plans)
+	_, err := c.Submit(s.Context(), refused)
+	var p *api.Problem
+	if !errors.As(err, &p) || p.Outcome != api.NotRun {
+		s.Errorf("durable submission while the store is down: %v, want a refusal as not-run", err)
+	}
+	time.Sleep(time.Until(end))
+	s.askMany(quotes("late", 12, true, 100*time.Millisecond), "daemon-3", "daemon-2", "daemon-1")()
+	s.told(api.Answered)
+	s.cell.Standins.KV.SetDown(false)
+	s.finished(api.Succeeded, s.submitLater("daemon-1", batch("renders", 2, 100*time.Millisecond)))
+	if n := len(s.runs(ofRequest(""))); n != 2 {
+		s.Errorf("%d runs of durable tasks, want only the 2 of the accepted job", n)
+	}
+}
+
+// submitLater submits until the store takes writes again.
+func (s *scene) submitLater(via ident.MemberID, spec api.Spec) (id ident.JobID) {
+	s.until("a job is recorded", func() bool {
+		c, _ := s.client(via, spec.Team)
+		j, err := c.Submit(s.Context(), spec)
+		id = j.ID
+		return err == nil
+	})
+	return id
+}
+
+// storeDownOwnerKilled guards against leases that lapse because a dead owner can't be removed from the view.
+func storeDownOwnerKilled(s *scene) {
+	job := s.submit("daemon-1", batch("renders", 24, 5*time.Second))
+	wait := s.askMany(quotes("held", 24, true, 5*time.Second), "daemon-1")
+	s.until("everything runs", func() bool { return len(s.runs(every)) == 48 })
+	s.cell.Standins.KV.SetDown(true)
+	s.cell.Kill("daemon-2")
+	wait()
+	s.told(api.Answered)
+	s.cell.Standins.KV.SetDown(false)
+	s.finished(api.Succeeded, job)
+	if n := len(s.runs(every)); n != 48 {
+		s.Errorf("%d runs, want 48: a lease lapsed", n)
+	}
+}
+
+// rollingReplacement guards against requests that a graceful shutdown loses, repeats or fails.
+func rollingReplacement(s *scene) {
+	stop := make(chan struct{})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for round := 0; ; round++ {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			name := fmt.Sprintf("round-%d", round)
+			s.askMany(quotes(name, 6, round%2 == 0, 100*time.Millisecond), all[round%3], all[(round+1)%3], all[(round+2)%3])()
+		}
+	}()
+	for _, site := range demo.Sites() {
+		if err := s.cell.Stop(s.Context(), site.Member); err != nil {
+			s.Errorf("stop: %v", err)
+		}
+		if err := s.cell.Add(s.Context(), site); err != nil {
+			s.Fatal(err)
+		}
+		if err := s.cell.Ready(s.Context()); err != nil {
+			s.Fatal(err)
+		}
+	}
+	close(stop)
+	<-done
+	s.told(api.Answered)
+	for id := range s.answers {
+		if n := len(s.runs(ofRequest(id))); n != 1 {
+			s.Errorf("request %s ran %d times", id, n)
+		}
+	}
+}
+
+// leavingServer guards against starts on a backend server after the list has said for 3 s that it leaves.
+func leavingServer(s *scene) {
+	stop := make(chan struct{})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+				s.askMany(quotes(time.Now().Format("150405.000000"), 40, false, 50*time.Millisecond), all...)()
+			}
+		}
+	}()
+	host := s.cell.Standins.Hosts[0].ID
+	s.until("the backend server is used", func() bool { return len(s.cell.Standins.Workers[host].Runs()) > 0 })
+	s.cell.Standins.SetState(host, platform.HostLeaving)
+	bound := time.Now().Add(3 * time.Second)
+	time.Sleep(time.Until(bound) + 2*time.Second)
+	close(stop)
+	<-done
+	s.told(api.Answered)
+	for _, r := range s.cell.Standins.Workers[host].Runs() {
+		if r.Started.After(bound) {
+			s.Errorf("start on the leaving server %s after the bound", r.Started.Sub(bound))
+		}
+	}
+}
+
+// lostReplies guards against a repeated start or a wrong refusal when the reply of a start is lost.
+func lostReplies(s *scene) {
+	for _, w := range s.cell.Standins.Workers {
+		w.Faults().LoseReply(worker.OpStart, 3)
+	}
+	for _, m := range all {
+		s.askMany(quotes("lost-"+string(m), 12, true, 100*time.Millisecond), m)()
+	}
+	s.told(api.Answered)
+}
+
+// failingServer guards against a backend server that attracts work because it fails it quickly.
+func failingServer(s *scene) {
+	first := s.submit("daemon-1", batch("renders", 9, 100*time.Millisecond))
+	s.finished(api.Succeeded, first)
+	host := s.busiest(ofJob(first))
+	bad := s.cell.Standins.Workers[host]
+	before := len(bad.Runs())
+	bad.Faults().FailAll(true)
+	var jobs []ident.JobID
+	for range 10 {
+		jobs = append(jobs, s.submit("daemon-1", batch("renders", 5, 100*time.Millisecond)))
+	}
+	s.finished(api.Succeeded, jobs...)
+	if n := len(bad.Runs()) - before; n == 0 || n > 25 {
+		s.Errorf("%d of 50 tasks started on the failing server, want some and at most half", n)
+	}
+}
+
+// failingJob guards against a job that is retried for ever.
+func failingJob(s *scene) {
+	job := s.submit("daemon-1", batch("renders", 3, time.Second))
+	for _, w := range s.cell.Standins.Workers {
+		w.Faults().FailJobs(job)
+	}
+	s.finished(api.Broken, job)
+}
+
+// fullFleet guards against urgent requests that wait behind batch work, and against the preemption of a task that
+// must not run twice.
+func fullFleet(s *scene) {
+	once := batch("renders", 36, time.Minute)
+	once.NonIdempotent = true
+	kept := s.submit("daemon-1", once)
+	s.until("the non-idempotent tasks run", func() bool { return len(s.runs(ofJob(kept))) == 36 })
+	s.submit("daemon-2", batch("renders", 60, time.Minute))
+	s.until("the fleet is full", func() bool { return s.cell.Standins.Ledger.Running(plans) == 72 })
+	for _, m := range all {
+		s.askMany(quotes("urgent-"+string(m), 3, true, 100*time.Millisecond), m)()
+	}
+	s.told(api.Answered)
+	for _, r := range s.runs(ofJob(kept)) {
+		if !running(r) {
+			s.Errorf("non-idempotent task %d ended as %s", r.Index, r.Exit)
+		}
+	}
+}
+
+// vanishedServer guards against a second run while the first may go on at a server that can't be reached.
+func vanishedServer(s *scene) {
+	job := s.submit("daemon-1", batch("renders", 24, 4*time.Second))
+	wait := s.askMany(quotes("held", 24, true, 4*time.Second), all...)
+	s.until("everything runs", func() bool { return len(s.runs(every)) == 48 })
+	host := s.busiest(func(_ ident.HostID, r worker.Run) bool { return r.Request != "" })
+	lost := map[ident.RequestID]bool{}
+	for _, r := range s.cell.Standins.Workers[host].Runs() {
+		lost[r.Request] = true
+	}
+	s.cell.Standins.Workers[host].Faults().Vanish(true)
+	wait()
+	s.told(api.Answered, api.Unknown)
+	for id, a := range s.answers {
+		if lost[id] != (a.Outcome == api.Unknown) {
+			s.Errorf("request %s on the vanished server (%t): outcome %s (%s)", id, lost[id], a.Outcome, a.Reason)
+		}
+	}
+	s.finished(api.Succeeded, job)
+	s.once(job)
+}
+
+// largeGangs guards against a deadlock of two jobs that each hold a part of the other's reservation.
+func largeGangs(s *scene) {
+	jobs := []ident.JobID{
+		s.submit("daemon-1", batch("gangs", 40, 500*time.Millisecond)), s.submit("daemon-3", batch("gangs", 40, 500*time.Millisecond)),
+	}
+	s.finished(api.Succeeded, jobs...)
+	s.once(jobs...)
+	for _, id := range jobs {
+		if n := len(s.runs(func(_ ident.HostID, r worker.Run) bool { return r.Job == id && r.Exit == backend.ExitSucceeded })); n != 40 {
+			s.Errorf("%d tasks of job %s succeeded, want 40", n, id)
+		}
+	}
+}
--- a/internal/standin/worker/ledger.go
+++ b/internal/standin/worker/ledger.go
@@ -51,6 +51,8 @@
 	attempts   map[ident.AttemptID]ident.HostID
 	running    map[taskKey]map[ident.AttemptID]ident.HostID
 	requests   map[requestKey]ident.AttemptID
+	teams      map[ident.TeamID]int // running tasks
+	peaks      map[ident.TeamID]int // see TakePeak
 	violations []Violation
 }
 
@@ -60,6 +62,8 @@
 		attempts: map[ident.AttemptID]ident.HostID{},
 		running:  map[taskKey]map[ident.AttemptID]ident.HostID{},
 		requests: map[requestKey]ident.AttemptID{},
+		teams:    map[ident.TeamID]int{},
+		peaks:    map[ident.TeamID]int{},
 	}
 }
 
@@ -70,6 +74,22 @@
 	return slices.Clone(l.violations)
 }
 
+// Running returns the number of a team's tasks that run now on all workers of the ledger.
+func (l *Ledger) Running(team ident.TeamID) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.teams[team]
+}
+
+// TakePeak returns the largest number of a team's running tasks right after a start since the last call.
+func (l *Ledger) TakePeak(team ident.TeamID) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	peak := l.peaks[team]
+	delete(l.peaks, team)
+	return peak
+}
+
 // start records that an attempt begins to run and compares it with all others.
 func (l *Ledger) start(host ident.HostID, t backend.Task) {
 	l.mu.Lock()
@@ -87,6 +107,8 @@
 		l.running[key] = map[ident.AttemptID]ident.HostID{}
 	}
 	l.running[key][t.Attempt] = host
+	l.teams[t.Team]++
+	l.peaks[t.Team] = max(l.peaks[t.Team], l.teams[t.Team])
 	if !t.NonIdempotent || t.Request == "" {
 		return
 	}
@@ -104,6 +126,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	key := taskKey{t.Job, t.Index}
+	if _, ok := l.running[key][t.Attempt]; ok {
+		l.teams[t.Team]--
+	}
 	delete(l.running[key], t.Attempt)
 	if len(l.running[key]) == 0 {
 		delete(l.running, key)
