End a killed daemon like a dead process and let a refused start wait for the queue

Cause 1: Kill closed the caller port first, so each broken connection abandoned its request, and the killed daemon still stopped the attempts at the backend servers; resubmissions through other daemons were answered as failed. The backend servers' fences and the claims were ruled out: the attempts ended as stopped by their owner at the time of the kill. Kill now cuts off the calls to backend servers and peers before it closes the caller port.

Cause 2: a peer can refuse a start before Queue.Next has taken out the offered item, so Restore found the old item and the request ended as not-run with 'item is queued already'. The dispatcher now waits for the call of Next.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -58,7 +58,8 @@
 	requests   *request.Service
 	callers    *caller.Server
 	operators  *operator.Server
-	client     *http.Client
+	client     *http.Client // of the backend servers
+	outgoing   *outgoing
 	owners     *owners
 	clearance  *clearance
 	drains     drains
@@ -101,7 +102,9 @@
 }
 
 func buildBase(d *Daemon, s settings.Serve, log logr.Logger, set *metrics.Set, client *http.Client) error {
-	d.settings, d.log, d.metrics, d.client = s, log.WithValues("member", s.Member), set, client
+	d.settings, d.log, d.metrics = s, log.WithValues("member", s.Member), set
+	d.outgoing = &outgoing{RoundTripper: client.Transport}
+	d.client = &http.Client{Transport: d.outgoing}
 	d.owners, d.clearance = newOwners(), newClearance()
 	var err error
 	d.blame, err = blame.New(blame.Config{Now: time.Now})
@@ -217,10 +220,13 @@
 	return nil
 }
 
-// Kill ends the daemon at once, like the death of its process: nothing is handed over or answered.
+// Kill ends the daemon at once, like the death of its process: nothing is handed over or answered, and no backend
+// server or peer hears of the callers whose connections break.
 func (d *Daemon) Kill() {
 	d.stopped.Do(func() {
 		d.ready.Store(false)
+		d.outgoing.dead.Store(true)
+		d.node.Close()
 		_ = d.callerS.Close()
 		d.end(context.Background())
 	})
--- /dev/null
+++ b/internal/daemon/outgoing.go
@@ -0,0 +1,30 @@
+package daemon
+
+import (
+	"fmt"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/backend"
+)
+
+// outgoing carries the calls to backend servers until the daemon is killed.
+type outgoing struct {
+	http.RoundTripper
+	dead atomic.Bool
+}
+
+// RoundTrip implements http.RoundTripper.
+func (o *outgoing) RoundTrip(r *http.Request) (*http.Response, error) {
+	if o.dead.Load() {
+		return nil, fmt.Errorf("%s: the daemon was killed: %w", r.URL.Path, backend.ErrUnreachable)
+	}
+	return o.RoundTripper.RoundTrip(r)
+}
+
+// CloseIdleConnections lets http.Client close the connections of the wrapped transport.
+func (o *outgoing) CloseIdleConnections() {
+	if c, ok := o.RoundTripper.(interface{ CloseIdleConnections() }); ok {
+		c.CloseIdleConnections()
+	}
+}
--- a/internal/dispatch/submit.go
+++ b/internal/dispatch/submit.go
@@ -85,6 +85,8 @@
 
 // requeue puts a task that certainly doesn't run back into the queue with a new attempt id.
 func (d *Dispatcher) requeue(e *entry, what, reason string) {
+	// A start can be refused before the queue has taken out the item that it offered for it.
+	d.queue.AwaitNext()
 	var final *Final
 	known := d.with(e.key, func(e *entry) {
 		e.attempt = d.newAttempt(e.key)
--- a/internal/failure/failure_test.go
+++ b/internal/failure/failure_test.go
@@ -258,7 +258,7 @@
 // must not run twice.
 func fullFleet(s *scene) {
 	once := batch("renders", 36, time.Minute)
-	once.NonIdempotent = true
+	once.NonIdempotent, once.Request = true, "once"
 	kept := s.submit("daemon-1", once)
 	s.until("the non-idempotent tasks run", func() bool { return len(s.runs(ofJob(kept))) == 36 })
 	s.submit("daemon-2", batch("renders", 60, time.Minute))
--- a/internal/failure/scene_test.go
+++ b/internal/failure/scene_test.go
@@ -85,7 +85,8 @@
 	s.Helper()
 	for end := time.Now().Add(limit); !holds(); time.Sleep(pause) {
 		if time.Now().After(end) {
-			s.Fatalf("after %s, not yet: %s", limit, what)
+			s.Fatalf("after %s, not yet: %s; %d runs, %d and %d running", limit, what, len(s.runs(every)),
+				s.cell.Standins.Ledger.Running(quoting), s.cell.Standins.Ledger.Running(plans))
 		}
 	}
 }
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -176,6 +176,13 @@
 // Push adds an item. It returns ErrFull, ErrDuplicate or ErrTooLate, wrapped with the figures.
 func (q *Queue[T]) Push(i Item[T]) error { return q.push(i, true) }
 
+// AwaitNext waits for the end of a call of Next under way, after which an item that it gave out is no longer in the
+// queue. The function try of Next must not call it.
+func (q *Queue[T]) AwaitNext() {
+	q.nextMu.Lock()
+	defer q.nextMu.Unlock()
+}
+
 // Restore puts back an item that Next gave out and that could not be started after all. The team's bound and the
 // expected wait aren't checked; the item keeps its place by its time of arrival. It may return ErrDuplicate.
 func (q *Queue[T]) Restore(i Item[T]) error { return q.push(i, false) }
