--- a/internal/dispatch/pump.go
+++ b/internal/dispatch/pump.go
@@ -52,9 +52,6 @@
 		return queue.Taken
 	}
 	d.config.Limits.Release(team, 1)
-	if e.work.Urgent {
-		d.preempt(e)
-	}
 	return d.tryPeers(e, queue.Skip, reasonOf(err))
 }
 
@@ -81,6 +78,9 @@
 func (d *Dispatcher) tryPeers(e *entry, otherwise queue.Verdict, reason string) queue.Verdict {
 	candidates := d.config.Fleet.Candidates(e.work.Task.Team, e.work.Task.Demand)
 	if len(candidates) == 0 {
+		if e.work.Urgent && otherwise == queue.Skip {
+			d.preempt(e)
+		}
 		d.with(e.key, func(e *entry) {
 			if e.phase == placing {
 				e.phase = queued
