Add a baseline policy for comparison and count backend exchanges

The load driver compares the policy with random fit in order of arrival. The dispatcher stays the same: Config.Baseline in placement chooses any host with room at random and never preempts, and in queue it orders by arrival only. The setting has no flag. The control cost needs the traffic to backend servers, which no counter held, so the HTTP adapter reports the body bytes per call. No behaviour changes with the setting off.

--- a/internal/backend/http.go
+++ b/internal/backend/http.go
@@ -42,6 +42,8 @@
 	Address  string        // host:port of the backend server
 	Timeout  time.Duration // bound of a call without a poll's wait; 0 means DefaultTimeout
 	MaxReply int64         // bound of a reply's body in bytes; 0 means MaxBodyBytes
+	// Count receives the body sizes of every exchange that got a reply, in bytes; nil counts nothing.
+	Count func(path string, sent, received int)
 }
 
 // HTTP is the Server at one address.
@@ -129,10 +131,28 @@
 		return reply, fmt.Errorf("%w: %s: %w", ErrUnreachable, path, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	counted := &countingBody{ReadCloser: resp.Body}
+	resp.Body = counted
 	err = decode(resp, h.config.MaxReply, &reply)
+	if h.config.Count != nil {
+		h.config.Count(path, len(body), counted.read)
+	}
 	return reply, err
 }
 
+// countingBody counts the bytes that were read from a reply.
+type countingBody struct {
+	io.ReadCloser
+	read int
+}
+
+// Read implements io.Reader.
+func (c *countingBody) Read(p []byte) (int, error) {
+	n, err := c.ReadCloser.Read(p)
+	c.read += n
+	return n, err
+}
+
 // decode reads a reply of at most limit bytes into reply, or returns the refusal that it carries.
 func decode(resp *http.Response, limit int64, reply any) error {
 	raw, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -171,7 +171,7 @@
 			found, _ := d.rollout.Current().Queue(q)
 			return found.Kind
 		},
-		Seed: rand.Uint64(), Now: time.Now,
+		Baseline: d.settings.Baseline, Seed: rand.Uint64(), Now: time.Now,
 	})
 	if err != nil {
 		return fmt.Errorf("create pool: %w", err)
@@ -180,7 +180,7 @@
 	d.table, err = ownership.New(ownership.Config{
 		Self: d.members.Self, View: d.members.View, StoreHealthy: d.members.StoreHealthy, Hosts: d.listHosts,
 		Dial: func(h platform.Host) backend.Server {
-			return backend.NewHTTP(backend.HTTPConfig{Client: d.client, Address: h.Address})
+			return backend.NewHTTP(backend.HTTPConfig{Client: d.client, Address: h.Address, Count: d.countBackend})
 		},
 		Events: ownership.Events{
 			Attached: func(h platform.Host, i backend.Inventory) { d.owners.seen(h); d.dispatcher.Attached(h, i) },
@@ -204,6 +204,13 @@
 	return nil
 }
 
+// countBackend counts the exchanges with backend servers and their body bytes, per call.
+func (d *Daemon) countBackend(path string, sent, received int) {
+	d.metrics.GetOrCreateCounter(fmt.Sprintf(`rosemaryspoke_backend_exchanges_total{call=%q}`, path)).Inc()
+	d.metrics.GetOrCreateCounter(fmt.Sprintf(`rosemaryspoke_backend_body_bytes_total{call=%q,direction="sent"}`, path)).Add(sent)
+	d.metrics.GetOrCreateCounter(fmt.Sprintf(`rosemaryspoke_backend_body_bytes_total{call=%q,direction="received"}`, path)).Add(received)
+}
+
 func buildDispatcher(d *Daemon) error {
 	var err error
 	d.fleet, err = fleet.New(fleet.Config{
@@ -237,6 +244,7 @@
 		Share:      func(t ident.TeamID) float64 { return max(1, float64(d.rollout.Current().Share(t))) },
 		Usage:      d.usage,
 		Total:      d.capacity,
+		Baseline:   d.settings.Baseline,
 		Now:        time.Now, Log: d.log.WithName("dispatch"), Metrics: d.metrics,
 	})
 	if err != nil {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -140,6 +140,7 @@
 	AuditInterval   time.Duration
 	OrphanRetention time.Duration
 	GangExpiry      time.Duration
+	Baseline        bool // orders by arrival only, see queue.Config
 	Now             func() time.Time
 	Log             logr.Logger
 	Metrics         *metrics.Set
@@ -181,7 +182,7 @@
 	if c.Metrics == nil {
 		c.Metrics = metrics.NewSet()
 	}
-	q, err := queue.New[*entry](queue.Config{PerTeam: c.QueueLimit, Share: c.Share, Usage: c.Usage, Total: c.Total, Now: c.Now})
+	q, err := queue.New[*entry](queue.Config{PerTeam: c.QueueLimit, Share: c.Share, Usage: c.Usage, Total: c.Total, Baseline: c.Baseline, Now: c.Now})
 	if err != nil {
 		return nil, fmt.Errorf("create queue: %w", err)
 	}
--- /dev/null
+++ b/internal/placement/baseline_test.go
@@ -0,0 +1,42 @@
+package placement
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+// Guards against a baseline that packs, overcommits or preempts, which would make the comparison with the policy void.
+func TestBaseline(t *testing.T) {
+	f := newFixture(t)
+	f.Pool.config.Baseline = true
+	f.fleet(48)
+	used := map[ident.HostID]int{}
+	for i := range 48 {
+		placed, err := f.Pick(request(i, api.KindBatch, small))
+		if err != nil {
+			t.Fatal(err)
+		}
+		used[placed.Host]++
+	}
+	// 48 uniform choices among 48 hosts meet about 30 of them; packing would meet 6.
+	if len(used) < 20 || len(used) == 48 {
+		t.Errorf("48 tasks are on %d hosts", len(used))
+	}
+	for i := 48; i < 48*8; i++ {
+		if _, err := f.Pick(request(i, api.KindBatch, small)); err != nil {
+			t.Fatalf("task %d: %v", i, err)
+		}
+	}
+	urgent := request(-1, api.KindRequest, small)
+	urgent.Priority = 90
+	var none *NoRoomError
+	if _, err := f.Pick(urgent); !errors.As(err, &none) {
+		t.Errorf("got %v on a full fleet", err)
+	}
+	if _, err := f.Victims(urgent); !errors.Is(err, ErrNoVictims) {
+		t.Errorf("victims: %v", err)
+	}
+}
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -101,6 +101,10 @@
 func (p *Pool) choose(r *Request, job *spread, full bool) *choice {
 	start := p.next()
 	c := &choice{request: r, spread: job, score: worst}
+	if p.config.Baseline {
+		p.chooseRandom(c)
+		return c
+	}
 	c.setBounds(start >> 16)
 	if full {
 		c.bounds.perGroup, c.most = 0, 1
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -37,8 +37,11 @@
 	// KindOf returns the kind of a queue's work. It is used for attempts of an inventory, which doesn't name the kind;
 	// without it their jobs aren't spread against new tasks. It must not call the pool.
 	KindOf func(ident.QueueID) api.Kind
-	Seed   uint64
-	Now    func() time.Time
+	// Baseline chooses any host with room at random and never preempts. The load driver sets it to compare the policy
+	// with a plain one.
+	Baseline bool
+	Seed     uint64
+	Now      func() time.Time
 }
 
 // Request is a task to place.
--- a/internal/placement/victims.go
+++ b/internal/placement/victims.go
@@ -66,6 +66,9 @@
 // Refused). It returns ErrNoVictims when there is no such set. Nothing is changed; the caller releases or throttles the
 // attempts as the host confirms.
 func (p *Pool) Victims(r Request) ([]Victim, error) {
+	if p.config.Baseline {
+		return nil, ErrNoVictims
+	}
 	now := p.config.Now()
 	var best []candidate
 	var chosen *host
--- a/internal/queue/next.go
+++ b/internal/queue/next.go
@@ -31,12 +31,21 @@
 	team     *team[T]
 	shard    *shard[T]
 	share    float64
+	baseline bool // order by arrival
 	skips    int  // items offered in vain
 	examined int  // items looked at and left in the queue
 	resumed  bool // the walk has gone on where the last call ended
 }
 
-func (t *turn[T]) level() float64 { return (t.team.charge.usage + t.team.charge.amount) / t.share }
+func (t *turn[T]) level() float64 {
+	if t.baseline {
+		if t.team.walk == nil {
+			return 0
+		}
+		return float64(t.team.walk.Enqueued.UnixNano())
+	}
+	return (t.team.charge.usage + t.team.charge.amount) / t.share
+}
 
 // turns is a heap of teams, the one furthest below its share first.
 type turns[T any] []*turn[T]
@@ -123,6 +132,8 @@
 			}
 			heap.Pop(&order)
 			leading = false
+		case q.config.Baseline:
+			heap.Fix(&order, 0)
 		}
 	}
 	return tried, false
@@ -143,7 +154,7 @@
 				continue
 			}
 			t.charge.refresh(q.config.Usage(t.id), now)
-			order = append(order, &turn[T]{team: t, shard: s, share: share})
+			order = append(order, &turn[T]{team: t, shard: s, share: share, baseline: q.config.Baseline})
 		}
 		s.mu.Unlock()
 	}
@@ -194,7 +205,7 @@
 	if t.resumed {
 		t.team.cursor[e.line()] = t.team.walk
 	}
-	return e == t.team.head(e.Urgent) && now.Sub(e.skipped) > q.config.HoldAfter
+	return !q.config.Baseline && e == t.team.head(e.Urgent) && now.Sub(e.skipped) > q.config.HoldAfter
 }
 
 func (q *Queue[T]) tooLarge(demand resource.Vector) bool {
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -89,7 +89,10 @@
 	Shards    int           // 0 means DefaultShards
 	HoldAfter time.Duration // 0 means DefaultHoldAfter
 	HoldFor   time.Duration // 0 means DefaultHoldFor
-	Now       func() time.Time
+	// Baseline offers items by time of arrival only, without shares, priorities, urgency and holds. The load driver
+	// sets it to compare the policy with a plain one.
+	Baseline bool
+	Now      func() time.Time
 }
 
 // Queue holds the waiting work of all teams. It is safe for concurrent use.
@@ -178,6 +181,9 @@
 	if i.Enqueued.IsZero() {
 		i.Enqueued = now
 	}
+	if q.config.Baseline {
+		i.Priority, i.Urgent = 0, false
+	}
 	s := q.shard(i.Team)
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -62,6 +62,9 @@
 
 	LogLevel int
 	LogJSON  bool
+
+	// Baseline replaces the policy by random fit in order of arrival. It has no flag; only the load driver sets it.
+	Baseline bool
 }
 
 // Error is a wrong setting with its name, its value and what is allowed.
