--- /dev/null
+++ b/internal/load/command.go
@@ -0,0 +1,74 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/spf13/cobra"
+)
+
+// Main runs the command line and returns the exit code.
+func Main(ctx context.Context, args []string, out, errs io.Writer) int {
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	c := newCommand()
+	c.SetArgs(args)
+	c.SetOut(out)
+	c.SetErr(errs)
+	if err := c.ExecuteContext(ctx); err != nil {
+		_, _ = fmt.Fprintln(errs, "loadgen:", err)
+		return 1
+	}
+	return 0
+}
+
+func newCommand() *cobra.Command {
+	config := Config{Log: logr.Discard()}
+	var format string
+	c := &cobra.Command{
+		Use: "loadgen", Short: "Drive a cell on loopback under the policy and under a plain baseline", Args: cobra.NoArgs,
+		SilenceUsage: true, SilenceErrors: true,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if format != "both" && format != "json" && format != "table" {
+				return fmt.Errorf("format %q is not allowed: both, json or table", format)
+			}
+			report, err := Run(c.Context(), config)
+			if err != nil && !errors.Is(err, ErrViolation) {
+				return err
+			}
+			return errors.Join(write(c.OutOrStdout(), report, format), err)
+		},
+	}
+	f := c.Flags()
+	f.StringVar(&config.Deployment, "deployment", "bensalem", "bensalem or sample-exchange")
+	f.StringVar(&config.Bundles, "bundles", "examples", "directory of the example bundles")
+	f.DurationVar(&config.Duration, "duration", 20*time.Second, "time during which work arrives, per policy")
+	f.Float64Var(&config.Scale, "scale", 1, "factor of all arrival rates")
+	f.Uint64Var(&config.Seed, "seed", 1, "seed of the arrivals")
+	f.StringVar(&format, "format", "both", "both, json or table")
+	return c
+}
+
+func write(w io.Writer, r Report, format string) error {
+	if format != "json" {
+		if err := r.Print(w); err != nil {
+			return err
+		}
+	}
+	if format == "table" {
+		return nil
+	}
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	if err := e.Encode(r); err != nil {
+		return fmt.Errorf("write report: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/load/measure.go
@@ -0,0 +1,188 @@
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"fmt"
+	"io"
+	"math"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/resource"
+)
+
+// Quantiles are waiting times in milliseconds.
+type Quantiles struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50-ms"`
+	P99   float64 `json:"p99-ms"`
+	P999  float64 `json:"p99.9-ms"`
+	Max   float64 `json:"max-ms"`
+}
+
+const (
+	longestWait = 2 * time.Minute
+	digits      = 3 // significant decimal digits of the histogram
+)
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, longestWait.Microseconds(), digits)
+}
+
+// record adds a wait; values outside the histogram are set to its ends.
+func record(h *hdrhistogram.Histogram, wait time.Duration) {
+	_ = h.RecordValue(min(max(1, wait.Microseconds()), longestWait.Microseconds()))
+}
+
+func quantiles(h *hdrhistogram.Histogram) Quantiles {
+	ms := func(us int64) float64 { return float64(us) / 1000 }
+	return Quantiles{
+		Count: h.TotalCount(), P50: ms(h.ValueAtQuantile(50)), P99: ms(h.ValueAtQuantile(99)),
+		P999: ms(h.ValueAtQuantile(99.9)), Max: ms(h.Max()),
+	}
+}
+
+// claimant is a team that competes for the fleet.
+type claimant struct {
+	team  ident.TeamID
+	share float64 // weight
+	most  float64 // part of the fleet that the team could use: its limit, or what it uses when nothing of it waits
+}
+
+// fairParts divides a total among teams in proportion to their shares. What a team can't use goes to the others in the
+// same proportion (weighted max-min fairness).
+func fairParts(total float64, teams []claimant) map[ident.TeamID]float64 {
+	parts := make(map[ident.TeamID]float64, len(teams))
+	open := slices.Clone(teams)
+	slices.SortFunc(open, func(a, b claimant) int {
+		return cmp.Or(cmp.Compare(a.most/a.share, b.most/b.share), cmp.Compare(a.team, b.team))
+	})
+	shares := 0.0
+	for _, t := range open {
+		shares += t.share
+	}
+	for _, t := range open {
+		part := min(t.most, total*t.share/shares)
+		parts[t.team] = part
+		total -= part
+		shares -= t.share
+	}
+	return parts
+}
+
+// packing is the dominant share of the used capacity of the hosts in use, averaged over them.
+func packing(hosts []hostState) (part float64, inUse int) {
+	sum := 0.0
+	for _, h := range hosts {
+		if h.Attempts == 0 {
+			continue
+		}
+		inUse++
+		sum += min(1, h.Capacity.Sub(h.Free).DominantShare(h.Capacity))
+	}
+	if inUse == 0 {
+		return 0, 0
+	}
+	return sum / float64(inUse), inUse
+}
+
+// hostState is the part of a daemon's state dump about one backend server.
+type hostState struct {
+	Capacity resource.Vector `json:"capacity"`
+	Free     resource.Vector `json:"free"`
+	Attempts int             `json:"attempts"`
+}
+
+// parseMetrics reads the samples of a Prometheus text page by name with labels.
+func parseMetrics(r io.Reader) (map[string]float64, error) {
+	values := map[string]float64{}
+	lines := bufio.NewScanner(r)
+	for lines.Scan() {
+		line := lines.Text()
+		at := strings.LastIndexByte(line, ' ')
+		if at < 0 || strings.HasPrefix(line, "#") {
+			continue
+		}
+		v, err := strconv.ParseFloat(line[at+1:], 64)
+		if err != nil {
+			return nil, fmt.Errorf("parse metric %q: %w", line, err)
+		}
+		values[line[:at]] = v
+	}
+	if err := lines.Err(); err != nil {
+		return nil, fmt.Errorf("read metrics: %w", err)
+	}
+	return values, nil
+}
+
+// label returns the value of one label of a metric's name.
+func label(name, key string) string {
+	_, rest, ok := strings.Cut(name, key+`="`)
+	if !ok {
+		return ""
+	}
+	value, _, _ := strings.Cut(rest, `"`)
+	return value
+}
+
+// sumOf adds the growth of all metrics with the prefix that have all the given labels.
+func sumOf(before, after map[string]float64, prefix string, labels ...string) float64 {
+	sum := 0.0
+	for name, v := range after {
+		if !strings.HasPrefix(name, prefix) {
+			continue
+		}
+		if slices.ContainsFunc(labels, func(l string) bool { return !strings.Contains(name, l) }) {
+			continue
+		}
+		sum += v - before[name]
+	}
+	return sum
+}
+
+// processorTime returns the processor time that this process has used.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// residentBytes returns the resident memory of this process, or 0 when the system doesn't tell.
+func residentBytes() int64 {
+	text, err := os.ReadFile("/proc/self/statm")
+	if err != nil {
+		return 0
+	}
+	fields := bytes.Fields(text)
+	if len(fields) < 2 {
+		return 0
+	}
+	pages, _ := strconv.ParseInt(string(fields[1]), 10, 64)
+	return pages * int64(os.Getpagesize())
+}
+
+// mean returns the average, or 0 without values.
+func mean(values []float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	sum := 0.0
+	for _, v := range values {
+		sum += v
+	}
+	return sum / float64(len(values))
+}
+
+// round keeps three decimals, so that the JSON report stays readable.
+func round(v float64) float64 { return math.Round(v*1000) / 1000 }
