--- a/internal/ownership/entry.go
+++ b/internal/ownership/entry.go
@@ -24,7 +24,7 @@
 	host         platform.Host
 	fence        backend.Fence // of the last attach that succeeded
 	attached     bool
-	reattach     bool        // attach again after the present poll
+	reattach     ident.Epoch // attach again after the present poll unless confirmed at this epoch
 	ownedSince   ident.Epoch // first view of an unbroken run of views that name this member as owner
 	ownedThrough ident.Epoch // last view of that run
 	confirmed    ident.Epoch // no other member can be owner in any view from the fence's epoch up to this one
@@ -46,6 +46,7 @@
 	// Used by the entry's goroutine only.
 	reported bool // Attached was reported and Detached wasn't
 	failures int
+	early    int // replies in a row that came early without new results
 }
 
 // interruptLocked ends the poll in flight, so that the next one goes out at once and returns at once.
@@ -59,12 +60,18 @@
 
 // interval returns the renewal interval that keeps the renewals of all polled hosts within the control budget.
 func (t *Table) interval() time.Duration {
-	paced := time.Duration(t.polled.Load()) * BytesPerExchange * time.Second / time.Duration(t.config.ControlBytesPerSecond)
-	return min(max(paced, t.config.MinRenewal), t.config.MaxRenewal)
+	return t.paced(t.polled.Load())
 }
 
-// maxLease is the longest lease that any member gives.
-func (t *Table) maxLease() time.Duration { return leaseIntervals * t.config.MaxRenewal }
+// paced returns the renewal interval of a member that polls this many hosts.
+func (t *Table) paced(hosts int64) time.Duration {
+	interval := time.Duration(hosts) * BytesPerExchange * time.Second / time.Duration(t.config.ControlBytesPerSecond)
+	return min(max(interval, t.config.MinRenewal), t.config.MaxRenewal)
+}
+
+// maxLease is the longest lease that any member gives: that of a member which polls every host. Its host list may lag
+// or be ahead, so it is taken as up to twice as long as the longest that this member has seen.
+func (t *Table) maxLease() time.Duration { return leaseIntervals * t.paced(2*t.mostHosts.Load()) }
 
 // loop polls the entry's backend server until the entry is removed or ctx ends.
 func (t *Table) loop(ctx context.Context, e *entry) {
@@ -108,7 +115,7 @@
 // step makes one call to the backend server and returns how long to wait before the next.
 func (t *Table) step(ctx context.Context, e *entry) time.Duration {
 	e.lock.Lock()
-	attach := !e.attached || e.reattach
+	attach := !e.attached || e.reattach > e.confirmed
 	e.lock.Unlock()
 	var err error
 	switch {
--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -36,7 +36,7 @@
 	CallTimeout   time.Duration     // bound of one call; a watch may take its wait in addition; 0 means the default
 	MaxReplyBytes int64             // bound of a reply body; 0 means the default
 	Transport     http.RoundTripper // nil means a transport of its own
-	Metrics       *metrics.Set      // receives the call counters; nil means a set of its own
+	Metrics       *metrics.Set      // receives the counters; adapters with one set share them; nil means a set of its own
 }
 
 // transport sends calls and maps failures to the errors of the contract.
@@ -144,7 +144,7 @@
 		return lost(call, err)
 	}
 	if int64(len(raw)) > t.config.MaxReplyBytes {
-		return fmt.Errorf("reply above %d bytes: %w", t.config.MaxReplyBytes, ErrTooLarge)
+		return tooLong(call, t.config.MaxReplyBytes)
 	}
 	if err := json.Unmarshal(raw, out); err != nil {
 		return lost(call, fmt.Errorf("decode: %w", err))
@@ -160,6 +160,14 @@
 	return fmt.Errorf("%w: %w", ErrUnavailable, cause)
 }
 
+// tooLong maps a reply above the bound; a write has taken effect, so its reply counts as lost.
+func tooLong(call Call, bound int64) error {
+	if call.Write() {
+		return fmt.Errorf("%w: reply above %d bytes", ErrUnknownOutcome, bound)
+	}
+	return fmt.Errorf("reply above %d bytes: %w", bound, ErrTooLarge)
+}
+
 // refused maps an answer other than 200 by its code; an unknown code counts as a lost reply.
 func refused(call Call, response *http.Response) error {
 	var reply ErrorReply
