Count a throttled task's CPU at its allowed part in the stand-in

The stand-in added the whole demand of throttled tasks, while the protocol's throttle takes CPU from them and placement gives that CPU to urgent work. The check stays as strict: the other demand of a throttled task counts in full, and the end of a throttling without room is now recorded too, which it wasn't before.

--- a/internal/standin/worker/commands.go
+++ b/internal/standin/worker/commands.go
@@ -194,7 +194,11 @@
 	if w.config.Unsupported(r.task) {
 		return backend.ErrUnsupported
 	}
+	raised := percent > r.percent
 	r.percent, r.reported = percent, false
+	if raised {
+		w.checkCapacityLocked(attempt)
+	}
 	return nil
 }
 
--- a/internal/standin/worker/task.go
+++ b/internal/standin/worker/task.go
@@ -16,13 +16,7 @@
 	w.runs = append(w.runs, Run{Attempt: t.Attempt, Job: t.Job, Index: t.Index, Request: t.Request, Started: now})
 	w.running[t.Attempt] = r
 	w.config.Ledger.start(w.config.Host, t)
-	var used resource.Vector
-	for _, other := range w.running {
-		used = used.Add(other.task.Demand)
-	}
-	if !used.Fits(w.capacity) {
-		w.config.Ledger.overcommit(w.config.Host, t.Attempt, used, w.capacity)
-	}
+	w.checkCapacityLocked(t.Attempt)
 	if t.RunTime > 0 {
 		r.stop = w.config.AfterFunc(t.RunTime.Duration(), func() { w.complete(t) })
 	} else if w.faults.taskFails(t.Job) {
@@ -30,6 +24,20 @@
 	}
 }
 
+// checkCapacityLocked records a breach when the running tasks may use more than the capacity. A throttled task may use
+// the allowed part of its demanded CPU, and all of its other demand.
+func (w *Worker) checkCapacityLocked(cause ident.AttemptID) {
+	var used resource.Vector
+	for _, r := range w.running {
+		allowed := r.task.Demand
+		allowed.CPU = (allowed.CPU*resource.MilliCPU(r.percent) + fullShare - 1) / fullShare
+		used = used.Add(allowed)
+	}
+	if !used.Fits(w.capacity) {
+		w.config.Ledger.overcommit(w.config.Host, cause, used, w.capacity)
+	}
+}
+
 // complete ends an attempt whose run time is over, with the handler's answer or the failure that a fault asks for.
 func (w *Worker) complete(t backend.Task) {
 	if paused := w.faults.pausing(); paused != nil {
