--- a/internal/queue/next.go
+++ b/internal/queue/next.go
@@ -31,13 +31,22 @@
 	team     *team[T]
 	shard    *shard[T]
 	share    float64
+	baseline bool // order by arrival
 	most     int  // bound of examined
 	skips    int  // items offered in vain
 	examined int  // items looked at and left in the queue
 	resumed  bool // the walk has gone on where the last call ended
 }
 
-func (t *turn[T]) level() float64 { return (t.team.charge.usage + t.team.charge.amount) / t.share }
+func (t *turn[T]) level() float64 {
+	if t.baseline {
+		if t.team.walk == nil {
+			return 0
+		}
+		return float64(t.team.walk.Enqueued.UnixNano())
+	}
+	return (t.team.charge.usage + t.team.charge.amount) / t.share
+}
 
 // turns is a heap of teams, the one furthest below its share first.
 type turns[T any] []*turn[T]
@@ -127,6 +136,8 @@
 			}
 			heap.Pop(&order)
 			leading = false
+		case q.config.Baseline:
+			heap.Fix(&order, 0)
 		}
 	}
 	return tried, false
@@ -147,7 +158,7 @@
 				continue
 			}
 			t.charge.refresh(q.config.Usage(t.id), now)
-			t.turn = turn[T]{team: t, shard: s, share: share}
+			t.turn = turn[T]{team: t, shard: s, share: share, baseline: q.config.Baseline}
 			order = append(order, &t.turn)
 		}
 		s.mu.Unlock()
@@ -202,7 +213,7 @@
 	if t.resumed {
 		t.team.cursor[e.line()] = t.team.walk
 	}
-	return e == t.team.head(e.Urgent) && now.Sub(e.skipped) > q.config.HoldAfter
+	return !q.config.Baseline && e == t.team.head(e.Urgent) && now.Sub(e.skipped) > q.config.HoldAfter
 }
 
 func (q *Queue[T]) tooLarge(demand resource.Vector) bool {
