--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -81,9 +81,13 @@
 	return EnvironmentPrefix + strings.ToUpper(strings.ReplaceAll(name, "-", "_"))
 }
 
-// Secret reports whether the value of a setting must not be shown.
+// Secret reports whether the value of a setting of the daemon or of a client command must not be shown.
 func Secret(name string) bool {
-	return name == "peer-key" || name == "caller-key" || name == "operator-token"
+	switch name {
+	case "peer-key", "caller-key", "operator-token", "key", "token", "signing-key":
+		return true
+	}
+	return false
 }
 
 // Flags adds the flags of a daemon with their defaults to a set.
