Refuse unknown subcommands and test the command line

An unknown subcommand of a group, such as bundle pubish, printed the help and ended with 0; an unknown command ended with 1 instead of 2. Table tests cover exit codes, bundle validate on the examples, and key grant and withdraw on a running daemon.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -127,9 +127,28 @@
 	f.DurationVar(&o.timeout, "timeout", time.Minute, "longest time of the command")
 	root.AddCommand(newServe(), newJob(o), newRequest(o), newBundle(o), newKey(o), newHost(o), newState(o),
 		newDemo(o), newSettings(), newVersion())
+	requireSubcommand(root)
 	return root
 }
 
+// requireSubcommand makes unknown subcommands a usage error. Without it cobra prints the help of a group such as
+// "bundle" and ends with success.
+func requireSubcommand(c *cobra.Command) {
+	for _, sub := range c.Commands() {
+		requireSubcommand(sub)
+	}
+	if !c.HasSubCommands() {
+		return
+	}
+	c.Args = func(c *cobra.Command, args []string) error {
+		if len(args) > 0 {
+			return usageError{fmt.Errorf("unknown command %q for %q", args[0], c.CommandPath())}
+		}
+		return nil
+	}
+	c.RunE = func(c *cobra.Command, _ []string) error { return c.Help() }
+}
+
 func newVersion() *cobra.Command {
 	return &cobra.Command{
 		Use: "version", Short: "Print the version", Args: noArgs,
--- /dev/null
+++ b/internal/command/command_test.go
@@ -0,0 +1,147 @@
+package command
+
+import (
+	"bytes"
+	"crypto/ed25519"
+	"encoding/base64"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/go-logr/logr"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/bundle"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/demo"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/settings"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
+)
+
+// run executes a command line without the settings of the surrounding environment.
+func run(t *testing.T, args ...string) (code int, out, errOut string) {
+	t.Helper()
+	var o, e bytes.Buffer
+	code = Run(t.Context(), args, &o, &e)
+	return code, o.String(), e.String()
+}
+
+// Guards against an exit code that hides the outcome from scripts.
+func TestExitCodes(t *testing.T) {
+	cases := map[string]struct {
+		err  error
+		want int
+	}{
+		"no error":    {nil, ExitOK},
+		"other error": {errors.New("x"), ExitFailure},
+		"usage":       {usageError{errors.New("x")}, ExitUsage},
+		"setting":     {&settings.Error{}, ExitUsage},
+		"not run":     {&outcomeError{outcome: api.NotRun}, ExitNotRun},
+		"failed":      {&outcomeError{outcome: api.Failed}, ExitFailed},
+		"unknown":     {&outcomeError{outcome: api.Unknown}, ExitUnknown},
+		"refused":     {api.NewProblem(api.CodeOverloaded, "", "x"), ExitNotRun},
+		"conflict":    {api.NewProblem(api.CodeConflict, "", "x"), ExitConflict},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			if got := exitCode(c.err); got != c.want {
+				t.Errorf("got %d, want %d", got, c.want)
+			}
+		})
+	}
+}
+
+// Guards against wrong arguments, files and settings that are accepted or end with another code.
+func TestCommandLine(t *testing.T) {
+	wrong := filepath.Join(t.TempDir(), "wrong.yaml")
+	if err := os.WriteFile(wrong, []byte("teams: []\nqueues:\n  - id: q\n    kind: nothing\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	refusing := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/problem+json")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = w.Write([]byte(`{"status":503,"code":"unavailable","detail":"down","outcome":"unknown"}`))
+	}))
+	defer refusing.Close()
+	examples := "../../examples/"
+	cases := map[string]struct {
+		args []string
+		code int
+		want string // in the output or the error
+	}{
+		"version":              {[]string{"version"}, ExitOK, Version},
+		"settings":             {[]string{"settings"}, ExitOK, "--member"},
+		"bensalem":             {[]string{"bundle", "validate", examples + "bensalem.yaml"}, ExitOK, "6"},
+		"sample exchange":      {[]string{"bundle", "validate", examples + "sample-exchange.yaml"}, ExitOK, "6"},
+		"wrong bundle":         {[]string{"bundle", "validate", wrong}, ExitUsage, "queues[0].kind"},
+		"missing file":         {[]string{"bundle", "validate", wrong + ".none"}, ExitUsage, "no such file"},
+		"no file":              {[]string{"bundle", "validate"}, ExitUsage, "one argument"},
+		"unknown flag":         {[]string{"version", "--nothing"}, ExitUsage, "--nothing"},
+		"unknown command":      {[]string{"nothing"}, ExitUsage, "nothing"},
+		"unknown key command":  {[]string{"key", "revoke", "a", "b"}, ExitUsage, "revoke"},
+		"group":                {[]string{"bundle"}, ExitOK, "Available Commands"},
+		"unknown subcommand":   {[]string{"bundle", "nothing"}, ExitUsage, "nothing"},
+		"wrong output":         {[]string{"version", "--output", "xml"}, ExitUsage, "table or json"},
+		"wrong setting":        {[]string{"serve"}, ExitUsage, "--member"},
+		"refused, unknown":     {[]string{"job", "get", "job-1", "--address", refusing.URL}, ExitUnknown, "down"},
+		"daemon not reachable": {[]string{"state", "dump", "--operator-address", "http://127.0.0.1:1"}, ExitFailure, "operator port"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			code, out, errOut := run(t, c.args...)
+			if code != c.code || !strings.Contains(out+errOut, c.want) {
+				t.Errorf("got code %d, output %q, error %q", code, out, errOut)
+			}
+		})
+	}
+}
+
+// Guards against a secret in the error about a wrong environment variable.
+func TestWrongEnvironmentShowsNoSecret(t *testing.T) {
+	t.Setenv("ROSEMARYSPOKE_SIGNING_KEY", `"seed`)
+	if code, _, errOut := run(t, "key", "list"); code != ExitUsage || strings.Contains(errOut, "seed") {
+		t.Errorf("got code %d, error %q", code, errOut)
+	}
+}
+
+// Guards against a grant or a withdrawal that changes other keys than the named one.
+func TestKeyCommands(t *testing.T) {
+	text, err := os.ReadFile("../../examples/bensalem.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := bundle.Parse("bensalem.yaml", text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	seed := make([]byte, ed25519.SeedSize)
+	public, _ := ed25519.NewKeyFromSeed(seed).Public().(ed25519.PublicKey)
+	c, err := demo.Start(t.Context(), demo.Config{
+		Sites: []demo.Site{{Member: "m1", Region: "sfax", DataCentre: "sfax-a"}}, Bundle: b, Log: logr.Discard(),
+		Adjust: func(s *settings.Serve) {
+			s.Signers = append(s.Signers, base64.StdEncoding.EncodeToString(public))
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	t.Setenv("ROSEMARYSPOKE_OPERATOR_ADDRESS", "http://"+c.Daemon("m1").OperatorAddress())
+	t.Setenv("ROSEMARYSPOKE_TOKEN", demo.Token)
+	_, before, _ := run(t, "key", "list")
+	sign := "--signing-key=" + base64.StdEncoding.EncodeToString(seed)
+	if code, out, errOut := run(t, "key", "grant", "training", "new", sign); code != ExitOK || !strings.Contains(out, "secret: rsk_") {
+		t.Fatalf("grant: code %d, %s%s", code, out, errOut)
+	}
+	if _, now, _ := run(t, "key", "list"); strings.Count(now, "\n") != strings.Count(before, "\n")+1 || strings.Count(before, "\n") != 8 {
+		t.Errorf("keys before the grant:\n%s\nafter:\n%s", before, now)
+	}
+	if code, out, errOut := run(t, "key", "withdraw", "training", "new", sign); code != ExitOK {
+		t.Fatalf("withdraw: code %d, %s%s", code, out, errOut)
+	}
+	if _, now, _ := run(t, "key", "list"); now != before {
+		t.Errorf("keys before:\n%s\nafter the withdrawal:\n%s", before, now)
+	}
+}
