Record a job once per request id, and repeat a start until a reply tells

Cause: a job submitted again with the same request id was recorded and run a second time; only synchronous requests were claimed. Jobs with a request id use the claims too, and the second submission gets the first one's job.

--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -322,6 +322,7 @@
 			Release: d.claims.Release, Lookup: d.lookupClaim,
 		},
 		Dispatcher: request.Dispatcher{Submit: d.dispatcher.Submit, Abandon: d.dispatcher.Abandon, Find: d.dispatcher.Find},
+		Jobs:       request.Jobs{Create: d.jobs.Create, Get: d.getJob},
 		Now:        time.Now, Log: d.log.WithName("request"),
 	})
 	if err != nil {
@@ -342,7 +343,7 @@
 		Fresh:   d.rollout.Fresh,
 		Request: d.requests.Do,
 		Jobs: caller.Jobs{
-			Create: d.jobs.Create, Get: d.getJob, List: d.listJobs, Cancel: d.cancelJob, Explain: d.explainJob,
+			Create: d.requests.CreateJob, Get: d.getJob, List: d.listJobs, Cancel: d.cancelJob, Explain: d.explainJob,
 		},
 		Log: d.log.WithName("caller"), Metrics: d.metrics,
 	})
--- a/internal/ownership/command.go
+++ b/internal/ownership/command.go
@@ -12,8 +12,12 @@
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 )
 
-// startRepeats is how often a start without a reply is repeated.
-const startRepeats = 2
+const (
+	// startPause is the pause before a start without a reply is repeated.
+	startPause = 50 * time.Millisecond
+	// startRepeats bounds the repeats of a start, because a server that answers polls keeps its lease for ever.
+	startRepeats = 20
+)
 
 // fenced returns the entry of an attached host and the fence for a command.
 func (t *Table) fenced(host ident.HostID) (*entry, backend.Fence, error) {
@@ -56,19 +60,32 @@
 		return err
 	}
 	err = e.server.Start(ctx, fence, task)
-	for range startRepeats {
-		if !errors.Is(err, backend.ErrUnknownOutcome) || ctx.Err() != nil {
-			break
-		}
+	for n := 0; n < startRepeats && errors.Is(err, backend.ErrUnknownOutcome) && t.repeatStart(ctx, e); n++ {
 		again := e.server.Start(ctx, fence, task)
 		if again == nil || errors.Is(again, backend.ErrDuplicate) || errors.Is(again, backend.ErrStopped) {
 			err = again
 		}
 		// Any other refusal says nothing about the first command.
+		if !errors.Is(again, backend.ErrUnknownOutcome) && !errors.Is(again, backend.ErrUnreachable) {
+			break
+		}
 	}
 	return t.note(e, fence, err)
 }
 
+// repeatStart waits before a start is repeated. It returns false when the lease may have lapsed, because the repeated
+// command would only be refused then.
+func (t *Table) repeatStart(ctx context.Context, e *entry) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(startPause):
+	}
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	return !e.removed && t.config.Now().Before(e.validUntil)
+}
+
 // Stop ends an attempt; backend.StopNeverStarted says that it never ran and never will.
 func (t *Table) Stop(ctx context.Context, host ident.HostID, attempt ident.AttemptID) (backend.StopState, error) {
 	e, fence, err := t.fenced(host)
--- /dev/null
+++ b/internal/request/job.go
@@ -0,0 +1,75 @@
+package request
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/bundle"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/claim"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/job"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/peer/wire"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+// Jobs records durable jobs and reads them on every daemon.
+type Jobs struct {
+	Create func(ctx context.Context, s api.Spec, p job.Policy) (api.Job, error)
+	Get    func(ctx context.Context, id ident.JobID) (api.Job, error)
+}
+
+// reference is what the claim of a job's request id keeps as its answer.
+type reference struct {
+	Job ident.JobID `json:"job"`
+}
+
+// CreateJob records a job once per request id: a second submission, through any daemon, gets the first one's job.
+// Without a request id every submission is a job of its own.
+func (s *Service) CreateJob(ctx context.Context, spec api.Spec, p job.Policy) (api.Job, error) {
+	if spec.Request == "" {
+		return s.config.Jobs.Create(ctx, spec, p)
+	}
+	c := &call{service: s, spec: spec, queue: bundle.Queue{}}
+	grant, err := c.vote(ctx)
+	var held *claim.HeldError
+	switch {
+	case errors.As(err, &held):
+		return s.firstJob(ctx, c, held.Claim)
+	case errors.Is(err, claim.ErrUncertain):
+		return api.Job{}, fmt.Errorf("%w: an earlier submission of the request can't be ruled out", job.ErrUnknownOutcome)
+	case err != nil:
+		p := api.NewProblem(api.CodeUnavailable, "request-id", "the request was not claimed: %v", err)
+		p.RetryAfter = 500
+		return api.Job{}, p
+	}
+	c.grant = &grant
+	j, err := s.config.Jobs.Create(ctx, spec, p)
+	if err != nil && !errors.Is(err, job.ErrUnknownOutcome) {
+		c.release()
+		return j, err
+	}
+	// A record with an unknown outcome may exist, so its id is kept for the next submission too.
+	if body, failure := json.Marshal(reference{j.ID}); failure == nil {
+		c.completeWith(body)
+	}
+	return j, err
+}
+
+// firstJob waits until the first submission has recorded its job, and returns that job.
+func (s *Service) firstJob(ctx context.Context, c *call, held wire.Claim) (api.Job, error) {
+	for held.State != wire.ClaimComplete {
+		if !pause(ctx) {
+			return api.Job{}, fmt.Errorf("%w: another submission of the request has not been recorded yet", job.ErrUnknownOutcome)
+		}
+		if found, ok, err := s.config.Claims.Lookup(ctx, c.key()); err == nil && ok {
+			held = found
+		}
+	}
+	var r reference
+	if err := json.Unmarshal(held.Answer, &r); err != nil || r.Job == "" {
+		return api.Job{}, api.NewProblem(api.CodeConflict, "request-id", "the id belongs to a synchronous request")
+	}
+	return s.config.Jobs.Get(ctx, r.Job)
+}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -57,6 +57,7 @@
 	View       func() member.View
 	Claims     Claims
 	Dispatcher Dispatcher
+	Jobs       Jobs
 	Now        func() time.Time
 	Log        logr.Logger
 }
@@ -194,12 +195,17 @@
 
 func (c *call) complete(a api.Answer) {
 	body, err := json.Marshal(a)
-	if err == nil {
-		ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
-		defer cancel()
-		err = c.service.config.Claims.Complete(ctx, *c.grant, body)
-	}
 	if err != nil {
+		c.service.config.Log.Error(err, "answer can't be encoded", "team", c.spec.Team, "request", c.spec.Request)
+		return
+	}
+	c.completeWith(body)
+}
+
+func (c *call) completeWith(body []byte) {
+	ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
+	defer cancel()
+	if err := c.service.config.Claims.Complete(ctx, *c.grant, body); err != nil {
 		c.service.config.Log.Info("claim was not completed; a resubmission gets the outcome unknown",
 			"team", c.spec.Team, "request", c.spec.Request, "error", err.Error())
 	}
@@ -280,10 +286,8 @@
 				return a
 			}
 		}
-		select {
-		case <-ctx.Done():
+		if !pause(ctx) {
 			return c.answer(api.Unknown, "another submission of the request has not been answered yet")
-		case <-time.After(lookupPause):
 		}
 		if found, ok, err := c.service.config.Claims.Lookup(ctx, c.key()); err == nil && ok {
 			held = found
@@ -291,6 +295,16 @@
 	}
 }
 
+// pause waits before the next question; it returns false when the context ended first.
+func pause(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(lookupPause):
+		return true
+	}
+}
+
 // recoverAnswer looks for the run of a request whose claimer has died. It returns no outcome while the run goes on.
 func (c *call) recoverAnswer(ctx context.Context) api.Answer {
 	for {
@@ -301,10 +315,8 @@
 		case !known && complete:
 			return c.answer(api.Unknown, "the daemon that held the request died and no backend server knows its run")
 		}
-		select {
-		case <-ctx.Done():
+		if !pause(ctx) {
 			return c.answer(api.Unknown, "the run of an earlier submission can't be ruled out")
-		case <-time.After(lookupPause):
 		}
 	}
 }
