Stop sending renewals to a server that has not answered for a whole lease

Cause: a poll or attach without an answer may have renewed the lease, so each one moved the end of the last possible lease. A server that takes connections and never replies was never certainly lapsed: a batch task of a vanished server stayed 'running' and its non-idempotent requests ended only with their deadlines. A lost result was ruled out: the attempts were still counted at the server's owner 30 s after it vanished.

The owner now waits out the lease without calls once the last confirmed lease is over, then reports the lapse.

--- a/internal/ownership/entry.go
+++ b/internal/ownership/entry.go
@@ -34,6 +34,7 @@
 	validUntil   time.Time // starts are allowed before it; from the time before the last renewal was sent
 	leaseOver    time.Time // the last lease that a renewal of this member may have set ends before it
 	othersOver   time.Time // the last lease of an earlier owner ends before it; zero after an attach
+	unanswered   bool      // the last call that may have arrived had no answer
 	lapsed       bool      // the last possible lease is certainly over
 	leaving      bool      // said by the server
 	listLeaving  bool      // leaving in the host list, or gone from it
@@ -114,6 +115,9 @@
 
 // step makes one call to the backend server and returns how long to wait before the next.
 func (t *Table) step(ctx context.Context, e *entry) time.Duration {
+	if wait := t.silence(e); wait > 0 {
+		return wait
+	}
 	e.lock.Lock()
 	attach := !e.attached || e.reattach > e.confirmed
 	e.lock.Unlock()
--- a/internal/ownership/renew.go
+++ b/internal/ownership/renew.go
@@ -132,14 +132,21 @@
 
 // mayHaveRenewed records the end of the lease that a call may have set. The call took effect before it returned.
 func (t *Table) mayHaveRenewed(e *entry, lease time.Duration, err error) {
-	if err != nil && !errors.Is(err, backend.ErrUnknownOutcome) {
-		if _, refused := backend.RefusalOf(err); refused || errors.Is(err, backend.ErrUnreachable) {
-			return
-		}
-	}
-	over := t.config.Now().Add(lease)
+	_, refused := backend.RefusalOf(err)
 	e.lock.Lock()
 	defer e.lock.Unlock()
+	switch {
+	case errors.Is(err, backend.ErrUnknownOutcome):
+		e.unanswered = true
+	case refused:
+		e.unanswered = false
+		return
+	case errors.Is(err, backend.ErrUnreachable):
+		return
+	default:
+		e.unanswered = err != nil
+	}
+	over := t.config.Now().Add(lease)
 	if over.After(e.leaseOver) {
 		e.leaseOver = over
 	}
@@ -221,6 +228,23 @@
 	}
 }
 
+// silence returns how long no call may be sent to a server that has not answered for a whole lease. Each call without
+// an answer may renew the lease, so without a pause the lease would never certainly be over.
+func (t *Table) silence(e *entry) time.Duration {
+	now := t.config.Now()
+	e.lock.Lock()
+	silent := e.reported && e.unanswered && !e.lapsed && !e.caretaker && now.After(e.validUntil)
+	left := e.leaseOver.Add(t.config.Drift + t.config.ViewLag).Sub(now)
+	e.lock.Unlock()
+	if !silent {
+		return 0
+	}
+	if left <= 0 {
+		t.checkLapse(e)
+	}
+	return max(0, left)
+}
+
 // checkLapse reports Lapsed once no lease can be left, and returns the time until it is worth another look. A lease
 // may have been set by this member, by an earlier owner, or by a caretaker while the store was down. Another owner
 // would show in the view within ViewLag while the store is healthy; while it isn't, nothing is certain.
