Don't count reservations that were not started as starts

Cause: the dispatcher reserves a part of the limit before it looks for room, and a member with queued work and no room reserved and released on each look. The split took that for starts (53/s measured while none happened) and kept or took back the part that a member with room needed, so 8 slots stayed empty under a limit with 36 free. Cancel gives such a reservation back without a start.

--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -227,7 +227,9 @@
 	d.dispatcher, err = dispatch.New(dispatch.Config{
 		Self: d.members.Self, View: d.members.View, Pool: d.pool, Fleet: d.fleet, Blame: d.blame,
 		Budget: budget, Backoff: backoff,
-		Limits: dispatch.Limits{Reserve: d.limits.Reserve, Release: d.limits.Release, Arrive: d.arrive, Depart: d.depart},
+		Limits: dispatch.Limits{
+			Reserve: d.limits.Reserve, Cancel: d.limits.Cancel, Release: d.limits.Release, Arrive: d.arrive, Depart: d.depart,
+		},
 		Servers: dispatch.Servers{
 			Start: d.table.Start, Stop: d.table.Stop, Checkpoint: d.table.Checkpoint, Throttle: d.table.Throttle,
 			Acknowledge: d.table.Acknowledge, Complete: d.table.Complete,
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -86,6 +86,7 @@
 // Limits is the split of the teams' upper limits.
 type Limits struct {
 	Reserve func(team ident.TeamID, n int) bool
+	Cancel  func(team ident.TeamID, n int) // gives back what was reserved and not started
 	Release func(team ident.TeamID, n int)
 	// Arrive counts tasks that came running with a backend server.
 	Arrive func(host platform.Host, team ident.TeamID, n int)
@@ -162,7 +163,7 @@
 
 // New returns a dispatcher that starts nothing until Run is called.
 func New(c Config) (*Dispatcher, error) {
-	if c.Self == nil || c.View == nil || c.Pool == nil || c.Fleet == nil || c.Limits.Reserve == nil ||
+	if c.Self == nil || c.View == nil || c.Pool == nil || c.Fleet == nil || c.Limits.Reserve == nil || c.Limits.Cancel == nil ||
 		c.Servers.Start == nil || c.Peers.Forward == nil || c.Share == nil || c.Usage == nil {
 		return nil, errors.New("dispatch: a required dependency isn't set")
 	}
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -53,7 +53,7 @@
 		Avoid: f.Avoid, Task: t,
 	})
 	if err != nil {
-		d.config.Limits.Release(t.Team, 1)
+		d.config.Limits.Cancel(t.Team, 1)
 		return wire.ForwardReply{Reason: reasonOf(err)}, nil
 	}
 	// The start must be settled even when the sender gives up, or the attempt would hold room for nothing.
--- a/internal/dispatch/ganghold.go
+++ b/internal/dispatch/ganghold.go
@@ -24,7 +24,7 @@
 	until := d.config.Now().Add(r.Expiry.Duration())
 	n := d.config.Pool.Reserve(r.Gang, gangRequest(r), part, until)
 	if n < part {
-		d.config.Limits.Release(r.Team, part-n)
+		d.config.Limits.Cancel(r.Team, part-n)
 	}
 	if n == 0 {
 		return wire.GangReserveReply{Reason: "no backend server has room"}, nil
--- a/internal/dispatch/pump.go
+++ b/internal/dispatch/pump.go
@@ -51,7 +51,7 @@
 		d.startLocal(e, placed)
 		return queue.Taken
 	}
-	d.config.Limits.Release(team, 1)
+	d.config.Limits.Cancel(team, 1)
 	return d.tryPeers(e, queue.Skip, reasonOf(err))
 }
 
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -144,6 +144,15 @@
 	return fits
 }
 
+// Cancel gives back n reserved tasks that were not started. They don't count as starts: a member without room would
+// otherwise keep a part for starts that never happen from members that have room.
+func (s *Split) Cancel(id ident.TeamID, n int) {
+	t, unlock := s.locked(id)
+	t.used = max(0, t.used-n)
+	t.demand.count = max(0, t.demand.count-n)
+	unlock()
+}
+
 // Release counts n tasks that ended. Tasks that continue under another owner are passed on with Handover instead.
 func (s *Split) Release(id ident.TeamID, n int) {
 	t, unlock := s.locked(id)
