--- a/internal/failure/failure_test.go
+++ b/internal/failure/failure_test.go
@@ -155,6 +155,13 @@
 	s.told(api.Answered)
 	s.cell.Standins.KV.SetDown(false)
 	s.finished(api.Succeeded, job)
+	for host, w := range s.cell.Standins.Workers {
+		for _, r := range w.Runs() {
+			if r.Exit != backend.ExitSucceeded {
+				s.Logf("%s: %+v", host, r)
+			}
+		}
+	}
 	if n := len(s.runs(every)); n != 48 {
 		s.Errorf("%d runs, want 48: a lease lapsed", n)
 	}
@@ -268,19 +275,24 @@
 // fullFleet guards against urgent requests that wait behind batch work, and against the preemption of a task that
 // must not run twice.
 func fullFleet(s *scene) {
-	once := batch("renders", 36, time.Minute)
-	once.NonIdempotent, once.Request = true, "once"
-	kept := s.submit("daemon-1", once)
-	s.until("the non-idempotent tasks run", func() bool { return len(s.runs(ofJob(kept))) == 36 })
+	var kept []ident.JobID
+	for _, m := range all {
+		once := batch("renders", 12, time.Minute)
+		once.NonIdempotent, once.Request = true, ident.RequestID("once-"+string(m))
+		kept = append(kept, s.submit(m, once))
+	}
+	s.until("the non-idempotent tasks run", func() bool { return s.cell.Standins.Ledger.Running(plans) == 36 })
 	s.submit("daemon-2", batch("renders", 60, time.Minute))
 	s.until("the fleet is full", func() bool { return s.cell.Standins.Ledger.Running(plans) == 72 })
 	for _, m := range all {
 		s.askMany(quotes("urgent-"+string(m), 3, true, 100*time.Millisecond), m)()
 	}
 	s.told(api.Answered)
-	for _, r := range s.runs(ofJob(kept)) {
-		if !running(r) {
-			s.Errorf("non-idempotent task %d ended as %s", r.Index, r.Exit)
+	for _, id := range kept {
+		for _, r := range s.runs(ofJob(id)) {
+			if !running(r) {
+				s.Errorf("non-idempotent task %d ended as %s", r.Index, r.Exit)
+			}
 		}
 	}
 }
--- a/internal/standin/worker/ledger.go
+++ b/internal/standin/worker/ledger.go
@@ -43,6 +43,7 @@
 type requestKey struct {
 	team    ident.TeamID
 	request ident.RequestID
+	index   int // a durable job has one run per task
 }
 
 // Ledger compares the runs of several workers. It is safe for concurrent use.
@@ -112,7 +113,7 @@
 	if !t.NonIdempotent || t.Request == "" {
 		return
 	}
-	request := requestKey{t.Team, t.Request}
+	request := requestKey{t.Team, t.Request, t.Index}
 	if first, ok := l.requests[request]; ok {
 		l.addLocked(RepeatedRequest, host, t.Attempt,
 			fmt.Sprintf("request %s of team %s already ran as attempt %s", t.Request, t.Team, first))
