--- a/internal/load/command.go
+++ b/internal/load/command.go
@@ -49,7 +49,7 @@
 	f := c.Flags()
 	f.StringVar(&config.Deployment, "deployment", "bensalem", "bensalem or sample-exchange")
 	f.StringVar(&config.Bundles, "bundles", "examples", "directory of the example bundles")
-	f.DurationVar(&config.Duration, "duration", 20*time.Second, "time during which work arrives, per policy")
+	f.DurationVar(&config.Duration, "duration", 15*time.Second, "time during which work arrives, per policy")
 	f.Float64Var(&config.Scale, "scale", 1, "factor of all arrival rates")
 	f.Uint64Var(&config.Seed, "seed", 1, "seed of the arrivals")
 	f.StringVar(&format, "format", "both", "both, json or table")
--- /dev/null
+++ b/internal/load/cost_bench_test.go
@@ -0,0 +1,184 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/backend"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/bundle"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/demo"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/peer/wire"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/settings"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/standin/cell"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/resource"
+)
+
+func encoded(b *testing.B, message any) float64 {
+	text, err := json.Marshal(message)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return float64(len(text))
+}
+
+// storedBytes sums the values and keys under a prefix of the cell's store.
+func storedBytes(b *testing.B, c *demo.Cell, prefix string) float64 {
+	items, err := c.Standins.KV.Store().List(b.Context(), prefix)
+	if err != nil {
+		b.Fatal(err)
+	}
+	sum := 0.0
+	for _, i := range items {
+		sum += float64(len(i.Key) + len(i.Value))
+	}
+	return sum
+}
+
+func benchBundle(teams int) bundle.Bundle {
+	b := bundle.Bundle{Queues: []bundle.Queue{{ID: "requests", Kind: api.KindRequest, Deadline: 5000}}}
+	for i := range teams {
+		first, second := fmt.Sprintf("one-%d", i), fmt.Sprintf("two-%d", i)
+		b.Teams = append(b.Teams, bundle.Team{
+			ID: teamID(i), Share: 1, Limit: 400, ClaimRegion: "sfax",
+			Keys: []bundle.Key{{ID: "one", Hash: bundle.HashSecret(first)}, {ID: "two", Hash: bundle.HashSecret(second)}},
+		})
+	}
+	return b
+}
+
+// BenchmarkMessages reports the encoded sizes of the real messages, with the configuration and the member record as a
+// cell of six daemons writes them.
+func BenchmarkMessages(b *testing.B) {
+	d := Deployments()["bensalem"]
+	configuration := benchBundle(twoYearTeams)
+	c, err := demo.Start(b.Context(), demo.Config{
+		Standins: cell.Config{Groups: d.groups, Seed: 1}, Sites: d.sites, Bundle: configuration, Log: logr.Discard(),
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer c.Close()
+	for b.Loop() {
+		before := storedBytes(b, c, "config")
+		configuration.Teams[0].Limit++
+		if err := c.Publish(b.Context(), configuration); err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(before, "config-B")
+		b.ReportMetric(storedBytes(b, c, "config")-before, "config-change-B")
+	}
+	b.ReportMetric(storedBytes(b, c, "members"), "member-record-B")
+	demand := resource.Vector{CPU: 2000, Memory: 4096, Slots: 1, Connections: 1}
+	sender := wire.Sender{Member: "entry-1", Incarnation: 3, Epoch: 1234}
+	var usage []wire.TeamUsage
+	for i := range twoYearTeams {
+		usage = append(usage, wire.TeamUsage{Team: teamID(i), Running: 59, Used: demand.Times(59)})
+	}
+	total := vector(16, 32, 0).Times(1050)
+	room := wire.Room{DataCentre: "sfax-a", Region: "sfax", Total: total, Largest: vector(64, 128, 8), Capacity: total, LargestHost: vector(64, 128, 8)}
+	summary := wire.Summary{Sender: sender, Full: true, Teams: usage, Rooms: []wire.Room{room, room}, Backlog: 1200, Version: 27000}
+	b.ReportMetric(encoded(b, summary), "summary-full-B")
+	summary.Full, summary.Teams = false, nil
+	b.ReportMetric(encoded(b, summary), "summary-rooms-B")
+	b.ReportMetric(encoded(b, usage[0])+1, "summary-team-B")
+	task := backend.Task{
+		Attempt: "job-26ea5e66d233db00ad51535c.5-b89041ed5b18bc811529eb37", Job: "job-26ea5e66d233db00ad51535c", Index: 5,
+		Team: teamID(7), Queue: "requests", Request: "request-123456", Origin: "entry-1", Demand: demand, RunTime: 5000,
+	}
+	fence := backend.Fence{Epoch: 1234, Owner: "entry-1", Attach: 98765}
+	b.ReportMetric(encoded(b, backend.StartRequest{Fence: fence, Task: task}), "start-B")
+	b.ReportMetric(encoded(b, wire.Forward{Sender: sender, Task: task, Kind: "request", Hops: 1}), "forward-B")
+	b.ReportMetric(encoded(b, wire.AnswerPush{Sender: sender, Host: "host-00001", Result: backend.Result{
+		Attempt: task.Attempt, Job: task.Job, Index: 5, Team: task.Team, Queue: task.Queue, Request: task.Request, Origin: "entry-1",
+		Exit: backend.ExitSucceeded, Ran: 5000,
+	}}), "answer-B")
+	b.ReportMetric(encoded(b, backend.Usage{Attempt: task.Attempt, Used: demand})+1, "usage-report-B")
+	b.ReportMetric(encoded(b, backend.PollRequest{Fence: fence, Lease: 288_000, Wait: 96_000, After: 12345}), "poll-B")
+	b.ReportMetric(encoded(b, backend.PollReply{Boot: "boot-1234567890", Capacity: vector(64, 128, 8), Cursor: 12345}), "poll-reply-B")
+}
+
+// BenchmarkIdle reports the control cost of a cell of six daemons without work, at the daemon's default times. The
+// differences between the cells are the slopes per backend server and per team.
+func BenchmarkIdle(b *testing.B) {
+	const settle, measured = 4 * time.Second, 8 * time.Second
+	for _, c := range []struct{ scale, teams int }{{1, 6}, {6, 6}, {1, twoYearTeams}} {
+		d := Deployments()["bensalem"]
+		servers := 0
+		for i := range d.groups {
+			d.groups[i].Count *= c.scale
+			servers += d.groups[i].Count
+		}
+		b.Run(fmt.Sprintf("servers=%d/teams=%d", servers, c.teams), func(b *testing.B) {
+			started, err := demo.Start(b.Context(), demo.Config{
+				Standins: cell.Config{Groups: d.groups, Seed: 1}, Sites: d.sites, Bundle: benchBundle(c.teams), Log: logr.Discard(),
+				Adjust: func(s *settings.Serve) { useDefaults(s, false) },
+			})
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer started.Close()
+			time.Sleep(settle)
+			for b.Loop() {
+				m, err := newMeter(b.Context(), started, d)
+				if err != nil {
+					b.Fatal(err)
+				}
+				time.Sleep(measured)
+				cost, err := m.cost(b.Context())
+				if err != nil {
+					b.Fatal(err)
+				}
+				calls := 0.0
+				for _, v := range cost.StoreCalls {
+					calls += v
+				}
+				b.ReportMetric(calls, "store-calls/s")
+				b.ReportMetric(cost.StoreBytes, "store-B/s")
+				b.ReportMetric(cost.PeerControl, "peer-B/s")
+				b.ReportMetric(cost.Polls, "polls/s")
+				b.ReportMetric(cost.PollBody, "poll-body-B/s")
+				b.ReportMetric(1000*cost.ProcessorPart, "millicores")
+				b.ReportMetric(heapBytes()/float64(len(d.sites)), "heap-B")
+				if c.teams == twoYearTeams {
+					reportChanges(b, started, d, cost)
+				}
+			}
+		})
+	}
+}
+
+// reportChanges publishes changes of one team and reports what each costs a daemon beyond the idle cell.
+func reportChanges(b *testing.B, c *demo.Cell, d Deployment, idle Cost) {
+	const changes = 16
+	b.Helper()
+	m, err := newMeter(b.Context(), c, d)
+	if err != nil {
+		b.Fatal(err)
+	}
+	configuration := benchBundle(twoYearTeams)
+	for range changes {
+		configuration.Teams[0].Limit++
+		if err := c.Publish(b.Context(), configuration); err != nil {
+			b.Fatal(err)
+		}
+		time.Sleep(time.Second / 2)
+	}
+	cost, err := m.cost(b.Context())
+	if err != nil {
+		b.Fatal(err)
+	}
+	per := cost.MeasuredSeconds / changes
+	b.ReportMetric((cost.PeerControl-idle.PeerControl)*per, "peer-B/change")
+	b.ReportMetric((cost.StoreBytes-idle.StoreBytes)*per, "store-B/change")
+	b.ReportMetric(1000*(cost.ProcessorPart-idle.ProcessorPart)*per, "core-ms/change")
+	calls := 0.0
+	for k, v := range cost.StoreCalls {
+		calls += v - idle.StoreCalls[k]
+	}
+	b.ReportMetric(calls*per, "store-calls/change")
+}
--- a/internal/load/drive.go
+++ b/internal/load/drive.go
@@ -190,20 +190,25 @@
 		return PolicyRun{}, err
 	}
 	s := newSampler(m.operators, b.Teams)
-	sampling, stop := context.WithCancel(ctx)
-	var group errgroup.Group
-	group.Go(func() error { return s.run(sampling) })
+	// Both policies are measured while work arrives, so that their windows are equal.
+	sampling, stop := context.WithTimeout(ctx, c.Duration)
+	defer stop()
 	limit, cancel := context.WithTimeout(ctx, c.Duration+drainTime)
 	defer cancel()
+	var cost Cost
+	var group errgroup.Group
+	group.Go(func() error {
+		err := s.run(sampling)
+		if err == nil {
+			cost, err = m.cost(ctx)
+		}
+		return err
+	})
 	d.drive(limit, arrivals)
-	stop()
 	if err := group.Wait(); err != nil {
-		return PolicyRun{}, fmt.Errorf("sample: %w", err)
-	}
-	cost, err := m.cost(ctx)
-	if err != nil {
-		return PolicyRun{}, err
+		return PolicyRun{}, fmt.Errorf("measure: %w", err)
 	}
+	<-limit.Done()
 	d.finish(ctx)
 	return d.result(nameOf(baseline), s, cost), nil
 }
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -23,11 +23,11 @@
 // Bounds of a run.
 const (
 	// MaxDuration bounds the load of one policy, so that both policies with their ends take at most 60 s.
-	MaxDuration = 22 * time.Second
+	MaxDuration = 16 * time.Second
 	// MaxScale bounds the rates to a few hundred requests per second.
 	MaxScale = 2.0
-	// drainTime bounds the wait for requests and jobs after the last arrival.
-	drainTime = 5 * time.Second
+	// drainTime is the wait for requests and jobs after the last arrival, above the longest deadline of a request.
+	drainTime = 10500 * time.Millisecond
 )
 
 // ErrViolation reports that a stand-in recorded a broken invariant.
