--- a/internal/load/cost_bench_test.go
+++ b/internal/load/cost_bench_test.go
@@ -1,8 +1,10 @@
 package load
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -10,11 +12,15 @@
 
 	"github.com/rosemaryspoke/rosemaryspoke/internal/backend"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/bundle"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/claim"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/demo"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/member"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/peer/wire"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/platform"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/settings"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/standin/cell"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/resource"
 )
 
@@ -182,3 +188,68 @@
 	}
 	b.ReportMetric(calls*per, "store-calls/change")
 }
+
+// BenchmarkHostList reports the size of the host list and the processor time of decoding it, which every daemon does
+// once per hosts interval.
+func BenchmarkHostList(b *testing.B) {
+	for _, servers := range []int{48, 800, twoYearServers} {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			var hosts []platform.Host
+			for i := range servers {
+				hosts = append(hosts, platform.Host{
+					ID: ident.HostID(fmt.Sprintf("quote-sfax-a-%04d", i)), Address: fmt.Sprintf("10.20.%d.%d:7200", i/250, i%250),
+					Region: "sfax", DataCentre: "sfax-a", Rack: ident.Rack(fmt.Sprintf("sfax-a-rack-%d", i/5)), State: platform.HostLive,
+				})
+			}
+			text, err := json.Marshal(hosts)
+			if err != nil {
+				b.Fatal(err)
+			}
+			for b.Loop() {
+				var list []platform.Host
+				if err := json.Unmarshal(text, &list); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(text)), "list-B")
+		})
+	}
+}
+
+// BenchmarkClaims reports the heap of a completed claim at one holder, with an answer of 1 KB.
+func BenchmarkClaims(b *testing.B) {
+	const claims, answerBytes = 20_000, 1024
+	self := member.Member{ID: "entry-1", Incarnation: 1, Region: "sfax", DataCentre: "sfax-a", State: member.Active}
+	view := member.View{Epoch: 1, Members: []member.Member{self}}
+	for b.Loop() {
+		book, err := claim.New(claim.Config{
+			Self: func() member.Member { return self }, View: func() member.View { return view },
+			Region: func(ident.TeamID) (ident.Region, bool) { return "sfax", true },
+			Call: func(context.Context, ident.MemberID, string, wire.ClaimRequest) (wire.ClaimReply, error) {
+				return wire.ClaimReply{}, nil
+			},
+			Transfer: func(context.Context, ident.MemberID, wire.ClaimTransfer) (wire.ClaimTransferReply, error) {
+				return wire.ClaimTransferReply{}, nil
+			},
+			Inventories: func(context.Context, wire.ClaimKey) (bool, bool) { return false, true },
+			Retention:   10 * time.Minute, Now: time.Now, Log: logr.Discard(),
+		})
+		if err != nil {
+			b.Fatal(err)
+		}
+		book.ViewChanged()
+		before := heapBytes()
+		for i := range claims {
+			key := wire.ClaimKey{Team: teamID(i % twoYearTeams), Request: ident.RequestID(fmt.Sprintf("request-%08d", i))}
+			g, err := book.Acquire(b.Context(), key)
+			if err != nil {
+				b.Fatal(err)
+			}
+			if err := book.Complete(b.Context(), g, make([]byte, answerBytes)); err != nil {
+				b.Fatal(err)
+			}
+		}
+		b.ReportMetric((heapBytes()-before)/claims, "B/claim")
+		runtime.KeepAlive(book)
+	}
+}
