--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -103,11 +103,10 @@
 		Store:    d.store,
 		Self:     member.Member{ID: s.Member, Address: s.PeerAddress, DataCentre: s.DataCentre, Region: s.Region},
 		LeaseTTL: s.LeaseTTL, Interval: s.MemberInterval, ProbeTimeout: s.ProbeTimeout,
-		Probe: func(ctx context.Context, m member.Member) error {
-			reply, err := peer.CallAddress[wire.ProbeRequest, wire.ProbeReply](ctx, d.node, m.Address, wire.MethodProbe, wire.ProbeRequest{Sender: d.sender()})
-			if err == nil && (reply.Member != m.ID || reply.Incarnation != m.Incarnation) {
-				return fmt.Errorf("address %s answers as %s incarnation %d", m.Address, reply.Member, reply.Incarnation)
-			}
+		Probe: d.probe,
+		ProbeVia: func(ctx context.Context, via, target member.Member) error {
+			r := wire.ProbeRequest{Sender: d.sender(), Target: target.ID, Incarnation: target.Incarnation}
+			_, err := peer.CallAddress[wire.ProbeRequest, wire.ProbeReply](ctx, d.node, via.Address, wire.MethodProbe, r)
 			return err
 		},
 		Log: d.log.WithName("member"),
@@ -178,7 +177,8 @@
 	}
 	s := d.settings
 	d.table, err = ownership.New(ownership.Config{
-		Self: d.members.Self, View: d.members.View, StoreHealthy: d.members.StoreHealthy, Hosts: d.listHosts,
+		Self: d.members.Self, View: d.members.View, StoreHealthy: d.members.StoreHealthy,
+		Isolated: d.members.Isolated, Hosts: d.listHosts,
 		Dial: func(h platform.Host) backend.Server {
 			return backend.NewHTTP(backend.HTTPConfig{Client: d.client, Address: h.Address, Count: d.countBackend})
 		},
--- a/internal/dispatch/pump.go
+++ b/internal/dispatch/pump.go
@@ -90,7 +90,7 @@
 // tryPeers hands the task to the best peer with room, or leaves it queued with the reason.
 func (d *Dispatcher) tryPeers(e *entry, otherwise queue.Verdict, reason string) queue.Verdict {
 	candidates := d.config.Fleet.Candidates(e.work.Task.Team, e.work.Task.Demand)
-	if len(candidates) == 0 && e.work.Urgent && d.preemptionDue(e) {
+	if len(candidates) == 0 && e.work.Urgent && otherwise != queue.SkipTeam && d.preemptionDue(e) {
 		d.markPreemption(e)
 		if !d.preempt(e.request()) {
 			candidates = d.config.Fleet.Owners(e.work.Task.Demand)
