--- /dev/null
+++ b/spec/freshness.pml
@@ -0,0 +1,123 @@
+/*
+ * Withdrawal of a key by version 2 under a partition, in discrete ticks.
+ *
+ * Members 0, 1 and 2 hold version 1; member 0 publishes version 2. Any member may be cut off from the store and from
+ * its peers at any time and come back. Member 1 may restart once with nothing in memory.
+ *
+ * NO_WAIT is the broken variant: a publish is accepted without waiting until silent members are out.
+ */
+#define MEMBERS 3
+#define MAJORITY 2
+#define BOUND 2			/* freshness bound, ticks */
+
+byte store_version = 1;
+byte version[MEMBERS];
+byte left[MEMBERS];		/* ticks until the confirmation lapses */
+bool vouched[MEMBERS];
+bool cut[MEMBERS];
+bool asking[MEMBERS];		/* an answer is on its way */
+byte answer[MEMBERS];		/* newest version that the answer rules out anything above; 0 means none */
+byte waited[MEMBERS];		/* ticks since the question */
+bool seen;			/* the publisher saw version 2 on a majority */
+byte silence;			/* ticks since then */
+bool accepted;
+bool restarted;
+
+#define admits_withdrawn(m) (version[m] == 1 && left[m] > 0)
+#define has(m) (version[m] == 2 && vouched[m] && !cut[m] && !cut[0])
+#define out(m) (has(m) || cut[m] && seen && silence > BOUND)
+
+inline check() {
+	assert(!(accepted && (admits_withdrawn(0) || admits_withdrawn(1) || admits_withdrawn(2))))
+}
+
+inline adopt(m, v) {
+	assert(v >= version[m]);
+	version[m] = v; left[m] = 0
+}
+
+active proctype clock() {
+	byte i;
+end:	do
+	:: atomic {
+		i = 0;
+		do
+		:: i < MEMBERS ->
+			if
+			:: left[i] > 0 -> left[i]--
+			:: else
+			fi;
+			if
+			:: asking[i] && waited[i] < BOUND -> waited[i]++
+			:: else
+			fi;
+			i++
+		:: else -> break
+		od;
+		i = 0;
+		if
+		:: seen && silence <= BOUND -> silence++
+		:: else
+		fi
+	}
+	od
+}
+
+proctype member(byte me) {
+	byte p;
+end:	do
+	:: atomic { cut[me] = !cut[me] }
+	:: atomic {		/* asks the store */
+		!cut[me] && !asking[me] -> asking[me] = true; waited[me] = 0; answer[me] = store_version
+	}
+	:: atomic {		/* asks a peer; a peer that never was fresh can't vouch, nor can this member for itself */
+		!cut[me] && !asking[me] ->
+		if
+		:: p = (me + 1) % MEMBERS
+		:: p = (me + 2) % MEMBERS
+		fi;
+		if
+		:: !cut[p] && version[p] > version[me] -> adopt(me, version[p])
+		:: !cut[p] && version[p] <= version[me] && vouched[p] && vouched[me] ->
+			asking[me] = true; waited[me] = 0; answer[me] = version[me]
+		:: else
+		fi;
+		p = 0
+	}
+	:: atomic {		/* reads the answer; the confirmation counts from the question */
+		asking[me] -> asking[me] = false;
+		if
+		:: answer[me] > version[me] -> adopt(me, answer[me])
+		:: answer[me] == version[me] && left[me] < BOUND - waited[me] ->
+			left[me] = BOUND - waited[me]; vouched[me] = true
+		:: else
+		fi;
+		answer[me] = 0; waited[me] = 0; check()
+	}
+	:: atomic {
+		me == 1 && !restarted -> restarted = true;
+		version[me] = 0; left[me] = 0; vouched[me] = false; asking[me] = false; answer[me] = 0; waited[me] = 0
+	}
+	od
+}
+
+active proctype publisher() {
+	atomic { !cut[0] && version[0] == 1 -> store_version = 2; version[0] = 2; left[0] = 0 }
+	atomic { has(0) + has(1) + has(2) >= MAJORITY -> seen = true }
+	atomic {
+#ifdef NO_WAIT
+		(has(0) + has(1) + has(2) >= MAJORITY)
+#else
+		(has(0) + has(1) + has(2) >= MAJORITY) && out(0) && out(1) && out(2)
+#endif
+		-> accepted = true; check()
+	}
+}
+
+init {
+	atomic {
+		version[0] = 1; version[1] = 1; version[2] = 1;
+		vouched[0] = true; vouched[1] = true; vouched[2] = true;
+		run member(0); run member(1); run member(2)
+	}
+}
