--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -35,8 +35,6 @@
 	DefaultAuditInterval = time.Second
 	// DefaultOrphanRetention is how long a result waits for a resubmission or an adopting origin.
 	DefaultOrphanRetention = 10 * time.Minute
-	// startRetryPause is the pause before a start with an unknown outcome is sent again.
-	startRetryPause = 50 * time.Millisecond
 	// maxExplained bounds the jobs whose decisions are kept per shard.
 	maxExplained = 512
 	// maxDecisions bounds the decisions kept per job.
@@ -140,6 +138,7 @@
 	AuditInterval   time.Duration
 	OrphanRetention time.Duration
 	GangExpiry      time.Duration
+	Baseline        bool // orders by arrival only, see queue.Config
 	Now             func() time.Time
 	Log             logr.Logger
 	Metrics         *metrics.Set
@@ -181,7 +180,7 @@
 	if c.Metrics == nil {
 		c.Metrics = metrics.NewSet()
 	}
-	q, err := queue.New[*entry](queue.Config{PerTeam: c.QueueLimit, Share: c.Share, Usage: c.Usage, Total: c.Total, Now: c.Now})
+	q, err := queue.New[*entry](queue.Config{PerTeam: c.QueueLimit, Share: c.Share, Usage: c.Usage, Total: c.Total, Baseline: c.Baseline, Now: c.Now})
 	if err != nil {
 		return nil, fmt.Errorf("create queue: %w", err)
 	}
@@ -193,6 +192,7 @@
 	for i := range d.shards {
 		d.shards[i].entries = map[Key]*entry{}
 		d.shards[i].history = map[ident.JobID]*history{}
+		d.shards[i].log = c.Log
 	}
 	return d, nil
 }
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -94,7 +94,10 @@
 	Shards    int           // 0 means DefaultShards
 	HoldAfter time.Duration // 0 means DefaultHoldAfter
 	HoldFor   time.Duration // 0 means DefaultHoldFor
-	Now       func() time.Time
+	// Baseline offers items by time of arrival only, without shares, priorities, urgency and holds. The load driver
+	// sets it to compare the policy with a plain one.
+	Baseline bool
+	Now      func() time.Time
 }
 
 // Queue holds the waiting work of all teams. It is safe for concurrent use.
@@ -176,6 +179,13 @@
 // Push adds an item. It returns ErrFull, ErrDuplicate or ErrTooLate, wrapped with the figures.
 func (q *Queue[T]) Push(i Item[T]) error { return q.push(i, true) }
 
+// AwaitNext waits for the end of a call of Next under way, after which an item that it gave out is no longer in the
+// queue. The function try of Next must not call it.
+func (q *Queue[T]) AwaitNext() {
+	q.nextMu.Lock()
+	defer q.nextMu.Unlock()
+}
+
 // Restore puts back an item that Next gave out and that could not be started after all. The team's bound and the
 // expected wait aren't checked; the item keeps its place by its time of arrival. It may return ErrDuplicate.
 func (q *Queue[T]) Restore(i Item[T]) error { return q.push(i, false) }
@@ -185,6 +195,9 @@
 	if i.Enqueued.IsZero() {
 		i.Enqueued = now
 	}
+	if q.config.Baseline {
+		i.Priority, i.Urgent = 0, false
+	}
 	s := q.shard(i.Team)
 	s.mu.Lock()
 	defer s.mu.Unlock()
