Report readiness only after the configuration was confirmed once

Cause: a new daemon turned ready before its first confirmation and refused keyed work as not fresh (seen in TestRun and in TestFailures/I9: 6 of 18 requests of a rolling replacement).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -68,16 +68,17 @@
 // Daemon is one process of the cell.
 type Daemon struct {
 	parts
-	ready    atomic.Bool
-	group    *errgroup.Group
-	cancel   context.CancelFunc
-	stopped  sync.Once
-	callerL  net.Listener
-	operL    net.Listener
-	peerL    net.Listener
-	callerS  *http.Server
-	operS    *http.Server
-	failures chan error
+	ready     atomic.Bool
+	confirmed atomic.Bool // the configuration was confirmed as current once
+	group     *errgroup.Group
+	cancel    context.CancelFunc
+	stopped   sync.Once
+	callerL   net.Listener
+	operL     net.Listener
+	peerL     net.Listener
+	callerS   *http.Server
+	operS     *http.Server
+	failures  chan error
 }
 
 // New assembles a daemon from checked settings. It opens no connection.
@@ -114,9 +115,16 @@
 	return nil
 }
 
-// Ready reports whether the daemon takes callers.
+// Ready reports whether the daemon takes callers. A new daemon must have confirmed its configuration once; when the
+// confirmation is lost later it stays ready, because open queues go on.
 func (d *Daemon) Ready() bool {
-	return d.ready.Load() && d.members.Joined() && d.rollout.Current().Version() > 0
+	if !d.ready.Load() || !d.members.Joined() || d.rollout.Current().Version() == 0 {
+		return false
+	}
+	if !d.confirmed.Load() {
+		d.confirmed.Store(d.rollout.Fresh())
+	}
+	return d.confirmed.Load()
 }
 
 // Failed returns a channel with the error of a part that ended by itself.
