Keep the outcome of resubmitted jobs true

A second submission of a recorded job whose daemon couldn't be reached was refused as not-run, although the job may run. A request with the id of a job was answered without an outcome.

--- a/internal/request/job.go
+++ b/internal/request/job.go
@@ -71,5 +71,10 @@
 	if err := json.Unmarshal(held.Answer, &r); err != nil || r.Job == "" {
 		return api.Job{}, api.NewProblem(api.CodeConflict, "request-id", "the id belongs to a synchronous request")
 	}
-	return s.config.Jobs.Get(ctx, r.Job)
+	j, err := s.config.Jobs.Get(ctx, r.Job)
+	if err != nil {
+		// The job was recorded and may have run, so the refusal to show it must not say not-run.
+		return j, fmt.Errorf("%w: job %s of an earlier submission can't be read: %s", job.ErrUnknownOutcome, r.Job, err.Error())
+	}
+	return j, nil
 }
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -279,6 +279,9 @@
 			if err := json.Unmarshal(held.Answer, &a); err != nil {
 				return c.answer(api.Unknown, "the stored answer can't be decoded")
 			}
+			if a.Outcome == "" { // The claim keeps the reference of a job.
+				return c.answer(api.NotRun, "the id belongs to a job")
+			}
 			return a
 		}
 		if !c.service.config.View().Has(held.Claimer, held.Incarnation) {
--- /dev/null
+++ b/internal/request/resubmit_test.go
@@ -0,0 +1,65 @@
+package request
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/bundle"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/claim"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/dispatch"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/job"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/member"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/peer/wire"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+// held returns a service whose claims all keep the answer of an earlier submission.
+func held(t *testing.T, answer string, get error) *Service {
+	t.Helper()
+	s, err := New(Config{
+		View: func() member.View { return member.View{} },
+		Claims: Claims{Acquire: func(context.Context, wire.ClaimKey) (claim.Grant, error) {
+			return claim.Grant{}, &claim.HeldError{Claim: wire.Claim{State: wire.ClaimComplete, Answer: []byte(answer)}}
+		}},
+		Dispatcher: Dispatcher{Submit: func(dispatch.Work) error { return errors.New("must not run") }},
+		Jobs: Jobs{
+			Create: func(context.Context, api.Spec, job.Policy) (api.Job, error) {
+				return api.Job{}, errors.New("must not be recorded")
+			},
+			Get: func(_ context.Context, id ident.JobID) (api.Job, error) { return api.Job{ID: id}, get },
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// Guards against a resubmission of a recorded job that is refused as not run because the job can't be read.
+func TestResubmittedJob(t *testing.T) {
+	spec := api.Spec{Team: "a", Request: "r-1"}
+	for name, c := range map[string]struct{ get, want error }{
+		"found":       {nil, nil},
+		"not found":   {job.ErrNotFound, job.ErrUnknownOutcome},
+		"unreachable": {api.NewProblem(api.CodeUnavailable, "", "x"), job.ErrUnknownOutcome},
+	} {
+		t.Run(name, func(t *testing.T) {
+			j, err := held(t, `{"job":"job-1"}`, c.get).CreateJob(t.Context(), spec, job.Policy{})
+			var p *api.Problem
+			if j.ID != "job-1" || !errors.Is(err, c.want) || errors.As(err, &p) {
+				t.Errorf("got job %q, error %v", j.ID, err)
+			}
+		})
+	}
+}
+
+// Guards against an answer without an outcome when a request carries the id of a job.
+func TestRequestWithIDOfJob(t *testing.T) {
+	spec := api.Spec{Team: "a", Request: "r-1", NonIdempotent: true}
+	a, p := held(t, `{"job":"job-1"}`, nil).Do(t.Context(), spec, bundle.Queue{})
+	if p != nil || a.Outcome != api.NotRun {
+		t.Errorf("got %+v, %v", a, p)
+	}
+}
