Count task.find and job.explain as work

Both exist only because a caller's request does, which is how the classes are defined, but they counted as control. The test lists the class of every method.

--- /dev/null
+++ b/internal/peer/class_test.go
@@ -0,0 +1,24 @@
+package peer
+
+import (
+	"testing"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/peer/wire"
+)
+
+// Guards against a control cost that contains what callers' requests cause, or leaves out what they don't.
+func TestClassOf(t *testing.T) {
+	for method, want := range map[string]Class{
+		wire.MethodForward: Work, wire.MethodAnswer: Work, wire.MethodCancel: Work, wire.MethodFind: Work,
+		wire.MethodGangReserve: Work, wire.MethodGangCommit: Work, wire.MethodGangCancel: Work,
+		wire.MethodClaimAcquire: Work, wire.MethodClaimComplete: Work, wire.MethodClaimRelease: Work, wire.MethodClaimLookup: Work,
+		wire.MethodJobGet: Work, wire.MethodJobCancel: Work, wire.MethodJobList: Work, wire.MethodJobExplain: Work,
+		wire.MethodProbe: Control, wire.MethodSummary: Control, wire.MethodLimitRequest: Control, wire.MethodQuery: Control,
+		wire.MethodAdoptOrigin: Control, wire.MethodClaimTransfer: Control, wire.MethodConfigPull: Control,
+		wire.MethodConfigVersion: Control, wire.MethodHandover: Control, "unknown": Control,
+	} {
+		if got := ClassOf(method); got != want {
+			t.Errorf("%s is %s, want %s", method, got, want)
+		}
+	}
+}
--- a/internal/peer/counters.go
+++ b/internal/peer/counters.go
@@ -21,7 +21,8 @@
 	switch method {
 	case wire.MethodForward, wire.MethodAnswer, wire.MethodCancel, wire.MethodGangReserve, wire.MethodGangCommit,
 		wire.MethodGangCancel, wire.MethodClaimAcquire, wire.MethodClaimComplete, wire.MethodClaimRelease,
-		wire.MethodClaimLookup, wire.MethodJobGet, wire.MethodJobCancel, wire.MethodJobList:
+		wire.MethodClaimLookup, wire.MethodFind, wire.MethodJobGet, wire.MethodJobCancel, wire.MethodJobList,
+		wire.MethodJobExplain:
 		return Work
 	}
 	return Control
