--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -234,7 +234,9 @@
 	d.dispatcher, err = dispatch.New(dispatch.Config{
 		Self: d.members.Self, View: d.members.View, Pool: d.pool, Fleet: d.fleet, Blame: d.blame,
 		Budget: budget, Backoff: backoff,
-		Limits: dispatch.Limits{Reserve: d.limits.Reserve, Release: d.limits.Release, Arrive: d.arrive, Depart: d.depart},
+		Limits: dispatch.Limits{
+			Reserve: d.limits.Reserve, Cancel: d.limits.Cancel, Release: d.limits.Release, Arrive: d.arrive, Depart: d.depart,
+		},
 		Servers: dispatch.Servers{
 			Start: d.table.Start, Stop: d.table.Stop, Checkpoint: d.table.Checkpoint, Throttle: d.table.Throttle,
 			Acknowledge: d.table.Acknowledge, Complete: d.table.Complete,
@@ -322,6 +324,7 @@
 			Release: d.claims.Release, Lookup: d.lookupClaim,
 		},
 		Dispatcher: request.Dispatcher{Submit: d.dispatcher.Submit, Abandon: d.dispatcher.Abandon, Find: d.dispatcher.Find},
+		Jobs:       request.Jobs{Create: d.jobs.Create, Get: d.getJob},
 		Now:        time.Now, Log: d.log.WithName("request"),
 	})
 	if err != nil {
@@ -342,7 +345,7 @@
 		Fresh:   d.rollout.Fresh,
 		Request: d.requests.Do,
 		Jobs: caller.Jobs{
-			Create: d.jobs.Create, Get: d.getJob, List: d.listJobs, Cancel: d.cancelJob, Explain: d.explainJob,
+			Create: d.requests.CreateJob, Get: d.getJob, List: d.listJobs, Cancel: d.cancelJob, Explain: d.explainJob,
 		},
 		Log: d.log.WithName("caller"), Metrics: d.metrics,
 	})
