--- a/spec/claim.pml
+++ b/spec/claim.pml
@@ -36,11 +36,11 @@
 #define fetches(h) (!dead[me] && view[me] == 2 && !settled[me] && me != h && !(asked[me] & (1 << h)) && !dead[h] && view[h] == 2)
 #define ones(x) (((x) & 1) + (((x) >> 1) & 1) + (((x) >> 2) & 1) + (((x) >> 3) & 1))
 
-active proctype store() {
+proctype store() {
 end:	atomic { epoch == 1 -> epoch = 2 }
 }
 
-active proctype crash() {
+proctype crash() {
 	byte h;
 end:	atomic {
 		!crashed -> crashed = true;
@@ -116,6 +116,7 @@
 	atomic {
 		view[0] = 1; view[1] = 1; view[2] = 1; view[3] = 1;
 		settled[0] = true; settled[1] = true; settled[2] = true;
+		run store(); run crash();
 		run holder(0); run holder(1); run holder(2); run holder(3);
 		run claimer(0); run claimer(1)
 	}
--- a/spec/freshness.pml
+++ b/spec/freshness.pml
@@ -36,7 +36,7 @@
 	version[m] = v; left[m] = 0
 }
 
-active proctype clock() {
+proctype clock() {
 	byte i;
 end:	do
 	:: atomic {
@@ -101,7 +101,7 @@
 	od
 }
 
-active proctype publisher() {
+proctype publisher() {
 	atomic { !cut[0] && version[0] == 1 -> store_version = 2; version[0] = 2; left[0] = 0 }
 	atomic { has(0) + has(1) + has(2) >= MAJORITY -> seen = true }
 	atomic {
@@ -118,6 +118,6 @@
 	atomic {
 		version[0] = 1; version[1] = 1; version[2] = 1;
 		vouched[0] = true; vouched[1] = true; vouched[2] = true;
-		run member(0); run member(1); run member(2)
+		run clock(); run publisher(); run member(0); run member(1); run member(2)
 	}
 }
--- a/spec/ownership.pml
+++ b/spec/ownership.pml
@@ -93,14 +93,14 @@
 	check()
 }
 
-active proctype store() {
+proctype store() {
 end:	do
 	:: atomic { epoch < EPOCHS -> epoch++; old = 0 }
 	od
 }
 
 /* A tick may pass at the server later than at the owners, by at most DRIFT per lease. */
-active proctype clock() {
+proctype clock() {
 	byte i;
 end:	do
 	:: atomic {
@@ -135,7 +135,7 @@
 	od
 }
 
-active proctype server() {
+proctype server() {
 	byte a, s, o;
 end:	do
 	:: atomic {		/* a start arrives, early, late or again */
@@ -178,7 +178,7 @@
 		fi;
 		o = s / ATTACHES;
 		if
-		:: stale(attach_epoch[s], o, s % ATTACHES + 1) -> attach_ok[s] = false
+		:: stale(attach_epoch[s], o, s % ATTACHES + 1)
 		:: else ->
 			fence_epoch = attach_epoch[s]; fence_owner = o; fence_number = s % ATTACHES + 1;
 			lease = LEASE; lead = 0;
@@ -225,7 +225,7 @@
 end:	do
 	:: atomic {		/* sees a newer view, maybe skipping one */
 		view[me] < epoch -> view[me] = epoch;
-		give_up(GIVEN_UP); attached[me] = false; lapsed[me] = false; reported[me] = false; used[me] = 0;
+		give_up(GIVEN_UP); attached[me] = false; lapsed[me] = false; reported[me] = false; seen_boot[me] = 0; used[me] = 0;
 		over[me] = (owner_of(view[me]) == me -> WAIT_OTHERS : 0)
 	}
 	:: atomic {		/* sends an attach */
@@ -266,7 +266,7 @@
 		attached[me] && in_time(view[me]) ->
 		if
 		:: fence_is(view[me], me, number[me]) && lease > 0 -> lease = LEASE; lead = 0; over[me] = WAIT
-		:: else -> attached[me] = false
+		:: else -> attached[me] = false; used[me] = 0
 		fi
 	}
 	:: atomic {		/* a stop confirms that the attempt doesn't run and never will */
@@ -303,6 +303,6 @@
 init {
 	atomic {
 		view[0] = 1; view[1] = 1; over[0] = WAIT;
-		run owner(0); run owner(1)
+		run store(); run clock(); run server(); run owner(0); run owner(1)
 	}
 }
