End queued tasks without holding their lock over the queue

Abandon and Cancel removed a queued task from the queue under the task's lock. The phase set under the lock already keeps the task from being placed, so the removal can follow after it.

TestEndWhileOffered fails for both after 10 s without the change and passes with it.

--- /dev/null
+++ b/internal/dispatch/abandon_test.go
@@ -0,0 +1,111 @@
+package dispatch
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/backend"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/blame"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/fleet"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/member"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/peer/wire"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/placement"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/queue"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/resource"
+)
+
+// newIdle returns a dispatcher without backend servers and peers.
+func newIdle(t *testing.T) *Dispatcher {
+	t.Helper()
+	self := member.Member{ID: "entry-1", Incarnation: 1, Region: "r", DataCentre: "dc", State: member.Active}
+	view := func() member.View { return member.View{Epoch: 1, Members: []member.Member{self}} }
+	pool, err := placement.New(placement.Config{Now: time.Now})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := fleet.New(fleet.Config{
+		Self: func() member.Member { return self }, View: view, TeamUsage: pool.TeamUsage, Rooms: pool.Rooms,
+		Backlog: func() int { return 0 }, Version: func() ident.Version { return 1 },
+		Push: func(context.Context, ident.MemberID, wire.Summary) (wire.SummaryReply, error) {
+			return wire.SummaryReply{}, nil
+		},
+		Log: logr.Discard(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := blame.New(blame.Config{Now: time.Now})
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, err := New(Config{
+		Self: func() member.Member { return self }, View: view, Pool: pool, Fleet: f, Blame: b,
+		Limits:  Limits{Reserve: func(ident.TeamID, int) bool { return true }, Cancel: func(ident.TeamID, int) {}, Release: func(ident.TeamID, int) {}},
+		Servers: Servers{Start: func(context.Context, ident.HostID, backend.Task) error { return nil }},
+		Peers: Peers{Forward: func(context.Context, ident.MemberID, wire.Forward) (wire.ForwardReply, error) {
+			return wire.ForwardReply{}, nil
+		}},
+		QueueLimit: func(ident.TeamID) int { return 10 }, Share: func(ident.TeamID) float64 { return 1 },
+		Usage: func(ident.TeamID) float64 { return 0 }, Log: logr.Discard(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+// Guards against a caller that stops waiting, or a job that is cancelled, while its task is offered: the removal from
+// the queue waited for the verdict under the lock that the verdict needs, and the daemon started nothing ever again.
+func TestEndWhileOffered(t *testing.T) {
+	for name, end := range map[string]func(d *Dispatcher, k Key){
+		"abandon": func(d *Dispatcher, k Key) {
+			if got := d.Abandon(t.Context(), k, "gone"); got != api.NotRun {
+				t.Errorf("abandoned as %s", got)
+			}
+		},
+		"cancel": func(d *Dispatcher, k Key) { d.Cancel(k, "gone") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newIdle(t)
+			ends := make(chan Final, 2)
+			w := Work{Kind: api.KindRequest, Done: func(f Final, _ func()) { ends <- f }}
+			w.Task = backend.Task{Job: "job", Team: "team", Queue: "queue", Demand: resource.Vector{CPU: 1, Slots: 1}}
+			e := &entry{key: w.key(), work: w, phase: queued, submitted: time.Now()}
+			s := d.shard(e.key.Job)
+			s.entries[e.key] = e
+			if err := d.queue.Push(queue.Item[*entry]{Key: e.key.String(), Team: "team", Demand: w.Task.Demand, Value: e}); err != nil {
+				t.Fatal(err)
+			}
+			offered, ended := make(chan struct{}), make(chan struct{})
+			go func() {
+				<-offered
+				end(d, e.key)
+				close(ended)
+			}()
+			tried := make(chan struct{})
+			go func() {
+				defer close(tried)
+				d.queue.Next(func(i queue.Item[*entry]) queue.Verdict {
+					close(offered)
+					time.Sleep(50 * time.Millisecond) // lets the end reach the queue
+					return d.try(i)
+				})
+			}()
+			for _, c := range []chan struct{}{tried, ended} {
+				select {
+				case <-c:
+				case <-time.After(10 * time.Second):
+					t.Fatal("the end of the task and its offer wait for each other")
+				}
+			}
+			if f := <-ends; f.Outcome != api.NotRun || len(ends) != 0 || d.queue.Len() != 0 {
+				t.Errorf("ended as %+v, %d more ends, %d queued", f, len(ends), d.queue.Len())
+			}
+		})
+	}
+}
--- a/internal/dispatch/submit.go
+++ b/internal/dispatch/submit.go
@@ -162,12 +162,7 @@
 			return
 		}
 		switch e.phase {
-		case queued:
-			if d.queue.Remove(k.String()) {
-				e.phase = finished
-				done = e
-			}
-		case waiting:
+		case queued, waiting:
 			e.phase = finished
 			done = e
 		case running, uncertain:
@@ -178,6 +173,7 @@
 		d.endGang(whole, reason)
 	}
 	if done != nil {
+		d.queue.Remove(k.String())
 		d.finish(done, *done.notStarted(reason), func() {})
 	}
 	if stop != nil {
@@ -194,7 +190,7 @@
 	known := d.with(k, func(found *entry) {
 		e = found
 		switch {
-		case e.phase == queued && d.queue.Remove(k.String()), e.phase == waiting:
+		case e.phase == queued, e.phase == waiting:
 			e.phase, done = finished, true
 		case e.phase == finished:
 		default:
@@ -205,6 +201,9 @@
 		return outcome
 	}
 	if done {
+		// Not under the entry's lock: Remove waits for the verdict on an offered item, which needs that lock. The phase
+		// already keeps the task from being placed.
+		d.queue.Remove(k.String())
 		f := e.notStarted(reason)
 		d.finish(e, *f, func() {})
 		return f.Outcome
