--- a/internal/load/command.go
+++ b/internal/load/command.go
@@ -22,13 +22,24 @@
 	c.SetArgs(args)
 	c.SetOut(out)
 	c.SetErr(errs)
-	if err := c.ExecuteContext(ctx); err != nil {
+	done := make(chan error, 1)
+	go func() { done <- c.ExecuteContext(ctx) }()
+	var err error
+	select {
+	case err = <-done:
+	case <-time.After(maxRun):
+		err = fmt.Errorf("the run did not end within %s", maxRun)
+	}
+	if err != nil {
 		_, _ = fmt.Fprintln(errs, "loadgen:", err)
 		return 1
 	}
 	return 0
 }
 
+// maxRun bounds the whole run also when a daemon doesn't stop.
+const maxRun = time.Minute
+
 func newCommand() *cobra.Command {
 	config := Config{Log: logr.Discard()}
 	var format string
