Let a region's first member know that no claims were lost before it

A peer made lower work give way for an urgent task although another daemon had room; it does so only when the origin knows of none. Idempotent jobs are recorded even when an earlier submission of their id can't be ruled out.

--- a/internal/claim/history.go
+++ b/internal/claim/history.go
@@ -59,6 +59,13 @@
 	b.current = view
 	b.settled = false
 	b.answered = map[wire.ClaimHolder]bool{me: true}
+	founded := view.Founded[self.Region]
+	if len(b.views) == 0 && founded < view.Epoch && ident.Epoch(self.Incarnation) == founded {
+		// This member founded the region, so nothing was claimed before. It may see its first view later than that.
+		b.views = append(b.views, wire.ClaimView{
+			Epoch: founded, Members: []wire.ClaimHolder{me}, Settled: []wire.ClaimHolder{me},
+		})
+	}
 	b.bases = map[wire.ClaimHolder]ident.Epoch{me: b.base(me)}
 	members := regionOf(view, self.Region)
 	b.waiting = slices.DeleteFunc(slices.Clone(members), func(h wire.ClaimHolder) bool { return h == me })
@@ -66,8 +73,8 @@
 	if len(b.views) > maxViews {
 		b.views = b.views[len(b.views)-maxViews:]
 	}
-	if view.Epoch == 1 {
-		// Nothing was claimed before the first view.
+	if view.Epoch == 1 || view.Epoch == founded {
+		// Nothing was claimed before the first view of the region.
 		b.waiting = nil
 		b.markSettled(members)
 		for _, h := range members {
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -12,8 +12,8 @@
 )
 
 // forward asks a peer to start the current attempt on one of its backend servers.
-func (d *Dispatcher) forward(ctx context.Context, e *entry, to ident.MemberID) {
-	f := wire.Forward{Sender: d.sender(), Kind: string(e.work.Kind), Urgent: e.work.Urgent, Hops: 1}
+func (d *Dispatcher) forward(ctx context.Context, e *entry, to ident.MemberID, preempt bool) {
+	f := wire.Forward{Sender: d.sender(), Kind: string(e.work.Kind), Urgent: e.work.Urgent, Preempt: preempt, Hops: 1}
 	d.with(e.key, func(e *entry) {
 		f.Task = e.work.Task
 		f.Task.Attempt, f.Task.Origin = e.attempt, f.Member
@@ -53,7 +53,7 @@
 		Avoid: f.Avoid, Task: t,
 	}
 	placed, err := d.pick(r)
-	if err != nil && f.Urgent {
+	if err != nil && f.Urgent && f.Preempt {
 		d.preempt(r) // The origin asks again when the victims have given way.
 	}
 	if err != nil {
--- a/internal/dispatch/pump.go
+++ b/internal/dispatch/pump.go
@@ -90,9 +90,10 @@
 // tryPeers hands the task to the best peer with room, or leaves it queued with the reason.
 func (d *Dispatcher) tryPeers(e *entry, otherwise queue.Verdict, reason string) queue.Verdict {
 	candidates := d.config.Fleet.Candidates(e.work.Task.Team, e.work.Task.Demand)
+	preempt := false
 	if len(candidates) == 0 && e.work.Urgent && otherwise != queue.SkipTeam && d.preemptionDue(e) {
 		d.markPreemption(e)
-		if !d.preempt(e.request()) {
+		if preempt = !d.preempt(e.request()); preempt {
 			candidates = d.config.Fleet.Owners(e.work.Task.Demand)
 		}
 	}
@@ -108,7 +109,7 @@
 	to := candidates[0]
 	d.config.Fleet.Debit(to, e.work.Task.Demand)
 	d.with(e.key, func(e *entry) { e.member = to })
-	d.spawn(func(ctx context.Context) { d.forward(ctx, e, to) })
+	d.spawn(func(ctx context.Context) { d.forward(ctx, e, to, preempt) })
 	return queue.Taken
 }
 
--- a/internal/member/presence.go
+++ b/internal/member/presence.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"sync"
 	"time"
 
@@ -98,6 +99,12 @@
 		m := g.config.Self
 		m.Incarnation, m.State = ident.Incarnation(next.Epoch), state
 		next.put(entry{Member: m, Instance: g.instance})
+		if _, ok := next.Founded[m.Region]; !ok {
+			// Views share the map of the record, so it is replaced instead of changed.
+			founded := map[ident.Region]ident.Epoch{m.Region: next.Epoch}
+			maps.Copy(founded, next.Founded)
+			next.Founded = founded
+		}
 		return true
 	})
 	if err == nil && replaced {
--- a/internal/member/record.go
+++ b/internal/member/record.go
@@ -35,8 +35,9 @@
 // record is the value of KeyMembers.
 type record struct {
 	stamp
-	Epoch   ident.Epoch `json:"epoch"`
-	Members []entry     `json:"members"`
+	Epoch   ident.Epoch                  `json:"epoch"`
+	Members []entry                      `json:"members"`
+	Founded map[ident.Region]ident.Epoch `json:"founded,omitempty"` // see View.Founded
 }
 
 func (r *record) find(id ident.MemberID) *entry {
@@ -59,7 +60,7 @@
 }
 
 func (r *record) view() View {
-	v := View{Epoch: r.Epoch, Members: make([]Member, len(r.Members))}
+	v := View{Epoch: r.Epoch, Members: make([]Member, len(r.Members)), Founded: r.Founded}
 	for i, e := range r.Members {
 		v.Members[i] = e.Member
 	}
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -30,6 +30,8 @@
 type View struct {
 	Epoch   ident.Epoch `json:"epoch"`
 	Members []Member    `json:"members"` // sorted by id
+	// Founded holds for each region the epoch at which it got its first member ever.
+	Founded map[ident.Region]ident.Epoch `json:"founded,omitempty"`
 }
 
 // Find returns the member with the id.
--- a/internal/peer/wire/wire.go
+++ b/internal/peer/wire/wire.go
@@ -88,11 +88,12 @@
 // Forward asks the owner of backend servers to start a task.
 type Forward struct {
 	Sender
-	Task   backend.Task   `json:"task"`
-	Kind   string         `json:"kind"`
-	Urgent bool           `json:"urgent,omitempty"`
-	Hops   int            `json:"hops"`
-	Avoid  []ident.HostID `json:"avoid,omitempty"`
+	Task    backend.Task   `json:"task"`
+	Kind    string         `json:"kind"`
+	Urgent  bool           `json:"urgent,omitempty"`
+	Preempt bool           `json:"preempt,omitempty"` // no daemon is known to have room, so lower work may give way
+	Hops    int            `json:"hops"`
+	Avoid   []ident.HostID `json:"avoid,omitempty"`
 }
 
 // ForwardReply says whether the task was taken. Refused means that it never starts here.
--- a/internal/request/job.go
+++ b/internal/request/job.go
@@ -37,6 +37,9 @@
 	switch {
 	case errors.As(err, &held):
 		return s.firstJob(ctx, c, held.Claim)
+	case errors.Is(err, claim.ErrUncertain) && !spec.NonIdempotent:
+		// An earlier submission can't be ruled out. Running idempotent work again does no harm, refusing it would.
+		return s.config.Jobs.Create(ctx, spec, p)
 	case errors.Is(err, claim.ErrUncertain):
 		return api.Job{}, fmt.Errorf("%w: an earlier submission of the request can't be ruled out", job.ErrUnknownOutcome)
 	case err != nil:
