--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -61,7 +61,7 @@
 			m, ok := d.members.View().Find(id)
 			return m.Address, ok
 		},
-		TLS: d.certs, Log: d.log.WithName("peer"), Metrics: d.metrics,
+		Dial: d.peerDial, TLS: d.certs, Log: d.log.WithName("peer"), Metrics: d.metrics,
 	})
 	if err != nil {
 		return fmt.Errorf("create peer node: %w", err)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -78,14 +78,21 @@
 	callerS  *http.Server
 	operS    *http.Server
 	failures chan error
+	peerDial Dial
 }
 
+// Dial opens a connection to an address.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // New assembles a daemon from checked settings. It opens no connection.
-func New(s settings.Serve, log logr.Logger) (*Daemon, error) {
+func New(s settings.Serve, log logr.Logger) (*Daemon, error) { return NewWithDial(s, log, nil) }
+
+// NewWithDial assembles a daemon that reaches its peers through dial; nil means plain TCP.
+func NewWithDial(s settings.Serve, log logr.Logger, dial Dial) (*Daemon, error) {
 	if err := s.Check(); err != nil {
 		return nil, fmt.Errorf("check settings: %w", err)
 	}
-	d := &Daemon{failures: make(chan error, 1)}
+	d := &Daemon{failures: make(chan error, 1), peerDial: dial}
 	app := fx.New(
 		fx.NopLogger,
 		fx.Supply(s, d),
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -49,6 +49,7 @@
 	sites    []Site
 	operator ed25519.PrivateKey
 	adjust   func(*settings.Serve)
+	dial     func(Site) daemon.Dial
 	log      logr.Logger
 	version  ident.Version
 }
@@ -58,7 +59,8 @@
 	Standins cell.Config
 	Sites    []Site
 	Bundle   bundle.Bundle
-	Adjust   func(*settings.Serve) // changes the settings of each daemon; nil leaves the short demo times
+	Adjust   func(*settings.Serve)  // changes the settings of each daemon; nil leaves the short demo times
+	Dial     func(Site) daemon.Dial // how a daemon reaches its peers; nil means plain TCP
 	Log      logr.Logger
 }
 
@@ -74,7 +76,10 @@
 	}
 	s := &Cell{
 		Standins: standins, daemons: map[ident.MemberID]*daemon.Daemon{}, sites: c.Sites, operator: key,
-		adjust: c.Adjust, log: c.Log,
+		adjust: c.Adjust, dial: c.Dial, log: c.Log,
+	}
+	if s.dial == nil {
+		s.dial = func(Site) daemon.Dial { return nil }
 	}
 	for _, site := range c.Sites {
 		if err := s.Add(ctx, site); err != nil {
@@ -95,7 +100,7 @@
 	if err != nil {
 		return err
 	}
-	d, err := daemon.New(config, s.log)
+	d, err := daemon.NewWithDial(config, s.log, s.dial(site))
 	if err != nil {
 		return fmt.Errorf("create daemon %s: %w", site.Member, err)
 	}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -132,10 +132,7 @@
 	if n.config.TLS == nil && !loopback(address) {
 		return nil, fmt.Errorf("dial %s: %w", address, ErrInsecure)
 	}
-	dialer := net.Dialer{
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAlive, Interval: keepAlive, Count: 3},
-	}
-	raw, err := dialer.DialContext(ctx, "tcp", address)
+	raw, err := n.config.Dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", address, err)
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -35,6 +35,8 @@
 	Self func() wire.Sender
 	// Address returns the peer address of a member, host:port by IP.
 	Address func(ident.MemberID) (string, bool)
+	// Dial opens a TCP connection to an address; nil means a net.Dialer with keep-alive probes.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// TLS may be nil only when the listen address and all peer addresses are loopback.
 	TLS *Certificates
 	// MaxFrameBytes bounds one message in each direction; 0 means DefaultMaxFrameBytes.
@@ -90,6 +92,11 @@
 	if c.Metrics == nil {
 		c.Metrics = metrics.NewSet()
 	}
+	if c.Dial == nil {
+		c.Dial = (&net.Dialer{
+			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAlive, Interval: keepAlive, Count: 3},
+		}).DialContext
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
 		config: c, count: newCounters(c.Metrics), now: time.Now, ctx: ctx, cancel: cancel,
