--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -94,14 +94,20 @@
 	deadline := now.Add(waitOf(spec, q))
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	call := &call{service: s, spec: spec, queue: q, deadline: deadline, done: make(chan api.Answer, 1)}
-	if spec.NonIdempotent {
-		answer, problem, claimed := call.acquire(ctx)
-		if !claimed {
+	for {
+		call := &call{service: s, spec: spec, queue: q, deadline: deadline, done: make(chan api.Answer, 1)}
+		if spec.NonIdempotent {
+			answer, problem, claimed := call.acquire(ctx)
+			if !claimed {
+				return answer, problem
+			}
+		}
+		answer, problem := call.run(ctx)
+		if answer.Outcome != api.NotRun || !call.outdated.Load() || !pause(ctx) {
 			return answer, problem
 		}
+		// The holders of the claim changed before the start. The request did not run, so it is claimed again.
 	}
-	return call.run(ctx)
 }
 
 func waitOf(spec api.Spec, q bundle.Queue) time.Duration {
@@ -122,6 +128,7 @@
 	deadline time.Time
 	grant    *claim.Grant
 	done     chan api.Answer
+	outdated atomic.Bool // the grant no longer held right before the start
 }
 
 func (c *call) key() wire.ClaimKey { return wire.ClaimKey{Team: c.spec.Team, Request: c.spec.Request} }
@@ -160,7 +167,11 @@
 		Done: c.finish,
 	}
 	if c.grant != nil {
-		w.Validate = func() error { return c.service.config.Claims.Validate(*c.grant) }
+		w.Validate = func() error {
+			err := c.service.config.Claims.Validate(*c.grant)
+			c.outdated.Store(err != nil)
+			return err
+		}
 	}
 	return w
 }
