--- a/cmd/rosemaryspoke/main_test.go
+++ b/cmd/rosemaryspoke/main_test.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -19,6 +18,7 @@
 	"github.com/goccy/go-yaml"
 
 	"github.com/rosemaryspoke/rosemaryspoke/internal/demo"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/standin/cell"
 )
 
 // runMain makes the test binary run the command line, so that the test needs no build of its own.
@@ -59,12 +59,11 @@
 	t.Helper()
 	addresses := make([]string, n)
 	for i := range addresses {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		address, err := cell.FreeAddress()
 		if err != nil {
 			t.Fatal(err)
 		}
-		defer func() { _ = l.Close() }()
-		addresses[i] = l.Addr().String()
+		addresses[i] = address
 	}
 	return addresses
 }
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -8,7 +8,6 @@
 	"encoding/base64"
 	"fmt"
 	"maps"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -122,7 +121,7 @@
 	c.StoreRegion = s.sites[0].Region
 	c.Signers = []string{base64.StdEncoding.EncodeToString(public)}
 	c.CallerListen, c.OperatorListen = "127.0.0.1:0", "127.0.0.1:0"
-	address, err := freeAddress()
+	address, err := cell.FreeAddress()
 	if err != nil {
 		return c, err
 	}
@@ -136,16 +135,6 @@
 	return c, nil
 }
 
-// freeAddress returns a loopback address whose port is free now; the peers need it before the listener exists.
-func freeAddress() (string, error) {
-	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("find a free port: %w", err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
-}
-
 // Publish signs a bundle and publishes it through any daemon.
 func (s *Cell) Publish(ctx context.Context, b bundle.Bundle) error {
 	for _, d := range s.all() {
--- a/internal/failure/failure_test.go
+++ b/internal/failure/failure_test.go
@@ -288,13 +288,18 @@
 	bad := s.cell.Standins.Workers[host]
 	before := len(bad.Runs())
 	bad.Faults().FailAll(true)
+	// Which server is chosen isn't fixed, so jobs are submitted until one has reached the failing server.
+	s.until("a task starts on the failing server", func() bool {
+		s.finished(api.Succeeded, s.submit("daemon-1", batch("renders", 5, 10*time.Millisecond)))
+		return len(bad.Runs()) > before
+	})
 	var jobs []ident.JobID
 	for range 10 {
 		jobs = append(jobs, s.submit("daemon-1", batch("renders", 5, 100*time.Millisecond)))
 	}
 	s.finished(api.Succeeded, jobs...)
-	if n := len(bad.Runs()) - before; n == 0 || n > 25 {
-		s.Errorf("%d of 50 tasks started on the failing server, want some and at most half", n)
+	if n := len(bad.Runs()) - before; n > 25 {
+		s.Errorf("%d tasks started on the failing server, want at most half of 50", n)
 	}
 }
 
