Release claims at the present holders too, and scan again after a conflict

Causes, both seen in one run of the whole test command under load: a request whose claim moved to new holders released it at the old ones only, so claiming it again waited for itself until the deadline (4 requests of TestFailures/I9 ended as unknown with no run); a waiting submission takes a released claim's place now. A job batch whose dead owner wrote once more during the takeover was not looked at again for a minute (TestRun: a job was not found for 20 s); a conflict now starts another scan.

--- a/internal/claim/acquire.go
+++ b/internal/claim/acquire.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/rosemaryspoke/rosemaryspoke/internal/member"
@@ -205,10 +206,18 @@
 	return confirmed
 }
 
-// Release gives up a grant that was not dispatched. An error says that some holder didn't confirm yet; the release is
-// then tried again by Run.
+// Release gives up a grant that was not dispatched, at its holders and at the present ones, which may have received
+// the claim with a change of the view. An error says that some holder didn't confirm yet; the release is then tried
+// again by Run.
 func (b *Book) Release(ctx context.Context, g Grant) error {
-	if !b.withdraw(ctx, g.Holders, g.Claim) {
+	region, _ := b.config.Region(g.Claim.Team)
+	targets := slices.Clone(g.Holders)
+	for _, h := range Holders(b.config.View(), region, g.Claim.ClaimKey) {
+		if !containsMember(targets, h) {
+			targets = append(targets, h)
+		}
+	}
+	if !b.withdraw(ctx, targets, g.Claim) {
 		return fmt.Errorf("release claim %s: %w", g.Claim.Request, ErrUnavailable)
 	}
 	return nil
--- a/internal/job/recover.go
+++ b/internal/job/recover.go
@@ -60,6 +60,7 @@
 	if err != nil {
 		return fmt.Errorf("list job batches: %w", err)
 	}
+	conflicts := 0
 	for _, item := range items {
 		r, err := decode(item.Value)
 		if err != nil {
@@ -69,10 +70,18 @@
 		if view.Has(r.Owner, r.Incarnation) {
 			continue
 		}
-		if err := t.adopt(ctx, item, r); err != nil && !errors.Is(err, platform.ErrConflict) {
+		err = t.adopt(ctx, item, r)
+		switch {
+		case errors.Is(err, platform.ErrConflict):
+			// The old owner wrote once more, or another member was faster; the next scan tells.
+			conflicts++
+		case err != nil:
 			return err
 		}
 	}
+	if conflicts > 0 {
+		return fmt.Errorf("%d job batches changed while they were taken over: %w", conflicts, platform.ErrConflict)
+	}
 	return nil
 }
 
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -247,22 +247,28 @@
 	return api.NewProblem(api.CodeUnavailable, "", "%v", err)
 }
 
-// acquire claims a non-idempotent request, or answers from the claim that exists already.
+// acquire claims a non-idempotent request, or answers from the claim that exists already. When that one is released
+// because its submission did not run, this submission takes its place.
 func (c *call) acquire(ctx context.Context) (api.Answer, *api.Problem, bool) {
-	grant, err := c.vote(ctx)
-	var held *claim.HeldError
-	switch {
-	case err == nil:
-		c.grant = &grant
-		return api.Answer{}, nil, true
-	case errors.As(err, &held):
-		return c.await(ctx, held.Claim), nil, false
-	case errors.Is(err, claim.ErrUncertain):
-		return c.recoverAnswer(ctx), nil, false
+	for {
+		grant, err := c.vote(ctx)
+		var held *claim.HeldError
+		switch {
+		case err == nil:
+			c.grant = &grant
+			return api.Answer{}, nil, true
+		case errors.As(err, &held):
+			if answer, released := c.await(ctx, held.Claim); !released {
+				return answer, nil, false
+			}
+			continue
+		case errors.Is(err, claim.ErrUncertain):
+			return c.recoverAnswer(ctx), nil, false
+		}
+		p := api.NewProblem(api.CodeUnavailable, "request-id", "the request was not claimed: %v", err)
+		p.RetryAfter = 500
+		return api.Answer{}, p, false
 	}
-	p := api.NewProblem(api.CodeUnavailable, "request-id", "the request was not claimed: %v", err)
-	p.RetryAfter = 500
-	return api.Answer{}, p, false
 }
 
 // vote asks the holders, and asks again for a short time while they move to another view or votes are split.
@@ -282,28 +288,33 @@
 	}
 }
 
-// await waits for the first submission's answer.
-func (c *call) await(ctx context.Context, held wire.Claim) api.Answer {
+// await waits for the first submission's answer, or until its claim is released because it did not run.
+func (c *call) await(ctx context.Context, held wire.Claim) (answer api.Answer, released bool) {
 	for {
 		if held.State == wire.ClaimComplete {
 			var a api.Answer
 			if err := json.Unmarshal(held.Answer, &a); err != nil {
-				return c.answer(api.Unknown, "the stored answer can't be decoded")
+				return c.answer(api.Unknown, "the stored answer can't be decoded"), false
 			}
 			if a.Outcome == "" { // The claim keeps the reference of a job.
-				return c.answer(api.NotRun, "the id belongs to a job")
+				return c.answer(api.NotRun, "the id belongs to a job"), false
 			}
-			return a
+			return a, false
 		}
 		if !c.service.config.View().Has(held.Claimer, held.Incarnation) {
 			if a := c.recoverAnswer(ctx); a.Outcome != "" {
-				return a
+				return a, false
 			}
 		}
 		if !pause(ctx) {
-			return c.answer(api.Unknown, "another submission of the request has not been answered yet")
+			return c.answer(api.Unknown, "another submission of the request has not been answered yet"), false
 		}
-		if found, ok, err := c.service.config.Claims.Lookup(ctx, c.key()); err == nil && ok {
+		found, ok, err := c.service.config.Claims.Lookup(ctx, c.key())
+		switch {
+		case err != nil:
+		case !ok || found.State == wire.ClaimReleased:
+			return api.Answer{}, true
+		default:
 			held = found
 		}
 	}
