Send a released claim's release again while holders change

Cause: a holder that joined during a view change could fetch a claim before its old holder was told of the release, and kept it until the retention ended, so the same request stayed split or waited for itself (TestFailures/I9 under load: 6 requests not run or unknown with no run, in 1 of 2 runs). Releases are sent to the present holders again for five seconds, once a second.

--- a/internal/claim/acquire.go
+++ b/internal/claim/acquire.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/rosemaryspoke/rosemaryspoke/internal/member"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/peer/wire"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
@@ -19,6 +21,11 @@
 	releaseTimeout = time.Second
 	// runInterval is the pause between tries of releases and between sweeps.
 	runInterval = time.Second
+	// maxRecent bounds the releases that are sent again; repeatReleases is how long, which covers a change of the view
+	// with its transfer of claims.
+	maxRecent      = 256
+	repeatReleases = 5 * time.Second
+	repeatParallel = 16
 )
 
 // vote is the outcome of one call to a holder.
@@ -58,6 +65,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
 	defer cancel()
+	b.noteRelease(claim)
 	b.withdraw(ctx, holders, claim)
 	switch {
 	case won && uncertain && !completed(rivals):
@@ -217,6 +225,7 @@
 			targets = append(targets, h)
 		}
 	}
+	b.noteRelease(g.Claim)
 	if !b.withdraw(ctx, targets, g.Claim) {
 		return fmt.Errorf("release claim %s: %w", g.Claim.Request, ErrUnavailable)
 	}
@@ -298,6 +307,44 @@
 	}
 }
 
+// recentRelease is a release that is sent again for a while.
+type recentRelease struct {
+	claim wire.Claim
+	until time.Time
+}
+
+func (b *Book) noteRelease(claim wire.Claim) {
+	claim.State = wire.ClaimReleased
+	b.releasesLock.Lock()
+	defer b.releasesLock.Unlock()
+	if len(b.recent) < maxRecent {
+		b.recent = append(b.recent, recentRelease{claim: claim, until: b.config.Now().Add(repeatReleases)})
+	}
+}
+
+// repeat sends the recent releases to the present holders again. A holder that joined meanwhile may have fetched the
+// claim before its old holder was told, and would keep it until the retention ends.
+func (b *Book) repeat(ctx context.Context) {
+	now := b.config.Now()
+	b.releasesLock.Lock()
+	b.recent = slices.DeleteFunc(b.recent, func(r recentRelease) bool { return !now.Before(r.until) })
+	recent := slices.Clone(b.recent)
+	b.releasesLock.Unlock()
+	view := b.config.View()
+	var group errgroup.Group
+	group.SetLimit(repeatParallel)
+	for _, r := range recent {
+		group.Go(func() error {
+			region, _ := b.config.Region(r.claim.Team)
+			bounded, cancel := context.WithTimeout(ctx, releaseTimeout)
+			defer cancel()
+			b.broadcast(bounded, Holders(view, region, r.claim.ClaimKey), wire.MethodClaimRelease, view.Epoch, r.claim)
+			return nil
+		})
+	}
+	_ = group.Wait() // an unconfirmed release is sent again by the next round
+}
+
 // flush tries the unconfirmed releases once more; those of removed holders are dropped.
 func (b *Book) flush(ctx context.Context) {
 	b.releasesLock.Lock()
@@ -305,6 +352,7 @@
 	b.releases = nil
 	b.releasesLock.Unlock()
 	view := b.config.View()
+	b.repeat(ctx)
 	for _, r := range open {
 		if view.Has(r.holder.ID, r.holder.Incarnation) && ctx.Err() == nil {
 			bounded, cancel := context.WithTimeout(ctx, releaseTimeout)
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -95,6 +95,7 @@
 
 	releasesLock sync.Mutex
 	releases     []release
+	recent       []recentRelease
 }
 
 // Grant is a claim won by this member.
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -30,8 +30,9 @@
 	DefaultDeadline = 30 * time.Second
 	// lookupPause is the pause between two questions for the answer of a claim that another daemon holds.
 	lookupPause = 100 * time.Millisecond
-	// voteTimeout bounds the time to get a claim; a change of the member view takes less.
-	voteTimeout = 2 * time.Second
+	// voteTimeout bounds the time to get a claim. In a region with two daemons nothing can be claimed while one of them
+	// leaves, which took more than two seconds on a busy machine.
+	voteTimeout = 5 * time.Second
 	// claimTimeout bounds the calls that complete or release a claim.
 	claimTimeout = 3 * time.Second
 )
