--- a/internal/dispatch/audit.go
+++ b/internal/dispatch/audit.go
@@ -43,7 +43,7 @@
 		case uncertain:
 		case running:
 			if e.member == self {
-				if _, ok := d.config.Pool.Find(e.attempt); ok || d.orphans.seen(e.attempt) {
+				if _, ok := d.config.Pool.Find(e.attempt); ok {
 					continue
 				}
 			} else if _, ok := view.Find(e.member); ok && !e.suspect {
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -120,7 +120,8 @@
 	}
 	if o, ok := d.orphans.get(q.Attempt); ok {
 		reply.Known, reply.Host = true, o.host
-		if o.result.Origin != q.Member {
+		// The origin still waits, so the result came before it knew of the attempt, or was meant for a dead origin.
+		if !o.pushing || o.result.Origin != q.Member {
 			d.redeliver(o, q.Member)
 		}
 	}
--- a/internal/dispatch/orphans.go
+++ b/internal/dispatch/orphans.go
@@ -24,6 +24,8 @@
 	host   ident.HostID
 	result backend.Result
 	since  time.Time
+	// pushing is set while a push to the present origin is repeated.
+	pushing bool
 }
 
 func newOrphans() *orphans { return &orphans{results: map[ident.AttemptID]orphan{}} }
@@ -32,7 +34,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if len(o.results) < maxOrphans {
-		o.results[r.Attempt] = orphan{host, r, now}
+		o.results[r.Attempt] = orphan{host: host, result: r, since: now}
 	}
 }
 
@@ -43,6 +45,15 @@
 	return len(d.orphans.results)
 }
 
+func (o *orphans) setPushing(a ident.AttemptID, on bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if r, ok := o.results[a]; ok {
+		r.pushing = on
+		o.results[a] = r
+	}
+}
+
 func (o *orphans) remove(a ident.AttemptID) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/dispatch/results.go
+++ b/internal/dispatch/results.go
@@ -93,6 +93,8 @@
 
 // pushAnswer repeats the push until the origin keeps the result, doesn't know it, or has left the view.
 func (d *Dispatcher) pushAnswer(ctx context.Context, host ident.HostID, r backend.Result, acknowledge func()) {
+	d.orphans.setPushing(r.Attempt, true)
+	defer d.orphans.setPushing(r.Attempt, false)
 	for {
 		if _, ok := d.config.View().Find(r.Origin); !ok {
 			return // The result waits as an orphan for a resubmission or an adopting origin.
--- /dev/null
+++ b/internal/dispatch/resume_test.go
@@ -0,0 +1,46 @@
+package dispatch
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/backend"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/peer/wire"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+// TestResultBeforeResume guards against a task that stays running for ever because its result came after its attempt
+// was redirected to an adopting origin, and before that origin knew of the task.
+func TestResultBeforeResume(t *testing.T) {
+	d := newIdle(t)
+	acknowledged := make(chan ident.AttemptID, 1)
+	d.config.Servers.Acknowledge = func(_ ident.HostID, a ident.AttemptID) { acknowledged <- a }
+	d.config.Servers.Complete = func() (ident.Epoch, bool) { return 1, true }
+	answer := []byte("answer")
+	d.deliver("host", backend.Result{
+		Attempt: "attempt", Job: "job", Team: "team", Origin: "entry-1", Exit: backend.ExitSucceeded,
+		Answer: answer, Length: len(answer), Checksum: backend.Checksum(answer),
+	})
+	ends := make(chan Final, 1)
+	w := Work{Kind: api.KindBatch, Done: func(f Final, keep func()) { keep(); ends <- f }}
+	w.Task = backend.Task{Job: "job", Team: "team"}
+	err := d.Resume(w, Adopted{AdoptedAttempt: wire.AdoptedAttempt{Attempt: "attempt", Job: "job", Host: "host"}, Owner: "entry-1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.audit()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	select {
+	case f := <-ends:
+		if f.Outcome != api.Answered || string(f.Result.Answer) != "answer" || <-acknowledged != "attempt" {
+			t.Errorf("ended as %+v", f)
+		}
+	case <-ctx.Done():
+		t.Error("the result was not delivered to the resumed task")
+	}
+	d.stop()
+	d.wg.Wait()
+}
