Transfer the host list only when it has changed

Cause: every daemon read the whole list each second, 852 KB/s and 6.3 % of a core at 6,300 hosts (measured size, benchmark HostList). A request now names the version that the daemon knows, and an unchanged list is answered without hosts.

--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"net/url"
+	"slices"
 	"strconv"
+	"sync"
 	"time"
 )
 
@@ -91,7 +93,12 @@
 }
 
 // HTTPHostList is the HTTP adapter to the platform's host list.
-type HTTPHostList struct{ transport *transport }
+type HTTPHostList struct {
+	transport *transport
+
+	mu    sync.Mutex
+	known HostsReply // last full answer
+}
 
 // NewHTTPHostList returns an adapter, or an error that names the wrong setting. It opens no connection.
 func NewHTTPHostList(c HTTPConfig) (*HTTPHostList, error) {
@@ -105,9 +112,28 @@
 // Calls returns the number of calls by kind since the start.
 func (l *HTTPHostList) Calls() Calls { return l.transport.counters.snapshot() }
 
-// Hosts returns every host that the platform knows.
+// Hosts returns every host that the platform knows. Only a list that has changed is transferred, because the whole one
+// takes 852 KB at 6,300 hosts and is read every second.
 func (l *HTTPHostList) Hosts(ctx context.Context) ([]Host, error) {
+	l.mu.Lock()
+	known := l.known
+	l.mu.Unlock()
+	var query url.Values
+	if known.Version != "" {
+		query = url.Values{"known": {known.Version}}
+	}
 	var reply HostsReply
-	err := l.transport.get(ctx, CallHosts, PathHosts, nil, 0, &reply)
-	return reply.Hosts, err
+	if err := l.transport.get(ctx, CallHosts, PathHosts, query, 0, &reply); err != nil {
+		return nil, err
+	}
+	if reply.Unchanged {
+		if known.Version == "" || reply.Version != known.Version {
+			return nil, fmt.Errorf("host list: %w: unchanged since a version that was not asked for", ErrUnavailable)
+		}
+		return slices.Clone(known.Hosts), nil
+	}
+	l.mu.Lock()
+	l.known = reply
+	l.mu.Unlock()
+	return slices.Clone(reply.Hosts), nil
 }
--- a/internal/platform/protocol.go
+++ b/internal/platform/protocol.go
@@ -67,7 +67,10 @@
 	Revision Revision `json:"revision"` // revision to continue from
 }
 
-// HostsReply is the answer to a host list request.
+// HostsReply is the answer to a host list request. A request may name the version that the caller knows; when the list
+// still has it, the answer is Unchanged without hosts. A platform without versions always answers in full.
 type HostsReply struct {
-	Hosts []Host `json:"hosts"`
+	Hosts     []Host `json:"hosts,omitempty"`
+	Version   string `json:"version,omitempty"`
+	Unchanged bool   `json:"unchanged,omitempty"`
 }
--- a/internal/standin/kv/kv.go
+++ b/internal/standin/kv/kv.go
@@ -49,6 +49,7 @@
 
 type hostList struct {
 	visible time.Time
+	version string
 	hosts   []platform.Host
 }
 
@@ -120,18 +121,20 @@
 func (s *Server) SetHosts(hosts []platform.Host) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.hosts = append(s.hosts, hostList{visible: s.config.Now().Add(s.config.HostLag), hosts: slices.Clone(hosts)})
+	s.hosts = append(s.hosts, hostList{
+		visible: s.config.Now().Add(s.config.HostLag), version: ident.Random("hosts"), hosts: slices.Clone(hosts),
+	})
 }
 
-func (s *Server) visibleHosts() []platform.Host {
+func (s *Server) visibleHosts() platform.HostsReply {
 	now := s.config.Now()
 	for len(s.hosts) > 1 && !s.hosts[1].visible.After(now) {
 		s.hosts = s.hosts[1:]
 	}
 	if len(s.hosts) == 0 || s.hosts[0].visible.After(now) {
-		return nil
+		return platform.HostsReply{}
 	}
-	return slices.Clone(s.hosts[0].hosts)
+	return platform.HostsReply{Hosts: slices.Clone(s.hosts[0].hosts), Version: s.hosts[0].version}
 }
 
 // lapse runs with the lock held. Leases end in the order of their ids, so that revisions are reproducible.
