--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -87,10 +87,15 @@
 // Handler returns the HTTP handler.
 func (s *Server) Handler() http.Handler { return s.router }
 
-// HTTP returns a server with time and header limits for an address.
+// HTTP returns a server with time and header limits.
 func (s *Server) HTTP() *http.Server {
+	return LimitedServer(s.router)
+}
+
+// LimitedServer returns a server with the time and header limits of the caller and operator ports.
+func LimitedServer(h http.Handler) *http.Server {
 	return &http.Server{
-		Handler: s.router, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout,
+		Handler: h, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout,
 		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 }
--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -13,7 +13,6 @@
 	"github.com/rosemaryspoke/rosemaryspoke/internal/placement"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
-	"github.com/rosemaryspoke/rosemaryspoke/pkg/resource"
 )
 
 const (
@@ -345,10 +344,9 @@
 }
 
 type gangHold struct {
-	team   ident.TeamID
-	demand resource.Vector
-	tasks  int
-	until  time.Time
+	team  ident.TeamID
+	tasks int
+	until time.Time
 }
 
 func newGangTable() *gangTable { return &gangTable{holds: map[string]gangHold{}} }
--- a/internal/dispatch/ganghold.go
+++ b/internal/dispatch/ganghold.go
@@ -30,7 +30,7 @@
 		return wire.GangReserveReply{Reason: "no backend server has room"}, nil
 	}
 	d.gangs.mu.Lock()
-	d.gangs.holds[r.Gang] = gangHold{team: r.Team, demand: r.Demand, tasks: n, until: until}
+	d.gangs.holds[r.Gang] = gangHold{team: r.Team, tasks: n, until: until}
 	d.gangs.mu.Unlock()
 	return wire.GangReserveReply{Held: n}, nil
 }
--- a/internal/dispatch/results.go
+++ b/internal/dispatch/results.go
@@ -213,13 +213,21 @@
 func (d *Dispatcher) final(e *entry, host ident.HostID, r backend.Result, reason string) Final {
 	f := Final{
 		Result: r, Host: host, Attempt: r.Attempt, Attempts: e.attempts, Reason: reason,
-		Waited: max(0, e.started.Sub(e.submitted)), Outcome: api.Failed,
+		Waited: max(0, e.started.Sub(e.submitted)), Outcome: OutcomeOf(r.Exit),
 	}
-	switch r.Exit {
+	if f.Outcome == api.Answered {
+		f.Reason = ""
+	}
+	return f
+}
+
+// OutcomeOf returns the outcome of a task whose last attempt ended so. How far it came before a lapsed lease isn't known.
+func OutcomeOf(e backend.ExitState) api.Outcome {
+	switch e {
 	case backend.ExitSucceeded:
-		f.Outcome, f.Reason = api.Answered, ""
+		return api.Answered
 	case backend.ExitLeaseLapsed:
-		f.Outcome = api.Unknown
+		return api.Unknown
 	}
-	return f
+	return api.Failed
 }
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -89,11 +89,10 @@
 
 // batch is a record in the store and what waits for its next write.
 type batch struct {
-	key       string
-	revision  platform.Revision
-	record    record
-	written   []func() // called after the next successful write
-	recovered bool     // the record came from a dead owner
+	key      string
+	revision platform.Revision
+	record   record
+	written  []func() // called after the next successful write
 }
 
 // submission is a new job that waits for its record.
--- a/internal/job/recover.go
+++ b/internal/job/recover.go
@@ -105,7 +105,7 @@
 	if err != nil {
 		return fmt.Errorf("adopt batch %s: %w", item.Key, err)
 	}
-	b := &batch{key: item.Key, revision: revision, record: r, recovered: true}
+	b := &batch{key: item.Key, revision: revision, record: r}
 	t.mu.Lock()
 	t.batches[b.key] = b
 	for _, j := range r.Jobs {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -16,6 +16,7 @@
 	"github.com/go-logr/logr"
 	"github.com/gorilla/mux"
 
+	"github.com/rosemaryspoke/rosemaryspoke/internal/caller"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/platform"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/rollout"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
@@ -24,10 +25,6 @@
 
 // Bounds of the server.
 const (
-	readHeaderTimeout = 5 * time.Second
-	readTimeout       = 30 * time.Second
-	idleTimeout       = 2 * time.Minute
-	maxHeaderBytes    = 16 << 10
 	// maxBundleBytes bounds a bundle as an operator sends it.
 	maxBundleBytes = 4 << 20
 	// acceptTimeout is how long a publish waits until the version is in force everywhere.
@@ -87,10 +84,7 @@
 
 // HTTP returns a server with time and header limits.
 func (s *Server) HTTP() *http.Server {
-	return &http.Server{
-		Handler: s.router, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout,
-		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
+	return caller.LimitedServer(s.router)
 }
 
 func healthy(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) }
--- a/internal/peer/wire/wire.go
+++ b/internal/peer/wire/wire.go
@@ -337,17 +337,6 @@
 	Version ident.Version `json:"version"`
 }
 
-// Handover moves queued work of a draining member to the receiver.
-type Handover struct {
-	Sender
-	Batches []string `json:"batches"` // store keys of job batches to adopt
-}
-
-// HandoverReply confirms the batches that the receiver adopted.
-type HandoverReply struct {
-	Adopted []string `json:"adopted"`
-}
-
 // JobCall asks the owner of a job about it.
 type JobCall struct {
 	Sender
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -349,7 +349,7 @@
 
 func (c *call) recovered(r backend.Result) api.Answer {
 	if r.Exit != backend.ExitSucceeded {
-		return c.answer(api.Failed, fmt.Sprintf("the attempt ended as %s: %s", r.Exit, r.Message))
+		return c.answer(dispatch.OutcomeOf(r.Exit), fmt.Sprintf("the attempt ended as %s: %s", r.Exit, r.Message))
 	}
 	a := c.answer(api.Answered, "")
 	a.Attempt, a.Payload, a.Length, a.Checksum = r.Attempt, r.Answer, r.Length, r.Checksum
