End the leases of servers that are lost together with their owner

A trace showed AdoptOrigin refused 58 times, because the new owner never knew the tasks of three servers that didn't answer: each attach that may have arrived moved the end of a possible lease on, and the pause that lets a lease end applied only to servers that this owner had attached before. Ruled out: limit parts (none was asked for) and the view (epoch 4 at both members).

Change: the pause also applies to a server that never answered its new owner, once the leases of earlier owners are over.

--- a/internal/failure/failure_test.go
+++ b/internal/failure/failure_test.go
@@ -42,6 +42,8 @@
 		"job that fails everywhere":                      {nil, 0, failingJob},
 		"I7 urgent requests on a full fleet":             {map[ident.TeamID]int{plans: 100}, 0, fullFleet},
 		"I2 I7 backend server vanishes":                  {nil, 0, vanishedServer},
+		"I2 I7 data centre lost with its daemon":         {nil, 0, lostDataCentre},
+		"I2 I3 I7 regions apart for a while":             {nil, 0, regionsApart},
 		"two all-at-once jobs of half the fleet":         {map[ident.TeamID]int{plans: 100}, 0, largeGangs},
 	} {
 		t.Run(name, func(t *testing.T) {
--- /dev/null
+++ b/internal/failure/outage_test.go
@@ -0,0 +1,77 @@
+package failure
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/standin/worker"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+// lostDataCentre guards against work that ends or repeats because a data centre is lost with its daemon and all its
+// backend servers, and against services that stay down.
+func lostDataCentre(s *scene) {
+	service := s.submit("daemon-2", api.Spec{Team: plans, Queue: "services", Tasks: 6, Demand: demand(0)})
+	s.hold(true)
+	job := s.submit("daemon-2", batch("renders", 18, 100*time.Millisecond))
+	wait := s.askMany(quotes("held", 24, true, 100*time.Millisecond), "daemon-2", "daemon-1", "daemon-3")
+	s.until("everything runs", func() bool { return len(s.runs(running)) == 48 })
+	var gone []ident.HostID
+	for _, h := range s.cell.Standins.Hosts {
+		if h.DataCentre == "sfax-b" {
+			gone = append(gone, h.ID)
+			s.cell.Standins.Workers[h.ID].Faults().Vanish(true)
+		}
+	}
+	s.cell.Kill("daemon-2")
+	lost := map[ident.RequestID]bool{}
+	for _, r := range s.runs(func(host ident.HostID, _ worker.Run) bool { return slices.Contains(gone, host) }) {
+		lost[r.Request] = true
+	}
+	s.hold(false, gone...)
+	wait()
+	s.told(api.Answered, api.Unknown)
+	for id, a := range s.answers {
+		if lost[id] != (a.Outcome == api.Unknown) {
+			s.Errorf("request %s in the lost data centre (%t): outcome %s (%s)", id, lost[id], a.Outcome, a.Reason)
+		}
+	}
+	s.finished(api.Succeeded, job)
+	s.once(job)
+	s.until("the service runs in other data centres", func() bool {
+		return len(s.runs(func(host ident.HostID, r worker.Run) bool {
+			return r.Job == service && running(host, r) && !slices.Contains(gone, host)
+		})) == 6
+	})
+}
+
+// regionsApart guards against tasks that are stopped, repeated or lost while the regions can't reach each other, and
+// against a region that takes keyed work without knowing which keys are in force.
+func regionsApart(s *scene) {
+	s.warm()
+	warm := len(s.runs(every))
+	s.hold(true)
+	job := s.submit("daemon-3", batch("renders", 24, 100*time.Millisecond))
+	wait := s.askMany(quotes("held", 24, true, 100*time.Millisecond), all...)
+	s.until("everything runs", func() bool { return len(s.runs(running)) == 48 })
+	s.cell.Standins.KV.CutOff("tunis")
+	s.link.set(true)
+	time.Sleep(5 * time.Second) // more than the freshness bound of 2 s and the leases of 1.5 s
+	s.hold(false)
+	for via, want := range map[ident.MemberID]api.Outcome{"daemon-1": api.Answered, "daemon-2": api.Answered, "daemon-3": api.NotRun} {
+		if a := s.ask(quote(ident.RequestID("apart-"+string(via)), true, 100*time.Millisecond), via); a.Outcome != want {
+			s.Errorf("keyed request through %s while the regions are apart: %s (%s), want %s", via, a.Outcome, a.Reason, want)
+		}
+	}
+	s.cell.Standins.KV.CutOff()
+	s.link.set(false)
+	wait()
+	if n := s.told(api.Answered, api.NotRun); n[api.NotRun] != 1 {
+		s.Errorf("outcomes %v, want only the request to the cut-off region refused", n)
+	}
+	s.finished(api.Succeeded, job)
+	if n := len(s.runs(every)) - warm; n != 50 {
+		s.Errorf("%d runs, want 50: a task was stopped or repeated", n)
+	}
+}
--- a/internal/ownership/renew.go
+++ b/internal/ownership/renew.go
@@ -228,12 +228,13 @@
 	}
 }
 
-// silence returns how long no call may be sent to a server that has not answered for a whole lease. Each call without
-// an answer may renew the lease, so without a pause the lease would never certainly be over.
+// silence returns how long no call may be sent to a server that has not answered for a whole lease of this member or of
+// an earlier owner. Each call without an answer may renew the lease, so without a pause the lease would never certainly
+// be over.
 func (t *Table) silence(e *entry) time.Duration {
 	now := t.config.Now()
 	e.lock.Lock()
-	silent := e.reported && e.unanswered && !e.lapsed && !e.caretaker && now.After(e.validUntil)
+	silent := e.unanswered && !e.lapsed && !e.caretaker && now.After(e.validUntil) && now.After(e.othersOver)
 	left := e.leaseOver.Add(t.config.Drift + t.config.ViewLag).Sub(now)
 	e.lock.Unlock()
 	if !silent {
