Refuse plain HTTP on caller and operator ports outside loopback

Cause: the caller and operator ports could already use a certificate (TLS 1.2 or later), but the settings accepted any address without one, so that keys and the operator's credential could cross the network in the clear.

Both ports need TLS 1.3. A damaged certificate is found before a port is opened. Failed handshakes go to the daemon's log.

Before: 10.0.0.5 without a certificate passed Check, and a TLS 1.2 client got an answer on both ports. After: both are refused.

Conclusion: a credential leaves the host only over TLS unless an operator says that the balancer ends it.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"os"
 	"time"
 
@@ -13,6 +14,7 @@
 
 	"github.com/rosemaryspoke/rosemaryspoke/internal/settings"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/client"
 )
 
 // Exit codes of the command line.
@@ -98,6 +100,9 @@
 	token    string
 	output   string
 	timeout  time.Duration
+
+	authority string
+	http      *http.Client
 }
 
 func newRoot(out, errOut io.Writer) *cobra.Command {
@@ -112,6 +117,13 @@
 			if o.output != "table" && o.output != "json" {
 				return &settings.Error{Name: "output", Value: o.output, Allowed: "table or json"}
 			}
+			authority, err := settings.PEM(o.authority)
+			if err == nil {
+				o.http, err = client.NewHTTP(authority)
+			}
+			if err != nil {
+				return &settings.Error{Name: "authority", Value: "(hidden)", Allowed: err.Error()}
+			}
 			return nil
 		},
 	}
@@ -121,6 +133,7 @@
 	f := root.PersistentFlags()
 	f.StringVar(&o.address, "address", "http://127.0.0.1:7100", "URL of a daemon's caller port")
 	f.StringVar(&o.operator, "operator-address", "http://127.0.0.1:7101", "URL of a daemon's operator port")
+	f.StringVar(&o.authority, "authority", "", "certificates that sign the daemons' caller certificates, instead of the system's: PEM text or the path of a file")
 	f.StringVar(&o.key, "key", "", "key of the team; better given in the environment")
 	f.StringVar(&o.token, "token", "", "credential for the operator port; better given in the environment")
 	f.StringVarP(&o.output, "output", "o", "table", "output format: table or json")
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"crypto/ed25519"
 	"encoding/base64"
+	"encoding/pem"
 	"errors"
 	"net/http"
 	"net/http/httptest"
@@ -65,6 +66,9 @@
 		_, _ = w.Write([]byte(`{"status":503,"code":"unavailable","detail":"down","outcome":"unknown"}`))
 	}))
 	defer refusing.Close()
+	secure := httptest.NewTLSServer(refusing.Config.Handler)
+	defer secure.Close()
+	authority := string(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: secure.Certificate().Raw}))
 	examples := "../../examples/"
 	cases := map[string]struct {
 		args []string
@@ -85,6 +89,9 @@
 		"unknown subcommand":   {[]string{"bundle", "nothing"}, ExitUsage, "nothing"},
 		"wrong output":         {[]string{"version", "--output", "xml"}, ExitUsage, "table or json"},
 		"wrong setting":        {[]string{"serve"}, ExitUsage, "--member"},
+		"authority, caller":    {[]string{"job", "get", "job-1", "--address", secure.URL, "--authority", authority}, ExitUnknown, "down"},
+		"authority, operator":  {[]string{"key", "list", "--operator-address", secure.URL, "--authority", authority}, ExitUnknown, "down"},
+		"wrong authority":      {[]string{"key", "list", "--authority", wrong}, ExitUsage, "no certificate"},
 		"refused, unknown":     {[]string{"job", "get", "job-1", "--address", refusing.URL}, ExitUnknown, "down"},
 		"daemon not reachable": {[]string{"state", "dump", "--operator-address", "http://127.0.0.1:1"}, ExitFailure, "operator port"},
 	}
--- a/internal/command/job.go
+++ b/internal/command/job.go
@@ -20,7 +20,7 @@
 // waitStep is the longest single wait, so that progress can be shown in between.
 const waitStep = 2 * time.Second
 
-func (o *options) client() *client.Client { return client.New(o.address, o.key, nil) }
+func (o *options) client() *client.Client { return client.New(o.address, o.key, o.http) }
 
 func (o *options) context(c *cobra.Command) (context.Context, context.CancelFunc) {
 	return context.WithTimeout(c.Context(), o.timeout)
--- a/internal/command/operator.go
+++ b/internal/command/operator.go
@@ -43,7 +43,7 @@
 	if user := os.Getenv("USER"); user != "" {
 		r.Header.Set("X-Operator", user)
 	}
-	reply, err := http.DefaultClient.Do(r)
+	reply, err := o.http.Do(r)
 	if err != nil {
 		return answer, fmt.Errorf("call operator port: %w", err)
 	}
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -25,7 +25,6 @@
 	"github.com/rosemaryspoke/rosemaryspoke/internal/request"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/retry"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/rollout"
-	"github.com/rosemaryspoke/rosemaryspoke/internal/settings"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/resource"
@@ -55,6 +54,12 @@
 			return fmt.Errorf("load peer certificates: %w", err)
 		}
 	}
+	if d.settings.CallerCert != "" {
+		d.portCerts, err = peer.NewCertificates(peer.CertificateSource{Certificate: d.settings.CallerCert, Key: d.settings.CallerKey})
+		if err != nil {
+			return fmt.Errorf("load caller certificate: %w", err)
+		}
+	}
 	d.node, err = peer.New(peer.Config{
 		Self: d.sender,
 		Address: func(id ident.MemberID) (string, bool) {
@@ -69,26 +74,15 @@
 	return nil
 }
 
-// secure puts TLS on the caller and operator ports when a certificate is set.
-func (d *Daemon) secure() error {
-	if d.settings.CallerCert == "" {
-		return nil
+// secure puts TLS on the operator port and, unless the balancer ends it, on the caller port.
+func (d *Daemon) secure() {
+	if d.portCerts == nil {
+		return
 	}
-	cert, err := settings.PEM(d.settings.CallerCert)
-	if err != nil {
-		return fmt.Errorf("read caller certificate: %w", err)
+	d.operL = tls.NewListener(d.operL, d.portCerts.HTTPS())
+	if !d.settings.CallerPlain {
+		d.callerL = tls.NewListener(d.callerL, d.portCerts.HTTPS())
 	}
-	key, err := settings.PEM(d.settings.CallerKey)
-	if err != nil {
-		return fmt.Errorf("read caller key: %w", err)
-	}
-	pair, err := tls.X509KeyPair(cert, key)
-	if err != nil {
-		return fmt.Errorf("load caller certificate: %w", err)
-	}
-	c := &tls.Config{Certificates: []tls.Certificate{pair}, MinVersion: tls.VersionTLS12, NextProtos: []string{"http/1.1"}}
-	d.callerL, d.operL = tls.NewListener(d.callerL, c), tls.NewListener(d.operL, c)
-	return nil
 }
 
 func (d *Daemon) sender() wire.Sender {
--- /dev/null
+++ b/internal/daemon/certificates_test.go
@@ -0,0 +1,133 @@
+package daemon
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/spf13/pflag"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/settings"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/standin/cell"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/client"
+)
+
+// selfSigned returns a certificate of 127.0.0.1 and its key in PEM.
+func selfSigned(t *testing.T, serial int64, until time.Time) (certificate, key string) {
+	t.Helper()
+	private, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(serial), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		NotBefore: until.Add(-2 * time.Hour), NotAfter: until,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &private.PublicKey, private)
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw, err := x509.MarshalECPrivateKey(private)
+	if err != nil {
+		t.Fatal(err)
+	}
+	encode := func(kind string, der []byte) string {
+		return string(pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}))
+	}
+	return encode("CERTIFICATE", der), encode("EC PRIVATE KEY", raw)
+}
+
+// startAlone runs a daemon whose store doesn't answer; its ports are served all the same.
+func startAlone(t *testing.T, change func(*settings.Serve)) *Daemon {
+	t.Helper()
+	var s settings.Serve
+	s.Flags(pflag.NewFlagSet("serve", pflag.ContinueOnError))
+	s.Member, s.Region, s.DataCentre, s.StoreURL = "m1", "sfax", "sfax-a", "http://127.0.0.1:1"
+	s.OperatorToken, s.Signers = "token-of-the-daemon-test", []string{"AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA="}
+	s.CallerListen, s.OperatorListen = "127.0.0.1:0", "127.0.0.1:0"
+	var err error
+	if s.PeerListen, err = cell.FreeAddress(); err != nil {
+		t.Fatal(err)
+	}
+	change(&s)
+	d, err := New(s, logr.Discard())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := d.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Kill)
+	return d
+}
+
+func trusting(t *testing.T, authority string) *http.Client {
+	t.Helper()
+	c, err := client.NewHTTP([]byte(authority))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.CloseIdleConnections)
+	return c
+}
+
+// status returns the status of a GET, or 0 when there was no answer.
+func status(t *testing.T, c *http.Client, url string) int {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, url, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	reply, err := c.Do(r)
+	if err != nil {
+		return 0
+	}
+	_ = reply.Body.Close()
+	return reply.StatusCode
+}
+
+// Guards against a port that answers without TLS, below TLS 1.3 or only to clients that don't verify it.
+func TestPorts(t *testing.T) {
+	cert, key := selfSigned(t, 1, time.Now().Add(time.Hour))
+	other, _ := selfSigned(t, 2, time.Now().Add(time.Hour))
+	secure := startAlone(t, func(s *settings.Serve) { s.CallerCert, s.CallerKey = cert, key })
+	balanced := startAlone(t, func(s *settings.Serve) { s.CallerCert, s.CallerKey, s.CallerPlain = cert, key, true })
+	trusted, old := trusting(t, cert), trusting(t, cert)
+	if transport, ok := old.Transport.(*http.Transport); ok {
+		transport.TLSClientConfig.MinVersion, transport.TLSClientConfig.MaxVersion = 0, tls.VersionTLS12
+	}
+	caller, operator := "://"+secure.CallerAddress()+"/v1/none", "://"+secure.OperatorAddress()+"/healthz"
+	cases := map[string]struct {
+		client *http.Client
+		url    string
+		want   int
+	}{
+		"caller":                       {trusted, "https" + caller, http.StatusNotFound},
+		"operator":                     {trusted, "https" + operator, http.StatusOK},
+		"caller, plain":                {trusted, "http" + caller, http.StatusBadRequest},
+		"operator, plain":              {trusted, "http" + operator, http.StatusBadRequest},
+		"caller, TLS 1.2":              {old, "https" + caller, 0},
+		"operator, TLS 1.2":            {old, "https" + operator, 0},
+		"other authority":              {trusting(t, other), "https" + operator, 0},
+		"authorities of the system":    {trusting(t, ""), "https" + operator, 0},
+		"balancer, caller, plain":      {trusted, "http://" + balanced.CallerAddress() + "/v1/none", http.StatusNotFound},
+		"balancer, operator":           {trusted, "https://" + balanced.OperatorAddress() + "/healthz", http.StatusOK},
+		"balancer, operator, no plain": {trusted, "http://" + balanced.OperatorAddress() + "/healthz", http.StatusBadRequest},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			if got := status(t, c.client, c.url); got != c.want {
+				t.Errorf("got status %d, want %d", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -43,7 +44,8 @@
 	metrics    *metrics.Set
 	store      platform.Store
 	hosts      platform.HostList
-	certs      *peer.Certificates
+	certs      *peer.Certificates // nil without TLS between daemons
+	portCerts  *peer.Certificates // of the caller and operator ports; nil without TLS on them
 	node       *peer.Node
 	members    *member.Group
 	table      *ownership.Table
@@ -149,13 +151,14 @@
 	if d.operL, err = listen(ctx, d.settings.OperatorListen); err != nil {
 		return err
 	}
-	if err := d.secure(); err != nil {
-		return err
-	}
+	d.secure()
 	base, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	d.cancel = cancel
 	d.group, base = errgroup.WithContext(base)
 	d.callerS, d.operS = d.callers.HTTP(), d.operators.HTTP()
+	// Failed handshakes go to the daemon's log instead of the standard one.
+	errorLog := slog.NewLogLogger(logr.ToSlogHandler(d.log.WithName("http")), slog.LevelInfo)
+	d.callerS.ErrorLog, d.operS.ErrorLog = errorLog, errorLog
 	for name, run := range map[string]func(context.Context) error{
 		"peers":         func(ctx context.Context) error { return d.node.Serve(ctx, d.peerL) },
 		"members":       d.members.Run,
--- a/internal/peer/certificates.go
+++ b/internal/peer/certificates.go
@@ -25,7 +25,7 @@
 type CertificateSource struct {
 	Certificate string // the member's chain, own certificate first
 	Key         string
-	Authorities string // certificates that peers must be signed by
+	Authorities string // certificates that peers must be signed by; empty for a port that verifies no clients
 }
 
 // Certificates holds the TLS material of a member and replaces it on Reload.
@@ -83,14 +83,17 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("read key: %w", err)
 	}
-	authorities, err := readPEM(s.Authorities)
-	if err != nil {
-		return nil, nil, fmt.Errorf("read authorities: %w", err)
-	}
 	own, err := tls.X509KeyPair(chain, key)
 	if err != nil {
 		return nil, nil, fmt.Errorf("parse certificate and key: %w", err)
 	}
+	if s.Authorities == "" {
+		return &own, nil, nil
+	}
+	authorities, err := readPEM(s.Authorities)
+	if err != nil {
+		return nil, nil, fmt.Errorf("read authorities: %w", err)
+	}
 	roots := x509.NewCertPool()
 	if !roots.AppendCertsFromPEM(authorities) {
 		return nil, nil, errors.New("parse authorities: no certificate found")
@@ -127,6 +130,9 @@
 	c.lock.RLock()
 	roots := c.roots
 	c.lock.RUnlock()
+	if roots == nil { // The verification would fall back to the system's authorities.
+		return errors.New("no authorities are set")
+	}
 	options := x509.VerifyOptions{
 		Roots: roots, Intermediates: x509.NewCertPool(), CurrentTime: c.now(), KeyUsages: []x509.ExtKeyUsage{usage},
 	}
@@ -162,6 +168,14 @@
 	}
 }
 
+// HTTPS returns the configuration of a port that verifies no clients. Each handshake uses the newest certificate.
+func (c *Certificates) HTTPS() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13, NextProtos: []string{"http/1.1"},
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return c.current(), nil },
+	}
+}
+
 // accept runs the server side of the handshake and returns what the client's certificate names.
 func (c *Certificates) accept(ctx context.Context, raw net.Conn) (net.Conn, *certificate, error) {
 	outer := c.config(clientAuth)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -76,6 +76,12 @@
 	if (s.CallerCert == "") != (s.CallerKey == "") {
 		return &Error{"caller-certificate", "(incomplete)", "caller-certificate and caller-key together, or none of them"}
 	}
+	if s.CallerCert == "" && !s.CallerPlain && !loopback(s.CallerListen) {
+		return &Error{"caller-listen", s.CallerListen, "a loopback address unless caller-certificate and caller-key, or caller-tls-at-balancer, are set"}
+	}
+	if s.CallerCert == "" && !loopback(s.OperatorListen) {
+		return &Error{"operator-listen", s.OperatorListen, "a loopback address unless caller-certificate and caller-key are set"}
+	}
 	for _, f := range []struct{ name, value string }{
 		{"peer-certificate", s.PeerCertificate},
 		{"peer-key", s.PeerKey},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -35,6 +35,7 @@
 	PeerAuthority   string
 	CallerCert      string
 	CallerKey       string
+	CallerPlain     bool // the balancer ends TLS in front of the caller port
 
 	OperatorToken   string
 	Signers         []string
@@ -109,6 +110,7 @@
 	f.StringVar(&s.PeerAuthority, "peer-authority", "", "certificates that sign the other daemons' certificates: PEM text or the path of a file")
 	f.StringVar(&s.CallerCert, "caller-certificate", "", "certificate of the caller and operator ports: PEM text or the path of a file")
 	f.StringVar(&s.CallerKey, "caller-key", "", "private key of the caller certificate: PEM text or the path of a file")
+	f.BoolVar(&s.CallerPlain, "caller-tls-at-balancer", false, "the caller port speaks plain HTTP on any address, because the platform's balancer ends TLS in front of it; the caller certificate is then used by the operator port alone")
 	f.StringVar(&s.OperatorToken, "operator-token", "", "credential of the operator endpoints that change or show state, at least 16 bytes")
 	f.StringSliceVar(&s.Signers, "signers", nil, "Ed25519 public keys of the operators who sign bundles, base64, separated by commas")
 	f.IntVar(&s.RequiredSigners, "required-signers", 1, "number of distinct operators who must sign a bundle")
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -4,6 +4,8 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -17,8 +19,13 @@
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 )
 
-// maxAnswerBytes bounds an answer that is read into memory.
-const maxAnswerBytes = 64 << 20
+const (
+	// maxAnswerBytes bounds an answer that is read into memory.
+	maxAnswerBytes = 64 << 20
+	idlePerHost    = 64
+	// idleTimeout is below the two minutes after which a daemon closes an idle connection.
+	idleTimeout = time.Minute
+)
 
 // Client calls one cell through one or more addresses. It is safe for concurrent use.
 type Client struct {
@@ -27,7 +34,8 @@
 	http *http.Client
 }
 
-// New returns a client for a base URL such as http://10.0.0.5:7100 with a team's key, which may be empty for open queues.
+// New returns a client for a base URL such as https://10.0.0.5:7100 with a team's key, which may be empty for open queues.
+// The HTTP client h may be made by NewHTTP; nil means http.DefaultClient.
 func New(base, key string, h *http.Client) *Client {
 	if h == nil {
 		h = http.DefaultClient
@@ -35,6 +43,20 @@
 	return &Client{base: strings.TrimSuffix(base, "/"), key: key, http: h}
 }
 
+// NewHTTP returns an HTTP client that trusts the certificates in PEM instead of the system's; empty means the system's.
+func NewHTTP(authority []byte) (*http.Client, error) {
+	c := &tls.Config{MinVersion: tls.VersionTLS13}
+	if len(authority) > 0 {
+		c.RootCAs = x509.NewCertPool()
+		if !c.RootCAs.AppendCertsFromPEM(authority) {
+			return nil, errors.New("parse authority: no certificate found")
+		}
+	}
+	return &http.Client{Transport: &http.Transport{
+		Proxy: http.ProxyFromEnvironment, TLSClientConfig: c, MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: idleTimeout,
+	}}, nil
+}
+
 // Request runs a synchronous request. A *api.Problem error carries the outcome of a refused request; any other
 // error means that the answer did not arrive, so the outcome is unknown.
 func (c *Client) Request(ctx context.Context, s api.Spec) (api.Answer, error) {
