Renew the certificates of the caller and operator ports with the reload call

Cause: /v1/certificates/reload read only the peer certificates again; the certificate of the caller and operator ports needed a replaced daemon.

The call now renews both sets. New handshakes use the new certificate and open connections go on. A set whose files are missing, don't match or aren't valid now keeps its old certificate, and the call answers with an error that names it. The same holds for an expired peer certificate, which was taken before.

Before: with the rotation and the peer package as they were, all five cases of TestReload fail (go test -run TestReload ./internal/daemon). After: all pass, three times with -race; without the check of the validity the case "expired" fails.

Conclusion: no certificate needs a restart, and a broken one changes nothing.

--- a/internal/daemon/certificates_test.go
+++ b/internal/daemon/certificates_test.go
@@ -7,9 +7,13 @@
 	"crypto/tls"
 	"crypto/x509"
 	"encoding/pem"
+	"errors"
+	"io"
 	"math/big"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -21,6 +25,8 @@
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/client"
 )
 
+const testToken = "token-of-the-daemon-test"
+
 // selfSigned returns a certificate of 127.0.0.1 and its key in PEM.
 func selfSigned(t *testing.T, serial int64, until time.Time) (certificate, key string) {
 	t.Helper()
@@ -52,7 +58,7 @@
 	var s settings.Serve
 	s.Flags(pflag.NewFlagSet("serve", pflag.ContinueOnError))
 	s.Member, s.Region, s.DataCentre, s.StoreURL = "m1", "sfax", "sfax-a", "http://127.0.0.1:1"
-	s.OperatorToken, s.Signers = "token-of-the-daemon-test", []string{"AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA="}
+	s.OperatorToken, s.Signers = testToken, []string{"AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA="}
 	s.CallerListen, s.OperatorListen = "127.0.0.1:0", "127.0.0.1:0"
 	var err error
 	if s.PeerListen, err = cell.FreeAddress(); err != nil {
@@ -80,17 +86,19 @@
 	return c
 }
 
-// status returns the status of a GET, or 0 when there was no answer.
-func status(t *testing.T, c *http.Client, url string) int {
+// status returns the status of a call, or 0 when there was no answer.
+func status(t *testing.T, c *http.Client, method, url string) int {
 	t.Helper()
-	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, url, nil)
+	r, err := http.NewRequestWithContext(t.Context(), method, url, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
+	r.Header.Set("Authorization", "Bearer "+testToken)
 	reply, err := c.Do(r)
 	if err != nil {
 		return 0
 	}
+	_, _ = io.Copy(io.Discard, reply.Body) // so that the connection is used again
 	_ = reply.Body.Close()
 	return reply.StatusCode
 }
@@ -125,9 +133,66 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			if got := status(t, c.client, c.url); got != c.want {
+			if got := status(t, c.client, http.MethodGet, c.url); got != c.want {
 				t.Errorf("got status %d, want %d", got, c.want)
 			}
 		})
 	}
 }
+
+// Guards against a certificate of the caller and operator ports that is renewed only by a restart, and against a broken
+// one that replaces a working one, breaks connections or isn't reported.
+func TestReload(t *testing.T) {
+	old, oldKey := selfSigned(t, 1, time.Now().Add(time.Hour))
+	fresh, freshKey := selfSigned(t, 2, time.Now().Add(time.Hour))
+	expired, expiredKey := selfSigned(t, 3, time.Now().Add(-time.Minute))
+	cases := map[string]struct {
+		cert, key string
+		renewed   bool
+	}{
+		"new certificate":     {fresh, freshKey, true},
+		"key of another":      {fresh, oldKey, false},
+		"damaged certificate": {"-----BEGIN CERTIFICATE-----", freshKey, false},
+		"empty file":          {"", freshKey, false},
+		"expired":             {expired, expiredKey, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			directory := t.TempDir()
+			certFile, keyFile := filepath.Join(directory, "cert"), filepath.Join(directory, "key")
+			write := func(cert, key string) {
+				if err := errors.Join(os.WriteFile(certFile, []byte(cert), 0o600), os.WriteFile(keyFile, []byte(key), 0o600)); err != nil {
+					t.Fatal(err)
+				}
+			}
+			write(old, oldKey)
+			d := startAlone(t, func(s *settings.Serve) { s.CallerCert, s.CallerKey = certFile, keyFile })
+			caller, operator := "https://"+d.CallerAddress()+"/v1/none", "https://"+d.OperatorAddress()
+			before := trusting(t, old)
+			seen := func(c *http.Client) [2]int {
+				return [2]int{status(t, c, http.MethodGet, caller), status(t, c, http.MethodGet, operator+"/healthz")}
+			}
+			none, served := [2]int{}, [2]int{http.StatusNotFound, http.StatusOK}
+			if got := seen(before); got != served {
+				t.Fatalf("before the reload: %v", got)
+			}
+			write(c.cert, c.key)
+			if got := status(t, before, http.MethodPost, operator+"/v1/certificates/reload"); (got == http.StatusOK) != c.renewed {
+				t.Errorf("the reload answered with status %d", got)
+			}
+			oldSees, newSees := served, none
+			if c.renewed {
+				oldSees, newSees = none, served
+			}
+			if got := seen(before); got != served {
+				t.Errorf("open connections: %v", got)
+			}
+			if got := seen(trusting(t, old)); got != oldSees {
+				t.Errorf("new connections that trust the old certificate: %v", got)
+			}
+			if got := seen(trusting(t, fresh)); got != newSees {
+				t.Errorf("new connections that trust the new certificate: %v", got)
+			}
+		})
+	}
+}
--- a/internal/daemon/dump.go
+++ b/internal/daemon/dump.go
@@ -1,7 +1,11 @@
 package daemon
 
 import (
+	"errors"
+	"fmt"
+
 	"github.com/rosemaryspoke/rosemaryspoke/internal/member"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/peer"
 )
 
 // state is the dump of a whole daemon. It holds no keys and no payloads.
@@ -31,10 +35,19 @@
 	}
 }
 
-// rotate loads the peer certificates again.
+// rotate loads the certificates of all ports again. Each of the two sets keeps its old material when its own fails.
 func (d *Daemon) rotate() error {
-	if d.certs == nil {
-		return nil
+	var failed error
+	for _, set := range []struct {
+		name         string
+		certificates *peer.Certificates
+	}{{"peer", d.certs}, {"caller", d.portCerts}} {
+		if set.certificates == nil {
+			continue
+		}
+		if err := set.certificates.Reload(); err != nil {
+			failed = errors.Join(failed, fmt.Errorf("the %s certificate stays as it was: %w", set.name, err))
+		}
 	}
-	return d.certs.Reload()
+	return failed
 }
--- a/internal/peer/certificates.go
+++ b/internal/peer/certificates.go
@@ -57,12 +57,15 @@
 	return c.Replace(source)
 }
 
-// Replace is Reload with a new source.
+// Replace is Reload with a new source. A certificate that isn't valid now doesn't replace another one.
 func (c *Certificates) Replace(source CertificateSource) error {
 	own, roots, err := source.load()
 	if err != nil {
 		return err
 	}
+	if now := c.now(); c.current() != nil && (now.Before(own.Leaf.NotBefore) || now.After(own.Leaf.NotAfter)) {
+		return fmt.Errorf("certificate is valid from %s to %s, not now", own.Leaf.NotBefore, own.Leaf.NotAfter)
+	}
 	c.lock.Lock()
 	c.source, c.own, c.roots = source, own, roots
 	reloaded := c.reloaded
