Add member list and member remove for operators

Cause: when all daemons of a region die their members stay in the view as unreachable, because a lost link looks the same, and no call existed with which an operator could remove them.

Only the wait for a vanished region is left out. The last member that isn't unreachable stays; the evaluator follows that rule too, which two evaluators that removed each other could break.

Before: 404 for both paths; the dead members stayed for good.

Conclusion: an operator can clear a dead region.

--- a/internal/claim/history.go
+++ b/internal/claim/history.go
@@ -154,7 +154,8 @@
 }
 
 // fresh reports whether the region is new: every member is in its first incarnation and none was ever settled. A
-// region that lost all members isn't taken for new, because those stay in the view as unreachable.
+// region that lost all members isn't taken for new: those stay in the view as unreachable, and the incarnation of a
+// member that joins after an operator removed them is the later epoch.
 func (b *Book) fresh() bool {
 	for _, v := range b.views {
 		if len(v.Settled) > 0 {
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -138,7 +138,7 @@
 	f.StringVar(&o.token, "token", "", "credential for the operator port; better given in the environment")
 	f.StringVarP(&o.output, "output", "o", "table", "output format: table or json")
 	f.DurationVar(&o.timeout, "timeout", time.Minute, "longest time of the command")
-	root.AddCommand(newServe(), newJob(o), newRequest(o), newBundle(o), newKey(o), newHost(o), newState(o),
+	root.AddCommand(newServe(), newJob(o), newRequest(o), newBundle(o), newKey(o), newHost(o), newMember(o), newState(o),
 		newDemo(o), newStandin(), newSettings(), newVersion())
 	requireSubcommand(root)
 	return root
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/go-logr/logr"
 
@@ -152,3 +153,37 @@
 		t.Errorf("keys before:\n%s\nafter the withdrawal:\n%s", before, now)
 	}
 }
+
+// Guards against member commands that end with a code that hides a refusal, or that lose the confirmation.
+func TestMemberCommands(t *testing.T) {
+	c, err := demo.Start(t.Context(), demo.Config{
+		Sites: []demo.Site{{Member: "m1", Region: "sfax", DataCentre: "sfax-a"}, {Member: "m2", Region: "sfax", DataCentre: "sfax-b"}},
+		Log:   logr.Discard(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	t.Setenv("ROSEMARYSPOKE_OPERATOR_ADDRESS", "http://"+c.Daemon("m1").OperatorAddress())
+	t.Setenv("ROSEMARYSPOKE_TOKEN", demo.Token)
+	for _, step := range []struct {
+		args []string
+		code int
+		want string
+	}{
+		{[]string{"list"}, ExitOK, "held"},
+		{[]string{"remove", "m9"}, ExitNotRun, "no such member"},
+		{[]string{"remove", "m2"}, ExitNotRun, "still runs"},
+		{[]string{"remove", "m2", "--confirm-running"}, ExitOK, "m2"},
+	} {
+		code, out, errOut := run(t, append([]string{"member"}, step.args...)...)
+		// A daemon removes nobody before it has seen the store healthy for one lease period.
+		for tries := 0; tries < 200 && strings.Contains(errOut, "can't be removed now"); tries++ {
+			time.Sleep(50 * time.Millisecond)
+			code, out, errOut = run(t, append([]string{"member"}, step.args...)...)
+		}
+		if code != step.code || !strings.Contains(out+errOut, step.want) {
+			t.Errorf("%v: code %d, output %q, error %q", step.args, code, out, errOut)
+		}
+	}
+}
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -373,7 +373,8 @@
 	var err error
 	d.operators, err = operator.New(operator.Config{
 		Token: d.settings.OperatorToken, Ready: d.Ready, Dump: d.dump, Metrics: d.metrics, Rollout: d.rollout,
-		Hosts: d.listHosts, Drain: d.drainHost, Owner: d.ownerOf, Rotate: d.rotate, Log: d.log.WithName("operator"),
+		Hosts: d.listHosts, Drain: d.drainHost, Owner: d.ownerOf, Rotate: d.rotate,
+		Members: d.members.List, Remove: d.members.Remove, Log: d.log.WithName("operator"),
 	})
 	if err != nil {
 		return fmt.Errorf("create operator server: %w", err)
--- a/internal/member/evaluate.go
+++ b/internal/member/evaluate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -247,46 +246,63 @@
 	return []verdict{{member: m}}
 }
 
-// execute reads the presence keys once more and changes the record, unless the evaluation took so long that it is
-// outdated.
+// execute reads the presence keys once more and changes the record.
 func (g *Group) execute(ctx context.Context, verdicts []verdict, started time.Time) error {
-	items, err := g.store.list(ctx, PrefixAlive)
+	alive, err := g.present(ctx, started)
 	if err != nil {
-		return fmt.Errorf("confirm absence: %w", err)
+		return err
 	}
-	alive := presentInstances(items)
-	verdicts = slices.DeleteFunc(verdicts, func(v verdict) bool {
+	_, err = g.apply(ctx, slices.DeleteFunc(verdicts, func(v verdict) bool {
 		_, present := alive[v.member.ID]
 		return present && v.next != Active
-	})
+	}))
+	return err
+}
+
+// present reads the presence keys after the probes, and fails unless the store has been healthy for one lease
+// period and the evaluation is recent.
+func (g *Group) present(ctx context.Context, started time.Time) (map[ident.MemberID]string, error) {
+	items, err := g.store.list(ctx, PrefixAlive)
+	if err != nil {
+		return nil, fmt.Errorf("confirm absence: %w", err)
+	}
 	limit := g.config.LeaseTTL + 2*(directProbes+1)*g.config.ProbeTimeout
 	if g.config.Now().Sub(started) > limit || !g.health.steady(g.config.LeaseTTL) {
-		return errors.New("evaluation took too long and is dropped")
+		return nil, fmt.Errorf("%w: the store has not been healthy for one lease period, or the probes took too long", ErrNotNow)
 	}
+	return presentInstances(items), nil
+}
+
+// apply changes the record and returns the verdicts that were carried out. A verdict on an entry that has changed
+// since is left out, and so is the removal of the last member that isn't unreachable: evaluators that remove each
+// other must not leave a view without members.
+func (g *Group) apply(ctx context.Context, verdicts []verdict) ([]verdict, error) {
 	var done []verdict
-	err = g.change(ctx, func(next *record) bool {
+	err := g.change(ctx, func(next *record) bool {
 		done = done[:0]
 		for _, v := range verdicts {
 			e := next.find(v.member.ID)
 			if e == nil || e.Incarnation != v.member.Incarnation || e.State != v.member.State {
 				continue
 			}
-			if v.next == "" {
+			if v.next != "" {
+				e.State = v.next
+			} else if slices.ContainsFunc(next.Members, func(o entry) bool { return o.ID != e.ID && o.State != Unreachable }) {
 				next.remove(v.member.ID)
 			} else {
-				e.State = v.next
+				continue
 			}
 			done = append(done, v)
 		}
 		return len(done) > 0
 	})
 	if err != nil {
-		return err
+		return nil, err
 	}
 	for _, v := range done {
 		g.count(v)
 	}
-	return nil
+	return done, nil
 }
 
 func (g *Group) count(v verdict) {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -17,6 +17,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/rosemaryspoke/rosemaryspoke/internal/caller"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/member"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/platform"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/rollout"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
@@ -41,6 +42,8 @@
 	Hosts   func(ctx context.Context) ([]platform.Host, error)
 	Drain   func(ctx context.Context, host ident.HostID, undo bool) ([]ident.HostID, error)
 	Owner   func(platform.Host) ident.MemberID
+	Members func() []member.Status
+	Remove  func(ctx context.Context, id ident.MemberID, confirmed bool) (member.Member, error)
 	Rotate  func() error
 	Log     logr.Logger
 }
@@ -72,6 +75,8 @@
 		{http.MethodGet, "/v1/bundle/status", "read bundle status", s.status},
 		{http.MethodGet, "/v1/hosts", "read hosts", s.hosts},
 		{http.MethodPost, "/v1/hosts/drain", "drain host", s.drain},
+		{http.MethodGet, "/v1/members", "read members", func(*http.Request) (any, error) { return c.Members(), nil }},
+		{http.MethodPost, "/v1/members/remove", "remove member", s.remove},
 		{http.MethodPost, "/v1/certificates/reload", "reload certificates", s.rotate},
 	} {
 		s.router.Handle(route.path, s.guard(route.action, route.handler)).Methods(route.method)
@@ -133,6 +138,8 @@
 		return fmt.Sprintf("version %d %s", r.Receipt.Version, r.Receipt.Outcome)
 	case []ident.HostID:
 		return fmt.Sprintf("drained hosts: %v", r)
+	case member.Member:
+		return fmt.Sprintf("removed %s incarnation %d, which was %s", r.ID, r.Incarnation, r.State)
 	}
 	return "done"
 }
@@ -144,7 +151,16 @@
 	case errors.As(err, &p):
 	case errors.As(err, &conflict):
 		p = api.NewProblem(api.CodeConflict, "expect", "%v", conflict)
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, member.ErrNoMember):
+		p = api.NewProblem(api.CodeNotFound, "member", "%v", err)
+	case errors.Is(err, member.ErrRunning):
+		p = api.NewProblem(api.CodeInvalid, "confirm-running", "%v", err)
+	case errors.Is(err, member.ErrChanged), errors.Is(err, platform.ErrConflict):
+		p = api.NewProblem(api.CodeConflict, "member", "%v", err)
+	case errors.Is(err, platform.ErrUnknownOutcome):
+		p = api.NewProblem(api.CodeUnavailable, "", "%v", err)
+		p.Outcome = api.Unknown
+	case errors.Is(err, member.ErrNotNow), errors.Is(err, platform.ErrUnavailable):
 		p = api.NewProblem(api.CodeUnavailable, "", "%v", err)
 	case errors.Is(err, rollout.ErrUndecided):
 		p = api.NewProblem(api.CodeUnavailable, "", "%v", err)
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -7,6 +7,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"reflect"
@@ -40,6 +41,7 @@
 	key    ed25519.PrivateKey
 	log    bytes.Buffer
 	rotate error
+	remove error
 }
 
 func newConsole(t *testing.T) *console {
@@ -72,9 +74,13 @@
 	c.server, err = New(Config{
 		Token: testToken, Ready: func() bool { return true }, Dump: func() any { return r.Dump() }, Metrics: metrics.NewSet(),
 		Rollout: r, Log: log,
-		Hosts:  func(context.Context) ([]platform.Host, error) { return nil, platform.ErrUnavailable },
-		Owner:  func(platform.Host) ident.MemberID { return "m1" },
-		Rotate: func() error { return c.rotate },
+		Hosts:   func(context.Context) ([]platform.Host, error) { return nil, platform.ErrUnavailable },
+		Owner:   func(platform.Host) ident.MemberID { return "m1" },
+		Rotate:  func() error { return c.rotate },
+		Members: func() []member.Status { return []member.Status{{Member: self, Lease: member.LeaseHeld}} },
+		Remove: func(_ context.Context, id ident.MemberID, _ bool) (member.Member, error) {
+			return member.Member{ID: id, Incarnation: 7, State: member.Unreachable}, c.remove
+		},
 		Drain: func(_ context.Context, h ident.HostID, _ bool) ([]ident.HostID, error) {
 			return []ident.HostID{h}, nil
 		},
@@ -151,6 +157,9 @@
 		"hosts, none":        {"GET /v1/hosts", "", 401},
 		"drain, wrong":       {"POST /v1/hosts/drain", wrongToken, 401},
 		"certificates, none": {"POST /v1/certificates/reload", "", 401},
+		"members, none":      {"GET /v1/members", "", 401},
+		"members":            {"GET /v1/members", testToken, 200},
+		"removal, wrong":     {"POST /v1/members/remove", wrongToken, 401},
 		"hosts, store down":  {"GET /v1/hosts", testToken, 503},
 		"health":             {"GET /healthz", "", 200},
 		"readiness":          {"GET /readyz", "", 200},
@@ -200,6 +209,13 @@
 		"wrong host": {func(c *console) *httptest.ResponseRecorder {
 			return c.send("POST /v1/hosts/drain", testToken, `{"host":"-"}`)
 		}, []string{`"drain host"`, `"ok"=false`, "host"}},
+		"removal": {func(c *console) *httptest.ResponseRecorder {
+			return c.send("POST /v1/members/remove", testToken, `{"member":"m2"}`)
+		}, []string{`"remove member"`, `"ok"=true`, "removed m2 incarnation 7"}},
+		"refused removal": {func(c *console) *httptest.ResponseRecorder {
+			c.remove = member.ErrRunning
+			return c.send("POST /v1/members/remove", testToken, `{"member":"m2"}`)
+		}, []string{`"remove member"`, `"ok"=false`, "m2", "still runs"}},
 		"certificates": {func(c *console) *httptest.ResponseRecorder {
 			c.rotate = errors.New("expired")
 			return c.send("POST /v1/certificates/reload", testToken, "")
@@ -220,6 +236,35 @@
 	}
 }
 
+// Guards against a refused removal whose answer hides the reason, or says "not run" while the record may have changed.
+func TestRemovalProblems(t *testing.T) {
+	cases := map[string]struct {
+		err     error
+		code    api.Code
+		outcome api.Outcome
+	}{
+		"running":        {member.ErrRunning, api.CodeInvalid, api.NotRun},
+		"last":           {member.ErrLast, api.CodeInvalid, api.NotRun},
+		"not a member":   {member.ErrNoMember, api.CodeNotFound, api.NotRun},
+		"not now":        {member.ErrNotNow, api.CodeUnavailable, api.NotRun},
+		"changed":        {member.ErrChanged, api.CodeConflict, api.NotRun},
+		"many conflicts": {platform.ErrConflict, api.CodeConflict, api.NotRun},
+		"store down":     {platform.ErrUnavailable, api.CodeUnavailable, api.NotRun},
+		"reply lost":     {fmt.Errorf("%w: %w", platform.ErrUnknownOutcome, platform.ErrUnavailable), api.CodeUnavailable, api.Unknown},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			o := newConsole(t)
+			o.remove = c.err
+			var p api.Problem
+			w := o.send("POST /v1/members/remove", testToken, `{"member":"m2"}`)
+			if err := json.Unmarshal(w.Body.Bytes(), &p); err != nil || p.Code != c.code || p.Outcome != c.outcome {
+				t.Errorf("got %s, %v", w.Body, err)
+			}
+		})
+	}
+}
+
 // Guards against a bundle that is read without its key hashes: publishing it again, as key grant does, withdraws
 // every key.
 func TestBundleIsShownWithKeyHashes(t *testing.T) {
