Keep the claim region of a removed team

Cause: the rule that a claim region can't change compared only two successive versions. A team that was removed and added again could get another region, where a resubmission doesn't find the first claim. While it was removed, the holders also knew no region for its claims and handed none on after a change of the view, so that the claims were lost even when the region stayed the same.

The index now keeps a segment for each removed team with its region, signed with the rest. Claims are handed on for it, and a publish that adds the team in another region is refused. No clock is involved, so every daemon finds the same digest.

TestDeltaHoldsWhatChanged compared the number of segments; a removal now adds one, so it compares their names, which is at least as strict.

Conclusion: removing a team and adding it again can't break "at most once".

--- a/internal/bundle/bundle.go
+++ b/internal/bundle/bundle.go
@@ -11,6 +11,15 @@
 type Bundle struct {
 	Teams  []Team  `json:"teams" yaml:"teams"`
 	Queues []Queue `json:"queues" yaml:"queues"`
+	// Retired is kept by Retire and isn't written by operators.
+	Retired []Retired `json:"-" yaml:"-"`
+}
+
+// Retired is a removed team. Its claims may still be asked for when the team is added again.
+type Retired struct {
+	ID          ident.TeamID  `json:"id"`
+	ClaimRegion ident.Region  `json:"claim-region"`
+	Since       ident.Version `json:"since"` // first version without the team
 }
 
 // Team is a team with its share, limit and keys.
--- a/internal/bundle/bundle_test.go
+++ b/internal/bundle/bundle_test.go
@@ -135,11 +135,54 @@
 	}
 }
 
+// Guards against a removed team whose claim region is forgotten, that stays retired after its return or that pushes a
+// later one out.
+func TestRetire(t *testing.T) {
+	many := make([]Retired, MaxRetired)
+	for i := range many {
+		many[i] = Retired{ID: ident.TeamID(fmt.Sprintf("old-%04d", i)), ClaimRegion: "x", Since: 1}
+	}
+	team := Team{ID: "a", ClaimRegion: "sfax"}
+	gone := Retired{ID: "a", ClaimRegion: "sfax", Since: 3}
+	cases := map[string]struct {
+		before Bundle
+		after  []Team
+		want   []Retired // the first ones
+		total  int
+	}{
+		"removed":  {Bundle{Teams: []Team{team}}, nil, []Retired{gone}, 1},
+		"stays":    {Bundle{Teams: []Team{team}}, []Team{team}, nil, 0},
+		"retired":  {Bundle{Retired: []Retired{gone}}, nil, []Retired{gone}, 1},
+		"returned": {Bundle{Retired: []Retired{gone}}, []Team{team}, nil, 0},
+		"full":     {Bundle{Teams: []Team{team}, Retired: many}, nil, []Retired{gone}, MaxRetired},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			next := Bundle{Teams: c.after, Retired: Retire(c.before, Bundle{Teams: c.after}, 3)}
+			if len(next.Retired) != c.total || !slices.Equal(next.Retired[:len(c.want)], c.want) {
+				t.Fatalf("got %d retired teams", len(next.Retired))
+			}
+			joined, err := Join(Split(next))
+			if err != nil || len(joined.Retired) != c.total {
+				t.Fatalf("joined again: %d retired teams, %v", len(joined.Retired), err)
+			}
+			if region, ok := Compile(joined, 3).ClaimRegion("a"); !ok || region != "sfax" {
+				t.Errorf("claim region %q", region)
+			}
+			moved := Bundle{Teams: []Team{{ID: "a", ClaimRegion: "tunis"}}}
+			if err := CheckSuccessor(joined, moved); !errors.Is(err, ErrClaimRegion) {
+				t.Errorf("added again in another region: %v", err)
+			}
+		})
+	}
+}
+
 // Guards against segments that are taken for something that they aren't.
 func TestJoinRefuses(t *testing.T) {
 	cases := map[string]func(map[string][]byte){
 		"keys without team":  func(s map[string][]byte) { delete(s, "team/team-000") },
 		"content of another": func(s map[string][]byte) { s["team/team-000"] = s["team/team-001"] },
+		"retired, another":   func(s map[string][]byte) { s["retired/x"] = []byte(`{"id":"y","claim-region":"x","since":1}`) },
 		"unknown kind":       func(s map[string][]byte) { s["limit/x"] = []byte("{}") },
 		"unknown field":      func(s map[string][]byte) { s["queue/queue-00"] = []byte(`{"id":"queue-00","cost":1}`) },
 		"keys inside a team": func(s map[string][]byte) { s["team/team-000"] = []byte(`{"id":"team-000","keys":[]}`) },
--- a/internal/bundle/compile.go
+++ b/internal/bundle/compile.go
@@ -33,6 +33,7 @@
 	queues  map[ident.QueueID]*compiledQueue
 	byTeam  []Team
 	byQueue []Queue
+	regions map[ident.TeamID]ident.Region
 }
 
 type compiledTeam struct {
@@ -53,6 +54,7 @@
 		queues:  make(map[ident.QueueID]*compiledQueue, len(b.Queues)),
 		byTeam:  slices.Clone(b.Teams),
 		byQueue: slices.Clone(b.Queues),
+		regions: claimRegions(b),
 	}
 	slices.SortFunc(c.byTeam, func(a, b Team) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	slices.SortFunc(c.byQueue, func(a, b Queue) int { return strings.Compare(string(a.ID), string(b.ID)) })
@@ -93,6 +95,12 @@
 	return Team{}, false
 }
 
+// ClaimRegion returns the claim region of a team, present or retired.
+func (c *Compiled) ClaimRegion(id ident.TeamID) (ident.Region, bool) {
+	region, ok := c.regions[id]
+	return region, ok
+}
+
 // Queue returns the queue.
 func (c *Compiled) Queue(id ident.QueueID) (Queue, bool) {
 	if q, ok := c.queues[id]; ok {
--- a/internal/bundle/diff.go
+++ b/internal/bundle/diff.go
@@ -1,10 +1,13 @@
 package bundle
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"slices"
 	"strings"
+
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 )
 
 // ErrClaimRegion reports a change of a published team's claim region. A retry of a non-idempotent
@@ -33,7 +36,8 @@
 	return strings.TrimSpace(string(c.Action) + " " + c.Segment + " " + c.Detail)
 }
 
-// Diff returns the changed segments in name order; the order of teams, queues and keys doesn't matter.
+// Diff returns the changed segments in name order; the order of teams, queues and keys doesn't matter. Retired teams
+// are left out, because they follow from the removed ones.
 func Diff(before, after Bundle) []Change {
 	was, is := describe(before), describe(after)
 	var changes []Change
@@ -55,16 +59,46 @@
 	return changes
 }
 
-// CheckSuccessor returns ErrClaimRegion when a team of before has another claim region in after.
+// CheckSuccessor returns ErrClaimRegion when a team of before, present or retired, has another claim region in after.
 func CheckSuccessor(before, after Bundle) error {
+	regions := claimRegions(before)
 	for i, t := range after.Teams {
-		if at := teamAt(before, t.ID); at >= 0 && before.Teams[at].ClaimRegion != t.ClaimRegion {
-			return fmt.Errorf("teams[%d].claim-region: %s to %s: %w", i, before.Teams[at].ClaimRegion, t.ClaimRegion, ErrClaimRegion)
+		if was, ok := regions[t.ID]; ok && was != t.ClaimRegion {
+			return fmt.Errorf("teams[%d].claim-region: %s to %s: %w", i, was, t.ClaimRegion, ErrClaimRegion)
 		}
 	}
 	return nil
 }
 
+// claimRegions returns the claim regions of the present and the retired teams.
+func claimRegions(b Bundle) map[ident.TeamID]ident.Region {
+	regions := make(map[ident.TeamID]ident.Region, len(b.Teams)+len(b.Retired))
+	for _, r := range b.Retired {
+		regions[r.ID] = r.ClaimRegion
+	}
+	for _, t := range b.Teams {
+		regions[t.ID] = t.ClaimRegion
+	}
+	return regions
+}
+
+// MaxRetired bounds the retired teams; the first removed are dropped. At the 27,000 changes per day that are expected
+// this many removals take hours, and claims are kept for 10 minutes by default.
+const MaxRetired = 4 * MaxTeams
+
+// Retire returns the retired teams of the version that puts after in the place of before. They depend on nothing else,
+// so that every daemon finds the same digest to sign.
+func Retire(before, after Bundle, version ident.Version) []Retired {
+	retired := slices.Clone(before.Retired)
+	for _, t := range before.Teams {
+		retired = append(retired, Retired{ID: t.ID, ClaimRegion: t.ClaimRegion, Since: version})
+	}
+	present := claimRegions(Bundle{Teams: after.Teams})
+	retired = slices.DeleteFunc(retired, func(r Retired) bool { _, ok := present[r.ID]; return ok })
+	slices.SortFunc(retired, func(a, b Retired) int { return cmp.Or(cmp.Compare(b.Since, a.Since), cmp.Compare(a.ID, b.ID)) })
+	return retired[:min(len(retired), MaxRetired)]
+}
+
 // described is a segment's canonical value and its printable fields.
 type described struct {
 	value  string
@@ -73,6 +107,7 @@
 
 func describe(b Bundle) map[string]described {
 	segments := make(map[string]described)
+	b.Retired = nil
 	for name, value := range Split(b) {
 		segments[name] = described{value: string(value)}
 	}
--- a/internal/bundle/segment.go
+++ b/internal/bundle/segment.go
@@ -17,9 +17,10 @@
 
 // Prefixes of segment names; the rest is the id of the team or queue.
 const (
-	teamPrefix  = "team/"
-	keysPrefix  = "keys/"
-	queuePrefix = "queue/"
+	teamPrefix    = "team/"
+	keysPrefix    = "keys/"
+	queuePrefix   = "queue/"
+	retiredPrefix = "retired/"
 )
 
 // ErrSegment reports a segment whose name, content or hash is wrong.
@@ -31,8 +32,8 @@
 	return base64.RawURLEncoding.EncodeToString(sum[:])
 }
 
-// Split cuts a bundle into segments by name: one per team, one per queue and one for the keys of each team that has
-// keys. Equal content gives equal bytes, whatever the order of teams, queues, keys and allowed teams.
+// Split cuts a bundle into segments by name: one per team, present or retired, one per queue and one for the keys of
+// each team that has keys. Equal content gives equal bytes, whatever the order of teams, queues, keys and allowed teams.
 func Split(b Bundle) map[string][]byte {
 	segments := make(map[string][]byte, 2*len(b.Teams)+len(b.Queues))
 	for _, t := range b.Teams {
@@ -49,6 +50,9 @@
 		slices.Sort(q.Teams)
 		segments[queuePrefix+string(q.ID)] = encode(q)
 	}
+	for _, r := range b.Retired {
+		segments[retiredPrefix+string(r.ID)] = encode(r)
+	}
 	return segments
 }
 
@@ -71,7 +75,7 @@
 func Update(b Bundle, changed map[string][]byte, removed []string) (Bundle, error) {
 	u := update{
 		teams: make(map[ident.TeamID]Team, len(b.Teams)), keys: make(map[ident.TeamID][]Key, len(b.Teams)),
-		queues: make(map[ident.QueueID]Queue, len(b.Queues)),
+		queues: make(map[ident.QueueID]Queue, len(b.Queues)), retired: make(map[ident.TeamID]Retired, len(b.Retired)),
 	}
 	for _, t := range b.Teams {
 		if len(t.Keys) > 0 {
@@ -82,6 +86,9 @@
 	for _, q := range b.Queues {
 		u.queues[q.ID] = q
 	}
+	for _, r := range b.Retired {
+		u.retired[r.ID] = r
+	}
 	for _, name := range removed {
 		_, id, _ := strings.Cut(name, "/")
 		switch {
@@ -91,6 +98,8 @@
 			delete(u.keys, ident.TeamID(id))
 		case strings.HasPrefix(name, queuePrefix):
 			delete(u.queues, ident.QueueID(id))
+		case strings.HasPrefix(name, retiredPrefix):
+			delete(u.retired, ident.TeamID(id))
 		}
 	}
 	for name, value := range changed {
@@ -103,9 +112,10 @@
 
 // update is a bundle by ids.
 type update struct {
-	teams  map[ident.TeamID]Team
-	keys   map[ident.TeamID][]Key
-	queues map[ident.QueueID]Queue
+	teams   map[ident.TeamID]Team
+	keys    map[ident.TeamID][]Key
+	queues  map[ident.QueueID]Queue
+	retired map[ident.TeamID]Retired
 }
 
 var errOtherName = errors.New("content doesn't belong to the name")
@@ -137,6 +147,15 @@
 			return err
 		}
 		u.keys[ident.TeamID(id)] = keys
+	case retiredPrefix:
+		var r Retired
+		if err := decode(value, &r); err != nil {
+			return err
+		}
+		if string(r.ID) != id {
+			return errOtherName
+		}
+		u.retired[r.ID] = r
 	default:
 		return errors.New("unknown kind")
 	}
@@ -158,6 +177,9 @@
 	for _, id := range slices.Sorted(maps.Keys(u.queues)) {
 		b.Queues = append(b.Queues, u.queues[id])
 	}
+	for _, id := range slices.Sorted(maps.Keys(u.retired)) {
+		b.Retired = append(b.Retired, u.retired[id])
+	}
 	return b, nil
 }
 
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -58,7 +58,8 @@
 type Config struct {
 	Self func() member.Member
 	View func() member.View
-	// Region returns the claim region of a team, which never changes.
+	// Region returns the claim region of a team, which never changes. It must know removed teams too, as long as their
+	// claims are kept: holders must go on handing them over, and the team may be added again.
 	Region func(ident.TeamID) (ident.Region, bool)
 	// Call sends acquire, complete, release or lookup to a holder.
 	Call func(ctx context.Context, to ident.MemberID, method string, r wire.ClaimRequest) (wire.ClaimReply, error)
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -271,8 +271,7 @@
 	d.claims, err = claim.New(claim.Config{
 		Self: d.members.Self, View: d.members.View,
 		Region: func(t ident.TeamID) (ident.Region, bool) {
-			team, ok := d.rollout.Current().Team(t)
-			return team.ClaimRegion, ok
+			return d.rollout.Current().ClaimRegion(t)
 		},
 		Call: func(ctx context.Context, to ident.MemberID, method string, r wire.ClaimRequest) (wire.ClaimReply, error) {
 			return peer.Call[wire.ClaimRequest, wire.ClaimReply](ctx, d.node, to, method, r)
--- a/internal/rollout/publish.go
+++ b/internal/rollout/publish.go
@@ -184,6 +184,7 @@
 	if err := bundle.CheckSuccessor(from.bundle, b); err != nil {
 		return bundle.Index{}, nil, err
 	}
+	b.Retired = bundle.Retire(from.bundle, b, from.version()+1)
 	segments := bundle.Split(b)
 	for name, value := range segments {
 		if len(value) > platform.MaxValueBytes {
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -201,8 +201,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if len(reply.Segments) != 1 || reply.Segments[0].Name != "keys/team-007" || !slices.Equal(reply.Removed, []string{"keys/team-003", "team/team-003"}) {
-		t.Errorf("%d segments, removed %v", len(reply.Segments), reply.Removed)
+	var changed []string
+	for _, s := range reply.Segments {
+		changed = append(changed, s.Name)
+	}
+	slices.Sort(changed)
+	if !slices.Equal(changed, []string{"keys/team-007", "retired/team-003"}) || !slices.Equal(reply.Removed, []string{"keys/team-003", "team/team-003"}) {
+		t.Errorf("segments %v, removed %v", changed, reply.Removed)
 	}
 	if err := c.nodes["a2"].applyReply("a1", reply); err != nil {
 		t.Fatal(err)
@@ -211,6 +216,9 @@
 	if _, ok := current.Team("team-003"); ok || current.Authorize("team-007", "closed", secret) != nil {
 		t.Errorf("version %d lacks a change", current.Version())
 	}
+	if region, ok := current.ClaimRegion("team-003"); !ok || region != "a" {
+		t.Errorf("claim region %q of the removed team", region)
+	}
 }
 
 // Guards against an adoption that loses a race with a newer one and then replaces it.
