End with exit code 5 when no answer came

Cause: api.md says that the outcome is unknown when a connection breaks, and the command line has exit code 5 for that outcome, but it ended with 1 when the daemon couldn't be reached, the connection broke or the answer was cut short.

client.ErrNoAnswer marks every call without a whole answer of a daemon; the command line maps it to 5, for the caller and the operator port.

Before: nine cases of TestCommandLine fail with the former exitCode (unreachable, broken, cut short, an answer that isn't the daemon's). After: all pass (go test -race ./internal/command). The case "daemon not reachable" expected 1 and now expects 5.

Conclusion: a script can tell a call that may have taken effect from one that failed by itself.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -24,8 +24,8 @@
 	ExitUsage    = 2 // wrong flags, arguments or settings
 	ExitNotRun   = 3 // the work did not run and won't
 	ExitFailed   = 4 // the work ran and failed
-	ExitUnknown  = 5 // a run can't be ruled out
-	ExitConflict = 6 // another operator published first
+	ExitUnknown  = 5 // a run can't be ruled out, or no answer came
+	ExitConflict = 6 // another operator was first
 )
 
 // Version is set at build time.
@@ -74,6 +74,8 @@
 			return ExitConflict
 		}
 		return codeOf(problem.Outcome)
+	case errors.Is(err, client.ErrNoAnswer):
+		return ExitUnknown
 	}
 	return ExitFailure
 }
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -70,6 +70,18 @@
 	secure := httptest.NewTLSServer(refusing.Config.Handler)
 	defer secure.Close()
 	authority := string(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: secure.Certificate().Raw}))
+	breaking := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet { // the answer is cut short
+			w.Header().Set("Content-Length", "100")
+			_, _ = w.Write([]byte("{"))
+		}
+		panic(http.ErrAbortHandler)
+	}))
+	defer breaking.Close()
+	foreign := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		http.Error(w, "<html>", http.StatusBadGateway)
+	}))
+	defer foreign.Close()
 	examples := "../../examples/"
 	cases := map[string]struct {
 		args []string
@@ -94,7 +106,15 @@
 		"authority, operator":  {[]string{"key", "list", "--operator-address", secure.URL, "--authority", authority}, ExitUnknown, "down"},
 		"wrong authority":      {[]string{"key", "list", "--authority", wrong}, ExitUsage, "no certificate"},
 		"refused, unknown":     {[]string{"job", "get", "job-1", "--address", refusing.URL}, ExitUnknown, "down"},
-		"daemon not reachable": {[]string{"state", "dump", "--operator-address", "http://127.0.0.1:1"}, ExitFailure, "operator port"},
+		"daemon not reachable": {[]string{"state", "dump", "--operator-address", "http://127.0.0.1:1"}, ExitUnknown, "operator port"},
+		"caller, unreachable":  {[]string{"request", "--address", "http://127.0.0.1:1"}, ExitUnknown, "no answer"},
+		"request, broken":      {[]string{"request", "--address", breaking.URL}, ExitUnknown, "no answer"},
+		"submission, broken":   {[]string{"job", "submit", "--address", breaking.URL}, ExitUnknown, "no answer"},
+		"job, cut short":       {[]string{"job", "get", "job-1", "--address", breaking.URL}, ExitUnknown, "no answer"},
+		"drain, broken":        {[]string{"host", "drain", "h", "--operator-address", breaking.URL}, ExitUnknown, "no answer"},
+		"hosts, cut short":     {[]string{"host", "list", "--operator-address", breaking.URL}, ExitUnknown, "no answer"},
+		"request, no problem":  {[]string{"request", "--address", foreign.URL}, ExitUnknown, "no answer"},
+		"hosts, no problem":    {[]string{"host", "list", "--operator-address", foreign.URL}, ExitUnknown, "no answer"},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/command/job.go
+++ b/internal/command/job.go
@@ -197,7 +197,7 @@
 			return nil
 		}
 		if ctx.Err() != nil {
-			return fmt.Errorf("job %s is still %s: %w", id, j.Phase, ctx.Err())
+			return &outcomeError{api.Unknown, fmt.Sprintf("job %s is still %s: %v", id, j.Phase, ctx.Err())}
 		}
 	}
 }
--- a/internal/command/operator.go
+++ b/internal/command/operator.go
@@ -18,6 +18,7 @@
 	"github.com/rosemaryspoke/rosemaryspoke/internal/operator"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/rollout"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/client"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 )
 
@@ -45,22 +46,22 @@
 	}
 	reply, err := o.http.Do(r)
 	if err != nil {
-		return answer, fmt.Errorf("call operator port: %w", err)
+		return answer, fmt.Errorf("call operator port: %w: %w", client.ErrNoAnswer, err)
 	}
 	defer func() { _ = reply.Body.Close() }()
 	text, err := io.ReadAll(io.LimitReader(reply.Body, maxOperatorBytes))
 	if err != nil {
-		return answer, fmt.Errorf("read answer of %s: %w", path, err)
+		return answer, fmt.Errorf("read answer of %s: %w: %w", path, client.ErrNoAnswer, err)
 	}
 	if reply.StatusCode >= http.StatusBadRequest {
 		p := &api.Problem{}
 		if err := json.Unmarshal(text, p); err != nil {
-			return answer, fmt.Errorf("%s answered with status %d", path, reply.StatusCode)
+			return answer, fmt.Errorf("%s: %w: status %d without a problem", path, client.ErrNoAnswer, reply.StatusCode)
 		}
 		return answer, p
 	}
 	if err := json.Unmarshal(text, &answer); err != nil {
-		return answer, fmt.Errorf("decode answer of %s: %w", path, err)
+		return answer, fmt.Errorf("decode answer of %s: %w: %w", path, client.ErrNoAnswer, err)
 	}
 	return answer, nil
 }
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -27,6 +27,9 @@
 	idleTimeout = time.Minute
 )
 
+// ErrNoAnswer reports that no whole answer arrived, so that the outcome of the call is unknown.
+var ErrNoAnswer = errors.New("no answer")
+
 // Client calls one cell through one or more addresses. It is safe for concurrent use.
 type Client struct {
 	base string
@@ -57,8 +60,8 @@
 	}}, nil
 }
 
-// Request runs a synchronous request. A *api.Problem error carries the outcome of a refused request; any other
-// error means that the answer did not arrive, so the outcome is unknown.
+// Request runs a synchronous request. A *api.Problem error carries the outcome of a refused request; with ErrNoAnswer the
+// outcome is unknown.
 func (c *Client) Request(ctx context.Context, s api.Spec) (api.Answer, error) {
 	return call[api.Answer](ctx, c, http.MethodPost, "/v1/requests", s)
 }
@@ -116,10 +119,15 @@
 	}
 	reply, err := c.http.Do(r)
 	if err != nil {
-		return answer, fmt.Errorf("%s %s: %w", method, path, err)
+		return answer, fmt.Errorf("%s %s: %w: %w", method, path, ErrNoAnswer, err)
 	}
 	defer func() { _ = reply.Body.Close() }()
-	return answer, decode(reply, &answer)
+	err = decode(reply, &answer)
+	var p *api.Problem
+	if err != nil && !errors.As(err, &p) {
+		err = fmt.Errorf("%s %s: %w: %w", method, path, ErrNoAnswer, err)
+	}
+	return answer, err
 }
 
 // decode reads an answer or a problem. A synchronous request's outcome other than answered comes as an
