--- a/internal/peer/class_test.go
+++ b/internal/peer/class_test.go
@@ -15,7 +15,7 @@
 		wire.MethodJobGet: Work, wire.MethodJobCancel: Work, wire.MethodJobList: Work, wire.MethodJobExplain: Work,
 		wire.MethodProbe: Control, wire.MethodSummary: Control, wire.MethodLimitRequest: Control, wire.MethodQuery: Control,
 		wire.MethodAdoptOrigin: Control, wire.MethodClaimTransfer: Control, wire.MethodConfigPull: Control,
-		wire.MethodConfigVersion: Control, wire.MethodHandover: Control, "unknown": Control,
+		wire.MethodConfigVersion: Control, "unknown": Control,
 	} {
 		if got := ClassOf(method); got != want {
 			t.Errorf("%s is %s, want %s", method, got, want)
--- a/internal/peer/wire/wire.go
+++ b/internal/peer/wire/wire.go
@@ -28,7 +28,6 @@
 	MethodClaimTransfer = "claim.transfer"
 	MethodConfigPull    = "config.pull"
 	MethodConfigVersion = "config.version"
-	MethodHandover      = "queue.handover"
 	MethodJobGet        = "job.get"
 	MethodJobCancel     = "job.cancel"
 	MethodJobList       = "job.list"
