--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"os"
 	"time"
 
@@ -13,6 +14,7 @@
 
 	"github.com/rosemaryspoke/rosemaryspoke/internal/settings"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/client"
 )
 
 // Exit codes of the command line.
@@ -22,8 +24,8 @@
 	ExitUsage    = 2 // wrong flags, arguments or settings
 	ExitNotRun   = 3 // the work did not run and won't
 	ExitFailed   = 4 // the work ran and failed
-	ExitUnknown  = 5 // a run can't be ruled out
-	ExitConflict = 6 // another operator published first
+	ExitUnknown  = 5 // a run can't be ruled out, or no answer came
+	ExitConflict = 6 // another operator was first
 )
 
 // Version is set at build time.
@@ -72,6 +74,8 @@
 			return ExitConflict
 		}
 		return codeOf(problem.Outcome)
+	case errors.Is(err, client.ErrNoAnswer):
+		return ExitUnknown
 	}
 	return ExitFailure
 }
@@ -98,6 +102,9 @@
 	token    string
 	output   string
 	timeout  time.Duration
+
+	authority string
+	http      *http.Client
 }
 
 func newRoot(out, errOut io.Writer) *cobra.Command {
@@ -112,6 +119,13 @@
 			if o.output != "table" && o.output != "json" {
 				return &settings.Error{Name: "output", Value: o.output, Allowed: "table or json"}
 			}
+			authority, err := settings.PEM(o.authority)
+			if err == nil {
+				o.http, err = client.NewHTTP(authority)
+			}
+			if err != nil {
+				return &settings.Error{Name: "authority", Value: "(hidden)", Allowed: err.Error()}
+			}
 			return nil
 		},
 	}
@@ -121,11 +135,12 @@
 	f := root.PersistentFlags()
 	f.StringVar(&o.address, "address", "http://127.0.0.1:7100", "URL of a daemon's caller port")
 	f.StringVar(&o.operator, "operator-address", "http://127.0.0.1:7101", "URL of a daemon's operator port")
+	f.StringVar(&o.authority, "authority", "", "certificates that sign the daemons' caller certificates, instead of the system's: PEM text or the path of a file")
 	f.StringVar(&o.key, "key", "", "key of the team; better given in the environment")
 	f.StringVar(&o.token, "token", "", "credential for the operator port; better given in the environment")
 	f.StringVarP(&o.output, "output", "o", "table", "output format: table or json")
 	f.DurationVar(&o.timeout, "timeout", time.Minute, "longest time of the command")
-	root.AddCommand(newServe(), newJob(o), newRequest(o), newBundle(o), newKey(o), newHost(o), newState(o),
+	root.AddCommand(newServe(), newJob(o), newRequest(o), newBundle(o), newKey(o), newHost(o), newMember(o), newState(o),
 		newDemo(o), newStandin(), newSettings(), newVersion())
 	requireSubcommand(root)
 	return root
