Give test processes their own blocks of ports

Cause: a daemon of one test process failed to listen ("address already in use") while other packages were tested: two processes chose from the same range, and a port can be taken between the probe and the listener.

Seen once in a whole run of the tests; not measured after.

--- a/internal/standin/cell/port.go
+++ b/internal/standin/cell/port.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"os"
 	"sync"
 )
 
@@ -15,6 +16,9 @@
 	firstPort = 20000
 	ports     = 10000
 	portTries = 100
+	// blockPorts is the part of the range that a process tries first, so that test processes which run side by side
+	// don't take a port between another one's probe and its listener.
+	blockPorts = 200
 )
 
 var (
@@ -26,8 +30,12 @@
 func FreeAddress() (string, error) {
 	givenMu.Lock()
 	defer givenMu.Unlock()
-	for range portTries {
-		port := firstPort + rand.IntN(ports)
+	block := os.Getpid() * blockPorts % ports
+	for i := range portTries {
+		port := firstPort + block + rand.IntN(blockPorts)
+		if i >= portTries/2 {
+			port = firstPort + rand.IntN(ports)
+		}
 		if given[port] {
 			continue
 		}
