Bound the bytes of all queued work of a daemon

Cause: the only bound was 10,000 tasks per team: 110 teams could queue 418 MB in the queue alone, without payloads of up to 256 KB each.

--queue-bytes (24 MiB by default, at least 16 MiB) bounds the bytes of all queued tasks, payloads included. A payload that the tasks of a job share is counted once. A team may take a quarter, so that one team can't shut out all others. Beyond it a request or job is refused as overloaded, not run, with a retry after 1 s; a job is refused before it is recorded. Jobs that wait for their record, or for room in the team's queue, are counted too; work that was recorded or adopted is counted and never refused. Gauge: rosemaryspoke_queued_bytes.

The bound is 25 MB (15,700 tasks without payload) instead of 418 MB in the queue, or 1.8 GB with the dispatcher's entries (computed).

--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -13,6 +13,7 @@
 	"github.com/rosemaryspoke/rosemaryspoke/internal/bundle"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/dispatch"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/job"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/queue"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/resource"
@@ -235,6 +236,7 @@
 		"unknown":      {"POST /v1/requests", seams{request: answer(api.Unknown)}, 504, api.Unknown, ""},
 		"overloaded":   {"POST /v1/requests", seams{request: func() (api.Answer, *api.Problem) { return api.Answer{}, overloaded }}, 429, api.NotRun, "2"},
 		"impossible":   {"POST /v1/jobs", seams{create: fmt.Errorf("x: %w", dispatch.ErrImpossible)}, 422, api.NotRun, ""},
+		"no room":      {"POST /v1/jobs", seams{create: fmt.Errorf("x: %w", queue.ErrFull)}, 429, api.NotRun, "1"},
 		"not recorded": {"POST /v1/jobs", seams{create: job.ErrNotRecorded}, 503, api.NotRun, "1"},
 		"record lost":  {"POST /v1/jobs", seams{create: job.ErrUnknownOutcome}, 503, api.Unknown, "1"},
 		"other fault":  {"POST /v1/jobs", seams{create: errors.New("x")}, 500, api.Unknown, ""},
--- a/internal/caller/handlers.go
+++ b/internal/caller/handlers.go
@@ -11,6 +11,7 @@
 
 	"github.com/rosemaryspoke/rosemaryspoke/internal/dispatch"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/job"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/queue"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 )
@@ -70,6 +71,9 @@
 		return p
 	case errors.Is(err, dispatch.ErrImpossible):
 		return api.NewProblem(api.CodeImpossible, "demand", "%v", err)
+	case errors.Is(err, queue.ErrFull):
+		p = api.NewProblem(api.CodeOverloaded, "", "%v", err)
+		p.RetryAfter = 1000
 	case errors.Is(err, job.ErrNotFound):
 		return api.NewProblem(api.CodeNotFound, "", "no such job, or its owner can't be reached")
 	case errors.Is(err, job.ErrNotRecorded):
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -243,6 +243,7 @@
 		},
 		Peers:      d.dispatchPeers(),
 		QueueLimit: d.queueLimit,
+		QueueBytes: int64(d.settings.QueueBytes),
 		Share:      func(t ident.TeamID) float64 { return max(1, float64(d.rollout.Current().Share(t))) },
 		Usage:      d.usage,
 		Total:      d.capacity,
@@ -304,7 +305,7 @@
 		Dispatcher: job.Dispatcher{
 			Submit: d.dispatcher.Submit, SubmitGang: d.dispatcher.SubmitGang, Resume: d.dispatcher.Resume,
 			Cancel: d.dispatcher.Cancel, AdoptOrigin: d.dispatcher.AdoptOrigin, CouldFit: d.dispatcher.CouldFit,
-			Forget: d.dispatcher.Forget,
+			Forget: d.dispatcher.Forget, Admit: d.dispatcher.Admit, Count: d.dispatcher.Count,
 		},
 		FlushInterval: d.settings.FlushInterval, Retention: d.settings.JobRetention,
 		Now: time.Now, Log: d.log.WithName("job"),
--- a/internal/daemon/gauges.go
+++ b/internal/daemon/gauges.go
@@ -4,6 +4,7 @@
 func registerGauges(d *Daemon) {
 	for name, read := range map[string]func() float64{
 		"rosemaryspoke_queued_tasks":          func() float64 { return float64(d.dispatcher.Backlog()) },
+		"rosemaryspoke_queued_bytes":          func() float64 { return float64(d.dispatcher.QueuedBytes()) },
 		"rosemaryspoke_held_requests":         func() float64 { return float64(d.requests.Held()) },
 		"rosemaryspoke_owned_backend_servers": func() float64 { return float64(len(d.table.Owned())) },
 		"rosemaryspoke_running_tasks":         d.runningTasks,
--- a/internal/dispatch/abandon_test.go
+++ b/internal/dispatch/abandon_test.go
@@ -20,7 +20,7 @@
 )
 
 // newIdle returns a dispatcher without backend servers and peers.
-func newIdle(t *testing.T) *Dispatcher {
+func newIdle(t testing.TB) *Dispatcher {
 	t.Helper()
 	self := member.Member{ID: "entry-1", Incarnation: 1, Region: "r", DataCentre: "dc", State: member.Active}
 	view := func() member.View { return member.View{Epoch: 1, Members: []member.Member{self}} }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -40,6 +40,8 @@
 	// maxDecisions bounds the decisions kept per job.
 	maxDecisions = 64
 	shardCount   = 64
+	// taskBytes is the heap of a queued task without its payload. BenchmarkQueued measured 1,608 bytes.
+	taskBytes = 1600
 )
 
 // Key identifies a task of a job.
@@ -69,6 +71,10 @@
 	Urgent   bool
 	Deadline time.Time // when the caller stops waiting; zero means never
 	Retries  int       // further attempts after a failure
+	// Sharers is the number of tasks with the same payload in memory, each of which counts a part; 0 means 1.
+	Sharers int
+	// Admitted means that Admit has checked the bytes.
+	Admitted bool
 	// Prepare is called before the first start of a non-idempotent durable task; nil means nothing to do.
 	Prepare func(ctx context.Context) error
 	// Validate is called right before every start; an error ends the task as not run. nil means always valid.
@@ -81,6 +87,11 @@
 
 func (w Work) key() Key { return Key{w.Task.Job, w.Task.Index} }
 
+// bytes is the memory of n tasks like this one.
+func (w Work) bytes(n int) int64 {
+	return int64(n) * int64(taskBytes+len(w.Task.Payload)/max(1, w.Sharers))
+}
+
 // Limits is the split of the teams' upper limits.
 type Limits struct {
 	Reserve func(team ident.TeamID, n int) bool
@@ -133,6 +144,7 @@
 	Servers         Servers
 	Peers           Peers
 	QueueLimit      func(ident.TeamID) int
+	QueueBytes      int64 // bound over all queued tasks, see queue.Config; 0 means none
 	Share           func(ident.TeamID) float64
 	Usage           func(ident.TeamID) float64
 	Total           func() resource.Vector // capacity of the fleet
@@ -181,7 +193,9 @@
 	if c.Metrics == nil {
 		c.Metrics = metrics.NewSet()
 	}
-	q, err := queue.New[*entry](queue.Config{PerTeam: c.QueueLimit, Share: c.Share, Usage: c.Usage, Total: c.Total, Baseline: c.Baseline, Now: c.Now})
+	q, err := queue.New[*entry](queue.Config{
+		PerTeam: c.QueueLimit, MaxBytes: c.QueueBytes, Share: c.Share, Usage: c.Usage, Total: c.Total, Baseline: c.Baseline, Now: c.Now,
+	})
 	if err != nil {
 		return nil, fmt.Errorf("create queue: %w", err)
 	}
@@ -231,6 +245,20 @@
 	d.wg.Go(func() { f(d.base) })
 }
 
+// Admit counts n tasks like w that are going to be submitted, or returns queue.ErrFull. Count takes them back.
+func (d *Dispatcher) Admit(w Work, n int) error {
+	if err := d.queue.Admit(w.Task.Team, w.bytes(n)); err != nil {
+		return fmt.Errorf("admit %d tasks: %w", n, err)
+	}
+	return nil
+}
+
+// Count adds n tasks like w that wait outside the queue without a check; a negative number takes them back.
+func (d *Dispatcher) Count(w Work, n int) { d.queue.Count(w.Task.Team, w.bytes(n)) }
+
+// QueuedBytes returns the memory of the queued tasks and of those that wait to be submitted.
+func (d *Dispatcher) QueuedBytes() int64 { return d.queue.Bytes() }
+
 // Backlog returns the number of queued tasks.
 func (d *Dispatcher) Backlog() int { return d.queue.Len() }
 
--- a/internal/dispatch/submit.go
+++ b/internal/dispatch/submit.go
@@ -73,13 +73,14 @@
 
 func (d *Dispatcher) item(e *entry) queue.Item[*entry] {
 	t := e.work.Task
-	demand := t.Demand
+	tasks := 1
 	if e.gang != nil {
-		demand = demand.Times(int64(len(e.gang.members)))
+		tasks = len(e.gang.members)
 	}
 	return queue.Item[*entry]{
-		Key: e.key.String(), Team: t.Team, Queue: t.Queue, Kind: e.work.Kind, Demand: demand,
-		Priority: t.Priority, Urgent: e.work.Urgent, Enqueued: e.submitted, Deadline: e.work.Deadline, Value: e,
+		Key: e.key.String(), Team: t.Team, Queue: t.Queue, Kind: e.work.Kind, Demand: t.Demand.Times(int64(tasks)),
+		Priority: t.Priority, Urgent: e.work.Urgent, Enqueued: e.submitted, Deadline: e.work.Deadline,
+		Bytes: e.work.bytes(tasks), Admitted: e.work.Admitted, Value: e,
 	}
 }
 
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -55,6 +55,8 @@
 	Cancel      func(k dispatch.Key, reason string) bool
 	AdoptOrigin func(ctx context.Context, origin ident.MemberID, jobs []ident.JobID) ([]dispatch.Adopted, bool)
 	CouldFit    func(dispatch.Work) (bool, string)
+	Admit       func(w dispatch.Work, n int) error // counts n tasks like w that aren't in the queue yet
+	Count       func(w dispatch.Work, n int)       // the same without a check; a negative number takes them back
 	Forget      func(k dispatch.Key)
 }
 
@@ -107,7 +109,8 @@
 
 // New returns an empty table.
 func New(c Config) (*Table, error) {
-	if c.Store == nil || c.Self == nil || c.View == nil || c.Dispatcher.Submit == nil || c.Dispatcher.AdoptOrigin == nil {
+	if c.Store == nil || c.Self == nil || c.View == nil || c.Dispatcher.Submit == nil || c.Dispatcher.AdoptOrigin == nil ||
+		c.Dispatcher.Admit == nil || c.Dispatcher.Count == nil {
 		return nil, errors.New("job: Store, Self, View and Dispatcher must be set")
 	}
 	if c.FlushInterval <= 0 {
@@ -155,15 +158,21 @@
 }
 
 // Create records a job and hands its tasks to the dispatcher. It returns after the record is in the store,
-// with ErrNotRecorded when the context ended before, or ErrUnknownOutcome when the write can't be settled.
+// with ErrNotRecorded when the context ended before, queue.ErrFull when the queued work takes too much memory, or
+// ErrUnknownOutcome when the write can't be settled.
 func (t *Table) Create(ctx context.Context, spec api.Spec, p Policy) (api.Job, error) {
 	j := newJobRecord(spec, p, t.config.Now())
-	if ok, reason := t.config.Dispatcher.CouldFit(j.work(0, t)); !ok {
+	w := j.work(0, t)
+	if ok, reason := t.config.Dispatcher.CouldFit(w); !ok {
 		return api.Job{}, fmt.Errorf("%w: %s", dispatch.ErrImpossible, reason)
 	}
 	if j.size() > maxBatchBytes {
 		return api.Job{}, fmt.Errorf("job record of %d bytes is above the bound of %d", j.size(), maxBatchBytes)
 	}
+	if err := t.config.Dispatcher.Admit(w, len(j.Tasks)); err != nil {
+		return api.Job{}, fmt.Errorf("create job: %w", err)
+	}
+	defer t.config.Dispatcher.Count(w, -len(j.Tasks)) // its tasks are counted by the queue then
 	s := &submission{job: j, done: make(chan error, 1)}
 	t.mu.Lock()
 	t.pending = append(t.pending, s)
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -14,6 +14,7 @@
 	"github.com/rosemaryspoke/rosemaryspoke/internal/dispatch"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/member"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/peer/wire"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/queue"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/standin/kv"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
@@ -30,11 +31,12 @@
 	resumed   []dispatch.Key
 	running   []dispatch.Adopted
 	complete  bool
+	room      int // tasks that Admit takes; Create must give them back
 }
 
 func newBench(t *testing.T, self ident.MemberID, store *kv.Server, setup func(b *bench)) *bench {
 	t.Helper()
-	b := &bench{store: store, submitted: map[dispatch.Key]dispatch.Work{}, complete: true}
+	b := &bench{store: store, submitted: map[dispatch.Key]dispatch.Work{}, complete: true, room: 100}
 	b.view = member.View{Epoch: 1, Members: []member.Member{{ID: self, Incarnation: 1, State: member.Active}}}
 	if setup != nil {
 		setup(b)
@@ -57,8 +59,22 @@
 				b.resumed = append(b.resumed, dispatch.Key{Job: w.Task.Job, Index: w.Task.Index})
 				return nil
 			},
-			Cancel:   func(dispatch.Key, string) bool { return true },
-			Forget:   func(dispatch.Key) {},
+			Cancel: func(dispatch.Key, string) bool { return true },
+			Forget: func(dispatch.Key) {},
+			Admit: func(_ dispatch.Work, n int) error {
+				b.mu.Lock()
+				defer b.mu.Unlock()
+				if n > b.room {
+					return queue.ErrFull
+				}
+				b.room -= n
+				return nil
+			},
+			Count: func(_ dispatch.Work, n int) {
+				b.mu.Lock()
+				defer b.mu.Unlock()
+				b.room -= n
+			},
 			CouldFit: func(dispatch.Work) (bool, string) { return true, "" },
 			AdoptOrigin: func(context.Context, ident.MemberID, []ident.JobID) ([]dispatch.Adopted, bool) {
 				b.mu.Lock()
@@ -109,7 +125,9 @@
 		faults func(s *kv.Server)
 		want   error
 		runs   bool
+		tasks  int
 	}{
+		"no room for its tasks":              {faults: func(*kv.Server) {}, want: queue.ErrFull, tasks: 101},
 		"recorded before it is acknowledged": {faults: func(*kv.Server) {}, runs: true},
 		"reply of the record lost":           {faults: func(s *kv.Server) { s.LoseReplies(2) }, runs: true},
 		"store down until the deadline":      {faults: func(s *kv.Server) { s.SetDown(true) }, want: ErrNotRecorded},
@@ -124,10 +142,16 @@
 				ctx, cancel = context.WithTimeout(context.Background(), 50*time.Millisecond)
 			}
 			defer cancel()
-			j, err := b.table.Create(ctx, api.Spec{Team: "t"}, Policy{Kind: api.KindBatch})
+			j, err := b.table.Create(ctx, api.Spec{Team: "t", Tasks: c.tasks}, Policy{Kind: api.KindBatch})
+			if b.room != 100 {
+				t.Fatalf("%d tasks are still counted as waiting for their record", 100-b.room)
+			}
 			if !errors.Is(err, c.want) && !(c.want != nil && errors.Is(err, ErrUnknownOutcome)) {
 				t.Fatalf("got %v, want %v", err, c.want)
 			}
+			if items, _ := store.Store().List(context.Background(), prefix); errors.Is(err, queue.ErrFull) && len(items) != 0 {
+				t.Fatal("a refused job was recorded")
+			}
 			if errors.Is(err, ErrNotRecorded) {
 				store.SetDown(false)
 				next := create(t, b, api.Spec{Team: "t"}) // A later job is written, so an earlier one would have been too.
--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -119,6 +119,7 @@
 			Payload: j.Spec.Payload, RunTime: backend.Millis(j.Spec.RunTime),
 		},
 		Kind: j.Policy.Kind, Urgent: j.Policy.Urgent, Retries: j.Policy.Retries,
+		Sharers: len(j.Tasks), Admitted: true,
 		Started: func(a ident.AttemptID, h ident.HostID, n int) { t.started(j.ID, index, a, h, n) },
 		Done:    func(f dispatch.Final, keep func()) { t.done(j.ID, index, f, keep) },
 	}
--- a/internal/job/write.go
+++ b/internal/job/write.go
@@ -185,7 +185,9 @@
 			t.recordEnd(w.Task.Job, w.Task.Index, dispatch.Final{Outcome: api.NotRun, Reason: err.Error()}, func() {}, nil, false)
 		}
 	default:
+		t.config.Dispatcher.Count(works[0], len(works))
 		time.AfterFunc(offerPause, func() {
+			t.config.Dispatcher.Count(works[0], -len(works))
 			if t.base.Err() == nil && t.wanted(works[0].Task.Job) {
 				t.offer(submit, works)
 			}
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -15,8 +15,8 @@
 )
 
 var (
-	// ErrFull reports that the team's bound is reached.
-	ErrFull = errors.New("queue of the team is full")
+	// ErrFull reports that the bound of the team's items or the one of all items' bytes is reached.
+	ErrFull = errors.New("queue is full")
 	// ErrDuplicate reports that an item with the key is queued already.
 	ErrDuplicate = errors.New("item is queued already")
 	// ErrTooLate reports that the expected wait passes the item's deadline.
@@ -41,6 +41,8 @@
 	maxExamined = 512
 	maxPerTeam  = 16
 	minPerTeam  = 2
+	// teamPart is the part of MaxBytes that one team may take, so that a single team can't shut out all others.
+	teamPart = 4
 	// maxInsertSteps bounds the search for the place of an item that is older than the last one of its priority.
 	maxInsertSteps = 64
 )
@@ -80,14 +82,19 @@
 	Urgent   bool
 	Enqueued time.Time // zero means now
 	Deadline time.Time // zero means none
+	Bytes    int64     // memory that the item takes
+	Admitted bool      // Admit has checked the bytes
 	Value    T
 }
 
 // Config configures a Queue. The functions are called with a lock held and must not call the queue.
 type Config struct {
-	PerTeam func(ident.TeamID) int     // most items of the team
-	Share   func(ident.TeamID) float64 // weight of the team, above 0
-	Usage   func(ident.TeamID) float64 // dominant share of the fleet that the team uses now
+	PerTeam func(ident.TeamID) int // most items of the team
+	// MaxBytes bounds the bytes of all items, of which a team may take a quarter; 0 means no bound. Pushes at the same
+	// time may exceed it by an item per shard, and restored items aren't refused.
+	MaxBytes int64
+	Share    func(ident.TeamID) float64 // weight of the team, above 0
+	Usage    func(ident.TeamID) float64 // dominant share of the fleet that the team uses now
 	// Total is the capacity of the fleet, which scales the charge of a taken item until Usage contains it.
 	// Without it the charges are scaled by a fleet of 48 hosts.
 	Total     func() resource.Vector
@@ -117,6 +124,7 @@
 	shares  float64 // of all teams with items, guarded by overallMu
 
 	urgent atomic.Int64 // number of urgent items
+	bytes  atomic.Int64 // of all items and of what Admit and Count added
 
 	overallMu sync.Mutex
 	length    int // guarded by overallMu
@@ -206,6 +214,11 @@
 		if bound := q.config.PerTeam(i.Team); t.length >= bound {
 			return fmt.Errorf("%w: %d items of team %s, at most %d allowed", ErrFull, t.length, i.Team, bound)
 		}
+		if !i.Admitted {
+			if err := q.room(t, i.Bytes); err != nil {
+				return err
+			}
+		}
 		if !i.Deadline.IsZero() {
 			if wait := q.expectedWait(t, i.Priority, i.Urgent, now); now.Add(wait).After(i.Deadline) {
 				return fmt.Errorf("%w: about %v, the deadline is in %v", ErrTooLate, wait.Round(time.Millisecond), i.Deadline.Sub(now))
@@ -222,11 +235,54 @@
 	k.entries[i.Key] = e
 	k.mu.Unlock()
 	s.link(e, now)
+	q.count(t, i.Bytes)
 	q.urgent.Add(int64(e.line()))
 	q.grow(1, now)
 	return nil
 }
 
+// room returns ErrFull when the bytes exceed what is left for all teams or for this one; the shard is locked.
+func (q *Queue[T]) room(t *team[T], bytes int64) error {
+	switch bound := q.config.MaxBytes; {
+	case bound == 0:
+		return nil
+	case q.bytes.Load()+bytes > bound:
+		return fmt.Errorf("%w: %d bytes more than the %d of all teams' items, at most %d allowed", ErrFull, bytes, q.bytes.Load(), bound)
+	case t.bytes+bytes > bound/teamPart:
+		return fmt.Errorf("%w: %d bytes more than the %d of team %s, at most %d allowed", ErrFull, bytes, t.bytes, t.id, bound/teamPart)
+	}
+	return nil
+}
+
+func (q *Queue[T]) count(t *team[T], bytes int64) {
+	t.bytes += bytes
+	q.bytes.Add(bytes)
+}
+
+// Admit counts the bytes of work that waits outside the queue, or returns ErrFull. Count takes them back.
+func (q *Queue[T]) Admit(id ident.TeamID, bytes int64) error {
+	s := q.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.team(id)
+	if err := q.room(t, bytes); err != nil {
+		return err
+	}
+	q.count(t, bytes)
+	return nil
+}
+
+// Count adds bytes that a team's work takes outside the queue without a check; a negative number takes them back.
+func (q *Queue[T]) Count(id ident.TeamID, bytes int64) {
+	s := q.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	q.count(s.team(id), bytes)
+}
+
+// Bytes returns the memory of all items and of what Admit and Count added.
+func (q *Queue[T]) Bytes() int64 { return q.bytes.Load() }
+
 // grow changes the total length and starts the overall rate's clock when the first item arrives.
 func (q *Queue[T]) grow(n int, now time.Time) {
 	q.overallMu.Lock()
@@ -268,6 +324,7 @@
 func (q *Queue[T]) drop(s *shard[T], e *entry[T]) {
 	now := q.config.Now()
 	s.unlink(e, now)
+	q.count(e.team, -e.Bytes)
 	q.urgent.Add(-int64(e.line()))
 	k := q.key(e.Key)
 	k.mu.Lock()
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -295,3 +295,53 @@
 		t.Run(name, func(t *testing.T) { run(t, newFixture(t)) })
 	}
 }
+
+// TestBytes guards against queued work without a bound in memory, against a team that takes all of it, and against
+// memory that stays counted after its item has left.
+func TestBytes(t *testing.T) {
+	sized := func(key string, team ident.TeamID, bytes int64) Item[int] {
+		i := one(key, team)
+		i.Bytes, i.Deadline = bytes, time.Unix(1_000_100, 0)
+		return i
+	}
+	quarters := func(f *fixture) {
+		for i := range 4 {
+			f.push(t, sized(fmt.Sprint(i), teamID(i), 25))
+		}
+	}
+	for name, c := range map[string]struct {
+		change func(f *fixture)
+		team   ident.TeamID // of a further item of one byte
+		full   bool
+		bytes  int64 // before it
+	}{
+		"empty":               {change: func(*fixture) {}},
+		"team's quarter":      {change: func(f *fixture) { f.push(t, sized("x", "a", 25)) }, team: "a", full: true, bytes: 25},
+		"quarter of another":  {change: func(f *fixture) { f.push(t, sized("x", "a", 25)) }, team: "b", bytes: 25},
+		"all":                 {change: quarters, team: "b", full: true, bytes: 100},
+		"removed":             {change: func(f *fixture) { quarters(f); f.queue.Remove("2") }, team: "b", bytes: 75},
+		"taken":               {change: func(f *fixture) { quarters(f); f.offered(taken) }, team: "b"},
+		"expired":             {change: func(f *fixture) { quarters(f); f.queue.Expired(f.now.Add(time.Hour)) }, team: "b"},
+		"restored":            {change: func(f *fixture) { quarters(f); _ = f.queue.Restore(sized("x", "a", 9)) }, team: "b", full: true, bytes: 109},
+		"work outside":        {change: func(f *fixture) { _ = f.queue.Admit("a", 25) }, team: "a", full: true, bytes: 25},
+		"outside and expired": {change: func(f *fixture) { f.queue.Count("a", 25); f.queue.Expired(f.now.Add(time.Hour)) }, team: "a", full: true, bytes: 25},
+		"work given back":     {change: func(f *fixture) { _ = f.queue.Admit("a", 25); f.queue.Count("a", -25) }, team: "a"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.queue.config.MaxBytes = 100
+			c.change(f)
+			if got := f.queue.Bytes(); got != c.bytes {
+				t.Errorf("%d bytes are counted, want %d", got, c.bytes)
+			}
+			further := sized("further", c.team, 1)
+			if err := f.queue.Push(further); errors.Is(err, ErrFull) != c.full || !c.full && err != nil {
+				t.Errorf("a further item: %v", err)
+			}
+			further.Key, further.Admitted = "admitted", true
+			if err := f.queue.Push(further); err != nil {
+				t.Errorf("an item whose bytes were admitted before: %v", err)
+			}
+		})
+	}
+}
--- a/internal/queue/team.go
+++ b/internal/queue/team.go
@@ -45,7 +45,8 @@
 	id       ident.TeamID
 	bands    []*band[T] // non-empty ones: urgent first, then by falling priority
 	length   int
-	position int // in shard.active, -1 without items
+	bytes    int64 // of the items and of what Admit and Count added
+	position int   // in shard.active, -1 without items
 	rate     rate
 	idle     time.Time // since when it has no items
 	charge   charge
@@ -203,7 +204,7 @@
 // forgetIdle drops the state of teams that have had no items for a while; the shard is locked.
 func (s *shard[T]) forgetIdle(now time.Time) {
 	for id, t := range s.teams {
-		if t.length == 0 && now.Sub(t.idle) > idleTeam {
+		if t.length == 0 && t.bytes == 0 && now.Sub(t.idle) > idleTeam {
 			delete(s.teams, id)
 		}
 	}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -171,6 +171,10 @@
 	if s.QueueLimit < 1 || s.QueueLimit > 1_000_000 {
 		return &Error{"queue-limit", fmt.Sprint(s.QueueLimit), "from 1 to 1000000"}
 	}
+	// A team's quarter must hold the largest job, whose record of 512 KB has about 2,000 tasks.
+	if s.QueueBytes < 16<<20 || s.QueueBytes > 64<<30 {
+		return &Error{"queue-bytes", fmt.Sprint(s.QueueBytes), "from 16777216 to 68719476736"}
+	}
 	if s.RetryRatio < 0 || s.RetryRatio > 1 {
 		return &Error{"retry-ratio", fmt.Sprint(s.RetryRatio), "from 0 to 1"}
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -57,6 +57,7 @@
 	FlushInterval  time.Duration
 	LimitInterval  time.Duration
 	QueueLimit     int
+	QueueBytes     int
 	RetryRatio     float64
 	DrainTimeout   time.Duration
 
@@ -127,6 +128,7 @@
 	f.DurationVar(&s.FlushInterval, "flush-interval", 50*time.Millisecond, "interval of writing job records")
 	f.DurationVar(&s.LimitInterval, "limit-interval", 200*time.Millisecond, "interval of balancing the parts of the teams' limits")
 	f.IntVar(&s.QueueLimit, "queue-limit", 10000, "most queued tasks per team in this daemon, unless the bundle says otherwise")
+	f.IntVar(&s.QueueBytes, "queue-bytes", 24<<20, "most bytes of all queued tasks in this daemon, payloads included; a team may take a quarter of them")
 	f.Float64Var(&s.RetryRatio, "retry-ratio", 0.2, "retries allowed per first start, over all work of this daemon")
 	f.DurationVar(&s.DrainTimeout, "drain-timeout", 2*time.Minute, "longest time a shutdown waits for held requests")
 	f.IntVar(&s.LogLevel, "log-level", 0, "verbosity of the log; higher shows more")
