--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -10,6 +10,7 @@
 
 	"github.com/spf13/pflag"
 
+	"github.com/rosemaryspoke/rosemaryspoke/internal/ownership"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 )
 
@@ -117,10 +118,10 @@
 	f.DurationVar(&s.MemberInterval, "member-interval", 2*time.Second, "interval of lease renewal and membership checks")
 	f.DurationVar(&s.ProbeTimeout, "probe-timeout", time.Second, "time a peer has to answer a probe")
 	f.DurationVar(&s.MinRenewal, "min-renewal", 2*time.Second, "shortest interval of lease renewal per backend server; the lease is three intervals")
-	f.DurationVar(&s.MaxRenewal, "max-renewal", 2*time.Minute, "longest interval of lease renewal per backend server")
+	f.DurationVar(&s.MaxRenewal, "max-renewal", ownership.DefaultMaxRenewal, "longest interval of lease renewal per backend server")
 	f.DurationVar(&s.ClockDrift, "clock-drift", 500*time.Millisecond, "largest difference of two hosts' clocks over one lease")
 	f.DurationVar(&s.HostsInterval, "hosts-interval", time.Second, "interval of reading the host list")
-	f.IntVar(&s.ControlBytes, "control-bytes-per-second", 7000, "control traffic that lease renewals may use, in bytes per second; the rest of 9 KB/s is for summaries and configuration")
+	f.IntVar(&s.ControlBytes, "control-bytes-per-second", ownership.DefaultControlBytesPerSecond, "control traffic that lease renewals may use, in bytes per second; the rest of 9 KB/s is for summaries, limits and configuration")
 	f.DurationVar(&s.Freshness, "freshness", 5*time.Second, "how long a confirmed configuration counts as current")
 	f.DurationVar(&s.ReadInterval, "read-interval", time.Second, "interval of configuration checks")
 	f.DurationVar(&s.ClaimRetention, "claim-retention", 10*time.Minute, "how long the answer of a non-idempotent request is kept for a resubmission")
