--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -60,6 +60,7 @@
 	FlushInterval  time.Duration
 	LimitInterval  time.Duration
 	QueueLimit     int
+	QueueBytes     int
 	RetryRatio     float64
 	DrainTimeout   time.Duration
 
@@ -123,7 +124,7 @@
 	f.DurationVar(&s.MaxRenewal, "max-renewal", ownership.DefaultMaxRenewal, "longest interval of lease renewal per backend server")
 	f.DurationVar(&s.ClockDrift, "clock-drift", 500*time.Millisecond, "largest difference of two hosts' clocks over one lease")
 	f.DurationVar(&s.HostsInterval, "hosts-interval", time.Second, "interval of reading the host list")
-	f.IntVar(&s.ControlBytes, "control-bytes-per-second", 7000, "control traffic that lease renewals may use, in bytes per second; the rest of 9 KB/s is for summaries and configuration")
+	f.IntVar(&s.ControlBytes, "control-bytes-per-second", ownership.DefaultControlBytesPerSecond, "control traffic that lease renewals may use, in bytes per second; the rest of 9 KB/s is for summaries, limits and configuration")
 	f.DurationVar(&s.Freshness, "freshness", 5*time.Second, "how long a confirmed configuration counts as current")
 	f.DurationVar(&s.ReadInterval, "read-interval", time.Second, "interval of configuration checks")
 	f.DurationVar(&s.ClaimRetention, "claim-retention", 10*time.Minute, "how long the answer of a non-idempotent request is kept for a resubmission")
@@ -131,6 +132,7 @@
 	f.DurationVar(&s.FlushInterval, "flush-interval", 50*time.Millisecond, "interval of writing job records")
 	f.DurationVar(&s.LimitInterval, "limit-interval", 200*time.Millisecond, "interval of balancing the parts of the teams' limits")
 	f.IntVar(&s.QueueLimit, "queue-limit", 10000, "most queued tasks per team in this daemon, unless the bundle says otherwise")
+	f.IntVar(&s.QueueBytes, "queue-bytes", 24<<20, "most bytes of all queued tasks in this daemon, payloads included; a team may take a quarter of them")
 	f.Float64Var(&s.RetryRatio, "retry-ratio", 0.2, "retries allowed per first start, over all work of this daemon")
 	f.DurationVar(&s.DrainTimeout, "drain-timeout", 2*time.Minute, "longest time a shutdown waits for held requests")
 	f.IntVar(&s.LogLevel, "log-level", 0, "verbosity of the log; higher shows more")
