Attach again at once after a missed view

Cause: an owner that missed a view has to attach its servers again before it knows all their tasks. The attach waited for the end of the poll in flight, which lasts up to a renewal interval: 5 s in a small fleet and 75 s with 1,050 servers. Until then dead daemons' jobs and limit parts wait.

Change: the poll in flight is interrupted, as for a stop.

After: "epochs" in TestFailures is complete without waiting; without the change it isn't.

--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -179,10 +179,11 @@
 			c.change("a")
 			c.change("a")
 			a.keep(nil)
+			a.hold()
 			a.ViewChanged()
 			a.complete(false) // another member may have been owner in the view that was missed
-			time.Sleep(settled)
-			a.complete(true)
+			a.open()
+			a.complete(true) // without waiting for the end of the poll in flight
 			a.saw("attached h running=0 finished=0 slots=4")
 		},
 		// Order of one host's events: the new entry waits for the last event of the old one.
--- a/internal/ownership/reconcile.go
+++ b/internal/ownership/reconcile.go
@@ -169,6 +169,9 @@
 	case e.blocked > 0 && epoch > e.blocked, !gapless && epoch > e.confirmed:
 		e.othersOver, e.lapsed, e.blocked = t.config.Now().Add(t.maxLease()), false, 0
 		e.reattach = epoch
+		if e.interrupt != nil {
+			e.interrupt() // a poll may wait for as long as a renewal interval
+		}
 	case gapless && e.confirmed > 0 && e.confirmed == t.epoch:
 		e.confirmed = epoch
 	}
