Bound the writes of job records

Cause: every new group of jobs within 50 ms and every changed batch was a write of its own, and every start changed a batch. Six daemons made 106 compare-and-swaps/s, above a fifth of the store's 400 writes/s.

Change: each daemon has 8.8 writes/s (--store-writes-per-second) for limit parts and job records together, 79 of 80 with nine daemons. The limits' writes are deducted, a fifth is always left for job records. New jobs join the open batch up to 64 KB, so that one write carries them and the changes of all its jobs; what waits is taken in one batch up to 128 KB. New jobs go before results, every fourth write is a waiting result's, and a write that a non-idempotent start waits for goes first. A start alone isn't written. Results up to 4 KB stay in the batch, and a batch near the store's value limit takes none. A submission whose write met a conflict ends as unknown instead of being written again, because the member that took the batch over may have it.

A result above 4 KB is still a write of its own within the budget.

--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -306,8 +306,9 @@
 			Cancel: d.dispatcher.Cancel, AdoptOrigin: d.dispatcher.AdoptOrigin, CouldFit: d.dispatcher.CouldFit,
 			Forget: d.dispatcher.Forget,
 		},
-		FlushInterval: d.settings.FlushInterval, Retention: d.settings.JobRetention,
-		Now: time.Now, Log: d.log.WithName("job"),
+		FlushInterval: d.settings.FlushInterval, Retention: d.settings.JobRetention, StoreWrites: d.settings.StoreWrites,
+		OtherWrites: func() uint64 { return d.limits.Calls().Writes },
+		Now:         time.Now, Log: d.log.WithName("job"),
 	})
 	if err != nil {
 		return fmt.Errorf("create job table: %w", err)
--- /dev/null
+++ b/internal/job/budget_test.go
@@ -0,0 +1,130 @@
+package job
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/dispatch"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/platform"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/standin/kv"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+// TestBudget guards against more writes than the budget allows, records that wait forever while the limits write, and
+// a quiet time that is saved up for a burst.
+func TestBudget(t *testing.T) {
+	cases := map[string]struct {
+		others float64 // writes of others per second
+		quiet  time.Duration
+		want   int // writes in 100 s at a budget of 10 /s
+	}{
+		"alone":                 {want: 1000 + budgetBurst},
+		"with the limits":       {others: 5, want: 500 + budgetBurst},
+		"limits above the rate": {others: 50, want: 200 + budgetBurst},
+		"after a quiet hour":    {quiet: time.Hour, want: 1000 + budgetBurst},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			begun := time.Unix(0, 0)
+			b := newBudget(10, 0, begun)
+			begun = begun.Add(c.quiet)
+			got := 0
+			for i := range 2000 {
+				at := time.Duration(i) * 50 * time.Millisecond
+				b.refill(uint64(c.others*at.Seconds()), begun.Add(at))
+				for got <= 2*c.want && b.take(1) {
+					got++
+				}
+			}
+			if got < c.want-5 || got > c.want {
+				t.Errorf("%d writes, want %d", got, c.want)
+			}
+		})
+	}
+}
+
+// stoppedClock is a time that moves only when a test moves it.
+type stoppedClock struct {
+	mu  sync.Mutex
+	now time.Time
+}
+
+func (c *stoppedClock) Now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+func (c *stoppedClock) add(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = c.now.Add(d)
+}
+
+// TestGrouped guards against a write per job, cancellation or result while the budget is used up: what changed
+// meanwhile is recorded by one write.
+func TestGrouped(t *testing.T) {
+	store, clock := kv.New(kv.Config{}), &stoppedClock{now: time.Unix(0, 0)}
+	b := newBenchWith(t, "a", store, clock.Now, nil)
+	swaps := func() uint64 { return store.Counts()[platform.CallSwap] }
+	create(t, b, api.Spec{Team: "t"})
+	create(t, b, api.Spec{Team: "t"})
+	if swaps() != budgetBurst {
+		t.Fatalf("%d writes, want %d", swaps(), budgetBurst)
+	}
+	const jobs = 40
+	ids := make(chan ident.JobID, jobs)
+	for range jobs {
+		go func() {
+			j, err := b.table.Create(context.Background(), api.Spec{Team: "t"}, Policy{Kind: api.KindBatch})
+			if err != nil {
+				t.Error(err)
+			}
+			ids <- j.ID
+		}()
+	}
+	eventually(t, "the submissions", func() bool {
+		b.table.mu.Lock()
+		defer b.table.mu.Unlock()
+		return len(b.table.pending) == jobs
+	})
+	const oneWrite = time.Second/8 - time.Millisecond
+	clock.add(oneWrite)
+	var results sync.WaitGroup
+	results.Add(jobs / 2)
+	for i := range jobs {
+		id := <-ids
+		if i%2 == 0 {
+			if err := b.table.Cancel(id, "not needed"); err != nil {
+				t.Fatal(err)
+			}
+			continue
+		}
+		w, _ := b.work(dispatch.Key{Job: id})
+		w.Done(dispatch.Final{Outcome: api.Answered}, results.Done)
+	}
+	if swaps() != budgetBurst+1 {
+		t.Fatalf("%d writes after %d submissions, want %d", swaps(), jobs, budgetBurst+1)
+	}
+	clock.add(2 * oneWrite)
+	results.Wait()
+	if swaps() != budgetBurst+2 {
+		t.Fatalf("%d writes after the results, want %d", swaps(), budgetBurst+2)
+	}
+	items, err := store.Store().List(context.Background(), prefix)
+	if err != nil || len(items) != 1 {
+		t.Fatalf("%d records, error %v, want one", len(items), err)
+	}
+	counts := map[string]int{}
+	r, err := decode(items[0].Value)
+	for _, j := range r.Jobs {
+		counts[fmt.Sprint(j.phase(), j.Cancelled)]++
+	}
+	if err != nil || counts["succeeded"] != jobs/2 || counts["queuednot needed"] != jobs/2 {
+		t.Errorf("error %v, the record has %v", err, counts)
+	}
+}
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -20,18 +20,24 @@
 
 // Defaults of the job table.
 const (
-	// DefaultFlushInterval bounds the store writes: one member writes at most ten batches a second plus changes.
-	DefaultFlushInterval = 100 * time.Millisecond
+	// DefaultFlushInterval is how often the table looks for something to write; the budget bounds the writes.
+	DefaultFlushInterval = 50 * time.Millisecond
 	// DefaultRetention is how long a finished job can be read.
 	DefaultRetention = time.Hour
 	// DefaultScanInterval is how often one member looks for batches without a live owner.
 	DefaultScanInterval = time.Minute
-	// maxBatchBytes keeps a batch well below the store's value limit while results are added.
-	maxBatchBytes = platform.MaxValueBytes / 2
-	// maxBatchJobs bounds the jobs of a batch, so that a change of one rewrites little else.
-	maxBatchJobs = 64
-	// maxInlineBytes is the largest result that is kept in the batch record; larger ones get a key of their own.
-	maxInlineBytes = 512
+	// maxJobBytes keeps the record of one job well below the store's value limit while results are added.
+	maxJobBytes = platform.MaxValueBytes / 2
+	// openBatchBytes is the size up to which a batch takes further jobs with a later write. It bounds the bytes of a
+	// rewrite: 8.8 writes/s of 64 KB are 0.6 MB/s.
+	openBatchBytes = 64 << 10
+	// newBatchBytes bounds a batch of new jobs only, so that many that wait are recorded with fewer writes.
+	newBatchBytes = 128 << 10
+	// maxInlineBytes is the largest result that is kept in the batch record; larger ones get a key of their own, and
+	// with it a write of their own.
+	maxInlineBytes = 4 << 10
+	// maxRecordBytes is the estimated size from which a batch takes no inline results, below the store's limit.
+	maxRecordBytes = platform.MaxValueBytes * 3 / 4
 	// withdrawGrace is how long a caller whose deadline passed waits for the outcome of the write under way.
 	withdrawGrace = 3 * time.Second
 	// taskOverhead is the estimated size of a task's state in the record.
@@ -65,6 +71,8 @@
 	View          func() member.View
 	Dispatcher    Dispatcher
 	FlushInterval time.Duration
+	StoreWrites   float64       // budget of writes per second
+	OtherWrites   func() uint64 // running count of writes that share the budget; nil means none
 	Retention     time.Duration
 	ScanInterval  time.Duration
 	Now           func() time.Time
@@ -77,9 +85,13 @@
 
 	mu      sync.Mutex
 	batches map[string]*batch
-	jobs    map[ident.JobID]*batch
+	jobs    map[ident.JobID]place
 	pending []*submission
-	dirty   map[string]*batch
+	dirty   []*batch // in the order of their first unwritten change
+	open    *batch   // takes new jobs while it has room
+	budget  budget
+	inRow   int // writes of new jobs since the last rewrite
+	swept   time.Time
 	changed chan struct{} // closed and replaced at every change of a job
 	wake    chan struct{}
 	base    context.Context
@@ -92,9 +104,18 @@
 	key      string
 	revision platform.Revision
 	record   record
+	bytes    int      // estimated size of the record
+	dirty    bool     // has changes that wait for a write
+	urgent   bool     // a start waits for the write
 	written  []func() // called after the next successful write
 }
 
+// place is where a job's record is.
+type place struct {
+	batch *batch
+	job   *jobRecord
+}
+
 // submission is a new job that waits for its record.
 type submission struct {
 	job  *jobRecord
@@ -119,12 +140,19 @@
 	if c.ScanInterval <= 0 {
 		c.ScanInterval = DefaultScanInterval
 	}
+	if c.StoreWrites <= 0 {
+		c.StoreWrites = DefaultStoreWrites
+	}
+	if c.OtherWrites == nil {
+		c.OtherWrites = func() uint64 { return 0 }
+	}
 	if c.Now == nil {
 		c.Now = time.Now
 	}
 	base, stop := context.WithCancel(context.Background())
 	return &Table{
-		config: c, batches: map[string]*batch{}, jobs: map[ident.JobID]*batch{}, dirty: map[string]*batch{},
+		config: c, batches: map[string]*batch{}, jobs: map[ident.JobID]place{},
+		budget:  newBudget(c.StoreWrites, c.OtherWrites(), c.Now()),
 		changed: make(chan struct{}), wake: make(chan struct{}, 1), base: base, stop: stop,
 	}, nil
 }
@@ -161,8 +189,8 @@
 	if ok, reason := t.config.Dispatcher.CouldFit(j.work(0, t)); !ok {
 		return api.Job{}, fmt.Errorf("%w: %s", dispatch.ErrImpossible, reason)
 	}
-	if j.size() > maxBatchBytes {
-		return api.Job{}, fmt.Errorf("job record of %d bytes is above the bound of %d", j.size(), maxBatchBytes)
+	if j.size() > maxJobBytes {
+		return api.Job{}, fmt.Errorf("job record of %d bytes is above the bound of %d", j.size(), maxJobBytes)
 	}
 	s := &submission{job: j, done: make(chan error, 1)}
 	t.mu.Lock()
@@ -225,7 +253,7 @@
 	}
 	clear(t.batches)
 	clear(t.jobs)
-	clear(t.dirty)
+	t.dirty, t.open = nil, nil
 	t.mu.Unlock()
 	for _, k := range keys {
 		t.config.Dispatcher.Forget(k)
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -33,6 +33,11 @@
 }
 
 func newBench(t *testing.T, self ident.MemberID, store *kv.Server, setup func(b *bench)) *bench {
+	t.Helper()
+	return newBenchWith(t, self, store, time.Now, setup)
+}
+
+func newBenchWith(t *testing.T, self ident.MemberID, store *kv.Server, now func() time.Time, setup func(b *bench)) *bench {
 	t.Helper()
 	b := &bench{store: store, submitted: map[dispatch.Key]dispatch.Work{}, complete: true}
 	b.view = member.View{Epoch: 1, Members: []member.Member{{ID: self, Incarnation: 1, State: member.Active}}}
@@ -41,7 +46,7 @@
 	}
 	var err error
 	b.table, err = New(Config{
-		Store: store.Store(), FlushInterval: 5 * time.Millisecond, ScanInterval: 20 * time.Millisecond, Log: logr.Discard(),
+		Store: store.Store(), FlushInterval: 5 * time.Millisecond, ScanInterval: 20 * time.Millisecond, Now: now, Log: logr.Discard(),
 		Self: func() member.Member { return member.Member{ID: self, Incarnation: 1} },
 		View: func() member.View { return b.view },
 		Dispatcher: Dispatcher{
@@ -217,9 +222,8 @@
 		if err != nil {
 			return false
 		}
-		b := &batch{record: r}
-		if j := b.find(id); j != nil {
-			return j.phase() == phase
+		if i := slices.IndexFunc(r.Jobs, func(j *jobRecord) bool { return j.ID == id }); i >= 0 {
+			return r.Jobs[i].phase() == phase
 		}
 	}
 	return false
--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -52,7 +52,11 @@
 
 // size estimates the encoded size in bytes; payloads are encoded as base64.
 func (j *jobRecord) size() int {
-	return 512 + len(j.Spec.Payload)*4/3 + len(j.Tasks)*taskOverhead
+	size := 512 + len(j.Spec.Payload)*4/3 + len(j.Tasks)*taskOverhead
+	for _, k := range j.Tasks {
+		size += len(k.Payload) * 4 / 3
+	}
+	return size
 }
 
 func (j *jobRecord) phase() api.Phase {
--- a/internal/job/recover.go
+++ b/internal/job/recover.go
@@ -106,10 +106,11 @@
 		return fmt.Errorf("adopt batch %s: %w", item.Key, err)
 	}
 	b := &batch{key: item.Key, revision: revision, record: r}
+	b.record.Jobs = nil
 	t.mu.Lock()
 	t.batches[b.key] = b
 	for _, j := range r.Jobs {
-		t.jobs[j.ID] = b
+		t.add(b, j)
 	}
 	t.mu.Unlock()
 	t.config.Log.Info("took over a job batch", "batch", b.key, "member", dead, "jobs", len(r.Jobs))
@@ -146,7 +147,12 @@
 	}
 	for _, id := range jobs {
 		t.mu.Lock()
-		j := b.find(id).snapshot()
+		p, ok := t.jobs[id]
+		if !ok {
+			t.mu.Unlock()
+			return
+		}
+		j := p.job.snapshot()
 		t.mu.Unlock()
 		t.resume(j, j.unfinished(), found)
 	}
@@ -255,13 +261,13 @@
 // Get returns a job that this member owns, with its results.
 func (t *Table) Get(ctx context.Context, id ident.JobID) (api.Job, error) {
 	t.mu.Lock()
-	b, ok := t.jobs[id]
+	p, ok := t.jobs[id]
 	if !ok {
 		t.mu.Unlock()
 		return api.Job{}, fmt.Errorf("job %s: %w", id, ErrNotFound)
 	}
-	j := b.find(id)
-	v, tasks := j.view(b.record.Owner), slices.Clone(j.Tasks)
+	j := p.job
+	v, tasks := j.view(p.batch.record.Owner), slices.Clone(j.Tasks)
 	t.mu.Unlock()
 	for i, k := range tasks {
 		payload, err := t.payload(ctx, id, i, k)
--- a/internal/job/update.go
+++ b/internal/job/update.go
@@ -3,29 +3,32 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"time"
 
 	"github.com/rosemaryspoke/rosemaryspoke/internal/dispatch"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 )
 
-// update changes one task's record; after is called once the change is in the store.
-func (t *Table) update(id ident.JobID, index int, after func(), change func(j *jobRecord, k *taskRecord)) bool {
+// update changes one task's record; after is called once the change is in the store. It returns false when the job
+// isn't owned.
+func (t *Table) update(id ident.JobID, index int, after func(), change func(b *batch, j *jobRecord, k *taskRecord)) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	b, ok := t.jobs[id]
+	p, ok := t.jobs[id]
 	if !ok {
 		return false
 	}
-	j := b.find(id)
-	change(j, &j.Tasks[index])
+	j := p.job
+	change(p.batch, j, &j.Tasks[index])
 	if j.phase().Done() && j.Finished.IsZero() {
 		j.Finished = t.config.Now()
 	}
 	if after != nil {
-		b.written = append(b.written, after)
+		p.batch.written = append(p.batch.written, after)
 	}
-	t.dirty[b.key] = b
+	t.touch(p.batch)
 	t.notify()
 	return true
 }
@@ -36,21 +39,19 @@
 	t.changed = make(chan struct{})
 }
 
-func (b *batch) find(id ident.JobID) *jobRecord {
-	for _, j := range b.record.Jobs {
-		if j.ID == id {
-			return j
-		}
-	}
-	return nil
-}
-
+// started notes where a task runs. It doesn't cause a write: a member that takes the batch over learns it from the
+// backend servers, and the record gets it with the next write of the batch.
 func (t *Table) started(id ident.JobID, index int, a ident.AttemptID, h ident.HostID, attempts int) {
-	t.update(id, index, nil, func(_ *jobRecord, k *taskRecord) {
-		if !k.Phase.Done() {
-			k.Phase, k.Attempt, k.Host, k.Attempts = api.Running, a, h, attempts
-		}
-	})
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, ok := t.jobs[id]
+	if !ok {
+		return
+	}
+	if k := &p.job.Tasks[index]; !k.Phase.Done() {
+		k.Phase, k.Attempt, k.Host, k.Attempts = api.Running, a, h, attempts
+	}
+	t.notify()
 }
 
 // markDispatched records that a non-idempotent task may run, before it is sent. After the owner's death
@@ -58,7 +59,9 @@
 func (t *Table) markDispatched(id ident.JobID, index int) func(ctx context.Context) error {
 	return func(ctx context.Context) error {
 		recorded := make(chan struct{})
-		known := t.update(id, index, func() { close(recorded) }, func(_ *jobRecord, k *taskRecord) { k.Dispatched = true })
+		known := t.update(id, index, func() { close(recorded) }, func(b *batch, _ *jobRecord, k *taskRecord) {
+			k.Dispatched, b.urgent = true, true
+		})
 		if !known {
 			return fmt.Errorf("job %s: %w", id, ErrNotFound)
 		}
@@ -74,7 +77,7 @@
 // done records the end of a task and calls keep once the store has it.
 func (t *Table) done(id ident.JobID, index int, f dispatch.Final, keep func()) {
 	answer := f.Result.Answer
-	if len(answer) > maxInlineBytes {
+	if len(answer) > maxInlineBytes || !t.hasRoom(id, len(answer)) {
 		t.wg.Go(func() {
 			if err := t.storeResult(t.base, id, index, answer); err != nil {
 				t.config.Log.Info("result was not stored; the backend server keeps it", "job", id, "task", index, "error", err.Error())
@@ -87,8 +90,17 @@
 	t.recordEnd(id, index, f, keep, answer, false)
 }
 
+// hasRoom reports whether a result fits into the job's batch record.
+func (t *Table) hasRoom(id ident.JobID, n int) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, ok := t.jobs[id]
+	return !ok || p.batch.bytes+n*4/3 <= maxRecordBytes
+}
+
 func (t *Table) recordEnd(id ident.JobID, index int, f dispatch.Final, keep func(), payload []byte, stored bool) {
-	known := t.update(id, index, keep, func(j *jobRecord, k *taskRecord) {
+	known := t.update(id, index, keep, func(b *batch, j *jobRecord, k *taskRecord) {
+		b.bytes += len(payload) * 4 / 3
 		k.Outcome, k.Reason, k.Payload, k.Stored = f.Outcome, f.Reason, payload, stored
 		k.Attempts = max(k.Attempts, f.Attempts)
 		if f.Host != "" {
@@ -113,6 +125,12 @@
 func (t *Table) storeResult(ctx context.Context, id ident.JobID, index int, answer []byte) error {
 	key := resultKey(id, index)
 	for {
+		if !t.allow() {
+			if !sleep(ctx, t.config.FlushInterval) {
+				return fmt.Errorf("store result %s: %w", key, ctx.Err())
+			}
+			continue
+		}
 		_, err := t.config.Store.CompareAndSwap(ctx, key, 0, answer, 0)
 		if err == nil || isConflict(err) {
 			return nil // A conflict means that an earlier write whose reply was lost has taken effect.
@@ -138,18 +156,19 @@
 	return item.Value, nil
 }
 
-// Cancel ends a job's tasks. The cancellation is recorded, so that a later owner doesn't start it again.
+// Cancel ends a job's tasks. The cancellation is recorded with the next write of its batch, so that a later owner
+// doesn't start it again.
 func (t *Table) Cancel(id ident.JobID, reason string) error {
 	t.mu.Lock()
-	b, ok := t.jobs[id]
+	p, ok := t.jobs[id]
 	if !ok {
 		t.mu.Unlock()
 		return fmt.Errorf("job %s: %w", id, ErrNotFound)
 	}
-	j := b.find(id)
+	j := p.job
 	if !j.phase().Done() && j.Cancelled == "" {
 		j.Cancelled = reason
-		t.dirty[b.key] = b
+		t.touch(p.batch)
 	}
 	left := j.unfinished()
 	t.mu.Unlock()
@@ -159,24 +178,27 @@
 	return nil
 }
 
-// collect drops finished jobs after the retention and returns the keys of batches that are empty then.
+// sweepInterval is how often finished jobs past the retention are looked for.
+const sweepInterval = time.Second
+
+// collect returns the batches whose jobs have all been finished for longer than the retention.
 func (t *Table) collect() []*batch {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.config.Now()
-	var empty []*batch
+	if now.Sub(t.swept) < sweepInterval {
+		return nil
+	}
+	t.swept = now
+	var expired []*batch
 	for _, b := range t.batches {
-		expired := 0
-		for _, j := range b.record.Jobs {
-			if !j.Finished.IsZero() && now.Sub(j.Finished) > t.config.Retention {
-				expired++
-			}
-		}
-		if expired == len(b.record.Jobs) {
-			empty = append(empty, b)
+		if !slices.ContainsFunc(b.record.Jobs, func(j *jobRecord) bool {
+			return j.Finished.IsZero() || now.Sub(j.Finished) <= t.config.Retention
+		}) {
+			expired = append(expired, b)
 		}
 	}
-	return empty
+	return expired
 }
 
 func (t *Table) remove(ctx context.Context, b *batch) {
@@ -185,16 +207,14 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.forget(b)
 	for _, j := range b.record.Jobs {
-		delete(t.jobs, j.ID)
 		for i, k := range j.Tasks {
 			if k.Stored {
 				t.wg.Go(func() { t.removeResult(resultKey(j.ID, i)) })
 			}
 		}
 	}
-	delete(t.batches, b.key)
-	delete(t.dirty, b.key)
 }
 
 func (t *Table) removeResult(key string) {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -168,6 +168,10 @@
 	if s.ControlBytes < 512 {
 		return &Error{"control-bytes-per-second", fmt.Sprint(s.ControlBytes), "at least 512"}
 	}
+	// A tenth of 400 writes/s for one daemon is far above its part; below one write a record waits for seconds.
+	if s.StoreWrites < 1 || s.StoreWrites > 40 {
+		return &Error{"store-writes-per-second", fmt.Sprint(s.StoreWrites), "from 1 to 40"}
+	}
 	if s.QueueLimit < 1 || s.QueueLimit > 1_000_000 {
 		return &Error{"queue-limit", fmt.Sprint(s.QueueLimit), "from 1 to 1000000"}
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -55,6 +55,7 @@
 	ClaimRetention time.Duration
 	JobRetention   time.Duration
 	FlushInterval  time.Duration
+	StoreWrites    float64
 	LimitInterval  time.Duration
 	QueueLimit     int
 	RetryRatio     float64
@@ -125,6 +126,7 @@
 	f.DurationVar(&s.ClaimRetention, "claim-retention", 10*time.Minute, "how long the answer of a non-idempotent request is kept for a resubmission")
 	f.DurationVar(&s.JobRetention, "job-retention", time.Hour, "how long a finished job can be read")
 	f.DurationVar(&s.FlushInterval, "flush-interval", 50*time.Millisecond, "interval of writing job records")
+	f.Float64Var(&s.StoreWrites, "store-writes-per-second", 8.8, "writes to the store that job records and limit parts may make, per second; a fifth is always left for job records")
 	f.DurationVar(&s.LimitInterval, "limit-interval", 200*time.Millisecond, "interval of balancing the parts of the teams' limits")
 	f.IntVar(&s.QueueLimit, "queue-limit", 10000, "most queued tasks per team in this daemon, unless the bundle says otherwise")
 	f.Float64Var(&s.RetryRatio, "retry-ratio", 0.2, "retries allowed per first start, over all work of this daemon")
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -71,6 +71,7 @@
 		"rare reads":            {func(s *Serve) { s.ReadInterval = 2 * time.Second }, "read-interval", "2s", "to 1.66"},
 		"overflowing retention": {func(s *Serve) { s.JobRetention = 1 << 62 }, "job-retention", "1281023h53m38.427387904s", "720h"},
 		"control bytes":         {func(s *Serve) { s.ControlBytes = -1 }, "control-bytes-per-second", "-1", "512"},
+		"store writes":          {func(s *Serve) { s.StoreWrites = 41 }, "store-writes-per-second", "41", "1 to 40"},
 		"queue limit":           {func(s *Serve) { s.QueueLimit = 0 }, "queue-limit", "0", "1 to 1000000"},
 		"retry ratio":           {func(s *Serve) { s.RetryRatio = 1.5 }, "retry-ratio", "1.5", "0 to 1"},
 		"log level":             {func(s *Serve) { s.LogLevel = 11 }, "log-level", "11", "0 to 10"},
