Never hand a part over twice, and owe it while it hasn't arrived

Each share now names its member's last write. - A member that was short handed tasks over without a part, and used the part that arrived for them later. It now owes the part until it can be moved. - Tasks received from a live member, and adopted ones after a lost reply, weren't counted when the part of a dead member was cleared. Adopting now counts every task above the own part unless it was taken over in the present view.

The two new cases and the case of the dead sender fail without their fix.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -87,7 +87,7 @@
 	Cancel  func(team ident.TeamID, n int) // gives back what was reserved and not started
 	Release func(team ident.TeamID, n int)
 	// Accept counts a peer's tasks on a part that the peer reserved, and Pass gives such a part to a peer.
-	Accept func(team ident.TeamID, n int, from wire.Sender) bool
+	Accept func(team ident.TeamID, n int) bool
 	Pass   func(team ident.TeamID, n int, to member.Member)
 	// Arrive counts tasks that came running with a backend server.
 	Arrive func(host platform.Host, team ident.TeamID, n int)
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -93,7 +93,7 @@
 func (d *Dispatcher) reserve(f wire.Forward) (lent bool, reason string) {
 	team := f.Task.Team
 	if !d.config.Limits.Reserve(team, 1) {
-		if !f.Part || !d.config.Limits.Accept(team, 1, f.Sender) {
+		if !f.Part || !d.config.Limits.Accept(team, 1) {
 			return false, "no part of the team's limit is left"
 		}
 		lent = true
--- a/internal/dispatch/forward_test.go
+++ b/internal/dispatch/forward_test.go
@@ -72,7 +72,7 @@
 					}
 					return c.own
 				},
-				Accept: func(_ ident.TeamID, n int, _ wire.Sender) bool { counted += n; return true },
+				Accept: func(_ ident.TeamID, n int) bool { counted += n; return true },
 				Cancel: func(_ ident.TeamID, n int) { counted -= n },
 			}
 			d.config.Pool.Attach(platform.Host{ID: "host"}, backend.Inventory{Capacity: task})
--- a/internal/limit/adopting.go
+++ b/internal/limit/adopting.go
@@ -1,21 +1,17 @@
 package limit
 
-import "slices"
-
-// Adopting returns the number of tasks whose part is reserved by a dead member and has not been moved here yet: adopted
-// ones, and those accepted from a member that died before its Pass was written.
+// Adopting returns the number of tasks whose part may be reserved by a dead member and has not been moved here yet. Only
+// tasks on parts that members of the present view pass on don't count.
 func (s *Split) Adopting() int {
 	n := 0
-	view := s.config.View()
+	epoch := s.config.View().Epoch
 	for i := range s.shards {
 		sh := &s.shards[i]
 		sh.lock.Lock()
 		for _, t := range sh.teams {
-			short := max(0, t.short())
-			if !slices.ContainsFunc(t.lenders, func(l lender) bool { return !view.Has(l.member, l.incarnation) }) {
-				short = min(t.adopted, short)
+			if t.lentAt != epoch {
+				n += max(0, t.short())
 			}
-			n += short
 		}
 		sh.lock.Unlock()
 	}
--- a/internal/limit/demand.go
+++ b/internal/limit/demand.go
@@ -126,8 +126,8 @@
 	fruitless               // more is wanted and nobody has it
 )
 
-// free is what remains of the usable part; negative after an adoption.
-func (t *team) free(limit int) int { return t.usable(limit) - t.used }
+// free is what remains of the usable part; negative after an adoption and while parts are owed to others.
+func (t *team) free(limit int) int { return min(t.usable(limit)-t.used, -t.short()) }
 
 // wants reports whether the team needs more than it has free.
 func (t *team) wants(limit int) bool {
--- a/internal/limit/forward_test.go
+++ b/internal/limit/forward_test.go
@@ -8,7 +8,7 @@
 			"a part that stays with a member that hands its tasks over", 8, 2, func(t *testing.T, c *cell) {
 				c.get("m0", 8)
 				c.splits["m0"].Release(grain, 5)
-				if !c.splits["m1"].Accept(grain, 3, request("m0", 0).Sender) {
+				if !c.splits["m1"].Accept(grain, 3) {
 					t.Error("the tasks must be accepted")
 				}
 				c.splits["m0"].Pass(grain, 3, c.view.Members[1])
@@ -22,7 +22,7 @@
 		"sender dies before its part is passed on": {
 			"a dead sender's part that is used again while a task it handed over runs on it", 8, 3, func(t *testing.T, c *cell) {
 				c.get("m0", 8)
-				c.splits["m2"].Accept(grain, 8, request("m0", 0).Sender)
+				c.splits["m2"].Accept(grain, 8)
 				if n := c.splits["m2"].Adopting(); n != 0 {
 					t.Errorf("%d tasks wait for a dead member's part while all members live", n)
 				}
@@ -36,6 +36,21 @@
 				c.get("m1", 8)
 			},
 		},
+		"accepted tasks move on before their part arrives": {
+			"a part that arrives for tasks which have moved on and is used for others", 8, 3, func(t *testing.T, c *cell) {
+				c.get("m0", 8)
+				c.splits["m1"].Accept(grain, 4)
+				c.splits["m1"].Handover(grain, 4, c.view.Members[2])
+				c.splits["m2"].Receive(grain, 4)
+				c.splits["m0"].Pass(grain, 4, c.view.Members[1])
+				c.refused("m1", 1)
+				c.splits["m0"].tick(t.Context())
+				c.splits["m1"].tick(t.Context())
+				c.refused("m1", 1)
+				c.pass(3)
+				c.part("m2", 4, 4)
+			},
+		},
 		"cancelled reservation": {
 			"a cancelled reservation that keeps its part or counts as a start", 8, 2, func(t *testing.T, c *cell) {
 				c.get("m0", 8)
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -78,7 +77,7 @@
 	giving     int // part of the own share that the write in flight gives away
 	lowered    int // part of the own share that a write without known outcome gave away
 	handovers  []handover
-	lenders    []lender
+	lentAt     ident.Epoch // view since which tasks above the own part belong to live members; 0 when dead ones may be among them
 	demand     demand
 
 	writer    chan struct{}
@@ -95,12 +94,6 @@
 	n  int
 }
 
-// lender is a member incarnation whose part covers accepted tasks until it is passed on.
-type lender struct {
-	member      ident.MemberID
-	incarnation ident.Incarnation
-}
-
 // New checks the configuration and returns a split without parts.
 func New(c Config) (*Split, error) {
 	switch {
@@ -137,7 +130,7 @@
 	}
 	now := s.config.Now()
 	t, unlock := s.locked(id)
-	fits := n <= t.usable(limit)-t.used
+	fits := n <= t.free(limit)
 	if fits {
 		t.used += n
 		t.demand.started(n, now)
@@ -185,6 +178,11 @@
 		return
 	}
 	t, unlock := s.locked(id)
+	if adopted == 0 {
+		t.lend(s.config.View().Epoch)
+	} else {
+		t.lentAt = 0
+	}
 	t.used += n
 	t.adopted += adopted
 	t.demand.next = time.Time{}
@@ -199,28 +197,21 @@
 		return
 	}
 	t, unlock := s.locked(id)
-	if t.promise(n, to) {
-		t.demand.next = time.Time{}
-	}
+	t.promise(n, to)
+	t.demand.next = time.Time{}
 	unlock()
 	s.signal()
 }
 
-// Accept counts n tasks that a member hands over on a part that it reserved for them, above the own part until the
-// member's Pass is written.
-func (s *Split) Accept(id ident.TeamID, n int, from wire.Sender) bool {
-	limit, ok := s.config.Limit(id)
-	if !ok || n < 0 {
+// Accept counts n tasks that a member of the view hands over on a part that it reserved for them, above the own part
+// until the member's Pass is written.
+func (s *Split) Accept(id ident.TeamID, n int) bool {
+	if _, ok := s.config.Limit(id); !ok || n < 0 {
 		return false
 	}
 	t, unlock := s.locked(id)
 	defer unlock()
-	if t.free(limit) >= 0 {
-		t.lenders = nil
-	}
-	if l := (lender{from.Member, from.Incarnation}); !slices.Contains(t.lenders, l) {
-		t.lenders = append(t.lenders, l)
-	}
+	t.lend(s.config.View().Epoch)
 	t.used += n
 	t.demand.started(n, s.config.Now())
 	return true
@@ -251,7 +242,7 @@
 		sh.lock.Lock()
 		for _, t := range sh.teams {
 			t.generation++
-			t.share, t.limit, t.used, t.adopted, t.handovers, t.lenders = share{}, 0, 0, 0, nil, nil
+			t.share, t.limit, t.used, t.adopted, t.handovers = share{}, 0, 0, 0, nil
 			t.giving, t.lowered = 0, 0
 			t.demand = demand{}
 		}
@@ -264,18 +255,35 @@
 	return max(0, scale(t.share.Part-t.share.Excess, limit, t.limit)-t.giving-t.lowered-t.promised())
 }
 
-// promise ends the count of n tasks and plans to hand over their part, as far as it isn't used or given away.
-func (t *team) promise(n int, to member.Member) bool {
+// promise ends the count of n tasks and plans to hand over their part. A member that is short owes it until it gets the
+// parts of its own tasks; otherwise it would start tasks on them, and the receiver would never be covered.
+func (t *team) promise(n int, to member.Member) {
 	t.used = max(0, t.used-n)
-	if n = min(n, -t.short()); n > 0 {
-		t.handovers = append(t.handovers, handover{to: to, n: n})
+	t.handovers = append(t.handovers, handover{to: to, n: n})
+}
+
+// handedOver removes what was written from the planned handovers. The last one may have been written in part.
+func (t *team) handedOver(done []handover) {
+	for _, h := range done {
+		if len(t.handovers) == 0 {
+			return
+		}
+		if t.handovers[0].n -= h.n; t.handovers[0].n <= 0 {
+			t.handovers = t.handovers[1:]
+		}
 	}
-	return n > 0
 }
 
 // short is the number of tasks above the own part; negative when there are fewer.
 func (t *team) short() int { return t.used - (t.share.Part - t.giving - t.lowered - t.promised()) }
 
+// lend notes that tasks are about to be counted on another member's part. The oldest epoch is kept while any are.
+func (t *team) lend(epoch ident.Epoch) {
+	if t.short() <= 0 {
+		t.lentAt = epoch
+	}
+}
+
 // promised is the sum of the handovers that aren't written yet.
 func (t *team) promised() int {
 	n := 0
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -5,6 +5,7 @@
 	"sync"
 	"testing"
 
+	"github.com/rosemaryspoke/rosemaryspoke/internal/member"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/peer/wire"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/platform"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
@@ -256,6 +257,25 @@
 				c.part("m1", 3, 3)
 			},
 		},
+		"handover's reply lost, then another write": {
+			"a handover that is repeated and takes a part in use", 8, 3, func(t *testing.T, c *cell) {
+				c.get("m0", 8)
+				c.splits["m0"].Handover(grain, 3, c.view.Members[1])
+				c.splits["m1"].Receive(grain, 3)
+				c.store.once(lostReply)
+				c.splits["m0"].tick(t.Context())
+				c.splits["m1"].Release(grain, 2)
+				c.splits["m1"].tick(t.Context())
+				if r, err := c.splits["m1"].HandleRequest(t.Context(), request("m2", 1)); err != nil || r.Given != 1 {
+					t.Errorf("gave %+v, %v", r, err)
+				}
+				c.view.Members[1].State, c.view.Members[2].State = member.Unreachable, member.Unreachable // give nothing back
+				c.pass(3)
+				if part, used := c.splits["m0"].Part(grain); part < used {
+					t.Errorf("m0 has part %d and uses %d", part, used)
+				}
+			},
+		},
 		"store down": {
 			"a start that stops, or a part that changes, while the store is down", 8, 2, func(t *testing.T, c *cell) {
 				c.get("m0", 4)
--- a/internal/limit/load_test.go
+++ b/internal/limit/load_test.go
@@ -156,7 +156,7 @@
 					if to.ID == m.ID || !s.Reserve(grain, n) {
 						continue
 					}
-					if taken := c.splits[to.ID].Accept(grain, n, request(m.ID, 0).Sender); taken {
+					if taken := c.splits[to.ID].Accept(grain, n); taken {
 						running[to.ID] += n
 					}
 					if random.IntN(6) == 0 {
--- a/internal/limit/loop.go
+++ b/internal/limit/loop.go
@@ -154,8 +154,11 @@
 	recorded := t.rec.find(self.ID, self.Incarnation)
 	changed := r.find(self.ID, self.Incarnation) != recorded
 	for _, h := range handovers {
-		r.move(r.find(self.ID, self.Incarnation), r.find(h.to.ID, h.to.Incarnation), h.n)
-		c.handed, changed = append(c.handed, h), true
+		n := r.move(r.find(self.ID, self.Incarnation), r.find(h.to.ID, h.to.Incarnation), h.n)
+		if n == 0 {
+			break
+		}
+		c.handed, changed = append(c.handed, handover{h.to, n}), true
 	}
 	for _, d := range r.dead(view) {
 		c.moved += r.move(d, r.find(self.ID, self.Incarnation), adopted-c.moved)
--- a/internal/limit/record.go
+++ b/internal/limit/record.go
@@ -21,6 +21,8 @@
 	Incarnation ident.Incarnation `json:"incarnation"`
 	Part        int               `json:"part"`
 	Excess      int               `json:"excess,omitempty"`
+	// Nonce names the member's last write that took effect. Unlike the record's it survives the writes of others.
+	Nonce string `json:"nonce,omitempty"`
 }
 
 // record is the value of limits/<team>. The sum of Part minus Excess never exceeds Limit, and a part grows from the
@@ -72,16 +74,16 @@
 	return share{Member: id, Incarnation: incarnation}
 }
 
-// set replaces the share of an incarnation and drops it when it is empty.
+// set replaces the share of an incarnation and drops it when it is empty. One with a nonce stays until its member died.
 func (r *record) set(s share) {
 	s.Excess = min(s.Excess, s.Part)
 	i := slices.IndexFunc(r.Parts, func(p share) bool { return p.Member == s.Member && p.Incarnation == s.Incarnation })
 	switch {
-	case i >= 0 && s.Part == 0:
+	case i >= 0 && s.Part == 0 && s.Nonce == "":
 		r.Parts = slices.Delete(r.Parts, i, i+1)
 	case i >= 0:
 		r.Parts[i] = s
-	case s.Part > 0:
+	case s.Part > 0 || s.Nonce != "":
 		r.Parts = append(r.Parts, s)
 	}
 }
--- a/internal/limit/store.go
+++ b/internal/limit/store.go
@@ -55,6 +55,9 @@
 		if !edit(&next, &c) && t.rec.Limit <= next.Limit {
 			return change{}, nil
 		}
+		own := next.find(self.ID, self.Incarnation)
+		own.Nonce = c.nonce
+		next.set(own)
 		err := s.swap(ctx, t, self, next, c.nonce)
 		switch {
 		case err == nil:
@@ -108,7 +111,9 @@
 			}
 		}
 		t.unsettled = nil
-		s.restore(t, generation, *last, unchanged, !unchanged && rec.Nonce == last.nonce)
+		if rec.find(self.ID, self.Incarnation).Nonce != last.nonce {
+			s.restore(t, generation, *last)
+		}
 	}
 	t.known = true
 	s.settle(t, self, generation, change{})
@@ -125,7 +130,7 @@
 	t.share, t.limit = t.rec.find(self.ID, self.Incarnation), t.rec.Limit
 	t.lowered = 0
 	t.adopted = max(0, t.adopted-c.moved)
-	t.handovers = t.handovers[min(len(c.handed), len(t.handovers)):]
+	t.handedOver(c.handed)
 }
 
 // suspend keeps what a write without known outcome gave away as given.
@@ -140,24 +145,19 @@
 		t.lowered += h.n
 	}
 	t.adopted = max(0, t.adopted-c.moved)
-	t.handovers = t.handovers[min(len(c.handed), len(t.handovers)):]
+	t.handedOver(c.handed)
 }
 
-// restore plans again what a suspended write didn't do. Handovers are repeated unless the write is known to have
-// taken effect, because a second one only reserves too much. Adopted tasks are restored only when the write is known
-// to have failed, because the dead members' parts also reserve other tasks.
-func (s *Split) restore(t *team, generation uint64, c change, failed, done bool) {
+// restore plans again what a suspended write didn't do. A handover must not be repeated after it took effect: the part
+// that the second one takes may be in use by then.
+func (s *Split) restore(t *team, generation uint64, c change) {
 	_, unlock := s.locked(t.id)
 	defer unlock()
 	if t.generation != generation || c.begun != generation {
 		return
 	}
-	if failed {
-		t.adopted += c.moved
-	}
-	if !done {
-		t.handovers = append(append([]handover{}, c.handed...), t.handovers...)
-	}
+	t.adopted += c.moved
+	t.handovers = append(append([]handover{}, c.handed...), t.handovers...)
 }
 
 // generation returns the team's count of drops; results of work begun before a drop are ignored after it.
