Give every daemon a part of each team's limit before it has work

A team without a part at any daemon started nothing while the store was down. Now every active member holds a floor of one task, taken from the pool. Of a limit below the number of members, the first ones in rendezvous order hold one each. One write sets the floors of all members; the attempts are spread over 50 intervals (10 s). A member that is asked for a part reads the record when it knows of none.

Floors are given up on request and set only while nobody holds more than a floor.

--- a/internal/failure/scene_test.go
+++ b/internal/failure/scene_test.go
@@ -101,22 +101,31 @@
 	}
 }
 
+// state is a part of a daemon's state dump.
+type state struct{ Queue, Limits, Placement json.RawMessage }
+
+func (s *scene) state(m ident.MemberID) (state state, ok bool) {
+	d := s.cell.Daemon(m)
+	if d == nil {
+		return state, false
+	}
+	r, _ := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+d.OperatorAddress()+"/debug/state", nil)
+	r.Header.Set("Authorization", "Bearer "+demo.Token)
+	reply, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return state, false
+	}
+	defer func() { _ = reply.Body.Close() }()
+	return state, json.NewDecoder(reply.Body).Decode(&state) == nil
+}
+
 // dump logs the limits and queues of all daemons.
 func (s *scene) dump() {
 	for _, m := range all {
-		d := s.cell.Daemon(m)
-		if d == nil {
-			continue
-		}
-		r, _ := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+d.OperatorAddress()+"/debug/state", nil)
-		r.Header.Set("Authorization", "Bearer "+demo.Token)
-		reply, err := http.DefaultClient.Do(r)
-		if err != nil {
+		state, ok := s.state(m)
+		if !ok {
 			continue
 		}
-		var state struct{ Queue, Limits, Placement json.RawMessage }
-		_ = json.NewDecoder(reply.Body).Decode(&state)
-		_ = reply.Body.Close()
 		s.Logf("%s: queue %.1000s, limits %.1000s, placement %.2000s", m, state.Queue, state.Limits, state.Placement)
 	}
 }
--- a/internal/limit/fake_test.go
+++ b/internal/limit/fake_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -136,7 +138,7 @@
 func (c *cell) join(m member.Member) *Split {
 	s, err := New(Config{
 		Store: c.store, Self: func() member.Member { return m }, View: c.currentView, Limit: c.limit,
-		Teams: func() []ident.TeamID { return []ident.TeamID{grain} }, Ask: c.ask, Now: c.clock, Log: logr.Discard(),
+		Teams: func() []ident.TeamID { return slices.Sorted(maps.Keys(c.limits)) }, Ask: c.ask, Now: c.clock, Log: logr.Discard(),
 		Cleared: func(id ident.MemberID, _ ident.Incarnation) bool { return c.cleared[id] },
 	})
 	if err != nil {
--- /dev/null
+++ b/internal/limit/floor_test.go
@@ -0,0 +1,67 @@
+package limit
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+// Guards against a team that can't start anything while the store is down because it never ran, against floors above a
+// small limit, and against floors that cost the store more writes than the split may use.
+func TestFloors(t *testing.T) {
+	const teams = 110
+	for name, test := range map[string]struct{ limit, members, holders int }{
+		"large limit":           {600, 9, 9},
+		"as many as members":    {9, 9, 9},
+		"smaller than members":  {3, 9, 3},
+		"no task may run":       {0, 6, 0},
+		"smallest cell, at one": {1, 6, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCell(t, test.limit, test.members)
+			for i := range teams - 1 {
+				c.limits[ident.TeamID(fmt.Sprintf("team-%d", i))] = test.limit
+			}
+			for range floorSpread + 1 {
+				before := c.store.writes
+				c.pass(1)
+				if n := c.store.writes - before; n > storeWritesPerSecond/storeFraction*budgetFill {
+					t.Errorf("%d writes in one second", n)
+				}
+			}
+			c.pass(floorSpread) // a second attempt for those whose first one the budget prevented
+			t.Logf("%d writes and %d reads", c.store.writes, c.store.reads)
+			if c.store.writes > 2*teams {
+				t.Errorf("%d writes for %d teams", c.store.writes, teams)
+			}
+			c.store.down = true
+			for id := range c.limits {
+				holders := 0
+				for _, s := range c.splits {
+					if s.Reserve(id, 1) {
+						holders++
+					}
+				}
+				if holders != test.holders {
+					t.Errorf("%s can start at %d members, want %d", id, holders, test.holders)
+				}
+			}
+		})
+	}
+}
+
+// Guards against floors that keep a member with waiting tasks from using the whole limit, also when their holders
+// haven't read them yet.
+func TestFloorGivenUp(t *testing.T) {
+	c := newCell(t, 9, 9)
+	grainOf, unlock := c.splits["m0"].locked(grain)
+	grainOf.floorAt = c.now
+	unlock()
+	c.splits["m0"].tick(t.Context())
+	for range 12 { // seconds, in which not all members make their first attempt
+		c.splits["m4"].Reserve(grain, 9)
+		c.pass(1)
+	}
+	c.part("m4", 9, 9)
+}
--- a/internal/limit/give.go
+++ b/internal/limit/give.go
@@ -24,9 +24,9 @@
 		return wire.LimitReply{}, nil
 	}
 	t, unlock := s.locked(r.Team)
-	spare := t.spare(limit, s.config.Now())
+	spare, unread := t.spare(limit, s.config.Now()), t.share.Part == 0
 	unlock()
-	if spare == 0 {
+	if spare == 0 && !unread {
 		return wire.LimitReply{}, nil
 	}
 	select {
@@ -35,6 +35,13 @@
 	case <-ctx.Done():
 		return wire.LimitReply{}, fmt.Errorf("limit request: %w", ctx.Err())
 	}
+	if unread { // another member may have written the floor
+		t.known = false
+		if err := s.load(ctx, t, self, s.generation(t)); err != nil {
+			s.report(t, err)
+			return wire.LimitReply{}, nil
+		}
+	}
 	_, unlock = s.locked(r.Team)
 	t.giving = min(r.Want, t.spare(limit, s.config.Now()))
 	giving := t.giving
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -78,6 +78,7 @@
 	lowered    int // part of the own share that a write without known outcome gave away
 	handovers  []handover
 	lentAt     ident.Epoch // view since which tasks above the own part belong to live members; 0 when dead ones may be among them
+	floorAt    time.Time   // earliest next attempt for the floor
 	demand     demand
 
 	writer    chan struct{}
@@ -244,7 +245,7 @@
 			t.generation++
 			t.share, t.limit, t.used, t.adopted, t.handovers = share{}, 0, 0, 0, nil
 			t.giving, t.lowered = 0, 0
-			t.demand = demand{}
+			t.demand, t.floorAt = demand{}, time.Time{}
 		}
 		sh.lock.Unlock()
 	}
--- a/internal/limit/loop.go
+++ b/internal/limit/loop.go
@@ -49,8 +49,12 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(parallelTeams)
 	var first, later []*team
+	for _, id := range s.config.Teams() {
+		_, unlock := s.locked(id) // teams without work get a floor too
+		unlock()
+	}
 	for i := range s.shards {
-		short, due := s.due(&s.shards[i], now)
+		short, due := s.due(&s.shards[i], now, view)
 		first, later = append(first, short...), append(later, due...)
 	}
 	// Teams with waiting tasks use the budget before those that only look ahead, and the order changes with time.
@@ -77,7 +81,7 @@
 }
 
 // due lists the teams of a shard with tasks that didn't fit, and the others that need a write or more of their limit.
-func (s *Split) due(sh *shard, now time.Time) (short, due []*team) {
+func (s *Split) due(sh *shard, now time.Time, view member.View) (short, due []*team) {
 	sh.lock.Lock()
 	defer sh.lock.Unlock()
 	for _, t := range sh.teams {
@@ -90,7 +94,7 @@
 		case !ok || now.Before(t.demand.next):
 		case t.free(limit) < max(0, t.demand.missed):
 			short = append(short, t)
-		case t.wants(limit) || t.mustWrite(limit):
+		case t.wants(limit) || t.mustWrite(limit) || s.lacksFloor(t, limit, now, view):
 			due = append(due, t)
 		}
 	}
@@ -115,8 +119,15 @@
 		return // a peer's request is being served
 	}
 	t.known = false // what peers took or gave since isn't in the cached record
+	limit, _ := s.config.Limit(t.id)
+	_, unlock := s.locked(t.id)
+	floor := s.lacksFloor(t, limit, s.config.Now(), view)
+	unlock()
 	before := s.own(t)
-	c, err := s.write(ctx, t, self, func(r *record, c *change) bool { return s.plan(t, self, view, r, c) })
+	c, err := s.write(ctx, t, self, func(r *record, c *change) bool {
+		changed := s.plan(t, self, view, r, c)
+		return floor && seed(r, t.id, view) || changed
+	})
 	parts := t.rec.Parts
 	<-t.writer
 	outcome := steady
@@ -132,8 +143,13 @@
 	if err == nil && s.stillWants(t) && s.request(ctx, t, self, view, parts) {
 		outcome = gained
 	}
-	_, unlock := s.locked(t.id)
-	t.demand.result(outcome, s.config.Now(), s.config.Interval)
+	_, unlock = s.locked(t.id)
+	if floor {
+		s.nextFloor(t, err)
+	}
+	if !floor || outcome != steady { // an attempt for the floor alone doesn't put off the next one for waiting tasks
+		t.demand.result(outcome, s.config.Now(), s.config.Interval)
+	}
 	unlock()
 	if outcome == gained {
 		s.config.Gained(t.id)
@@ -205,7 +221,7 @@
 func (s *Split) request(ctx context.Context, t *team, self member.Member, view member.View, parts []share) bool {
 	holders := slices.DeleteFunc(slices.Clone(parts), func(p share) bool {
 		m, ok := view.Find(p.Member)
-		return !ok || m.Incarnation != p.Incarnation || m.ID == self.ID || m.State == member.Unreachable
+		return !ok || m.Incarnation != p.Incarnation || m.ID == self.ID || m.State == member.Unreachable || p.Part == 0
 	})
 	slices.SortFunc(holders, func(a, b share) int {
 		return cmp.Or(cmp.Compare(b.Part, a.Part), cmp.Compare(a.Member, b.Member))
