--- a/internal/failure/failure_test.go
+++ b/internal/failure/failure_test.go
@@ -31,7 +31,8 @@
 		"I5 I6 I7 daemon killed with held requests":          {nil, 0, killedHolder},
 		"I1 I2 owner killed under load":                      {nil, 4 * time.Second, killedOwner},
 		"I4 limit while a daemon is killed and when lowered": {map[ident.TeamID]int{plans: 10}, 0, keptLimit},
-		"I6 store down":                                  {nil, 0, storeDown},
+		"I6 store down": {nil, 0, storeDown},
+		"store down before a team has run anything":      {nil, 0, storeDownNewTeam},
 		"I2 store down and owner killed":                 {nil, 0, storeDownOwnerKilled},
 		"I9 rolling replacement":                         {nil, 0, rollingReplacement},
 		"I8 leaving backend server":                      {nil, 0, leavingServer},
@@ -104,7 +105,7 @@
 func storeDown(s *scene) {
 	s.warm()
 	s.cell.Standins.KV.SetDown(true)
-	end := time.Now().Add(4 * time.Second) // twice the freshness bound and more than two leases
+	end := time.Now().Add(6 * time.Second) // three times the freshness bound and more than a lease
 	s.askMany(quotes("early", 12, true, 100*time.Millisecond), all...)()
 	before := len(s.runs(ofRequest("")))
 	refused := batch("renders", 1, 100*time.Millisecond)
--- a/internal/limit/fake_test.go
+++ b/internal/limit/fake_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -136,7 +138,7 @@
 func (c *cell) join(m member.Member) *Split {
 	s, err := New(Config{
 		Store: c.store, Self: func() member.Member { return m }, View: c.currentView, Limit: c.limit,
-		Teams: func() []ident.TeamID { return []ident.TeamID{grain} }, Ask: c.ask, Now: c.clock, Log: logr.Discard(),
+		Teams: func() []ident.TeamID { return slices.Sorted(maps.Keys(c.limits)) }, Ask: c.ask, Now: c.clock, Log: logr.Discard(),
 		Cleared: func(id ident.MemberID, _ ident.Incarnation) bool { return c.cleared[id] },
 	})
 	if err != nil {
@@ -241,6 +243,14 @@
 	return usable, used
 }
 
+// adopting sums the tasks that live members count on parts of dead ones.
+func (c *cell) adopting() (n int) {
+	for _, s := range c.splits {
+		n += s.Adopting()
+	}
+	return n
+}
+
 func (c *cell) part(id ident.MemberID, part, used int) {
 	c.t.Helper()
 	if p, u := c.splits[id].Part(grain); p != part || u != used {
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -80,6 +80,8 @@
 	giving     int // part of the own share that the write in flight gives away
 	lowered    int // part of the own share that a write without known outcome gave away
 	handovers  []handover
+	lentAt     ident.Epoch // view since which tasks above the own part belong to live members; 0 when dead ones may be among them
+	floorAt    time.Time   // earliest next attempt for the floor
 	demand     demand
 
 	writer    chan struct{}
@@ -90,7 +92,7 @@
 	asked     int // rotates the members that are asked
 }
 
-// handover is a part that goes to the new owner of a backend server together with its tasks.
+// handover is a part that goes to another member together with tasks.
 type handover struct {
 	to member.Member
 	n  int
@@ -132,7 +134,7 @@
 	}
 	now := s.config.Now()
 	t, unlock := s.locked(id)
-	fits := n <= t.usable(limit)-t.used
+	fits := n <= t.free(limit)
 	if fits {
 		t.used += n
 		t.demand.started(n, now)
@@ -180,6 +182,11 @@
 		return
 	}
 	t, unlock := s.locked(id)
+	if adopted == 0 {
+		t.lend(s.config.View().Epoch)
+	} else {
+		t.lentAt = 0
+	}
 	t.used += n
 	t.adopted += adopted
 	t.demand.next = time.Time{}
@@ -194,16 +201,35 @@
 		return
 	}
 	t, unlock := s.locked(id)
-	t.used = max(0, t.used-n)
-	spare := t.share.Part - t.giving - t.lowered - t.promised() - t.used
-	if n = min(n, spare); n > 0 {
-		t.handovers = append(t.handovers, handover{to: to, n: n})
-		t.demand.next = time.Time{}
-	}
+	t.promise(n, to)
+	t.demand.next = time.Time{}
 	unlock()
 	s.signal()
 }
 
+// Accept counts n tasks that a member of the view hands over on a part that it reserved for them, above the own part
+// until the member's Pass is written.
+func (s *Split) Accept(id ident.TeamID, n int) bool {
+	if _, ok := s.config.Limit(id); !ok || n < 0 {
+		return false
+	}
+	t, unlock := s.locked(id)
+	defer unlock()
+	t.lend(s.config.View().Epoch)
+	t.used += n
+	t.demand.started(n, s.config.Now())
+	return true
+}
+
+// Pass gives n reserved tasks and their part to the member that accepted them, or may have. Unlike Handover it leaves
+// the write to the next regular attempt, because each forwarded task would otherwise cost a write.
+func (s *Split) Pass(id ident.TeamID, n int, to member.Member) {
+	t, unlock := s.locked(id)
+	defer unlock()
+	t.demand.count = max(0, t.demand.count-n)
+	t.promise(n, to)
+}
+
 // Part returns the own part that allows starts now and how much of it is used; used exceeds part after Adopt.
 func (s *Split) Part(id ident.TeamID) (part, used int) {
 	limit, _ := s.config.Limit(id)
@@ -222,7 +248,7 @@
 			t.generation++
 			t.share, t.limit, t.used, t.adopted, t.handovers = share{}, 0, 0, 0, nil
 			t.giving, t.lowered = 0, 0
-			t.demand = demand{}
+			t.demand, t.floorAt = demand{}, time.Time{}
 		}
 		sh.lock.Unlock()
 	}
@@ -233,6 +259,35 @@
 	return max(0, scale(t.share.Part-t.share.Excess, limit, t.limit)-t.giving-t.lowered-t.promised())
 }
 
+// promise ends the count of n tasks and plans to hand over their part. A member that is short owes it until it gets the
+// parts of its own tasks; otherwise it would start tasks on them, and the receiver would never be covered.
+func (t *team) promise(n int, to member.Member) {
+	t.used = max(0, t.used-n)
+	t.handovers = append(t.handovers, handover{to: to, n: n})
+}
+
+// handedOver removes what was written from the planned handovers. The last one may have been written in part.
+func (t *team) handedOver(done []handover) {
+	for _, h := range done {
+		if len(t.handovers) == 0 {
+			return
+		}
+		if t.handovers[0].n -= h.n; t.handovers[0].n <= 0 {
+			t.handovers = t.handovers[1:]
+		}
+	}
+}
+
+// short is the number of tasks above the own part; negative when there are fewer.
+func (t *team) short() int { return t.used - (t.share.Part - t.giving - t.lowered - t.promised()) }
+
+// lend notes that tasks are about to be counted on another member's part. The oldest epoch is kept while any are.
+func (t *team) lend(epoch ident.Epoch) {
+	if t.short() <= 0 {
+		t.lentAt = epoch
+	}
+}
+
 // promised is the sum of the handovers that aren't written yet.
 func (t *team) promised() int {
 	n := 0
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -5,6 +5,7 @@
 	"sync"
 	"testing"
 
+	"github.com/rosemaryspoke/rosemaryspoke/internal/member"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/peer/wire"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/platform"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
@@ -24,11 +25,7 @@
 }
 
 func TestFaults(t *testing.T) {
-	cases := map[string]struct {
-		guards         string
-		limit, members int
-		run            func(t *testing.T, c *cell)
-	}{
+	runFaults(t, map[string]faultCase{
 		"two members ask at once": {
 			"a part that is granted twice", 10, 3, func(t *testing.T, c *cell) {
 				var wait sync.WaitGroup
@@ -260,6 +257,25 @@
 				c.part("m1", 3, 3)
 			},
 		},
+		"handover's reply lost, then another write": {
+			"a handover that is repeated and takes a part in use", 8, 3, func(t *testing.T, c *cell) {
+				c.get("m0", 8)
+				c.splits["m0"].Handover(grain, 3, c.view.Members[1])
+				c.splits["m1"].Receive(grain, 3)
+				c.store.once(lostReply)
+				c.splits["m0"].tick(t.Context())
+				c.splits["m1"].Release(grain, 2)
+				c.splits["m1"].tick(t.Context())
+				if r, err := c.splits["m1"].HandleRequest(t.Context(), request("m2", 1)); err != nil || r.Given != 1 {
+					t.Errorf("gave %+v, %v", r, err)
+				}
+				c.view.Members[1].State, c.view.Members[2].State = member.Unreachable, member.Unreachable // give nothing back
+				c.pass(3)
+				if part, used := c.splits["m0"].Part(grain); part < used {
+					t.Errorf("m0 has part %d and uses %d", part, used)
+				}
+			},
+		},
 		"store down": {
 			"a start that stops, or a part that changes, while the store is down", 8, 2, func(t *testing.T, c *cell) {
 				c.get("m0", 4)
@@ -356,7 +372,18 @@
 				delete(c.store.items, keyPrefix+string(grain))
 			},
 		},
-	}
+	})
+}
+
+// faultCase is a history of a cell, at whose end the sum of the parts is checked too.
+type faultCase struct {
+	guards         string
+	limit, members int
+	run            func(t *testing.T, c *cell)
+}
+
+func runFaults(t *testing.T, cases map[string]faultCase) {
+	t.Helper()
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
 			t.Log("guards against", test.guards)
