Give throttled tasks their processor share back

Preemption lowered the share of a task to 25 percent and nothing raised it again before the task ended. A throttle call with a lost reply also left the task slow without a record of it, and a new owner counted the full share of a task that its backend server throttled.

The full share is counted before the call. The pool knows when a call is under way or without confirmation; such a task isn't throttled, and one whose raise had an unknown outcome is only checkpointed or stopped from then on, because the raise could take effect after a later throttle.

Before: a task stayed at 25 percent.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -213,6 +213,7 @@
 			return nil
 		case <-audit.C:
 			d.audit()
+			d.restore()
 		case <-expire.C:
 			d.expire()
 		}
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -15,6 +15,8 @@
 	preemptAfter = 300 * time.Millisecond
 	// preemptPause is how long an urgent task waits for the room of its victims before it asks for more.
 	preemptPause = 500 * time.Millisecond
+	// throttleTimeout bounds one throttle call. Until it ends the attempt's share isn't changed again.
+	throttleTimeout = 2 * time.Second
 )
 
 // preemptionDue reports whether the last preemption for the task is long enough ago.
@@ -43,6 +45,30 @@
 	return true
 }
 
+// restore gives throttled tasks their full share back where there is room, unless urgent work waits for room.
+func (d *Dispatcher) restore() {
+	if d.queue.Urgent() > 0 {
+		return
+	}
+	for _, v := range d.config.Pool.Restore() {
+		d.spawn(func(ctx context.Context) { d.raise(ctx, v) })
+	}
+}
+
+// raise tells a backend server the full share of one attempt, which is counted already.
+func (d *Dispatcher) raise(ctx context.Context, v placement.Victim) {
+	err := d.act(ctx, v)
+	if err == nil {
+		return
+	}
+	d.config.Pool.Unconfirmed(v.Host, v.Attempt)
+	if errors.Is(err, backend.ErrUnknownOutcome) {
+		// The call may take effect late, after another one that lowers the share.
+		d.config.Pool.Refused(v.Host, v.Attempt, placement.ActionThrottle)
+	}
+	d.config.Log.V(1).Info("share of a throttled attempt not raised", "attempt", v.Attempt, "host", v.Host, "error", err.Error())
+}
+
 // displace takes the room of one victim; its origin queues it again.
 func (d *Dispatcher) displace(ctx context.Context, v placement.Victim) {
 	d.counts.preemptions.Inc()
@@ -53,6 +79,9 @@
 		d.Wake()
 		return
 	}
+	if err != nil && v.Action == placement.ActionThrottle {
+		d.config.Pool.Unconfirmed(v.Host, v.Attempt)
+	}
 	if err != nil {
 		d.config.Log.Info("preemption failed", "attempt", v.Attempt, "host", v.Host, "error", err.Error())
 	}
@@ -63,6 +92,8 @@
 	case placement.ActionCheckpoint:
 		return d.config.Servers.Checkpoint(ctx, v.Host, v.Attempt)
 	case placement.ActionThrottle:
+		ctx, cancel := context.WithTimeout(ctx, throttleTimeout)
+		defer cancel()
 		err := d.config.Servers.Throttle(ctx, v.Host, v.Attempt, v.Percent)
 		if err == nil {
 			d.config.Pool.Throttled(v.Host, v.Attempt, v.Percent)
--- a/internal/placement/host.go
+++ b/internal/placement/host.go
@@ -195,7 +195,7 @@
 	for _, r := range inventory.Running {
 		t := &Placed{
 			Host: info.ID, Kind: p.config.KindOf(r.Queue), Task: r.Task, Running: true,
-			Since: now.Add(-r.Ran.Duration()),
+			Since: now.Add(-r.Ran.Duration()), unsure: r.Throttled, changed: now,
 		}
 		t.Task.Payload = nil
 		s.add(h, t)
@@ -259,32 +259,6 @@
 	}
 }
 
-// Throttled records that an attempt may use percent of its demanded CPU; 100 ends the throttling. It is called after the
-// host confirmed a lower percentage, and before it is told a higher one. It returns false and changes nothing when the
-// attempt isn't there or the host has no room for the higher percentage.
-func (p *Pool) Throttled(id ident.HostID, attempt ident.AttemptID, percent int) bool {
-	s := p.shardOf(id)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	h, ok := s.hosts[id]
-	if !ok {
-		return false
-	}
-	t, ok := h.attempts[attempt]
-	if !ok || percent <= 0 {
-		return false
-	}
-	changed := *t
-	if changed.Throttled = percent; percent >= 100 {
-		changed.Throttled = 0
-	}
-	if grown := changed.charge().CPU - t.charge().CPU; grown > 0 && grown > h.free.CPU {
-		return false
-	}
-	s.recharge(h, t, func(t *Placed) { t.Throttled = changed.Throttled })
-	return true
-}
-
 // Release frees the room of an attempt that ended or was never started. It returns false when it isn't there.
 func (p *Pool) Release(id ident.HostID, attempt ident.AttemptID) bool {
 	s := p.shardOf(id)
@@ -309,18 +283,10 @@
 
 // Running records that the host confirmed the start. It returns false when the attempt isn't there.
 func (p *Pool) Running(id ident.HostID, attempt ident.AttemptID) bool {
-	s := p.shardOf(id)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	h, ok := s.hosts[id]
-	if !ok {
-		return false
-	}
-	t, ok := h.attempts[attempt]
-	if ok {
+	return p.called(id, attempt, func(_ *shard, _ *host, t *Placed) bool {
 		t.Running = true
-	}
-	return ok
+		return true
+	})
 }
 
 // Attempts returns the attempts on a host.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -80,6 +80,10 @@
 	Since     time.Time // when it was placed; from an inventory, when it started
 
 	noCheckpoint, noThrottle bool // actions that the task refused
+
+	calling int       // percent that the host is being told, 0 when no call is under way
+	unsure  bool      // the host may allow less than is counted, after a call without confirmation
+	changed time.Time // when the host was last told a percentage
 }
 
 // Reason says why no host has room.
--- a/internal/placement/victims.go
+++ b/internal/placement/victims.go
@@ -64,8 +64,8 @@
 // Victims returns the cheapest set of attempts on one host whose preemption makes room for the request. Only running,
 // idempotent attempts of a lower priority are preempted; urgent ones only for an urgent request. Where only CPU is
 // short they are throttled, otherwise checkpointed, and stopped only when the task refused the other actions (see
-// Refused). It returns ErrNoVictims when there is no such set. Nothing is changed; the caller releases or throttles the
-// attempts as the host confirms.
+// Refused). It returns ErrNoVictims when there is no such set. No room is freed yet; the caller releases or throttles the
+// attempts as the host confirms, and reports every end of a throttle call.
 func (p *Pool) Victims(r Request) ([]Victim, error) {
 	if p.config.Baseline {
 		return nil, ErrNoVictims
@@ -106,11 +106,14 @@
 	if r.Urgent {
 		chosen.kept = r.Demand
 	}
-	s.mu.Unlock()
 	victims := make([]Victim, len(best))
 	for i, c := range best {
 		victims[i] = c.victim
+		if t, ok := chosen.attempts[c.victim.Attempt]; ok && c.victim.Action == ActionThrottle {
+			t.calling, t.changed = c.victim.Percent, now
+		}
 	}
+	s.mu.Unlock()
 	return victims, nil
 }
 
@@ -142,7 +145,7 @@
 		c := candidate{victim: Victim{Host: h.info.ID, Attempt: t.Task.Attempt}, gain: t.charge()}
 		switch {
 		case throttle:
-			if t.noThrottle || t.Throttled > 0 {
+			if t.noThrottle || t.Throttled > 0 || t.calling > 0 || t.unsure {
 				continue
 			}
 			c.victim.Action, c.victim.Percent, c.cost = ActionThrottle, ThrottlePercent, costThrottle
@@ -208,18 +211,3 @@
 	return gain.CPU > 0 && short.CPU > 0 || gain.Memory > 0 && short.Memory > 0 || gain.GPUs > 0 && short.GPUs > 0 ||
 		gain.Slots > 0 && short.Slots > 0 || gain.Connections > 0 && short.Connections > 0
 }
-
-// Refused records that a task can't be checkpointed or throttled, so that Victims chooses another action.
-func (p *Pool) Refused(id ident.HostID, attempt ident.AttemptID, action Action) {
-	s := p.shardOf(id)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	h, ok := s.hosts[id]
-	if !ok {
-		return
-	}
-	if t, ok := h.attempts[attempt]; ok {
-		t.noCheckpoint = t.noCheckpoint || action == ActionCheckpoint
-		t.noThrottle = t.noThrottle || action == ActionThrottle
-	}
-}
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -303,6 +303,9 @@
 	return q.length
 }
 
+// Urgent returns the number of urgent items.
+func (q *Queue[T]) Urgent() int { return int(q.urgent.Load()) }
+
 // Lengths returns the number of items of every team that has some.
 func (q *Queue[T]) Lengths() map[ident.TeamID]int {
 	lengths := map[ident.TeamID]int{}
