Test the silence of a lease and the wait for the end of an offer

Table.silence stops the calls to a backend server that hasn't answered for a whole lease, because each call may renew the lease; queue.AwaitNext keeps a refused start from putting its task back while it is still offered. Neither had a test. A server whose owner doesn't renew is covered by the case "lapse" of internal/backend.

Both cases were seen to fail without the function: "no reply for a whole lease" ends with the task still running and no report, "restored after the end of the offer" with the task refused as a duplicate and lost.

--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -120,6 +120,25 @@
 			a.saw("attached h running=0 finished=1 slots=4", "finished h t lease-lapsed")
 			a.starts("h", service("t2", "job"), nil)
 		},
+		// Silence: calls that take effect without a reply renew the lease for ever, so the tasks are never given up.
+		"no reply for a whole lease": func(c *cell) {
+			w := c.host("h")
+			a := c.join("a")
+			c.change("a")
+			time.Sleep(settled)
+			a.starts("h", service("t", "job"), nil)
+			w.Faults().LoseReplies(1)
+			time.Sleep(leaseIntervals * minRenewal)
+			a.saw("attached h running=0 finished=0 slots=4")
+			time.Sleep(2 * lapsed)
+			a.saw("detached h lapsed")
+			if exit := w.Runs()[0].Exit; exit != backend.ExitLeaseLapsed {
+				c.Errorf("exit %q after the report", exit)
+			}
+			w.Faults().LoseReplies(0)
+			time.Sleep(settled)
+			a.saw("attached h running=0 finished=1 slots=4", "finished h t lease-lapsed")
+		},
 		// Boot id: the old inventory and capacity no longer hold.
 		"host returns with fewer slots": func(c *cell) {
 			w := c.host("h")
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -126,6 +126,25 @@
 			}
 			f.wantOffered(t, taken, "a0", "b0", "b1", "a1", "b2", "b3", "a2", "a3")
 		},
+		// A start that is refused before the offer has ended: its task was a duplicate of the offered item and was lost.
+		"restored after the end of the offer": func(t *testing.T, f *fixture) {
+			f.push(t, one("a", "a"))
+			waits, restored := make(chan struct{}), make(chan error, 1)
+			f.queue.Next(func(i Item[int]) Verdict {
+				go func() {
+					close(waits)
+					f.queue.AwaitNext()
+					restored <- f.queue.Restore(i)
+				}()
+				<-waits
+				time.Sleep(10 * time.Millisecond) // gives a restore that doesn't wait the time to come first
+				return Taken
+			})
+			if err := <-restored; err != nil || f.queue.Len() != 1 {
+				t.Fatalf("restored: %v, %d queued", err, f.queue.Len())
+			}
+			f.wantOffered(t, taken, "a")
+		},
 		// The same across calls, and a team that is charged for ever for items that have long ended.
 		"a charge lasts until the usage changes": func(t *testing.T, f *fixture) {
 			first := func() string { return f.offered(func(Item[int]) Verdict { return Stop })[0] }
