--- a/internal/member/remove.go
+++ b/internal/member/remove.go
@@ -59,7 +59,7 @@
 // then reads of its removal, drops everything and rejoins. One without a lease would go on without knowing.
 func (g *Group) Remove(ctx context.Context, id ident.MemberID, confirmed bool) (Member, error) {
 	started := g.config.Now()
-	if err := g.refresh(ctx); err != nil {
+	if err := g.Refresh(ctx); err != nil {
 		return Member{}, err
 	}
 	s := g.snapshot.Load()
--- a/internal/member/remove_test.go
+++ b/internal/member/remove_test.go
@@ -11,7 +11,7 @@
 // remove lets an operator remove a member through another one and compares the error.
 func (c *cell) remove(via, id ident.MemberID, confirmed bool, want error) {
 	c.t.Helper()
-	_ = c.node(via).refresh(c.t.Context())
+	_ = c.node(via).Refresh(c.t.Context())
 	before := c.node(via).View().Epoch
 	_, err := c.node(via).Remove(c.t.Context(), id, confirmed)
 	if !errors.Is(err, want) {
--- a/internal/placement/victims.go
+++ b/internal/placement/victims.go
@@ -25,8 +25,9 @@
 const (
 	// ThrottlePercent is the part of its demanded CPU that a throttled attempt keeps.
 	ThrottlePercent = 25
-	// VictimHold is the time for which a host isn't chosen again after Victims, so that two urgent tasks don't count on
-	// the same room. It is the bound of an urgent start, 2.2 s, rounded up.
+	// VictimHold is the longest time for which a host isn't chosen again after Victims, so that two urgent tasks don't
+	// count on the same room, and for which the room is kept for urgent work. It is the bound of an urgent start, 2.2 s,
+	// rounded up.
 	VictimHold = 3 * time.Second
 	// maxVictimHosts bounds the hosts that are compared; more are searched only while none has enough lower work.
 	maxVictimHosts = 64
@@ -63,8 +64,8 @@
 // Victims returns the cheapest set of attempts on one host whose preemption makes room for the request. Only running,
 // idempotent attempts of a lower priority are preempted; urgent ones only for an urgent request. Where only CPU is
 // short they are throttled, otherwise checkpointed, and stopped only when the task refused the other actions (see
-// Refused). It returns ErrNoVictims when there is no such set. Nothing is changed; the caller releases or throttles the
-// attempts as the host confirms.
+// Refused). It returns ErrNoVictims when there is no such set. No room is freed yet; the caller releases or throttles the
+// attempts as the host confirms, and reports every end of a throttle call.
 func (p *Pool) Victims(r Request) ([]Victim, error) {
 	if p.config.Baseline {
 		return nil, ErrNoVictims
@@ -101,12 +102,18 @@
 	}
 	s := p.shardOf(chosen.info.ID)
 	s.mu.Lock()
-	chosen.marked = now.Add(VictimHold)
-	s.mu.Unlock()
+	chosen.marked, chosen.kept = now.Add(VictimHold), resource.Vector{}
+	if r.Urgent {
+		chosen.kept = r.Demand
+	}
 	victims := make([]Victim, len(best))
 	for i, c := range best {
 		victims[i] = c.victim
+		if t, ok := chosen.attempts[c.victim.Attempt]; ok && c.victim.Action == ActionThrottle {
+			t.calling, t.changed = c.victim.Percent, now
+		}
 	}
+	s.mu.Unlock()
 	return victims, nil
 }
 
@@ -138,7 +145,7 @@
 		c := candidate{victim: Victim{Host: h.info.ID, Attempt: t.Task.Attempt}, gain: t.charge()}
 		switch {
 		case throttle:
-			if t.noThrottle || t.Throttled > 0 {
+			if t.noThrottle || t.Throttled > 0 || t.calling > 0 || t.unsure {
 				continue
 			}
 			c.victim.Action, c.victim.Percent, c.cost = ActionThrottle, ThrottlePercent, costThrottle
@@ -204,18 +211,3 @@
 	return gain.CPU > 0 && short.CPU > 0 || gain.Memory > 0 && short.Memory > 0 || gain.GPUs > 0 && short.GPUs > 0 ||
 		gain.Slots > 0 && short.Slots > 0 || gain.Connections > 0 && short.Connections > 0
 }
-
-// Refused records that a task can't be checkpointed or throttled, so that Victims chooses another action.
-func (p *Pool) Refused(id ident.HostID, attempt ident.AttemptID, action Action) {
-	s := p.shardOf(id)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	h, ok := s.hosts[id]
-	if !ok {
-		return
-	}
-	if t, ok := h.attempts[attempt]; ok {
-		t.noCheckpoint = t.noCheckpoint || action == ActionCheckpoint
-		t.noThrottle = t.noThrottle || action == ActionThrottle
-	}
-}
