Count the view's lag of two successive owners

An earlier owner may renew for one ViewLag after the view changed, and a later one may attach that long before this owner sees its view. checkLapse counted one lag for both, so a lease of an earlier owner with the longest length could outlast the report that all tasks have stopped (I2). The end of the others' leases now includes a lag of its own; the lag of this owner's view is added as before.

"owner and backend server die" in ownership now checks after lease, drift and one lag that nothing is concluded; it was seen to fail without the change.

--- a/internal/ownership/entry.go
+++ b/internal/ownership/entry.go
@@ -74,6 +74,12 @@
 // or be ahead, so it is taken as up to twice as long as the longest that this member has seen.
 func (t *Table) maxLease() time.Duration { return leaseIntervals * t.paced(2*t.mostHosts.Load()) }
 
+// othersLease is when the last lease of earlier owners is over. Such an owner may attach or renew for ViewLag after the
+// view changed; the lag of this member's own view is added in checkLapse.
+func (t *Table) othersLease() time.Time {
+	return t.config.Now().Add(t.maxLease() + t.config.ViewLag)
+}
+
 // loop polls the entry's backend server until the entry is removed or ctx ends.
 func (t *Table) loop(ctx context.Context, e *entry) {
 	defer close(e.done)
--- a/internal/ownership/reconcile.go
+++ b/internal/ownership/reconcile.go
@@ -167,7 +167,7 @@
 	switch {
 	case e.caretaker:
 	case e.blocked > 0 && epoch > e.blocked, !gapless && epoch > e.confirmed:
-		e.othersOver, e.lapsed, e.blocked = t.config.Now().Add(t.maxLease()), false, 0
+		e.othersOver, e.lapsed, e.blocked = t.othersLease(), false, 0
 		e.reattach = epoch
 	case gapless && e.confirmed > 0 && e.confirmed == t.epoch:
 		e.confirmed = epoch
@@ -182,7 +182,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	e := &entry{
 		id: h.ID, host: h, server: t.config.Dial(h), caretaker: r == roleCaretaker, cancel: cancel, lock: &s.mu,
-		done: make(chan struct{}), wake: make(chan struct{}, 1), othersOver: t.config.Now().Add(t.maxLease()),
+		done: make(chan struct{}), wake: make(chan struct{}, 1), othersOver: t.othersLease(),
 	}
 	if ending, ok := t.ending[h.ID]; ok {
 		e.previous = ending
--- a/internal/ownership/renew.go
+++ b/internal/ownership/renew.go
@@ -244,7 +244,7 @@
 	moved := !own && current.Epoch >= epoch
 	if moved {
 		e.blocked, e.confirmed = current.Epoch, 0
-		e.othersOver, e.lapsed = t.config.Now().Add(t.maxLease()), false
+		e.othersOver, e.lapsed = t.othersLease(), false
 	}
 	e.lock.Unlock()
 	if own {
--- a/internal/ownership/takeover_test.go
+++ b/internal/ownership/takeover_test.go
@@ -139,7 +139,7 @@
 			owner.kill()
 			c.workers["h"].Faults().Vanish(true)
 			c.change(other.id)
-			time.Sleep(leaseIntervals*minRenewal + DefaultDrift) // without the lag of the view
+			time.Sleep(leaseIntervals*minRenewal + DefaultDrift + DefaultViewLag) // with the lag of one view only
 			other.complete(false)
 			time.Sleep(lapsed)
 			other.complete(true)
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -51,9 +51,9 @@
 	printf '; %s %s: counterexample after %s states' "$3" "$2" "$states"
 }
 
-broken=(ownership:NO_EPOCH_CHECK ownership:UNCONFIRMED claim:ONE_VOTE limit:FREE_DEAD_PART freshness:NO_WAIT)
+broken=(ownership:NO_EPOCH_CHECK ownership:UNCONFIRMED ownership:ONE_LAG claim:ONE_VOTE limit:FREE_DEAD_PART freshness:NO_WAIT)
 # Assumptions that the code does not ensure; README.md describes each fault. A counterexample is expected for each.
-assumptions=(ownership:ISOLATED_OWNER ownership:LATE_CALL ownership:ONE_LAG)
+assumptions=(ownership:ISOLATED_OWNER ownership:LATE_CALL)
 
 # Three parts run next to each other; the search of ownership takes the longest.
 search ownership &
--- a/spec/ownership.pml
+++ b/spec/ownership.pml
@@ -6,8 +6,8 @@
  * belongs to a task that can be restarted elsewhere; attempt 1 competes with it for the only room.
  *
  * Broken variants: NO_EPOCH_CHECK, the server accepts a start under any fence; UNCONFIRMED, an owner starts work after an
- * attach without a read of the view from the store.
- * ISOLATED_OWNER, LATE_CALL and ONE_LAG each drop an assumption that the code does not ensure; README.md has the traces.
+ * attach without a read of the view from the store; ONE_LAG, the lag of two successive owners is counted once.
+ * ISOLATED_OWNER and LATE_CALL each drop an assumption that the code does not ensure; README.md has the traces.
  */
 #define OWNERS 2
 #define ATTEMPTS 2
