Count each result of an all-at-once job once and keep finished tasks

A case written for it (a server is lost after the job's other tasks have ended) hung instead: a trace showed 21 results for 20 tasks. A peer repeats the push of a result until it is kept, for a gang only after its last task, and each repetition was counted as another task's end. Then the job ended early and its other tasks were never reported. Separately, a round with a failed task started all tasks again, those that had succeeded included.

Change: a repeated result only adds its acknowledgement. Tasks that succeeded are recorded, and the others start again together, also when the job's owner dies. The parts of a gang are committed side by side, so that a reservation doesn't expire while another member starts its tasks.

Ruled out: lost leases alone.

--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -10,7 +11,6 @@
 	"github.com/rosemaryspoke/rosemaryspoke/internal/backend"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/member"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/peer/wire"
-	"github.com/rosemaryspoke/rosemaryspoke/internal/placement"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 )
@@ -204,6 +204,8 @@
 	g.round++
 	g.mu.Unlock()
 	next := 0
+	var parts sync.WaitGroup // side by side, so that no reservation expires while another member starts its tasks
+	defer parts.Wait()
 	for _, h := range reservations {
 		keys := g.members[next : next+h.tasks]
 		next += h.tasks
@@ -217,7 +219,7 @@
 			})
 		}
 		if len(tasks) > 0 {
-			d.commitPart(ctx, g, id, h.member, keys, tasks)
+			parts.Go(func() { d.commitPart(ctx, g, id, h.member, keys, tasks) })
 		}
 	}
 }
@@ -256,17 +258,25 @@
 	}
 }
 
-// gangResult takes the end of one task. When one fails, the others are stopped, and the job starts again as a whole.
+// gangResult takes the end of one task. When one fails, the others are stopped, and all that haven't succeeded start
+// again together.
 func (d *Dispatcher) gangResult(e *entry, host ident.HostID, r backend.Result, keep func()) {
 	g := e.gang
 	g.mu.Lock()
+	if i := slices.IndexFunc(g.results, func(d gangDone) bool { return d.key == e.key }); i >= 0 {
+		// A peer repeats its push until the result is kept, which isn't before the last task has ended.
+		before := g.results[i].keep
+		g.results[i].keep = func() { before(); keep() }
+		g.mu.Unlock()
+		return
+	}
 	g.open--
 	g.results = append(g.results, gangDone{e.key, host, r, keep})
 	first := false
 	if r.Exit != backend.ExitSucceeded && g.failure == "" {
 		g.failure, first = fmt.Sprintf("task %d ended as %s: %s", e.key.Index, r.Exit, r.Message), true
 	}
-	done, failure, results := g.open == 0, g.failure, g.results
+	done, failure, results := g.open == 0, g.failure, slices.Clone(g.results)
 	g.mu.Unlock()
 	if first {
 		d.stopGang(g)
@@ -290,12 +300,7 @@
 func (d *Dispatcher) endRound(e *entry, failure string, results []gangDone) {
 	g := e.gang
 	if failure != "" && d.mayRegroup(e, results) {
-		for _, r := range results {
-			r.keep()
-		}
-		leader := e
-		d.with(g.leader, func(m *entry) { leader = m })
-		d.regroup(leader, failure)
+		d.restartUnfinished(g, failure, results)
 		return
 	}
 	for _, r := range results {
@@ -311,6 +316,46 @@
 	}
 }
 
+// restartUnfinished ends the tasks that succeeded, which must not run again, and queues the others as one gang.
+func (d *Dispatcher) restartUnfinished(g *gang, failure string, results []gangDone) {
+	g.mu.Lock()
+	rest := &gang{round: g.round}
+	g.mu.Unlock()
+	for _, r := range results {
+		if r.result.Exit != backend.ExitSucceeded {
+			rest.members = append(rest.members, r.key)
+		}
+	}
+	slices.SortFunc(rest.members, func(a, b Key) int { return cmp.Compare(a.Index, b.Index) })
+	rest.leader = rest.members[0]
+	var leader *entry
+	for _, r := range results {
+		succeeded := r.result.Exit == backend.ExitSucceeded
+		var m *entry
+		d.with(r.key, func(found *entry) {
+			m = found
+			if succeeded {
+				found.phase = finished
+			} else {
+				found.gang = rest
+			}
+		})
+		switch {
+		case m == nil:
+		case succeeded:
+			d.finish(m, d.final(m, r.host, r.result, ""), r.keep)
+		default:
+			r.keep()
+			if r.key == rest.leader {
+				leader = m
+			}
+		}
+	}
+	if leader != nil {
+		d.regroup(leader, failure)
+	}
+}
+
 func (d *Dispatcher) mayRegroup(e *entry, results []gangDone) bool {
 	if d.gangCancelled(e.gang) != "" || e.work.Task.NonIdempotent {
 		return false
@@ -336,51 +381,3 @@
 		}
 	}
 }
-
-// gangTable holds the reservations that this daemon's backend servers keep for gangs.
-type gangTable struct {
-	mu    sync.Mutex
-	holds map[string]gangHold
-}
-
-type gangHold struct {
-	team  ident.TeamID
-	tasks int
-	until time.Time
-}
-
-func newGangTable() *gangTable { return &gangTable{holds: map[string]gangHold{}} }
-
-func (t *gangTable) take(id string) (gangHold, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	h, ok := t.holds[id]
-	delete(t.holds, id)
-	return h, ok
-}
-
-func (t *gangTable) expire(now time.Time, release func(id string, h gangHold)) {
-	t.mu.Lock()
-	var expired []string
-	for id, h := range t.holds {
-		if now.After(h.until) {
-			expired = append(expired, id)
-		}
-	}
-	t.mu.Unlock()
-	for _, id := range expired {
-		if h, ok := t.take(id); ok {
-			release(id, h)
-		}
-	}
-}
-
-func (d *Dispatcher) releaseGang(id string, h gangHold) {
-	d.config.Pool.Cancel(id)
-	d.config.Limits.Release(h.team, h.tasks)
-	d.Wake()
-}
-
-func gangRequest(r wire.GangReserve) placement.Request {
-	return placement.Request{Team: r.Team, Kind: api.KindAllAtOnce, Demand: r.Demand, Avoid: r.Avoid}
-}
--- a/internal/dispatch/ganghold.go
+++ b/internal/dispatch/ganghold.go
@@ -4,8 +4,11 @@
 	"context"
 	"errors"
 	"sync"
+	"time"
 
 	"github.com/rosemaryspoke/rosemaryspoke/internal/peer/wire"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/placement"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 )
 
@@ -94,3 +97,51 @@
 	}
 	return reply, nil
 }
+
+// gangTable holds the reservations that this daemon's backend servers keep for gangs.
+type gangTable struct {
+	mu    sync.Mutex
+	holds map[string]gangHold
+}
+
+type gangHold struct {
+	team  ident.TeamID
+	tasks int
+	until time.Time
+}
+
+func newGangTable() *gangTable { return &gangTable{holds: map[string]gangHold{}} }
+
+func (t *gangTable) take(id string) (gangHold, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h, ok := t.holds[id]
+	delete(t.holds, id)
+	return h, ok
+}
+
+func (t *gangTable) expire(now time.Time, release func(id string, h gangHold)) {
+	t.mu.Lock()
+	var expired []string
+	for id, h := range t.holds {
+		if now.After(h.until) {
+			expired = append(expired, id)
+		}
+	}
+	t.mu.Unlock()
+	for _, id := range expired {
+		if h, ok := t.take(id); ok {
+			release(id, h)
+		}
+	}
+}
+
+func (d *Dispatcher) releaseGang(id string, h gangHold) {
+	d.config.Pool.Cancel(id)
+	d.config.Limits.Release(h.team, h.tasks)
+	d.Wake()
+}
+
+func gangRequest(r wire.GangReserve) placement.Request {
+	return placement.Request{Team: r.Team, Kind: api.KindAllAtOnce, Demand: r.Demand, Avoid: r.Avoid}
+}
--- a/internal/failure/failure_test.go
+++ b/internal/failure/failure_test.go
@@ -47,6 +47,7 @@
 		"I2 I7 data centre lost with its daemon":          {nil, 0, lostDataCentre},
 		"I2 I3 I7 regions apart for a while":              {nil, 0, regionsApart},
 		"two all-at-once jobs of half the fleet":          {map[ident.TeamID]int{plans: 100}, 0, largeGangs},
+		"I2 all-at-once job loses a server":               {nil, 0, gangLosesServer},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -87,10 +88,10 @@
 	s.setLimit(plans, 4)
 	before := s.cell.Daemon("daemon-1").Version()
 	s.publish()
-	// Fewer tasks may run for a moment before every daemon has the version.
+	// A start that was decided before a daemon had the version may still be on its way.
 	s.until("the lowered limit is in force", func() bool {
 		first, third := s.cell.Daemon("daemon-1").Version(), s.cell.Daemon("daemon-3").Version()
-		return first > before && first == third && ledger.Running(plans) <= 4
+		return first > before && first == third && s.used(plans, "daemon-1", "daemon-3") <= 4 && ledger.Running(plans) <= 4
 	})
 	if peak := ledger.TakePeak(plans); peak > 10 {
 		s.Errorf("%d tasks ran under a limit of 10", peak)
--- a/internal/failure/outage_test.go
+++ b/internal/failure/outage_test.go
@@ -101,3 +101,19 @@
 		s.Errorf("%d runs, want 38: a task was stopped or repeated", n)
 	}
 }
+
+// gangLosesServer guards against tasks of an all-at-once job that run again after they have succeeded, because a server
+// with other tasks of the job is lost.
+func gangLosesServer(s *scene) {
+	s.hold(true)
+	job := s.submit("daemon-1", batch("gangs", 20, 100*time.Millisecond))
+	s.until("all tasks run", func() bool { return len(s.runs(running)) == 20 })
+	host := s.busiest(running)
+	s.hold(false, host)
+	s.until("the other tasks have ended", func() bool {
+		return len(s.runs(func(h ident.HostID, r worker.Run) bool { return h != host && running(h, r) })) == 0
+	})
+	s.cell.Standins.Workers[host].Faults().Vanish(true)
+	s.finished(api.Succeeded, job)
+	s.once(job)
+}
--- a/internal/failure/scene_test.go
+++ b/internal/failure/scene_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"net/http"
 	"slices"
 	"sync"
@@ -119,6 +120,30 @@
 	return state, json.NewDecoder(reply.Body).Decode(&state) == nil
 }
 
+// used returns how many tasks of a team the daemons count, those that are being started included; a daemon that doesn't
+// answer makes it too large for any bound.
+func (s *scene) used(team ident.TeamID, members ...ident.MemberID) int {
+	n := 0
+	for _, m := range members {
+		state, ok := s.state(m)
+		var limits struct {
+			Teams []struct {
+				Team ident.TeamID
+				Used int
+			}
+		}
+		if !ok || json.Unmarshal(state.Limits, &limits) != nil {
+			return math.MaxInt
+		}
+		for _, t := range limits.Teams {
+			if t.Team == team {
+				n += t.Used
+			}
+		}
+	}
+	return n
+}
+
 // dump logs the limits and queues of all daemons.
 func (s *scene) dump() {
 	for _, m := range all {
--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -151,3 +151,12 @@
 }
 
 func resultKey(job ident.JobID, index int) string { return fmt.Sprintf("results/%s/%d", job, index) }
+
+// allTasks returns the indexes of all tasks, of which there are as many as at the submission.
+func allTasks(j *jobRecord) []int {
+	all := make([]int, len(j.Tasks))
+	for i := range all {
+		all[i] = i
+	}
+	return all
+}
--- a/internal/job/recover.go
+++ b/internal/job/recover.go
@@ -164,7 +164,7 @@
 		_, ok := found[dispatch.Key{Job: j.ID, Index: i}]
 		return !ok
 	})
-	if j.Policy.Kind == api.KindAllAtOnce && len(running) < len(j.Tasks) {
+	if j.Policy.Kind == api.KindAllAtOnce && len(running) < len(left) {
 		t.restartGang(j, left, running, found)
 		return
 	}
@@ -193,7 +193,7 @@
 	}
 }
 
-// restartGang ends what still runs of an all-at-once job and starts it again as a whole.
+// restartGang ends what still runs of an all-at-once job and starts all unfinished tasks again together.
 func (t *Table) restartGang(j *jobRecord, left, running []int, found map[dispatch.Key]dispatch.Adopted) {
 	if j.Cancelled != "" || j.Spec.NonIdempotent && slices.ContainsFunc(j.Tasks, func(k taskRecord) bool { return k.Dispatched }) {
 		outcome, reason := api.Unknown, "the owner died while the non-idempotent job was starting"
@@ -205,33 +205,41 @@
 		}
 		return
 	}
-	start := func() { t.dispatch(j) }
-	open := len(running)
-	if open == 0 {
-		start()
-		return
-	}
-	ended := make(chan struct{}, open)
+	again := slices.Clone(left)
+	const notDone = -1
+	ended := make(chan int, len(running)) // the index of a task that succeeded before it could be stopped, or notDone
 	for _, i := range running {
 		key := dispatch.Key{Job: j.ID, Index: i}
 		w := j.work(i, t)
 		w.Started = nil
-		w.Done = func(_ dispatch.Final, keep func()) { keep(); ended <- struct{}{} }
+		done := w.Done
+		w.Done = func(f dispatch.Final, keep func()) {
+			if f.Outcome == api.Answered {
+				done(f, keep)
+				ended <- i
+				return
+			}
+			keep()
+			ended <- notDone
+		}
 		if err := t.config.Dispatcher.Resume(w, found[key]); err != nil {
-			ended <- struct{}{}
+			ended <- notDone
 			continue
 		}
-		t.config.Dispatcher.Cancel(key, "the job starts again as a whole after its owner died")
+		t.config.Dispatcher.Cancel(key, "the job's unfinished tasks start again together after its owner died")
 	}
 	t.wg.Go(func() {
-		for range open {
+		for range running {
 			select {
-			case <-ended:
+			case i := <-ended:
+				again = slices.DeleteFunc(again, func(k int) bool { return k == i })
 			case <-t.base.Done():
 				return
 			}
 		}
-		start()
+		if len(again) > 0 {
+			t.dispatch(j, again)
+		}
 	})
 }
 
--- a/internal/job/write.go
+++ b/internal/job/write.go
@@ -231,7 +231,7 @@
 	t.mu.Unlock()
 	for _, s := range taken {
 		if owned {
-			t.dispatch(s.job)
+			t.dispatch(s.job, allTasks(s.job))
 		}
 		s.done <- nil
 	}
@@ -244,18 +244,17 @@
 	t.jobs[j.ID] = place{b, j}
 }
 
-// dispatch hands all tasks of a job to the dispatcher. What the dispatcher has no queue space for is offered again.
-func (t *Table) dispatch(j *jobRecord) {
+// dispatch hands tasks of a job to the dispatcher. What the dispatcher has no queue space for is offered again.
+func (t *Table) dispatch(j *jobRecord, tasks []int) {
+	works := make([]dispatch.Work, len(tasks))
+	for i, index := range tasks {
+		works[i] = j.work(index, t)
+	}
 	if j.Policy.Kind == api.KindAllAtOnce {
-		works := make([]dispatch.Work, len(j.Tasks))
-		for i := range works {
-			works[i] = j.work(i, t)
-		}
 		t.offer(func() error { return t.config.Dispatcher.SubmitGang(works) }, works)
 		return
 	}
-	for i := range j.Tasks {
-		w := j.work(i, t)
+	for _, w := range works {
 		t.offer(func() error { return t.config.Dispatcher.Submit(w) }, []dispatch.Work{w})
 	}
 }
