--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -3,6 +3,7 @@
 package claim
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -119,15 +120,9 @@
 	case c.Retention < 0, c.MaxClaims < 0, c.MaxBytes < 0:
 		return nil, Error.New("bounds must not be negative")
 	}
-	if c.Retention == 0 {
-		c.Retention = DefaultRetention
-	}
-	if c.MaxClaims == 0 {
-		c.MaxClaims = DefaultMaxClaims
-	}
-	if c.MaxBytes == 0 {
-		c.MaxBytes = DefaultMaxBytes
-	}
+	c.Retention = cmp.Or(c.Retention, DefaultRetention)
+	c.MaxClaims = cmp.Or(c.MaxClaims, DefaultMaxClaims)
+	c.MaxBytes = cmp.Or(c.MaxBytes, DefaultMaxBytes)
 	if c.Now == nil {
 		c.Now = time.Now
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -246,25 +246,32 @@
 
 // Debit lowers the room that a peer is believed to have, until its next summary.
 func (f *Fleet) Debit(id ident.MemberID, demand resource.Vector) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	p, ok := f.peers[id]
-	if !ok {
-		return
-	}
-	for i := range p.rooms {
-		if demand.Fits(p.rooms[i].Largest) {
-			p.rooms[i].Total = p.rooms[i].Total.Sub(demand)
-			if !demand.Fits(p.rooms[i].Total) {
-				p.rooms[i].Largest = resource.Vector{}
-			}
-			return
+	f.changeRoom(id, func(r *wire.Room) bool {
+		if !demand.Fits(r.Largest) {
+			return false
 		}
-	}
+		r.Total = r.Total.Sub(demand)
+		if !demand.Fits(r.Total) {
+			r.Largest = resource.Vector{}
+		}
+		return true
+	})
 }
 
 // Credit raises the room that a peer is believed to have when a task handed to it has ended, until its next summary.
 func (f *Fleet) Credit(id ident.MemberID, demand resource.Vector) {
+	f.changeRoom(id, func(r *wire.Room) bool {
+		total := r.Total.Add(demand)
+		if !total.Fits(r.Capacity) {
+			return false
+		}
+		r.Total, r.Largest = total, r.Largest.Max(demand)
+		return true
+	})
+}
+
+// changeRoom offers the rooms of a peer to change until it takes one.
+func (f *Fleet) changeRoom(id ident.MemberID, change func(*wire.Room) bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p, ok := f.peers[id]
@@ -272,9 +279,7 @@
 		return
 	}
 	for i := range p.rooms {
-		r := &p.rooms[i]
-		if total := r.Total.Add(demand); total.Fits(r.Capacity) {
-			r.Total, r.Largest = total, r.Largest.Max(demand)
+		if change(&p.rooms[i]) {
 			return
 		}
 	}
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -2,6 +2,7 @@
 package limit
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"sync/atomic"
@@ -106,9 +107,7 @@
 	case c.Interval < 0:
 		return nil, Error.New("Interval must not be negative")
 	}
-	if c.Interval == 0 {
-		c.Interval = DefaultInterval
-	}
+	c.Interval = cmp.Or(c.Interval, DefaultInterval)
 	if c.Now == nil {
 		c.Now = time.Now
 	}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -7,6 +7,7 @@
 package member
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -96,15 +97,9 @@
 
 // New checks the configuration and returns a group that has not joined.
 func New(c Config) (*Group, error) {
-	if c.LeaseTTL == 0 {
-		c.LeaseTTL = DefaultLeaseTTL
-	}
-	if c.Interval == 0 {
-		c.Interval = DefaultInterval
-	}
-	if c.ProbeTimeout == 0 {
-		c.ProbeTimeout = DefaultProbeTimeout
-	}
+	c.LeaseTTL = cmp.Or(c.LeaseTTL, DefaultLeaseTTL)
+	c.Interval = cmp.Or(c.Interval, DefaultInterval)
+	c.ProbeTimeout = cmp.Or(c.ProbeTimeout, DefaultProbeTimeout)
 	if c.Now == nil {
 		c.Now = time.Now
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -2,6 +2,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -84,15 +85,9 @@
 	if c.MaxFrameBytes < 0 || c.MaxInFlight < 0 || c.CallTimeout < 0 {
 		return nil, Error.New("bounds must not be negative")
 	}
-	if c.MaxFrameBytes == 0 {
-		c.MaxFrameBytes = DefaultMaxFrameBytes
-	}
-	if c.MaxInFlight == 0 {
-		c.MaxInFlight = DefaultMaxInFlight
-	}
-	if c.CallTimeout == 0 {
-		c.CallTimeout = DefaultCallTimeout
-	}
+	c.MaxFrameBytes = cmp.Or(c.MaxFrameBytes, DefaultMaxFrameBytes)
+	c.MaxInFlight = cmp.Or(c.MaxInFlight, DefaultMaxInFlight)
+	c.CallTimeout = cmp.Or(c.CallTimeout, DefaultCallTimeout)
 	if c.Metrics == nil {
 		c.Metrics = metrics.NewSet()
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -3,6 +3,7 @@
 package placement
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"hash/maphash"
@@ -145,9 +146,7 @@
 	if c.Now == nil {
 		return nil, Error.New("Now isn't set")
 	}
-	if c.Shards == 0 {
-		c.Shards = DefaultShards
-	}
+	c.Shards = cmp.Or(c.Shards, DefaultShards)
 	if c.Shards < 0 {
 		return nil, Error.New("%d shards", c.Shards)
 	}
--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -58,12 +59,8 @@
 	if c.CallTimeout < 0 || c.MaxReplyBytes < 0 {
 		return nil, errors.New("call timeout and reply bound must not be negative")
 	}
-	if c.CallTimeout == 0 {
-		c.CallTimeout = DefaultCallTimeout
-	}
-	if c.MaxReplyBytes == 0 {
-		c.MaxReplyBytes = DefaultMaxReplyBytes
-	}
+	c.CallTimeout = cmp.Or(c.CallTimeout, DefaultCallTimeout)
+	c.MaxReplyBytes = cmp.Or(c.MaxReplyBytes, DefaultMaxReplyBytes)
 	if c.Transport == nil {
 		dialer := net.Dialer{Timeout: c.CallTimeout}
 		c.Transport = &http.Transport{
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -2,6 +2,7 @@
 package queue
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"hash/maphash"
@@ -153,15 +154,9 @@
 	if c.PerTeam == nil || c.Share == nil || c.Usage == nil || c.Now == nil {
 		return nil, Error.New("PerTeam, Share, Usage and Now must be set")
 	}
-	if c.Shards == 0 {
-		c.Shards = DefaultShards
-	}
-	if c.HoldAfter == 0 {
-		c.HoldAfter = DefaultHoldAfter
-	}
-	if c.HoldFor == 0 {
-		c.HoldFor = DefaultHoldFor
-	}
+	c.Shards = cmp.Or(c.Shards, DefaultShards)
+	c.HoldAfter = cmp.Or(c.HoldAfter, DefaultHoldAfter)
+	c.HoldFor = cmp.Or(c.HoldFor, DefaultHoldFor)
 	if c.Shards < 0 || c.HoldAfter < 0 || c.HoldFor < 0 {
 		return nil, Error.New("%d shards, hold after %v for %v: must not be negative", c.Shards, c.HoldAfter, c.HoldFor)
 	}
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -2,6 +2,7 @@
 package retry
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -45,12 +46,8 @@
 
 // NewBudget returns a full budget.
 func NewBudget(c BudgetConfig) (*Budget, error) {
-	if c.Ratio == 0 {
-		c.Ratio = DefaultRatio
-	}
-	if c.Burst == 0 {
-		c.Burst = DefaultBurst
-	}
+	c.Ratio = cmp.Or(c.Ratio, DefaultRatio)
+	c.Burst = cmp.Or(c.Burst, DefaultBurst)
 	if c.Ratio < 0 || c.Burst < 1 {
 		return nil, fmt.Errorf("retry budget: ratio %g and burst %g must be above 0 and at least 1", c.Ratio, c.Burst)
 	}
@@ -121,12 +118,8 @@
 
 // NewBackoff returns a Backoff whose delays depend on the seed only.
 func NewBackoff(c BackoffConfig) (*Backoff, error) {
-	if c.Base == 0 {
-		c.Base = DefaultBase
-	}
-	if c.Cap == 0 {
-		c.Cap = DefaultCap
-	}
+	c.Base = cmp.Or(c.Base, DefaultBase)
+	c.Cap = cmp.Or(c.Cap, DefaultCap)
 	if c.Base < 0 || c.Cap < c.Base {
 		return nil, fmt.Errorf("backoff: base %v must be above 0 and at most the cap %v", c.Base, c.Cap)
 	}
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -3,6 +3,7 @@
 package worker
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -109,9 +110,7 @@
 	if c.Unsupported == nil {
 		c.Unsupported = func(backend.Task) bool { return false }
 	}
-	if c.UsageFactor == 0 {
-		c.UsageFactor = 1
-	}
+	c.UsageFactor = cmp.Or(c.UsageFactor, 1)
 	if c.Ledger == nil {
 		c.Ledger = NewLedger()
 	}
