Share one test clock among three packages

Found in the last read of the change: rollout, job and the store's contract suite each had the same clock that moves only when a test moves it.

--- a/internal/job/budget_test.go
+++ b/internal/job/budget_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/rosemaryspoke/rosemaryspoke/internal/dispatch"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/platform"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/standin/clock"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/standin/kv"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
@@ -47,28 +48,10 @@
 	}
 }
 
-// stoppedClock is a time that moves only when a test moves it.
-type stoppedClock struct {
-	mu  sync.Mutex
-	now time.Time
-}
-
-func (c *stoppedClock) Now() time.Time {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.now
-}
-
-func (c *stoppedClock) add(d time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.now = c.now.Add(d)
-}
-
 // TestGrouped guards against a write per job, cancellation or result while the budget is used up: what changed
 // meanwhile is recorded by one write.
 func TestGrouped(t *testing.T) {
-	store, clock := kv.New(kv.Config{}), &stoppedClock{now: time.Unix(0, 0)}
+	store, clock := kv.New(kv.Config{}), clock.New(time.Unix(0, 0))
 	b := newBenchWith(t, "a", store, clock.Now, nil)
 	swaps := func() uint64 { return store.Counts()[platform.CallSwap] }
 	create(t, b, api.Spec{Team: "t"})
@@ -93,7 +76,7 @@
 		return len(b.table.pending) == jobs
 	})
 	const oneWrite = time.Second/8 - time.Millisecond
-	clock.add(oneWrite)
+	clock.Advance(oneWrite)
 	var results sync.WaitGroup
 	results.Add(jobs / 2)
 	for i := range jobs {
@@ -110,7 +93,7 @@
 	if swaps() != budgetBurst+1 {
 		t.Fatalf("%d writes after %d submissions, want %d", swaps(), jobs, budgetBurst+1)
 	}
-	clock.add(2 * oneWrite)
+	clock.Advance(2 * oneWrite)
 	results.Wait()
 	if swaps() != budgetBurst+2 {
 		t.Fatalf("%d writes after the results, want %d", swaps(), budgetBurst+2)
@@ -131,7 +114,7 @@
 
 // TestCancelsArePaced guards against a wave of cancellations that takes all cores from the starts of other work.
 func TestCancelsArePaced(t *testing.T) {
-	clock := &stoppedClock{now: time.Unix(0, 0)}
+	clock := clock.New(time.Unix(0, 0))
 	b := newBenchWith(t, "a", kv.New(kv.Config{}), clock.Now, nil)
 	j := create(t, b, api.Spec{Team: "t"})
 	ended, cancel := context.WithCancel(context.Background())
--- a/internal/rollout/fake_test.go
+++ b/internal/rollout/fake_test.go
@@ -16,6 +16,7 @@
 	"github.com/rosemaryspoke/rosemaryspoke/internal/member"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/peer/wire"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/platform"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/standin/clock"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 )
 
@@ -24,24 +25,6 @@
 	testInterval  = time.Second
 )
 
-// fakeClock is the time of a cell; it moves only when a test moves it.
-type fakeClock struct {
-	mutex sync.Mutex
-	now   time.Time
-}
-
-func (c *fakeClock) Now() time.Time {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	return c.now
-}
-
-func (c *fakeClock) advance(d time.Duration) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.now = c.now.Add(d)
-}
-
 // fakeStore keeps items in memory. A watch returns at once.
 type fakeStore struct {
 	platform.Store // methods that this package doesn't use stay nil
@@ -132,7 +115,7 @@
 // cell is a set of daemons with one store, one clock and a switch for every connection.
 type cell struct {
 	t       testing.TB
-	clock   *fakeClock
+	clock   *clock.Clock
 	store   *fakeStore
 	view    member.View
 	nodes   map[ident.MemberID]*Rollout
@@ -196,7 +179,7 @@
 func newCell(t testing.TB, names ...ident.MemberID) *cell {
 	t.Helper()
 	c := &cell{
-		t: t, clock: &fakeClock{now: time.Unix(1_700_000_000, 0)}, store: &fakeStore{},
+		t: t, clock: clock.New(time.Unix(1_700_000_000, 0)), store: &fakeStore{},
 		nodes: map[ident.MemberID]*Rollout{}, stored: map[ident.MemberID]int{}, cut: map[string]bool{}, order: names, view: member.View{Epoch: 1},
 	}
 	for seed := range byte(3) {
@@ -275,7 +258,7 @@
 		for _, name := range c.order {
 			c.nodes[name].confirm(context.Background())
 		}
-		c.clock.advance(testInterval)
+		c.clock.Advance(testInterval)
 	}
 }
 
--- a/internal/rollout/fresh_test.go
+++ b/internal/rollout/fresh_test.go
@@ -11,6 +11,7 @@
 	"github.com/rosemaryspoke/rosemaryspoke/internal/member"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/peer/wire"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/platform"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/standin/clock"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 )
 
@@ -119,11 +120,11 @@
 	if accepted() {
 		t.Error("accepted as soon as a majority has it")
 	}
-	c.clock.advance(testFreshness)
+	c.clock.Advance(testFreshness)
 	if accepted() {
 		t.Error("accepted without an allowance for clock drift")
 	}
-	c.clock.advance(time.Second)
+	c.clock.Advance(time.Second)
 	if !accepted() {
 		t.Error("not accepted after the bound")
 	}
@@ -144,14 +145,14 @@
 	c.round(3)
 	c.setCut(true, c.order, []ident.MemberID{"store"})
 	r := c.nodes["a2"]
-	c.clock.advance(testFreshness)
+	c.clock.Advance(testFreshness)
 	if r.Fresh() {
 		t.Fatal("fresh after the bound without a confirmation")
 	}
 	ask := r.config.Version
 	r.config.Version = func(ctx context.Context, to ident.MemberID, request wire.ConfigVersion) (wire.ConfigVersionReply, error) {
 		reply, err := ask(ctx, to, request)
-		c.clock.advance(testFreshness) // The answer is under way for the whole bound.
+		c.clock.Advance(testFreshness) // The answer is under way for the whole bound.
 		return reply, err
 	}
 	r.confirm(context.Background())
@@ -163,12 +164,12 @@
 // slowStore delays the reply of a watch by the whole freshness bound.
 type slowStore struct {
 	platform.Store
-	clock *fakeClock
+	clock *clock.Clock
 }
 
 func (s slowStore) Watch(ctx context.Context, prefix string, after platform.Revision, wait time.Duration) ([]platform.Event, platform.Revision, error) {
 	events, next, err := s.Store.Watch(ctx, prefix, after, wait)
-	s.clock.advance(testFreshness)
+	s.clock.Advance(testFreshness)
 	return events, next, err
 }
 
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -257,7 +257,7 @@
 	if r.catchUp(ctx, ""); r.Current().Version() != 1 {
 		t.Error("pulled over the link at once")
 	}
-	c.clock.advance(3 * testInterval)
+	c.clock.Advance(3 * testInterval)
 	if r.catchUp(ctx, ""); r.Current().Version() != 2 {
 		t.Error("not pulled after its region's reader had time to")
 	}
--- a/internal/standin/kv/contract_test.go
+++ b/internal/standin/kv/contract_test.go
@@ -6,11 +6,11 @@
 	"errors"
 	"net/http/httptest"
 	"slices"
-	"sync"
 	"testing"
 	"time"
 
 	"github.com/rosemaryspoke/rosemaryspoke/internal/platform"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/standin/clock"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/standin/kv"
 )
 
@@ -20,28 +20,11 @@
 	longWait = time.Minute
 )
 
-type clock struct {
-	mu  sync.Mutex
-	now time.Time
-}
-
-func (c *clock) Now() time.Time {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.now
-}
-
-func (c *clock) Advance(d time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.now = c.now.Add(d)
-}
-
 type fixture struct {
 	store  platform.Store
 	hosts  platform.HostList
 	server *kv.Server
-	clock  *clock
+	clock  *clock.Clock
 }
 
 // adapters are the implementations that must pass the contract.
@@ -327,7 +310,7 @@
 		for name, check := range contract {
 			t.Run(adapter+"/"+name, func(t *testing.T) {
 				t.Parallel()
-				c := &clock{now: time.Unix(1_000_000, 0)}
+				c := clock.New(time.Unix(1_000_000, 0))
 				server := kv.New(kv.Config{Now: c.Now, HostLag: ttl, Seed: 7})
 				store, hosts := connect(t, server)
 				check(t, fixture{store: store, hosts: hosts, server: server, clock: c})
--- a/internal/standin/kv/control_test.go
+++ b/internal/standin/kv/control_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rosemaryspoke/rosemaryspoke/internal/platform"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/standin/clock"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/standin/kv"
 )
 
@@ -42,7 +43,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			clk := &clock{now: time.Unix(1_000_000, 0)}
+			clk := clock.New(time.Unix(1_000_000, 0))
 			server := kv.New(kv.Config{Now: clk.Now, HostLag: ttl})
 			listener := httptest.NewServer(server.Handler())
 			defer listener.Close()
