Flush log lines within 50 ms while more lines come

The writer restarted its flush delay with each line that emptied the queue, so under steady logging lines appeared only in blocks of the whole 64 KiB buffer, seconds late; a block that an outside reader cuts off lost most of a leader's lines. The delay now counts from the first line that waits in the buffer.

TestSteadyLinesAreFlushed failed before (no output after 1 s of lines every 10 ms) and passes.

--- a/internal/asynclog/asynclog.go
+++ b/internal/asynclog/asynclog.go
@@ -12,7 +12,7 @@
 
 const (
 	maxQueuedLines = 2048
-	// flushDelay is the delay between the last queued line and the flush of the buffer.
+	// flushDelay bounds how long a written line waits in the buffer.
 	flushDelay  = 50 * time.Millisecond
 	bufferBytes = 64 << 10
 )
@@ -49,7 +49,7 @@
 
 func (w *Writer) run() {
 	defer close(w.done)
-	flush := time.NewTimer(flushDelay)
+	var flush <-chan time.Time // set while written lines wait for a flush
 	for {
 		select {
 		case text, ok := <-w.lines:
@@ -58,11 +58,11 @@
 				return
 			}
 			w.write(text)
-			if len(w.lines) > 0 {
-				continue
+			if flush == nil {
+				flush = time.After(flushDelay)
 			}
-			flush.Reset(flushDelay)
-		case <-flush.C:
+		case <-flush:
+			flush = nil
 			_ = w.out.Flush() // a failure to write the log can't be logged
 		}
 	}
--- a/internal/asynclog/asynclog_test.go
+++ b/internal/asynclog/asynclog_test.go
@@ -46,3 +46,24 @@
 		}
 	}
 }
+
+// Guards against a log without output while lines keep coming: each line restarted the delay until the flush, so that lines
+// appeared only once the buffer was full.
+func TestSteadyLinesAreFlushed(t *testing.T) {
+	o := &blockedOutput{release: make(chan struct{})}
+	close(o.release)
+	w := New(o)
+	defer w.Close()
+	text := func() string {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		return o.text.String()
+	}
+	const pause = flushDelay / 5
+	for started := time.Now(); text() == ""; time.Sleep(pause) {
+		w.WriteLine("line")
+		if time.Since(started) > 20*flushDelay {
+			t.Fatalf("no output after %s of lines every %s", time.Since(started), pause)
+		}
+	}
+}
