Keep advice by server incarnation, not by pointer to the server

Cause: the grants of advice pointed to servers. The removal of a server dropped them only from the tracked groups, but advice is also fetched for steps that aren't ready and so aren't tracked. Once such a step became ready, its runs were placed on the removed server, where neither polls, timeouts nor late replies find them: a run whose server the scheduler doesn't know is nobody's to give up.

Advice now names incarnations of servers, and a placement looks the server up among the known ones. Grants and answers about an incarnation that has ended match no server, so dropping them at each removal and restart isn't needed any more. Answers of calls that were made for a former incarnation are ignored.

--- a/internal/sched/advice.go
+++ b/internal/sched/advice.go
@@ -28,27 +28,37 @@
 	adviceRetry = 200 * time.Millisecond
 )
 
-// grant is a ticket for a server.
+// incarnationID identifies an incarnation of a server.
+type incarnationID struct {
+	server      ServerID
+	incarnation int64
+}
+
+func (v *server) incarnationID() incarnationID {
+	return incarnationID{server: v.info.ID, incarnation: v.info.Incarnation}
+}
+
+// grant is a ticket for an incarnation of a server. It names the server instead of pointing to it, as it may outlive the server.
 type grant struct {
-	server    *server
+	holder    incarnationID
 	ticket    Ticket
 	expiresAt time.Time
 }
 
 // advice holds the answers of an advisor about the servers that may run a group.
 type advice struct {
-	allowed   map[ServerID]bool // answers so far; an advisor never changes them
-	grants    []grant           // at most one for each server
-	expiresAt time.Time         // when the newest ticket expires
+	allowed   map[incarnationID]bool // answers so far; an advisor never changes them
+	grants    []grant                // at most one for each server
+	expiresAt time.Time              // when the newest ticket expires
 	inFlight  bool
 	lastCall  time.Time // start of the last call
 	nextCall  time.Time // no call before this time
 }
 
 // ticket returns the valid ticket for a server, or "".
-func (a *advice) ticket(id ServerID, now time.Time) Ticket {
+func (a *advice) ticket(v *server, now time.Time) Ticket {
 	for i := range a.grants {
-		if g := &a.grants[i]; g.server.info.ID == id && now.Before(g.expiresAt) {
+		if g := &a.grants[i]; g.holder == v.incarnationID() && now.Before(g.expiresAt) {
 			return g.ticket
 		}
 	}
@@ -57,24 +67,16 @@
 
 // forget drops the ticket for a server.
 func (a *advice) forget(id ServerID) {
-	a.grants = slices.DeleteFunc(a.grants, func(g grant) bool { return g.server.info.ID == id })
+	a.grants = slices.DeleteFunc(a.grants, func(g grant) bool { return g.holder.server == id })
 }
 
 // grant adds a ticket for a server, replacing an earlier one.
 func (a *advice) grant(v *server, ticket Ticket, until time.Time) {
 	a.forget(v.info.ID)
-	a.grants = append(a.grants, grant{v, ticket, until})
+	a.grants = append(a.grants, grant{v.incarnationID(), ticket, until})
 	a.expiresAt = until
 }
 
-// forgetTickets drops all tickets and answers about a server that restarted or was removed.
-func (s *Scheduler) forgetTickets(id ServerID) {
-	for _, g := range s.groups {
-		g.advice.forget(id)
-		delete(g.advice.allowed, id)
-	}
-}
-
 // NextAdviceRequest returns the most urgent advisor call that takes no longer than atMost, for a step whose longest call
 // takes longer than moreThan; 0 means no bound. The servers are selected at the time of the call, when their free capacity is
 // known. Starved steps come first while they have budget left, since urgent steps could otherwise keep the advisor's
@@ -137,7 +139,13 @@
 	}
 	g.advice.inFlight, g.advice.lastCall = true, s.now
 	s.counts.Advice++
-	return AdviceRequest{Job: g.job.spec.ID, Occurrence: g.occurrence, Step: g.index, Servers: ids, Cost: cost}, true
+	request := AdviceRequest{
+		Job: g.job.spec.ID, Occurrence: g.occurrence, Step: g.index, Servers: ids, Cost: cost, incarnations: map[ServerID]int64{},
+	}
+	for _, id := range ids {
+		request.incarnations[id] = s.servers[id].info.Incarnation
+	}
+	return request, true
 }
 
 // selectServers selects the servers of a call: those known to be allowed that have capacity or soon will, else those without an
@@ -152,13 +160,13 @@
 		if !v.usable(answered) || !eligible(g.step, v) || !g.allowsAnother(v, 0) {
 			continue
 		}
-		allowed, known := a.allowed[v.info.ID]
+		allowed, known := a.allowed[v.incarnationID()]
 		switch {
 		case !known:
 			if len(a.grants) == 0 || v.fits(charge) {
 				fresh = append(fresh, v)
 			}
-		case allowed && a.ticket(v.info.ID, s.now) == "" && s.hasCapacityWithin(g.step, v, cost.CallTime(1)+renewalLead):
+		case allowed && a.ticket(v, s.now) == "" && s.hasCapacityWithin(g.step, v, cost.CallTime(1)+renewalLead):
 			renew = append(renew, v)
 		}
 	}
@@ -213,16 +221,20 @@
 	a := &g.advice
 	a.inFlight = false
 	if a.allowed == nil {
-		a.allowed = map[ServerID]bool{}
+		a.allowed = map[incarnationID]bool{}
 	}
 	valid := time.Duration(0)
 	if a := g.job.queue.Advisor; a != nil {
 		valid = a.TicketValidity
 	}
 	for _, id := range request.Servers {
+		v := s.servers[id]
+		if v == nil || v.info.Incarnation != request.incarnations[id] {
+			continue // the answer is about an incarnation that has ended
+		}
 		ticket, ok := granted[id]
-		a.allowed[id] = ok
-		if v := s.servers[id]; ok && v != nil {
+		a.allowed[v.incarnationID()] = ok
+		if ok {
 			a.grant(v, ticket, now.Add(valid-ticketMargin))
 		}
 	}
--- a/internal/sched/dump.go
+++ b/internal/sched/dump.go
@@ -104,8 +104,9 @@
 			row.Running = append(row.Running, string(p.server.info.ID))
 		}
 	}
-	for _, ok := range g.advice.allowed {
-		row.Allowed += boolToInt(ok)
+	for id, ok := range g.advice.allowed {
+		v := s.servers[id.server]
+		row.Allowed += boolToInt(ok && v != nil && v.incarnationID() == id)
 	}
 	slices.Sort(row.Running)
 	r := s.rankOf(g, g.job.queue)
--- a/internal/sched/placement.go
+++ b/internal/sched/placement.go
@@ -81,7 +81,7 @@
 			p.handleNoCapacity(r)
 			return
 		}
-		p.start(t, v, p.nextRun(t), g.advice.ticket(v.info.ID, p.now))
+		p.start(t, v, p.nextRun(t), g.advice.ticket(v, p.now))
 	}
 }
 
@@ -127,7 +127,7 @@
 	}
 	g.gangRun = number
 	for i, t := range g.tasks {
-		p.start(t, where[i], number, g.advice.ticket(where[i].info.ID, p.now))
+		p.start(t, where[i], number, g.advice.ticket(where[i], p.now))
 	}
 }
 
@@ -168,8 +168,10 @@
 	}
 	out := p.scratch[:0]
 	for i := range g.advice.grants {
-		if t := &g.advice.grants[i]; t.server.info.Service == q.Service && p.now.Before(t.expiresAt) {
-			out = append(out, t.server)
+		t := &g.advice.grants[i]
+		v := p.servers[t.holder.server]
+		if v != nil && v.incarnationID() == t.holder && v.info.Service == q.Service && p.now.Before(t.expiresAt) {
+			out = append(out, v)
 		}
 	}
 	p.scratch = out
@@ -279,7 +281,7 @@
 		if held >= g.missing() {
 			return
 		}
-		if g.advice.allowed[v.info.ID] && !p.reserved[v.info.ID] && v.usable(p.now) && large(g.step, v) && v.fits(g.step.Charge()) {
+		if g.advice.allowed[v.incarnationID()] && !p.reserved[v.info.ID] && v.usable(p.now) && large(g.step, v) && v.fits(g.step.Charge()) {
 			p.reserved[v.info.ID] = true
 			held++
 		}
@@ -300,7 +302,7 @@
 		if !v.usable(p.now) || p.reserved[v.info.ID] || !eligible(g.step, v) || !large(g.step, v) {
 			continue
 		}
-		if allowed, known := g.advice.allowed[v.info.ID]; r.queue.Advisor != nil && (!known || !allowed) {
+		if allowed, known := g.advice.allowed[v.incarnationID()]; r.queue.Advisor != nil && (!known || !allowed) {
 			continue
 		}
 		if w := p.untilFree(v, g.step.Charge()); best == nil || w < wait {
--- a/internal/sched/restart.go
+++ b/internal/sched/restart.go
@@ -100,7 +100,6 @@
 	v.grantedUntil = 0
 	v.firstClockAt = time.Time{}
 	v.unknownRuns = map[runKey]bool{}
-	s.forgetTickets(v.info.ID)
 }
 
 // longestFormerLeaseBound returns when all leases of the maximum length have expired that commands of former leaders granted.
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -177,7 +177,7 @@
 	case RefusedLeaseExpired, RefusedOldRun, RefusedFenced:
 	}
 	if reason == RefusedLeaseExpired && p.startAttempts < maxStartAttempts && v.usable(now) {
-		s.sendStart(p, g.advice.ticket(v.info.ID, now))
+		s.sendStart(p, g.advice.ticket(v, now))
 		return
 	}
 	s.abandonStart(p, "refused: "+string(reason))
@@ -207,7 +207,7 @@
 	p.startUncertain = p.startUncertain || sent
 	v.incarnationInDoubt = v.incarnationInDoubt || sent
 	if p.startAttempts < maxStartAttempts && v.attached && sent {
-		s.sendStart(p, p.task.group.advice.ticket(v.info.ID, now))
+		s.sendStart(p, p.task.group.advice.ticket(v, now))
 		return
 	}
 	v.failures++
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -258,6 +258,8 @@
 	Step       int
 	Servers    []ServerID
 	Cost       time.Duration // expected duration of the call
+
+	incarnations map[ServerID]int64 // of the servers at the time of the call
 }
 
 func (StartCommand) command()    {}
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -46,7 +46,8 @@
 	held    *FinishedRun // set while the job is unknown; the end is applied once the job is added
 }
 
-// server is a backend server with its runs and what is known of its health.
+// server is a backend server with its runs and what is known of its health. Only the scheduler's lists and the runs on a server
+// point to it; whatever may outlive it names it by its id, as runs that are placed on a removed server are never given up.
 type server struct {
 	info           Server
 	attached       bool // it has accepted this leader's fencing token and reported its inventory
@@ -250,7 +251,6 @@
 	v.removed = true
 	s.touchRoster(v)
 	s.services[v.info.Service] = slices.DeleteFunc(s.services[v.info.Service], func(o *server) bool { return o == v })
-	s.forgetTickets(v.info.ID)
 	s.passNeeded = true
 }
 
--- a/internal/sched/supervise.go
+++ b/internal/sched/supervise.go
@@ -98,7 +98,7 @@
 		return
 	}
 	if v := p.pickServer(&r, t, nil); v != nil {
-		s.start(t, v, s.nextRun(t), g.advice.ticket(v.info.ID, s.now))
+		s.start(t, v, s.nextRun(t), g.advice.ticket(v, s.now))
 	} else if q.Advisor != nil {
 		s.adviceQueue = append(s.adviceQueue, r)
 	}
