End calls that another server answered after a registration moved

A 421 made the driver report only that the server was replaced, which the scheduler ignores if the server has registered with another address since. The poll then stayed in progress for ever, so that the server was never polled again, its leases lapsed and its runs were never given up; a start stayed unanswered for ever. Callers would see tasks that never run again, also tasks that last.

A poll that another server answered now also counts as failed, and a start as not sent; both do nothing if the server was removed.

--- a/internal/coordinator/commands.go
+++ b/internal/coordinator/commands.go
@@ -43,6 +43,7 @@
 			s.Started(now, sent, id, cmd.Task, cmd.Run, clock)
 		case errors.Is(err, ErrInstanceMismatch):
 			s.ServerReplaced(now, id, cmd.Server.Address)
+			s.StartUnanswered(now, id, cmd.Task, cmd.Run, false) // ends the start if the server has registered elsewhere
 		case errors.As(err, &refused):
 			s.StartRefused(now, sent, id, cmd.Task, cmd.Run, refused.Reason, refused.Clock)
 		default:
--- a/internal/coordinator/poll.go
+++ b/internal/coordinator/poll.go
@@ -37,7 +37,10 @@
 		t.update(func(now time.Time, s *sched.Scheduler) { s.Polled(now, id, cmd.Serial, inv) })
 	case errors.Is(err, ErrInstanceMismatch):
 		t.config.Log.Info("another server responds", "server", string(id), "address", cmd.Server.Address)
-		t.update(func(now time.Time, s *sched.Scheduler) { s.ServerReplaced(now, id, cmd.Server.Address) })
+		t.update(func(now time.Time, s *sched.Scheduler) {
+			s.ServerReplaced(now, id, cmd.Server.Address)
+			s.PollFailed(now, id, cmd.Serial) // ends the poll if the server has registered elsewhere
+		})
 		return
 	case errors.As(err, &refused) && refused.Reason == sched.RefusedFenced:
 		t.update(func(now time.Time, s *sched.Scheduler) { s.StopRefused(now) })
