Number roster changes across servers, not for each of them

A server that returned under the id of a removed one counted its roster changes from 1 again. The confirmation of a write for the former one, which was cordoned, could then match the number of the new one's change: that change was taken for written, and the server counted as possibly recorded as cordoned for ever, so it got no starts.

Changes are numbered by the scheduler. TestRosterWriteOfARemovedServerDoesNotCordonItsSuccessor failed before (0 starts, want 1) and passes.

--- a/internal/sched/removed_server_test.go
+++ b/internal/sched/removed_server_test.go
@@ -108,3 +108,29 @@
 		}
 	}
 }
+
+// Guards against a server that gets no starts for ever: it returned under the id of a removed server, and the confirmation of a
+// roster write for that one, which was cordoned, was taken for its own.
+func TestRosterWriteOfARemovedServerDoesNotCordonItsSuccessor(t *testing.T) {
+	f := newFixture(t, nil)
+	f.addServer("s1", 16)
+	f.s.RosterWritten(f.now, f.s.TakeRosterChanges(10))
+	draining := testServer("s1", 16)
+	draining.Draining = true
+	f.s.Register(f.now, draining)
+	f.advanceTime(100 * time.Millisecond)
+	inFlight := f.s.TakeRosterChanges(10)
+	f.want("cordoned in the write", inFlight[0].Entry.Cordoned, true)
+	f.replaceServer("s1")
+
+	f.addServer("s1", 16)
+	moved := testServer("s1", 16)
+	moved.Address = "elsewhere:1"
+	f.s.Register(f.now, moved)
+	f.s.RosterWritten(f.now, inFlight)
+	for changes := f.s.TakeRosterChanges(10); len(changes) > 0; changes = f.s.TakeRosterChanges(10) {
+		f.s.RosterWritten(f.now, changes)
+	}
+	f.addJob("j", Step{Count: 1, Demand: cores(1)})
+	f.want("starts", len(f.takeStarts()), 1)
+}
--- a/internal/sched/roster.go
+++ b/internal/sched/roster.go
@@ -39,7 +39,8 @@
 
 // touchRoster marks the roster record of a server as outdated.
 func (s *Scheduler) touchRoster(v *server) {
-	v.rosterChange++
+	s.lastRosterChange++ // not counted for each server, as an id may return after its server was removed
+	v.rosterChange = s.lastRosterChange
 	s.rosterDirty[v.info.ID] = v
 }
 
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -54,6 +54,8 @@
 	fleetVersion uint64               // incremented when the set of servers or their capacity changes
 	rosterDirty  map[ServerID]*server // servers whose roster record is outdated
 
+	lastRosterChange uint64
+
 	commands       []Command
 	lastPollSerial uint64
 	adviceQueue    []rankedGroup        // groups that need advice, the most urgent first; then prefetchQueue
