Check the scheduler's invariants in its simulations

A run on a server that had been removed stayed unnoticed, as the property test checks only what servers can observe. violatedInvariants compares each run, counter and list of a scheduler with the others. The property test calls it each 100 ms of its time, the load simulations each second; benchmarks don't.

--- a/internal/sched/burst_test.go
+++ b/internal/sched/burst_test.go
@@ -50,6 +50,7 @@
 	for seed := range uint64(3) {
 		kinds, servers := bensalem()
 		p := newLoadSimulation(seed, 6, kinds, servers)
+		p.t = t
 		for _, k := range kinds {
 			p.addArrivals(k, 24*time.Second, 5*time.Second, 10*time.Second)
 		}
--- a/internal/sched/health_test.go
+++ b/internal/sched/health_test.go
@@ -116,6 +116,7 @@
 func TestSlowServersUnderLoad(t *testing.T) {
 	kinds, servers := sampleExchange(0.3)
 	p := newLoadSimulation(1, 12, kinds, servers)
+	p.t = t
 	for i, v := range servers {
 		if i%10 == 3 {
 			p.servers[v.ID].slowdown = 7
--- a/internal/sched/load_test.go
+++ b/internal/sched/load_test.go
@@ -40,6 +40,7 @@
 	starts           int
 	// allowedPercent is the percentage of the servers that the advisor of a queue allows.
 	allowedPercent map[ident.QueueID]uint32
+	t              *testing.T // nil in benchmarks, which check no invariants
 }
 
 type simulatedServer struct {
@@ -108,6 +109,7 @@
 		p.requestAdvice()
 	})
 	p.every(100*time.Millisecond, func() { p.s.Tick(p.now) })
+	p.every(time.Second, p.checkInvariants)
 	p.every(recordInterval, func() {
 		if u := p.s.TakeProgressUpdates(1000); len(u) > 0 {
 			p.after(2*oneWayDelay, func() { p.s.ProgressWritten(p.now, u) })
--- a/internal/sched/property_test.go
+++ b/internal/sched/property_test.go
@@ -23,6 +23,7 @@
 	}
 	w.injectFaults()
 	w.checkPolls()
+	w.checkInvariants()
 	if w.freeze.inject(w) {
 		return
 	}
@@ -62,6 +63,16 @@
 	}
 }
 
+// checkInvariants checks the scheduler's state in each tenth step, as a broken state lasts.
+func (w *faultSimulation) checkInvariants() {
+	if w.now.Sub(epochStart)%(100*time.Millisecond) != 0 {
+		return
+	}
+	for _, violation := range violatedInvariants(w.s) {
+		w.Errorf("seed %d, after %v: %s", w.seed, w.now.Sub(epochStart), violation)
+	}
+}
+
 // sendPoll delivers a poll after its pause, which a freeze prolongs, unless the leader is replaced meanwhile.
 func (w *faultSimulation) sendPoll(cmd PollCommand) {
 	fence := w.epoch
