Simulate losses of servers and check that all work goes on

Its queues have advisors that issue tickets for an incarnation of a server; its jobs have gangs and steps that last, and some are cancelled.

--- a/internal/sched/faulty_server_test.go
+++ b/internal/sched/faulty_server_test.go
@@ -21,8 +21,9 @@
 }
 
 type faultyServerRun struct {
-	end     time.Time
-	outcome Outcome
+	end        time.Time
+	outcome    Outcome
+	aloneUntil time.Time // set while the member of a gang waits for the others
 }
 
 // receive updates a server to the current time and checks the fencing token of a call. An unresponsive server doesn't reply.
@@ -48,12 +49,15 @@
 // endDueRuns ends the runs of a server that have run their time, and the others if its lease has expired.
 func (w *faultSimulation) endDueRuns(v *faultyServer) {
 	for _, key := range v.runKeys() {
-		r := v.runs[key]
+		r, here := v.runs[key]
 		switch {
+		case !here: // it ended with another member of its gang
 		case !w.now.Before(r.end) && !r.end.After(v.lease):
 			w.finish(v, key, r.outcome)
 		case w.now.After(v.lease):
 			w.finish(v, key, OutcomeLeaseExpired)
+		case !r.aloneUntil.IsZero() && w.now.After(r.aloneUntil):
+			w.finish(v, key, OutcomeGangIncomplete)
 		}
 	}
 }
@@ -83,6 +87,7 @@
 		}
 		w.failed[key.task][key.run] = true
 	}
+	w.losses.endGang(key, outcome)
 }
 
 func (w *faultSimulation) clock(v *faultyServer) time.Duration { return w.now.Sub(v.started) }
@@ -102,7 +107,12 @@
 }
 
 func (w *faultSimulation) start(fence FencingToken, cmd StartCommand, sent sendTime) func() {
-	v := w.servers[cmd.Server.ID]
+	v, elsewhere := w.reach(cmd.Server, func() {
+		w.s.StartUnanswered(w.leaderNow(), cmd.Server.ID, cmd.Task, cmd.Run, false)
+	})
+	if v == nil {
+		return elsewhere
+	}
 	if w.lateForIncarnation(v, cmd.Server, sent.at) {
 		return nil
 	}
@@ -127,6 +137,8 @@
 		return started
 	case cmd.Run <= v.endedRuns[cmd.Task]:
 		return refuse(RefusedOldRun)
+	case !w.losses.ticketIsValid(v, cmd):
+		return refuse(RefusedTicket)
 	}
 	w.extendLease(v, cmd.Deadline)
 	w.checkStart(v, cmd.Task, sent.at)
@@ -136,6 +148,7 @@
 		outcome = OutcomeFailed
 	}
 	v.runs[key] = faultyServerRun{end: w.now.Add(time.Duration(100+w.random.IntN(600)) * time.Millisecond), outcome: outcome}
+	w.losses.started(v, key)
 	return started
 }
 
@@ -162,7 +175,7 @@
 	if !used.Fits(v.info.Capacity) {
 		violated("%s is over its capacity", v.info.ID)
 	}
-	if all.CPU > resource.Cores(teamLimitCores) {
+	if w.losses == nil && all.CPU > resource.Cores(teamLimitCores) {
 		violated("the team has %d of %d running", all.CPU, resource.Cores(teamLimitCores))
 	}
 	// An end counts unless the lease of its server expired before it was acknowledged. A recorded end counts in any case, but a
@@ -172,7 +185,7 @@
 	if binding || w.done[task] && sentAt.After(w.lateEndGrace[task]) && w.isRecorded(task) {
 		violated("%v started after its end", task)
 	}
-	if n := len(w.failed[task]); n >= testQueue().MaxAttempts {
+	if n := len(w.failed[task]); n >= testQueue().MaxAttempts && !step.LongRunning {
 		violated("%v started after %d failures", task, n)
 	}
 	for _, before := range step.After {
@@ -185,7 +198,10 @@
 }
 
 func (w *faultSimulation) stop(fence FencingToken, cmd StopCommand, sent sendTime) func() {
-	v := w.servers[cmd.Server.ID]
+	v, elsewhere := w.reach(cmd.Server, nil)
+	if v == nil {
+		return elsewhere
+	}
 	fenced, ok := w.receive(v, fence)
 	if !ok || fenced {
 		return nil
@@ -200,7 +216,10 @@
 }
 
 func (w *faultSimulation) poll(fence FencingToken, cmd PollCommand, sent sendTime) func() {
-	v := w.servers[cmd.Server.ID]
+	v, elsewhere := w.reach(cmd.Server, func() { w.s.PollFailed(w.leaderNow(), cmd.Server.ID, cmd.Serial) })
+	if v == nil {
+		return elsewhere
+	}
 	if w.lateForIncarnation(v, cmd.Server, sent.at) {
 		return nil
 	}
@@ -228,7 +247,11 @@
 	}
 	v.finished = inv.Finished
 	for _, k := range v.runKeys() {
-		inv.Running = append(inv.Running, ActiveRun{Task: k.task, Run: k.run, Percent: 50})
+		row := ActiveRun{Task: k.task, Run: k.run, Percent: 50}
+		if w.specs[k.task.Job].Steps[k.task.Step].LongRunning {
+			row.Percent = 100
+		}
+		inv.Running = append(inv.Running, row)
 	}
 	return func() {
 		w.extendGrace(late)
--- a/internal/sched/property_test.go
+++ b/internal/sched/property_test.go
@@ -21,7 +21,11 @@
 			e.do()
 		}
 	}
-	w.injectFaults()
+	if w.losses != nil {
+		w.losses.step()
+	} else {
+		w.injectFaults()
+	}
 	w.checkPolls()
 	w.checkInvariants()
 	if w.freeze.inject(w) {
@@ -31,6 +35,7 @@
 		w.s.Tick(w.leaderNow())
 	}
 	w.s.Schedule(w.leaderNow())
+	w.losses.requestAdvice()
 	if w.random.IntN(3) == 0 {
 		w.recordRoster()
 	}
--- /dev/null
+++ b/internal/sched/server_losses_liveness_test.go
@@ -0,0 +1,111 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+)
+
+const (
+	// longRunningBound is the time after its last run in which a task that lasts has another run: a start is due 6 s after that
+	// run, and it counts as missing once it is missed for 3 s.
+	longRunningBound = 9 * time.Second
+	// calmBeforeLongRunning is the time without impairments that a task has to be missed in: those 3 s and the 4 s before.
+	calmBeforeLongRunning = 7 * time.Second
+	// finishBound is the time after the last impairment in which all other jobs end: they are asked for 14 s after the end of the
+	// traffic, and one without a run counts as lost after 3 s.
+	finishBound = 17 * time.Second
+)
+
+// checkLongRunning checks that each task that lasts has a run in time, once its turn has come.
+func (l *serverLosses) checkLongRunning() {
+	for _, v := range l.live("") {
+		for _, key := range v.runKeys() {
+			l.lastRan[key.task] = l.now
+		}
+	}
+	for _, id := range l.dueLongRunning() {
+		if _, seen := l.lastRan[id]; !seen {
+			l.lastRan[id] = l.now
+		}
+		if l.now.Sub(l.calmFrom) >= calmBeforeLongRunning && l.now.Sub(l.lastRan[id]) >= longRunningBound {
+			l.Errorf("seed %d, after %v: %v, which lasts, has had no run for %v", l.seed, l.now.Sub(epochStart), id, l.now.Sub(l.lastRan[id]))
+		}
+	}
+}
+
+// dueLongRunning returns the tasks that last of jobs that weren't cancelled and whose earlier steps are done.
+func (l *serverLosses) dueLongRunning() []TaskID {
+	var out []TaskID
+	for i := range len(l.specs) {
+		job := l.specs[ident.JobID(fmt.Sprintf("j%03d", i))]
+		for n := range job.Steps {
+			if step := &job.Steps[n]; step.LongRunning && !l.recorded[job.ID].State.Terminal() && l.stepsDone(job, step.After) {
+				for index := range step.Count {
+					out = append(out, TaskID{Job: job.ID, Step: n, Index: index})
+				}
+			}
+		}
+	}
+	return out
+}
+
+// stepsDone reports whether all tasks of some steps are recorded as done.
+func (l *serverLosses) stepsDone(job *Job, steps []int) bool {
+	for _, n := range steps {
+		for index := range job.Steps[n].Count {
+			if !l.isRecorded(TaskID{Job: job.ID, Step: n, Index: index}) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// unfinishedJobs returns the jobs that have to end by themselves and haven't, and those that have ended and still have a run.
+func (l *serverLosses) unfinishedJobs() []ident.JobID {
+	var out []ident.JobID
+	for i := range len(l.specs) {
+		job := l.specs[ident.JobID(fmt.Sprintf("j%03d", i))]
+		last := len(job.Steps) - 1
+		if lasts := job.Steps[last].LongRunning && l.stepsDone(job, job.Steps[last].After); !lasts && !l.recorded[job.ID].State.Terminal() {
+			out = append(out, job.ID)
+		}
+	}
+	for _, v := range l.live("") {
+		for _, key := range v.runKeys() {
+			if l.recorded[key.task.Job].State.Terminal() {
+				out = append(out, key.task.Job)
+			}
+		}
+	}
+	return out
+}
+
+// run runs the simulation until the bounds after the last impairment have passed.
+func (l *serverLosses) run() {
+	for l.now.Sub(epochStart) < faultsUntil || l.now.Sub(l.calmFrom) < finishBound {
+		l.faultSimulation.step()
+		if l.Failed() {
+			return
+		}
+	}
+	for _, id := range l.unfinishedJobs() {
+		l.Errorf("seed %d: job %s hasn't ended %v after the last impairment", l.seed, id, finishBound)
+	}
+}
+
+// Guards against tasks that are never started after servers were lost in any way that a platform knows, and against the
+// violations that TestRandomFaults checks.
+func TestRandomServerLosses(t *testing.T) {
+	const seeds = 30
+	for seed := range uint64(seeds) {
+		l := newServerLosses(emptyFaultSimulation(t, seed))
+		l.run()
+		if t.Failed() {
+			return
+		}
+	}
+}
--- a/internal/sched/simulation_test.go
+++ b/internal/sched/simulation_test.go
@@ -32,6 +32,8 @@
 	seed         uint64
 	starts       int
 	freeze       leaderFreeze
+	cancelled    []ident.JobID
+	losses       *serverLosses // nil if servers keep their ids and addresses
 }
 
 // delayedCall is a call or a reply that arrives later.
@@ -46,20 +48,28 @@
 )
 
 func newFaultSimulation(t *testing.T, seed uint64) *faultSimulation {
-	w := &faultSimulation{
+	w := emptyFaultSimulation(t, seed)
+	for i := range 4 {
+		w.addServer(testServer(ServerID(fmt.Sprintf("s%d", i)), 8)).started = epochStart.Add(-time.Hour)
+	}
+	w.takeOver()
+	return w
+}
+
+// emptyFaultSimulation returns a simulation without servers and without a leader.
+func emptyFaultSimulation(t *testing.T, seed uint64) *faultSimulation {
+	return &faultSimulation{
 		T: t, random: rand.New(rand.NewPCG(seed, 1)), now: epochStart, servers: map[ServerID]*faultyServer{}, seed: seed,
 		specs: map[ident.JobID]*Job{}, recorded: map[ident.JobID]Progress{}, done: map[TaskID]bool{},
 		successes: map[TaskID][]*success{}, everDone: map[TaskID]bool{}, lateEndGrace: map[TaskID]time.Time{},
 		failed: map[TaskID]map[RunNumber]bool{}, roster: map[ServerID]RosterEntry{},
 	}
-	for i := range 4 {
-		v := testServer(ServerID(fmt.Sprintf("s%d", i)), 8)
-		w.servers[v.ID] = &faultyServer{
-			info: v, started: epochStart.Add(-time.Hour), runs: map[runKey]faultyServerRun{}, endedRuns: map[TaskID]RunNumber{},
-		}
-	}
-	w.takeOver()
-	return w
+}
+
+func (w *faultSimulation) addServer(info Server) *faultyServer {
+	v := &faultyServer{info: info, started: w.now, runs: map[runKey]faultyServerRun{}, endedRuns: map[TaskID]RunNumber{}}
+	w.servers[info.ID] = v
+	return v
 }
 
 // takeOver replaces the leader by one that knows only what is recorded.
@@ -71,19 +81,23 @@
 		RunBase: RunNumber(w.epoch-1) * 1000, RunLease: 4 * time.Second, MaxFormerLease: 4 * time.Second, MaxRunLease: maxRunLease,
 		LeaderOverlap: time.Second, PollWait: 400 * time.Millisecond, MaxStopTime: 50 * time.Millisecond, Retention: time.Hour,
 	}, w.leaderNow())
-	w.s.Configure(w.leaderNow(), Config{
-		Queues: map[ident.QueueID]Queue{"quotes": testQueue()},
-		Teams:  map[ident.TeamID]Team{"blue": {ID: "blue", Limit: resource.Vector{CPU: resource.Cores(teamLimitCores)}}},
-	})
+	w.s.Configure(w.leaderNow(), w.config())
 	for i := range len(w.specs) {
 		id := ident.JobID(fmt.Sprintf("j%03d", i))
 		w.s.AddJob(w.leaderNow(), w.specs[id], w.recorded[id], true)
 	}
+	for _, id := range w.cancelled {
+		w.s.Cancel(w.leaderNow(), id)
+	}
 	for i := range len(w.servers) {
 		if e, ok := w.roster[ServerID(fmt.Sprintf("s%d", i))]; ok {
 			w.s.RestoreServer(w.leaderNow(), e)
 		}
 	}
+	if w.losses != nil {
+		w.losses.takeOver()
+		return
+	}
 	for i := range len(w.servers) {
 		v := w.servers[ServerID(fmt.Sprintf("s%d", i))]
 		if _, rostered := w.roster[v.info.ID]; rostered && w.random.IntN(5) == 0 {
@@ -95,6 +109,17 @@
 	}
 }
 
+// config returns the configuration without server losses.
+func (w *faultSimulation) config() Config {
+	if w.losses != nil {
+		return w.losses.config()
+	}
+	return Config{
+		Queues: map[ident.QueueID]Queue{"quotes": testQueue()},
+		Teams:  map[ident.TeamID]Team{"blue": {ID: "blue", Limit: resource.Vector{CPU: resource.Cores(teamLimitCores)}}},
+	}
+}
+
 // recordRoster records changes of the roster. The write may be lost, or take effect without a reply.
 func (w *faultSimulation) recordRoster() {
 	changes := w.s.TakeRosterChanges(10)
@@ -124,7 +149,11 @@
 	s := w.s
 	delay := time.Duration(1+w.random.IntN(int(maxOneWayDelay/time.Millisecond))) * time.Millisecond
 	timeout := 300 * time.Millisecond
-	switch chance := w.random.IntN(100); {
+	chance := w.random.IntN(100)
+	if w.losses.calm() {
+		chance = 50
+	}
+	switch {
 	case lateAnswers && chance > 96: // carried out, but the reply is late
 		w.after(delay, func() {
 			if answer := effect(); answer != nil {
