--- a/internal/sched/property_test.go
+++ b/internal/sched/property_test.go
@@ -21,8 +21,13 @@
 			e.do()
 		}
 	}
-	w.injectFaults()
+	if w.losses != nil {
+		w.losses.step()
+	} else {
+		w.injectFaults()
+	}
 	w.checkPolls()
+	w.checkInvariants()
 	if w.freeze.inject(w) {
 		return
 	}
@@ -30,6 +35,7 @@
 		w.s.Tick(w.leaderNow())
 	}
 	w.s.Schedule(w.leaderNow())
+	w.losses.requestAdvice()
 	if w.random.IntN(3) == 0 {
 		w.recordRoster()
 	}
@@ -62,6 +68,16 @@
 	}
 }
 
+// checkInvariants checks the scheduler's state in each tenth step, as a broken state lasts.
+func (w *faultSimulation) checkInvariants() {
+	if w.now.Sub(epochStart)%(100*time.Millisecond) != 0 {
+		return
+	}
+	for _, violation := range violatedInvariants(w.s) {
+		w.Errorf("seed %d, after %v: %s", w.seed, w.now.Sub(epochStart), violation)
+	}
+}
+
 // sendPoll delivers a poll after its pause, which a freeze prolongs, unless the leader is replaced meanwhile.
 func (w *faultSimulation) sendPoll(cmd PollCommand) {
 	fence := w.epoch
