--- a/internal/sched/poll.go
+++ b/internal/sched/poll.go
@@ -72,3 +72,57 @@
 func (v *server) replyTimeout() time.Duration {
 	return min(max(minReplyTimeout, replyTimeoutFactor*v.replyDelay), maxReplyTimeout)
 }
+
+// poll requests a server's inventory and renews its lease.
+func (s *Scheduler) poll(v *server, wait, delay time.Duration) {
+	v.polling = true
+	s.lastPollSerial++
+	v.pollSerial = s.lastPollSerial
+	v.notePoll(sentPoll{serial: v.pollSerial, at: s.now.Add(delay)})
+	v.acknowledgedUpTo = v.acknowledgeable()
+	cmd := PollCommand{
+		Server: v.info, Acknowledged: v.acknowledgedUpTo, Wait: wait, Timeout: wait + v.replyTimeout(), EndsAfter: wait + maxReplyDelay,
+		Delay: delay, Serial: v.pollSerial,
+	}
+	if v.attached && s.renewsLease(v) {
+		cmd.Deadline = s.deadline(v, delay)
+	}
+	s.emit(cmd)
+}
+
+// renewsLease reports whether polls renew a server's lease. They don't while the server is unresponsive, since each call that
+// may have arrived would postpone the time after which its runs are known to have ended.
+func (s *Scheduler) renewsLease(v *server) bool {
+	return len(v.runs) > 0 && v.failures == 0 &&
+		(v.registered || s.now.Sub(v.unregisteredAt) < reregistrationGrace || !v.info.Draining)
+}
+
+// pollWait returns how long a server may delay its reply: until shortly after the next run is expected to end. If the reply is
+// lost, the poll then times out about when the end would have been reported, not a whole PollWait later.
+func (s *Scheduler) pollWait(v *server) time.Duration {
+	next := s.options.PollWait
+	for _, p := range v.runs {
+		if p.phase == phaseRunning && !p.task.group.step.LongRunning {
+			next = min(next, s.remaining(p)+pollMargin)
+		}
+	}
+	return min(max(next, minPollWait), s.options.PollWait)
+}
+
+// pollNext polls a server again if it has runs or if ended runs can be acknowledged.
+func (s *Scheduler) pollNext(v *server, delay time.Duration) {
+	if v.polling || !v.attached || v.failures > 0 {
+		return
+	}
+	if len(v.unrecordedEnds) > 0 {
+		return // the poll would return at once with the same ended runs
+	}
+	switch {
+	case v.acknowledgedUpTo < v.recordedUpTo && v.acknowledgeable() == 0:
+		s.poll(v, 0, max(delay, pollPause)) // returns at once, as unacknowledged ends are still listed
+	case len(v.runs) > 0 || len(v.unknownRuns) > 0:
+		s.poll(v, s.pollWait(v), delay)
+	case v.recordedUpTo > v.acknowledgedUpTo:
+		s.poll(v, 0, delay)
+	}
+}
