Log when servers are added, removed, returned and restarted

Change: each of these changes is a ServerDecision with its cause, incarnation, address, runs before and after, and the ages of the registration and of the last poll. The coordinator logs one line for each, at most 1,000 a batch; the rest is counted. The latest 1,000 removals are kept, so that a server that is added again under its id is told from a new one. Scheduling is unchanged.

Measured: TestServerDecisions and TestServerDecisionsAreLogged pass. Four trials, without the calls for removals, additions, registrations or restarts, each failed TestServerDecisions. All tests of internal/sched and internal/coordinator pass (without the race detector).

--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -154,10 +154,12 @@
 	commands := t.scheduler.TakeCommands()
 	deposed := t.scheduler.Deposed()
 	decisions, dropped := t.scheduler.TakeDecisions()
+	serverDecisions, droppedOnServers := t.scheduler.TakeServerDecisions()
 	some, terminal := t.scheduler.HasProgressUpdates()
 	unknown := t.scheduler.HasUnknownJobs()
 	t.mu.Unlock()
 	t.logDecisions(decisions, dropped)
+	t.logServerDecisions(serverDecisions, droppedOnServers)
 	if deposed {
 		t.cancel(errDeposed)
 		return
--- a/internal/sched/decision.go
+++ b/internal/sched/decision.go
@@ -2,10 +2,10 @@
 
 import "time"
 
-// Cause is why the scheduler considers a run as ended without a report of its end.
+// Cause is why the scheduler considers a run as ended without a report of its end, or why its view of a server changed.
 type Cause string
 
-// Causes of released runs.
+// Causes of released runs. Some are also causes of a ServerDecision.
 const (
 	CauseLeaseExpired   Cause = "lease-expired"
 	CauseClockWentBack  Cause = "clock-went-back"  // a clock reading showed a restart of the server
--- a/internal/sched/restart.go
+++ b/internal/sched/restart.go
@@ -22,9 +22,11 @@
 	}
 	if clock+clockMargin < v.lowestClock(sent) {
 		v.setClock(clock, sent, s.now)
+		held := len(v.runs)
 		s.releaseFormerRuns(v, keep, CauseClockWentBack)
 		s.resetIncarnation(v)
 		v.incarnationUnknown = true
+		s.decideServer(v, ServerDecision{Event: ServerRestarted, Cause: CauseClockWentBack, Runs: held})
 		s.poll(v, 0, 0) // reports the new incarnation and its runs; the reply to an earlier poll is ignored
 		return
 	}
@@ -116,8 +118,10 @@
 		v.incarnationUnknown = false // the incarnation that its clock has shown
 		return
 	}
+	held := len(v.runs)
 	s.releaseFormerRuns(v, nil, CauseNewIncarnation)
 	s.resetIncarnation(v)
+	s.decideServer(v, ServerDecision{Event: ServerRestarted, Cause: CauseNewIncarnation, Runs: held})
 	v.clockAt = time.Time{} // the next reading is of the new incarnation
 }
 
--- a/internal/sched/roster.go
+++ b/internal/sched/roster.go
@@ -93,10 +93,13 @@
 // RestoreServer adds a server from the roster of the former leader. Runs may still be in progress on a server that
 // is no longer registered.
 func (s *Scheduler) RestoreServer(now time.Time, e RosterEntry) {
+	s.now = now
+	s.addServer(e.Server, CauseRoster)
 	s.Register(now, e.Server)
 	s.Unregister(now, e.Server.ID)
 	delete(s.rosterDirty, e.Server.ID)
 	v := s.servers[e.Server.ID]
+	v.history.registeredAt = time.Time{}
 	if e.LongLease {
 		v.longLease, v.formerIncarnationBound = true, s.longestFormerLeaseBound()
 		v.leaseBound = latest(v.leaseBound, v.formerIncarnationBound)
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -68,6 +68,7 @@
 	decisions      []Decision // that TakeDecisions hasn't returned yet
 	// droppedDecisions counts the decisions beyond maxDecisions.
 	droppedDecisions int
+	serverLog        serverLog
 	counts           Counts
 }
 
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -103,6 +103,7 @@
 	cordonMayBeRecorded bool   // the store may have the server recorded as cordoned
 	removed             bool   // removed from Scheduler.servers
 	rosterChange        uint64 // version of the server's roster record
+	history             serverHistory
 
 	suspicions     int     // consecutive quarantines
 	lastSlowJob    *job    // last job with a slow run here
@@ -150,20 +151,27 @@
 
 func scale(d time.Duration, x float64) time.Duration { return time.Duration(float64(d) * x) }
 
+// addServer adds a server unless it is known, and returns it.
+func (s *Scheduler) addServer(info Server, cause Cause) *server {
+	if v := s.servers[info.ID]; v != nil {
+		return v
+	}
+	v := &server{info: info, slowdown: 1, runs: map[runKey]*run{}, unknownRuns: map[runKey]bool{}}
+	v.leaseBound = s.formerLeaseBound(s.started.Add(s.options.LeaderOverlap))
+	v.formerLeaderBound = v.leaseBound
+	v.incarnationClaimedAt = s.now
+	s.servers[info.ID] = v
+	s.services[info.Service] = append(s.services[info.Service], v)
+	s.touchRoster(v)
+	s.fleetVersion++
+	s.decideAdded(v, cause)
+	return v
+}
+
 // Register adds a server or updates its registration.
 func (s *Scheduler) Register(now time.Time, info Server) {
 	s.now = now
-	v := s.servers[info.ID]
-	if v == nil {
-		v = &server{info: info, slowdown: 1, runs: map[runKey]*run{}, unknownRuns: map[runKey]bool{}}
-		v.leaseBound = s.formerLeaseBound(s.started.Add(s.options.LeaderOverlap))
-		v.formerLeaderBound = v.leaseBound
-		v.incarnationClaimedAt = now
-		s.servers[info.ID] = v
-		s.services[info.Service] = append(s.services[info.Service], v)
-		s.touchRoster(v)
-		s.fleetVersion++
-	}
+	v := s.addServer(info, CauseRegistered)
 	if info.Incarnation == v.disprovedIncarnation {
 		info.Incarnation = v.info.Incarnation
 	}
@@ -188,6 +196,7 @@
 		s.fleetVersion++
 	}
 	v.info = info
+	s.noteRegistration(v)
 	v.registered = true
 	v.unregisteredAt = time.Time{}
 	s.passNeeded = true
@@ -213,9 +222,10 @@
 func (s *Scheduler) ServerReplaced(now time.Time, id ServerID, address string) {
 	s.now = now
 	if v := s.servers[id]; v != nil && v.info.Address == address {
+		held := len(v.runs)
 		s.loseAllRuns(v, CauseReplaced)
 		v.polling = false
-		s.remove(v)
+		s.remove(v, CauseReplaced, held)
 	}
 }
 
@@ -244,13 +254,15 @@
 	s.passNeeded = true
 }
 
-func (s *Scheduler) remove(v *server) {
+// remove removes a server, which held a number of runs before.
+func (s *Scheduler) remove(v *server, cause Cause, held int) {
 	s.clearUnknownOutcomes(v)
 	delete(s.servers, v.info.ID)
 	v.removed = true
 	s.touchRoster(v)
 	s.services[v.info.Service] = slices.DeleteFunc(s.services[v.info.Service], func(o *server) bool { return o == v })
 	s.forgetTickets(v.info.ID)
+	s.noteRemoval(v, cause, held)
 	s.passNeeded = true
 }
 
@@ -280,7 +292,7 @@
 	}
 	if !v.registered && s.now.Sub(v.unregisteredAt) > reregistrationGrace && len(v.runs) == 0 && !v.polling &&
 		(v.attached || s.now.After(v.leaseBound)) {
-		s.remove(v)
+		s.remove(v, v.idleRemovalCause(), 0)
 		return
 	}
 	if v.suspicions > 0 && s.now.Sub(v.noStartsBefore) > suspicionMemory {
