--- a/internal/sched/dump.go
+++ b/internal/sched/dump.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"slices"
 	"time"
 
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
@@ -60,55 +59,3 @@
 	}
 	return d
 }
-
-// JobExplanation describes a job and its incomplete steps for operators.
-type JobExplanation struct {
-	State   State             `json:"state"`
-	Surplus bool              `json:"surplus,omitempty"` // beyond its team's weight
-	Steps   []StepExplanation `json:"steps"`
-}
-
-// StepExplanation describes an incomplete step.
-type StepExplanation struct {
-	Occurrence int      `json:"occurrence"`
-	Step       int      `json:"step"`
-	Done       int      `json:"done"`
-	Tasks      int      `json:"tasks"`
-	Ready      bool     `json:"ready"`
-	Running    []string `json:"running,omitempty"`
-	Allowed    int      `json:"allowed-servers"`
-	Rank       string   `json:"rank,omitempty"`
-}
-
-// Explain returns the state and the rank of a job's incomplete steps.
-func (s *Scheduler) Explain(id ident.JobID) (JobExplanation, bool) {
-	j := s.jobs[id]
-	if j == nil {
-		return JobExplanation{}, false
-	}
-	e := JobExplanation{State: j.state, Surplus: j.surplus}
-	for _, o := range j.occurrences {
-		for _, g := range o.groups {
-			if !g.complete() {
-				e.Steps = append(e.Steps, s.explainGroup(g))
-			}
-		}
-	}
-	return e, true
-}
-
-func (s *Scheduler) explainGroup(g *group) StepExplanation {
-	row := StepExplanation{Occurrence: g.occurrence, Step: g.index, Done: g.done, Tasks: len(g.tasks), Ready: g.ready}
-	for _, t := range g.tasks {
-		for _, p := range t.runs {
-			row.Running = append(row.Running, string(p.server.info.ID))
-		}
-	}
-	for _, ok := range g.advice.allowed {
-		row.Allowed += boolToInt(ok)
-	}
-	slices.Sort(row.Running)
-	r := s.rankOf(g, g.job.queue)
-	row.Rank = r.class.String() + ", slack " + r.slack.Round(time.Millisecond).String()
-	return row
-}
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -322,11 +322,16 @@
 	}
 }
 
+// mayHoldUnknownRuns reports whether the server may have runs that a former leader started and that this leader doesn't know.
+func (v *server) mayHoldUnknownRuns(now time.Time) bool {
+	return !v.inventoryKnown && !v.cordoned && now.Before(v.formerLeaderBound)
+}
+
 // hasUnknownInventory reports whether a server of the service may have runs that a former leader started and that this
 // leader doesn't know.
 func (s *Scheduler) hasUnknownInventory(id ServiceID) bool {
 	for _, v := range s.services[id] {
-		if !v.inventoryKnown && !v.cordoned && s.now.Before(v.formerLeaderBound) {
+		if v.mayHoldUnknownRuns(s.now) {
 			return true
 		}
 	}
