Report stuck runs in the log and the metrics

Cause: a run on a server that was removed ends by no event, as timeouts and late replies look servers up among those that are known.

Change: once a second the leader looks for runs whose server it doesn't know, starts that are unanswered for over 10.5 s (three attempts, each with the longest wait for a confirmed leader and the timeout of a call), and stops that are unfinished after the longest lease and the last reply that may still count (17.3 s with a lease of at most 10 s). It logs each run once, with the ages of the run and of the removal of its server, and counts them in the gauge rosemaryspoke_stuck_runs. It changes no run.

Measured: the new tests pass with the race detector, as do all tests of internal/sched and internal/coordinator.

--- a/internal/coordinator/diagnostics.go
+++ b/internal/coordinator/diagnostics.go
@@ -14,3 +14,15 @@
 		t.config.Log.Info("decisions not logged", "count", dropped)
 	}
 }
+
+// logStuckRuns logs runs that hold their tasks back for longer than the scheduler's timeouts allow.
+func (t *term) logStuckRuns(stuck []sched.StuckRun) {
+	for _, r := range stuck {
+		t.config.Log.Info("run is stuck", "job", string(r.Task.Job), "occurrence", r.Task.Occurrence, "step", r.Task.Step, "index", r.Task.Index,
+			"run", uint64(r.Run), "server", string(r.Server), "kind", string(r.Kind), "phase", r.Phase, "age", r.Age,
+			"command-age", r.CommandAge, "starts", r.Starts, "stop-answered", r.StopAnswered, "incarnation", r.Incarnation,
+			"address", r.Address, "server-known", r.ServerKnown, "in-service", r.InService, "added-again", r.AddedAgain,
+			"removed-age", r.RemovedAge, "removal", string(r.Removal), "registered", r.Registered, "attached", r.Attached,
+			"failures", r.Failures, "poll-age", r.PollAge, "lease-ends-in", r.LeaseEndsIn)
+	}
+}
--- a/internal/coordinator/diagnostics_test.go
+++ b/internal/coordinator/diagnostics_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr/funcr"
 
 	"github.com/rosemaryspoke/rosemaryspoke/internal/sched"
@@ -67,3 +68,54 @@
 		}
 	})
 }
+
+// Guards against a stuck run that neither the log nor the metrics show, or that floods the log: each is logged once, and counted
+// while it is stuck (issue 23).
+func TestStuckRunsAreLoggedAndCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const gauge = `rosemaryspoke_stuck_runs{kind="start-unanswered"}`
+		m, lines := newLoggedTerm(t)
+		m.loaded = true
+		m.coordinator.term = m
+		m.coordinator.config.Metrics = metrics.NewSet()
+		m.coordinator.view = newView(nil, m.config.Log)
+		m.coordinator.presence = newPresence(Config{}, "i1")
+		m.coordinator.registerGauges()
+		m.config.ServerClient.Start = func(ctx context.Context, _ sched.FencingToken, _ sched.StartCommand) (time.Duration, error) {
+			<-ctx.Done()
+			return 0, ErrNoResponse
+		}
+		m.config.ServerClient.Poll = func(context.Context, sched.FencingToken, sched.PollCommand) (sched.Inventory, error) {
+			time.Sleep(100 * time.Millisecond)
+			return sched.Inventory{Incarnation: 1, Clock: time.Duration(time.Now().UnixNano())}, nil
+		}
+		value := func() string {
+			var text strings.Builder
+			m.coordinator.config.Metrics.WritePrometheus(&text)
+			_, after, _ := strings.Cut(text.String(), gauge+" ")
+			number, _, _ := strings.Cut(after, "\n")
+			return number
+		}
+		v := sched.Server{ID: "s1", Incarnation: 1, Address: "s1:1", Service: "pool", Capacity: resource.Vector{CPU: resource.Cores(4)}}
+		job := &sched.Job{
+			ID: "j", Queue: sched.Queue{ID: "q", Service: "pool", MaxAttempts: 3}, Accepted: time.Now(),
+			Steps: []sched.Step{{Count: 1, Demand: resource.Vector{CPU: resource.Cores(1)}}},
+		}
+		m.update(func(now time.Time, s *sched.Scheduler) { s.Register(now, v) })
+		time.Sleep(time.Second)
+		m.update(func(now time.Time, s *sched.Scheduler) {
+			s.AddJob(now, job, sched.Progress{}, false)
+			s.Schedule(now)
+		})
+		go func() { _ = m.logLoad(t.Context()) }()
+		time.Sleep(5 * time.Second)
+		if n, g := lines.count("run is stuck"), value(); n != 0 || g != "0" {
+			t.Errorf("after 5 s: %d lines, gauge %s", n, g)
+		}
+		time.Sleep(15 * time.Second)
+		const want = `"run is stuck" "job"="j" "occurrence"=0 "step"=0 "index"=0 "run"=1 "server"="s1" "kind"="start-unanswered" "phase"="starting"`
+		if n, g := lines.count(want), value(); n != 1 || g != "1" {
+			t.Errorf("after 20 s: %d lines, gauge %s, log %q", n, g, lines.lines)
+		}
+	})
+}
--- a/internal/coordinator/dump.go
+++ b/internal/coordinator/dump.go
@@ -45,10 +45,10 @@
 	return d
 }
 
-// loadInterval is the interval at which the leader logs the load of each service.
+// loadInterval is the interval at which the leader logs the load of each service and checks for stuck runs.
 const loadInterval = time.Second
 
-// logLoad logs the use of advisor calls and, for each service, its capacity and the work that waits for it.
+// logLoad logs the use of advisor calls, stuck runs and, for each service, its capacity and the work that waits for it.
 func (t *term) logLoad(ctx context.Context) error {
 	previousCalls := uint64(0)
 	for {
@@ -58,7 +58,9 @@
 		}
 		t.mu.Lock()
 		loads, calls, busy := t.scheduler.Loads(), t.scheduler.Counts().Advice, t.advisorProxies.busy()
+		stuck := t.scheduler.CheckRuns(t.coordinator.now())
 		t.mu.Unlock()
+		t.logStuckRuns(stuck)
 		t.config.Log.Info("advice load", "daemons", len(t.coordinator.peerAddresses())+1, "busy", busy, "calls", calls-previousCalls)
 		previousCalls = calls
 		for _, l := range loads {
@@ -100,14 +102,26 @@
 		"advice":   func(c sched.Counts) uint64 { return c.Advice },
 	}
 	for kind, read := range counts {
-		m.NewGauge(fmt.Sprintf("rosemaryspoke_term_events{kind=%q}", kind), func() float64 {
-			t := c.loadedTerm()
-			if t == nil {
-				return 0
-			}
-			t.mu.Lock()
-			defer t.mu.Unlock()
-			return float64(read(t.scheduler.Counts()))
-		})
+		m.NewGauge(fmt.Sprintf("rosemaryspoke_term_events{kind=%q}", kind), c.schedulerGauge(func(s *sched.Scheduler) float64 {
+			return float64(read(s.Counts()))
+		}))
+	}
+	for _, kind := range sched.StuckKinds {
+		m.NewGauge(fmt.Sprintf("rosemaryspoke_stuck_runs{kind=%q}", string(kind)), c.schedulerGauge(func(s *sched.Scheduler) float64 {
+			return float64(s.StuckRuns(kind))
+		}))
+	}
+}
+
+// schedulerGauge returns a gauge that reads the scheduler, and is 0 unless this daemon leads.
+func (c *Coordinator) schedulerGauge(read func(*sched.Scheduler) float64) func() float64 {
+	return func() float64 {
+		t := c.loadedTerm()
+		if t == nil {
+			return 0
+		}
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		return read(t.scheduler)
 	}
 }
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -90,6 +90,7 @@
 	startAttempts   int
 	startUncertain  bool      // a start is unanswered and may still take effect
 	confirmInDoubt  bool      // a later incarnation of the server than the known one may have confirmed the start
+	stoppingSince   time.Time // when the first stop was sent
 	stopAnsweredAt  time.Time // when the stop was answered
 	progressPercent int
 	progressAt      time.Time // when the progress last rose
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -225,6 +225,7 @@
 	p.startUncertain = p.startUncertain || p.phase == phaseStarting
 	p.server.unansweredStarts -= boolToInt(p.phase == phaseStarting)
 	p.phase = phaseStopping
+	p.stoppingSince = s.now
 	s.sendStop(p, reason)
 }
 
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -69,6 +69,7 @@
 	// droppedDecisions counts the decisions beyond maxDecisions.
 	droppedDecisions int
 	serverLog        serverLog
+	stuckRuns        stuckRuns
 	counts           Counts
 }
 
--- a/internal/sched/server_decision.go
+++ b/internal/sched/server_decision.go
@@ -48,6 +48,7 @@
 // serverHistory is what only the log and the state dump use of a server.
 type serverHistory struct {
 	registeredAt time.Time // last update of its registration
+	knownAtCheck uint64    // the latest check of runs for which it was in Scheduler.servers
 	removal
 }
 
