Write log lines within 50 ms and in whole lines

What operators saw: no lines of a daemon for seconds, and lines cut in the middle. Each line that emptied the queue restarted the flush timer, so steady lines stayed in the buffer of 64 KB, and were lost when the process was killed.

Change: the timer starts with the first line in the buffer, which has 4 KB, the size that pipes take whole, and is flushed before a line that doesn't fit.

Measured: on the former code TestSteadyLinesAreWritten failed (6 lines not written after 50 ms) and TestWritesHoldWholeLines failed; both pass 20 times with the race detector.

--- a/internal/asynclog/asynclog.go
+++ b/internal/asynclog/asynclog.go
@@ -12,9 +12,10 @@
 
 const (
 	maxQueuedLines = 2048
-	// flushDelay is the delay between the last queued line and the flush of the buffer.
-	flushDelay  = 50 * time.Millisecond
-	bufferBytes = 64 << 10
+	// flushDelay is the longest time for which a line stays in the buffer.
+	flushDelay = 50 * time.Millisecond
+	// bufferBytes bounds a write of several lines. Pipes take writes of this size whole, so that their lines aren't cut.
+	bufferBytes = 4 << 10
 )
 
 // Writer queues lines and writes them to the output in a background goroutine.
@@ -50,6 +51,8 @@
 func (w *Writer) run() {
 	defer close(w.done)
 	flush := time.NewTimer(flushDelay)
+	flush.Stop()
+	pending := false // the timer runs
 	for {
 		select {
 		case text, ok := <-w.lines:
@@ -58,12 +61,13 @@
 				return
 			}
 			w.write(text)
-			if len(w.lines) > 0 {
-				continue
+			if !pending {
+				flush.Reset(flushDelay)
+				pending = true
 			}
-			flush.Reset(flushDelay)
 		case <-flush.C:
 			_ = w.out.Flush() // a failure to write the log can't be logged
+			pending = false
 		}
 	}
 }
@@ -72,6 +76,9 @@
 	if n := w.dropped.Swap(0); n > 0 {
 		_, _ = fmt.Fprintf(w.out, `{"msg":"log lines dropped","count":%d}`+"\n", n)
 	}
+	if len(text)+1 > w.out.Available() {
+		_ = w.out.Flush()
+	}
 	_, _ = w.out.WriteString(text) // bufio.Writer keeps its first error; Flush returns it
 	_ = w.out.WriteByte('\n')
 }
--- a/internal/asynclog/asynclog_test.go
+++ b/internal/asynclog/asynclog_test.go
@@ -4,6 +4,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -46,3 +47,65 @@
 		}
 	}
 }
+
+// countedOutput records the writes.
+type countedOutput struct {
+	mu     sync.Mutex
+	writes []string
+}
+
+func (o *countedOutput) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.writes = append(o.writes, string(p))
+	return len(p), nil
+}
+
+func (o *countedOutput) lines() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return strings.Count(strings.Join(o.writes, ""), "\n")
+}
+
+// Guards against lines that stay in the buffer while others follow, and are lost when the process is killed.
+func TestSteadyLinesAreWritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const pause = 10 * time.Millisecond
+		o := &countedOutput{}
+		w := New(o)
+		for n := range 100 {
+			w.WriteLine("line")
+			time.Sleep(pause)
+			if late := n + 1 - o.lines(); late > int(flushDelay/pause) {
+				t.Errorf("%d lines not written after line %d", late, n)
+				break
+			}
+		}
+		w.Close()
+	})
+}
+
+// Guards against lines that are cut where a reader takes only the first part of a large write. Only a line that is longer than
+// the buffer may take several writes.
+func TestWritesHoldWholeLines(t *testing.T) {
+	const (
+		length = 300
+		count  = 3 * bufferBytes / length
+	)
+	o := &countedOutput{}
+	w := New(o)
+	for range count {
+		w.WriteLine(strings.Repeat("x", length))
+	}
+	w.WriteLine(strings.Repeat("y", 2*bufferBytes))
+	w.WriteLine("last")
+	w.Close()
+	for n, text := range o.writes {
+		if !strings.Contains(text, "y") && (len(text) > bufferBytes || !strings.HasSuffix(text, "\n")) {
+			t.Errorf("write %d has %d bytes and ends with %q", n, len(text), text[len(text)-1:])
+		}
+	}
+	if got := strings.Split(strings.Join(o.writes, ""), "\n"); len(got) != count+3 || len(got[count]) != 2*bufferBytes || got[count+1] != "last" {
+		t.Errorf("%d lines written, want %d and the last ones whole", len(got)-1, count+2)
+	}
+}
