--- a/internal/asynclog/asynclog.go
+++ b/internal/asynclog/asynclog.go
@@ -12,7 +12,7 @@
 
 const (
 	maxQueuedLines = 2048
-	// flushDelay is the longest time for which a line stays in the buffer.
+	// flushDelay bounds how long a written line waits in the buffer.
 	flushDelay = 50 * time.Millisecond
 	// bufferBytes bounds a write of several lines. Pipes take writes of this size whole, so that their lines aren't cut.
 	bufferBytes = 4 << 10
@@ -50,9 +50,7 @@
 
 func (w *Writer) run() {
 	defer close(w.done)
-	flush := time.NewTimer(flushDelay)
-	flush.Stop()
-	pending := false // the timer runs
+	var flush <-chan time.Time // set while written lines wait for a flush
 	for {
 		select {
 		case text, ok := <-w.lines:
@@ -61,13 +59,12 @@
 				return
 			}
 			w.write(text)
-			if !pending {
-				flush.Reset(flushDelay)
-				pending = true
+			if flush == nil {
+				flush = time.After(flushDelay)
 			}
-		case <-flush.C:
+		case <-flush:
+			flush = nil
 			_ = w.out.Flush() // a failure to write the log can't be logged
-			pending = false
 		}
 	}
 }
--- a/internal/sched/explain.go
+++ b/internal/sched/explain.go
@@ -102,8 +102,9 @@
 			row.Runs = append(row.Runs, s.runDetail(p))
 		}
 	}
-	for _, ok := range g.advice.allowed {
-		row.Allowed += boolToInt(ok)
+	for id, ok := range g.advice.allowed {
+		v := s.servers[id.server]
+		row.Allowed += boolToInt(ok && v != nil && v.incarnationID() == id)
 	}
 	slices.Sort(row.Running)
 	slices.SortStableFunc(row.Runs, func(a, b RunDetail) int {
@@ -201,7 +202,7 @@
 	if !v.usable(s.now) {
 		return v.unusableStatus(s.now)
 	}
-	allowed, answered := g.advice.allowed[v.info.ID]
+	allowed, answered := g.advice.allowed[v.incarnationID()]
 	switch {
 	case !eligible(g.step, v):
 		return ServerUnsuitable
@@ -211,7 +212,7 @@
 		return ServerSpread
 	case r.queue.Advisor != nil && answered && !allowed:
 		return ServerNotAllowed
-	case r.queue.Advisor != nil && g.advice.ticket(v.info.ID, s.now) == "":
+	case r.queue.Advisor != nil && g.advice.ticket(v, s.now) == "":
 		return ServerNoTicket
 	}
 	return ServerFree
