--- a/internal/asynclog/asynclog.go
+++ b/internal/asynclog/asynclog.go
@@ -13,8 +13,9 @@
 const (
 	maxQueuedLines = 2048
 	// flushDelay bounds how long a written line waits in the buffer.
-	flushDelay  = 50 * time.Millisecond
-	bufferBytes = 64 << 10
+	flushDelay = 50 * time.Millisecond
+	// bufferBytes bounds a write of several lines. Pipes take writes of this size whole, so that their lines aren't cut.
+	bufferBytes = 4 << 10
 )
 
 // Writer queues lines and writes them to the output in a background goroutine.
@@ -72,6 +73,9 @@
 	if n := w.dropped.Swap(0); n > 0 {
 		_, _ = fmt.Fprintf(w.out, `{"msg":"log lines dropped","count":%d}`+"\n", n)
 	}
+	if len(text)+1 > w.out.Available() {
+		_ = w.out.Flush()
+	}
 	_, _ = w.out.WriteString(text) // bufio.Writer keeps its first error; Flush returns it
 	_ = w.out.WriteByte('\n')
 }
--- /dev/null
+++ b/internal/coordinator/diagnostics.go
@@ -0,0 +1,28 @@
+package coordinator
+
+import "github.com/rosemaryspoke/rosemaryspoke/internal/sched"
+
+// logServerDecisions logs changes of the set of servers and of what is believed of them.
+func (t *term) logServerDecisions(decisions []sched.ServerDecision, dropped int) {
+	for _, d := range decisions {
+		t.config.Log.Info("server "+string(d.Event), "server", string(d.Server), "cause", string(d.Cause), "incarnation", d.Incarnation,
+			"address", d.Address, "runs", d.Runs, "runs-left", d.RunsLeft, "attached", d.Attached, "registered", d.Registered,
+			"registration-age", d.RegistrationAge.String(), "poll-age", d.PollAge.String(), "failures", d.Failures,
+			"away", d.Away.String(), "former-removal", string(d.FormerRemoval))
+	}
+	if dropped > 0 {
+		t.config.Log.Info("decisions not logged", "count", dropped)
+	}
+}
+
+// logStuckRuns logs runs that hold their tasks back for longer than the scheduler's timeouts allow.
+func (t *term) logStuckRuns(stuck []sched.StuckRun) {
+	for _, r := range stuck {
+		t.config.Log.Info("run is stuck", "job", string(r.Task.Job), "occurrence", r.Task.Occurrence, "step", r.Task.Step, "index", r.Task.Index,
+			"run", uint64(r.Run), "server", string(r.Server), "kind", string(r.Kind), "phase", r.Phase, "age", r.Age,
+			"command-age", r.CommandAge, "starts", r.Starts, "stop-answered", r.StopAnswered, "incarnation", r.Incarnation,
+			"address", r.Address, "server-known", r.ServerKnown, "in-service", r.InService, "added-again", r.AddedAgain,
+			"removed-age", r.RemovedAge, "removal", string(r.Removal), "registered", r.Registered, "attached", r.Attached,
+			"failures", r.Failures, "poll-age", r.PollAge, "lease-ends-in", r.LeaseEndsIn)
+	}
+}
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -70,6 +70,8 @@
 	decisions      []Decision // that TakeDecisions hasn't returned yet
 	// droppedDecisions counts the decisions beyond maxDecisions.
 	droppedDecisions int
+	serverLog        serverLog
+	stuckRuns        stuckRuns
 	counts           Counts
 }
 
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -104,6 +104,7 @@
 	cordonMayBeRecorded bool   // the store may have the server recorded as cordoned
 	removed             bool   // removed from Scheduler.servers
 	rosterChange        uint64 // version of the server's roster record
+	history             serverHistory
 
 	suspicions     int     // consecutive quarantines
 	lastSlowJob    *job    // last job with a slow run here
@@ -151,20 +152,27 @@
 
 func scale(d time.Duration, x float64) time.Duration { return time.Duration(float64(d) * x) }
 
+// addServer adds a server unless it is known, and returns it.
+func (s *Scheduler) addServer(info Server, cause Cause) *server {
+	if v := s.servers[info.ID]; v != nil {
+		return v
+	}
+	v := &server{info: info, slowdown: 1, runs: map[runKey]*run{}, unknownRuns: map[runKey]bool{}}
+	v.leaseBound = s.formerLeaseBound(s.started.Add(s.options.LeaderOverlap))
+	v.formerLeaderBound = v.leaseBound
+	v.incarnationClaimedAt = s.now
+	s.servers[info.ID] = v
+	s.services[info.Service] = append(s.services[info.Service], v)
+	s.touchRoster(v)
+	s.fleetVersion++
+	s.decideAdded(v, cause)
+	return v
+}
+
 // Register adds a server or updates its registration.
 func (s *Scheduler) Register(now time.Time, info Server) {
 	s.now = now
-	v := s.servers[info.ID]
-	if v == nil {
-		v = &server{info: info, slowdown: 1, runs: map[runKey]*run{}, unknownRuns: map[runKey]bool{}}
-		v.leaseBound = s.formerLeaseBound(s.started.Add(s.options.LeaderOverlap))
-		v.formerLeaderBound = v.leaseBound
-		v.incarnationClaimedAt = now
-		s.servers[info.ID] = v
-		s.services[info.Service] = append(s.services[info.Service], v)
-		s.touchRoster(v)
-		s.fleetVersion++
-	}
+	v := s.addServer(info, CauseRegistered)
 	if info.Incarnation == v.disprovedIncarnation {
 		info.Incarnation = v.info.Incarnation
 	}
@@ -189,6 +197,7 @@
 		s.fleetVersion++
 	}
 	v.info = info
+	s.noteRegistration(v)
 	v.registered = true
 	v.unregisteredAt = time.Time{}
 	s.passNeeded = true
@@ -214,9 +223,10 @@
 func (s *Scheduler) ServerReplaced(now time.Time, id ServerID, address string) {
 	s.now = now
 	if v := s.servers[id]; v != nil && v.info.Address == address {
+		held := len(v.runs)
 		s.loseAllRuns(v, CauseReplaced)
 		v.polling = false
-		s.remove(v)
+		s.remove(v, CauseReplaced, held)
 	}
 }
 
@@ -245,12 +255,14 @@
 	s.passNeeded = true
 }
 
-func (s *Scheduler) remove(v *server) {
+// remove removes a server, which held a number of runs before.
+func (s *Scheduler) remove(v *server, cause Cause, held int) {
 	s.clearUnknownOutcomes(v)
 	delete(s.servers, v.info.ID)
 	v.removed = true
 	s.touchRoster(v)
 	s.services[v.info.Service] = slices.DeleteFunc(s.services[v.info.Service], func(o *server) bool { return o == v })
+	s.noteRemoval(v, cause, held)
 	s.passNeeded = true
 }
 
@@ -280,7 +292,7 @@
 	}
 	if !v.registered && s.now.Sub(v.unregisteredAt) > reregistrationGrace && len(v.runs) == 0 && !v.polling &&
 		(v.attached || s.now.After(v.leaseBound)) {
-		s.remove(v)
+		s.remove(v, v.idleRemovalCause(), 0)
 		return
 	}
 	if v.suspicions > 0 && s.now.Sub(v.noStartsBefore) > suspicionMemory {
@@ -310,71 +322,22 @@
 	}
 }
 
+// mayHoldUnknownRuns reports whether the server may have runs that a former leader started and that this leader doesn't know.
+func (v *server) mayHoldUnknownRuns(now time.Time) bool {
+	return !v.inventoryKnown && !v.cordoned && now.Before(v.formerLeaderBound)
+}
+
 // hasUnknownInventory reports whether a server of the service may have runs that a former leader started and that this
 // leader doesn't know.
 func (s *Scheduler) hasUnknownInventory(id ServiceID) bool {
 	for _, v := range s.services[id] {
-		if !v.inventoryKnown && !v.cordoned && s.now.Before(v.formerLeaderBound) {
+		if v.mayHoldUnknownRuns(s.now) {
 			return true
 		}
 	}
 	return false
 }
 
-// poll requests a server's inventory and renews its lease.
-func (s *Scheduler) poll(v *server, wait, delay time.Duration) {
-	v.polling = true
-	s.lastPollSerial++
-	v.pollSerial = s.lastPollSerial
-	v.notePoll(sentPoll{serial: v.pollSerial, at: s.now.Add(delay)})
-	v.acknowledgedUpTo = v.acknowledgeable()
-	cmd := PollCommand{
-		Server: v.info, Acknowledged: v.acknowledgedUpTo, Wait: wait, Timeout: wait + v.replyTimeout(), EndsAfter: wait + maxReplyDelay,
-		Delay: delay, Serial: v.pollSerial,
-	}
-	if v.attached && s.renewsLease(v) {
-		cmd.Deadline = s.deadline(v, delay)
-	}
-	s.emit(cmd)
-}
-
-// renewsLease reports whether polls renew a server's lease. They don't while the server is unresponsive, since each call that
-// may have arrived would postpone the time after which its runs are known to have ended.
-func (s *Scheduler) renewsLease(v *server) bool {
-	return len(v.runs) > 0 && v.failures == 0 &&
-		(v.registered || s.now.Sub(v.unregisteredAt) < reregistrationGrace || !v.info.Draining)
-}
-
-// pollWait returns how long a server may delay its reply: until shortly after the next run is expected to end. If the reply is
-// lost, the poll then times out about when the end would have been reported, not a whole PollWait later.
-func (s *Scheduler) pollWait(v *server) time.Duration {
-	next := s.options.PollWait
-	for _, p := range v.runs {
-		if p.phase == phaseRunning && !p.task.group.step.LongRunning {
-			next = min(next, s.remaining(p)+pollMargin)
-		}
-	}
-	return min(max(next, minPollWait), s.options.PollWait)
-}
-
-// pollNext polls a server again if it has runs or if ended runs can be acknowledged.
-func (s *Scheduler) pollNext(v *server, delay time.Duration) {
-	if v.polling || !v.attached || v.failures > 0 {
-		return
-	}
-	if len(v.unrecordedEnds) > 0 {
-		return // the poll would return at once with the same ended runs
-	}
-	switch {
-	case v.acknowledgedUpTo < v.recordedUpTo && v.acknowledgeable() == 0:
-		s.poll(v, 0, max(delay, pollPause)) // returns at once, as unacknowledged ends are still listed
-	case len(v.runs) > 0 || len(v.unknownRuns) > 0:
-		s.poll(v, s.pollWait(v), delay)
-	case v.recordedUpTo > v.acknowledgedUpTo:
-		s.poll(v, 0, delay)
-	}
-}
-
 // advanceRecorded advances recordedUpTo to just before the first end that isn't recorded.
 func (s *Scheduler) advanceRecorded(v *server) {
 	n := 0
