--- a/internal/sched/invariants_test.go
+++ b/internal/sched/invariants_test.go
@@ -191,7 +191,7 @@
 		change func(s *Scheduler, p *run)
 		want   string
 	}{
-		"run on a removed server":        {func(s *Scheduler, p *run) { s.remove(p.server) }, "run 1 of {j 0 0 0} (running) is on s1, which isn't known"},
+		"run on a removed server":        {func(s *Scheduler, p *run) { s.remove(p.server, CauseReplaced, 1) }, "run 1 of {j 0 0 0} (running) is on s1, which isn't known"},
 		"run that its server lacks":      {func(_ *Scheduler, p *run) { clear(p.server.runs) }, "run 1 of {j 0 0 0} isn't held by s1"},
 		"run that its task lacks":        {func(_ *Scheduler, p *run) { p.task.runs = nil }, "s1 holds run 1 of {j 0 0 0}, the task doesn't"},
 		"run of another task":            {func(_ *Scheduler, p *run) { p.task = p.task.group.tasks[1] }, "run 1 of {j 0 0 0} is of {j 0 0 1}"},
