--- a/internal/asynclog/asynclog.go
+++ b/internal/asynclog/asynclog.go
@@ -12,9 +12,10 @@
 
 const (
 	maxQueuedLines = 2048
-	// flushDelay is the delay between the last queued line and the flush of the buffer.
-	flushDelay  = 50 * time.Millisecond
-	bufferBytes = 64 << 10
+	// flushDelay bounds how long a written line waits in the buffer.
+	flushDelay = 50 * time.Millisecond
+	// bufferBytes bounds a write of several lines. Pipes take writes of this size whole, so that their lines aren't cut.
+	bufferBytes = 4 << 10
 )
 
 // Writer queues lines and writes them to the output in a background goroutine.
@@ -49,7 +50,7 @@
 
 func (w *Writer) run() {
 	defer close(w.done)
-	flush := time.NewTimer(flushDelay)
+	var flush <-chan time.Time // set while written lines wait for a flush
 	for {
 		select {
 		case text, ok := <-w.lines:
@@ -58,11 +59,11 @@
 				return
 			}
 			w.write(text)
-			if len(w.lines) > 0 {
-				continue
+			if flush == nil {
+				flush = time.After(flushDelay)
 			}
-			flush.Reset(flushDelay)
-		case <-flush.C:
+		case <-flush:
+			flush = nil
 			_ = w.out.Flush() // a failure to write the log can't be logged
 		}
 	}
@@ -72,6 +73,9 @@
 	if n := w.dropped.Swap(0); n > 0 {
 		_, _ = fmt.Fprintf(w.out, `{"msg":"log lines dropped","count":%d}`+"\n", n)
 	}
+	if len(text)+1 > w.out.Available() {
+		_ = w.out.Flush()
+	}
 	_, _ = w.out.WriteString(text) // bufio.Writer keeps its first error; Flush returns it
 	_ = w.out.WriteByte('\n')
 }
