Poll an idle server before a long-running task starts there

Callers saw a long-running task stay away for over 9 s after its server was lost, with room for it. Only servers with runs are polled. When several servers are lost together, an idle one counts as usable until its registration lapses, 3 to 4.5 s later. That is when the leases of the lost runs end, so a task is restarted on a server that was lost with its own. If the start may have been sent, the task is held until its new lease has ended too, 4.3 s later.

A long-running task, or a gang of them, now starts only on servers whose latest reply is at most 1.6 s old, as it is on servers with runs; another one is polled first. Such a poll grants no lease, as the server has no runs. Other tasks start as before: they are many, and each poll is a call.

--- a/internal/sched/placement.go
+++ b/internal/sched/placement.go
@@ -81,6 +81,9 @@
 			p.handleNoCapacity(r)
 			return
 		}
+		if g.step.LongRunning && !p.responds(v) {
+			continue
+		}
 		p.start(t, v, p.nextRun(t), g.advice.ticket(v, p.now))
 	}
 }
@@ -121,6 +124,9 @@
 		}
 		taken[where[i]]++
 	}
+	if g.step.LongRunning && !p.allRespond(where) {
+		return
+	}
 	number := RunNumber(0)
 	for _, t := range g.tasks {
 		number = max(number, p.nextRun(t))
--- a/internal/sched/poll.go
+++ b/internal/sched/poll.go
@@ -68,6 +68,27 @@
 // answersPromptly reports whether starts on the server would be confirmed in time.
 func (v *server) answersPromptly() bool { return v.lastReplyDelay <= maxStartReplyDelay }
 
+// responds reports whether the latest reply of a server is recent. If it isn't, the server is polled. Only servers with runs are
+// polled regularly, so that the loss of an idle one doesn't show until its registration lapses.
+func (s *Scheduler) responds(v *server) bool {
+	if s.now.Sub(v.polledAt) <= s.options.PollWait+minReplyTimeout {
+		return true
+	}
+	if !v.polling {
+		s.poll(v, 0, 0)
+	}
+	return false
+}
+
+// allRespond reports whether responds holds for each of some servers.
+func (s *Scheduler) allRespond(servers []*server) bool {
+	all := true
+	for _, v := range servers {
+		all = s.responds(v) && all
+	}
+	return all
+}
+
 // replyTimeout returns the time after which a poll without a wait counts as failed.
 func (v *server) replyTimeout() time.Duration {
 	return min(max(minReplyTimeout, replyTimeoutFactor*v.replyDelay), maxReplyTimeout)
