Pass over steps without servers when a starved step is selected

Callers may see a task of a queue with an advisor that never runs although servers are free. Cause: the share of the advisors' time for starved steps went to the step that had waited longest, also if there was no server to ask about for it. A job that can't run on any server is the oldest one for ever, so no other starved step got a call while urgent steps kept the advisor's connections busy.

Steps for which no call is due are passed over, which includes those that had no server to ask about a moment ago.

TestStarvedStepIsAdvisedBehindStepsWithoutServers failed before in all three cases (no call in 20 s) and passes.

--- a/internal/sched/advice.go
+++ b/internal/sched/advice.go
@@ -83,11 +83,14 @@
 // connections busy for ever.
 func (s *Scheduler) NextAdviceRequest(now time.Time, moreThan, atMost time.Duration) (AdviceRequest, bool) {
 	s.now = now
-	if r := s.starved(); r != nil {
+	for r := s.starved(moreThan, atMost); r != nil; r = s.starved(moreThan, atMost) {
 		if request, ok := s.adviceFor(r, moreThan, atMost); ok {
 			s.starvedBudget -= request.Cost
 			return request, true
 		}
+		if !now.Before(r.group.advice.nextCall) {
+			break // it has servers to ask about, but the call would be too long
+		}
 	}
 	for i := range s.adviceQueue {
 		if request, ok := s.adviceFor(&s.adviceQueue[i], moreThan, atMost); ok {
@@ -98,15 +101,16 @@
 	return AdviceRequest{}, false
 }
 
-// starved returns the step that has waited longest for a call, if it is starved and starvedBudget isn't used up.
-func (s *Scheduler) starved() *rankedGroup {
+// starved returns the step that has waited longest for a call and may be called for now, if it is starved and starvedBudget
+// isn't used up.
+func (s *Scheduler) starved(moreThan, atMost time.Duration) *rankedGroup {
 	if s.starvedBudget <= 0 {
 		return nil
 	}
 	var oldest *rankedGroup
 	for i := range s.adviceQueue {
 		r := &s.adviceQueue[i]
-		if !r.group.advice.inFlight && (oldest == nil || r.group.awaitingAdviceSince().Before(oldest.group.awaitingAdviceSince())) {
+		if s.callDue(r, moreThan, atMost) && (oldest == nil || r.group.awaitingAdviceSince().Before(oldest.group.awaitingAdviceSince())) {
 			oldest = r
 		}
 	}
@@ -119,13 +123,19 @@
 // awaitingAdviceSince returns the time since which a group has waited for an advisor call.
 func (g *group) awaitingAdviceSince() time.Time { return latest(g.readySince, g.advice.lastCall) }
 
-// adviceFor returns the call for a step, if one is due and its duration is within bounds.
-func (s *Scheduler) adviceFor(r *rankedGroup, moreThan, atMost time.Duration) (AdviceRequest, bool) {
+// callDue reports whether a call for a step may be made now and can be within bounds.
+func (s *Scheduler) callDue(r *rankedGroup, moreThan, atMost time.Duration) bool {
 	g := r.group
 	if g.advice.inFlight || s.now.Before(g.advice.nextCall) || g.job.state.Terminal() || g.complete() {
-		return AdviceRequest{}, false
+		return false
 	}
-	if atMost > 0 && r.queue.Advisor.CallTime(1) > atMost || r.queue.Advisor.CallTime(maxServersPerCall) <= moreThan {
+	return (atMost == 0 || r.queue.Advisor.CallTime(1) <= atMost) && r.queue.Advisor.CallTime(maxServersPerCall) > moreThan
+}
+
+// adviceFor returns the call for a step, if one is due and its duration is within bounds.
+func (s *Scheduler) adviceFor(r *rankedGroup, moreThan, atMost time.Duration) (AdviceRequest, bool) {
+	g := r.group
+	if !s.callDue(r, moreThan, atMost) {
 		return AdviceRequest{}, false
 	}
 	ids := s.selectServers(g, r.queue)
