Count only ready steps as starved of advice

Callers may see a task of a queue with an advisor that never runs although servers are free. Cause: a step that isn't ready yet has no time since which it waits, so each call ahead for such a step counted as starved since the zero time. It came before all steps that really were, and used up their share of the advisors' time.

TestCallsAheadDoNotUseTheStarvedShare failed before (the first call was for the step that wasn't ready) and passes.

--- a/internal/sched/advice.go
+++ b/internal/sched/advice.go
@@ -110,7 +110,10 @@
 	var oldest *rankedGroup
 	for i := range s.adviceQueue {
 		r := &s.adviceQueue[i]
-		if s.callDue(r, moreThan, atMost) && (oldest == nil || r.group.awaitingAdviceSince().Before(oldest.group.awaitingAdviceSince())) {
+		if !r.group.ready || !s.callDue(r, moreThan, atMost) {
+			continue
+		}
+		if oldest == nil || r.group.awaitingAdviceSince().Before(oldest.group.awaitingAdviceSince()) {
 			oldest = r
 		}
 	}
--- a/internal/sched/starved_test.go
+++ b/internal/sched/starved_test.go
@@ -44,3 +44,32 @@
 		})
 	}
 }
+
+// Guards against a starved step that gets no advisor call because calls ahead for steps that aren't ready were taken for starved
+// and used up its share of the advisors' time.
+func TestCallsAheadDoNotUseTheStarvedShare(t *testing.T) {
+	f := newFixture(t, nil)
+	q := queueWithAdvisor()
+	f.s.Configure(f.now, Config{Queues: map[ident.QueueID]Queue{"quotes": q}})
+	f.addServer("s1", 16)
+	add := func(id ident.JobID, steps ...Step) {
+		f.s.AddJob(f.now, &Job{ID: id, Queue: q, Steps: steps, Accepted: f.now}, Progress{}, false)
+	}
+	add("two-steps", Step{Count: 1, Demand: cores(1), Estimate: 500 * time.Millisecond}, Step{Count: 1, Demand: cores(1), After: []int{0}})
+	f.collectCommands()
+	f.grantAll("")
+	f.want("starts", len(f.takeStarts()), 1)
+	add("starved", Step{Count: 1, Demand: cores(1), LongRunning: true})
+	f.s.Schedule(f.now)
+	f.s.jobs["starved"].occurrences[0].groups[0].readySince = f.now.Add(-2 * starvedAfter)
+	f.s.starvedBudget = time.Second
+	f.now = f.now.Add(100 * time.Millisecond)
+	f.s.Tick(f.now)
+	f.s.Schedule(f.now)
+	request, _ := f.s.NextAdviceRequest(f.now, 0, 0)
+	f.want("first call", request.Job, "starved")
+	used := f.s.starvedBudget
+	request, _ = f.s.NextAdviceRequest(f.now, 0, 0)
+	f.want("second call", request.Job, "two-steps")
+	f.want("use of the share by the second call", f.s.starvedBudget < used, false)
+}
