Start nothing on a returned server while its former cordon is recorded

Callers may see a task run twice after a takeover. Cause: a server that returned under the id of a removed one counted as never recorded as cordoned. Until the removal is written, the store may still have the former one as cordoned, so that a leader that takes over then doesn't wait for the inventory of the server before it starts inherited tasks elsewhere.

TestServerGetsNoStartsWhileItsFormerCordonIsRecorded failed before (1 start, want 0) and passes.

--- a/internal/sched/removed_server_test.go
+++ b/internal/sched/removed_server_test.go
@@ -134,3 +134,23 @@
 	f.addJob("j", Step{Count: 1, Demand: cores(1)})
 	f.want("starts", len(f.takeStarts()), 1)
 }
+
+// Guards against a task that runs twice after a takeover: a server returned under the id of a removed one and got starts while the
+// store still had the former one as cordoned, so that the next leader didn't wait for its inventory.
+func TestServerGetsNoStartsWhileItsFormerCordonIsRecorded(t *testing.T) {
+	f := newFixture(t, nil)
+	f.addServer("s1", 16)
+	f.s.RosterWritten(f.now, f.s.TakeRosterChanges(10))
+	draining := testServer("s1", 16)
+	draining.Draining = true
+	f.s.Register(f.now, draining)
+	f.advanceTime(100 * time.Millisecond)
+	f.s.RosterWritten(f.now, f.s.TakeRosterChanges(10))
+	f.replaceServer("s1")
+	f.addServer("s1", 16)
+	f.addJob("j", Step{Count: 1, Demand: cores(1)})
+	f.want("starts while the roster has the server as cordoned", len(f.takeStarts()), 0)
+	f.s.RosterWritten(f.now, f.s.TakeRosterChanges(10))
+	f.collectCommands()
+	f.want("starts afterwards", len(f.takeStarts()), 1)
+}
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -160,6 +160,9 @@
 		v.leaseBound = s.formerLeaseBound(s.started.Add(s.options.LeaderOverlap))
 		v.formerLeaderBound = v.leaseBound
 		v.incarnationClaimedAt = now
+		if former := s.rosterDirty[info.ID]; former != nil {
+			v.cordonMayBeRecorded = former.cordonMayBeRecorded // its removal isn't recorded yet
+		}
 		s.servers[info.ID] = v
 		s.services[info.Service] = append(s.services[info.Service], v)
 		s.touchRoster(v)
