Reserve no server for a step that MaxPerServer keeps off it

Callers may see a long-running task that never runs although a server has capacity for it. Cause: a server was reserved for a large waiting task also if it ran as many tasks of that step as MaxPerServer admits, so that the reservation was of no use. A batch step loses its reservations once it is past its deadline; a long-running step has none and kept the server for ever. Up to two servers of a service were held like this, which matters where few are left.

TestServersAreNotReservedForStepsThatCannotUseThem failed before (not started in 10 s) and passes.

--- a/internal/sched/placement.go
+++ b/internal/sched/placement.go
@@ -281,7 +281,8 @@
 		if held >= g.missing() {
 			return
 		}
-		if g.advice.allowed[v.incarnationID()] && !p.reserved[v.info.ID] && v.usable(p.now) && large(g.step, v) && v.fits(g.step.Charge()) {
+		if g.advice.allowed[v.incarnationID()] && !p.reserved[v.info.ID] && v.usable(p.now) && large(g.step, v) &&
+			v.fits(g.step.Charge()) && g.allowsAnother(v, 0) {
 			p.reserved[v.info.ID] = true
 			held++
 		}
@@ -299,7 +300,7 @@
 		wait time.Duration
 	)
 	for _, v := range p.services[r.queue.Service] {
-		if !v.usable(p.now) || p.reserved[v.info.ID] || !eligible(g.step, v) || !large(g.step, v) {
+		if !v.usable(p.now) || p.reserved[v.info.ID] || !eligible(g.step, v) || !large(g.step, v) || !g.allowsAnother(v, 0) {
 			continue
 		}
 		if allowed, known := g.advice.allowed[v.incarnationID()]; r.queue.Advisor != nil && (!known || !allowed) {
