Wait for the former service of a queue before inherited tasks start

Callers may see a task run twice after a takeover. Cause: inherited tasks waited only for the inventories of the service to which the queue is sent now. If a configuration has sent it elsewhere since their runs started, the runs are on servers of the former service, and the tasks were started again at once.

They now also wait for the service of the queue at the acceptance of the job. A service to which the queue was sent in between isn't known to the next leader, so this case remains.

TestInheritedTasksWaitForServersOfTheFormerService failed before (1 start, want 0) and passes.

--- a/internal/sched/placement.go
+++ b/internal/sched/placement.go
@@ -59,7 +59,8 @@
 // place starts as many tasks of a group as possible.
 func (p *pass) place(r *rankedGroup) {
 	g := r.group
-	if p.blocked[r.queue.Service] && g.job.inherited && !g.step.Speculative {
+	// The queue may have been sent to another service since the job was accepted.
+	if (p.blocked[r.queue.Service] || p.blocked[g.job.spec.Queue.Service]) && g.job.inherited && !g.step.Speculative {
 		return
 	}
 	if p.now.Before(g.noStartsBefore) {
