Stop the older run of an inherited gang in either order of the lists

Callers may see a gang that isn't started again for as long as members of an older run wait for the others. Cause: a new leader stopped members of an older run only if a server listed them after the newer run. Listed first, they weren't stopped, neither with the newer run, which is incomplete, and the gang isn't started again while any of its runs is in progress.

TestOlderRunOfInheritedGangIsStopped failed before in one of its two orders (no stop) and passes.

--- a/internal/sched/adopt.go
+++ b/internal/sched/adopt.go
@@ -25,6 +25,9 @@
 			s.stop(p, "older run of the gang")
 			break
 		}
+		if r.Run > t.group.gangRun {
+			s.abortGang(t.group, "older run of the gang")
+		}
 		t.group.gangRun = r.Run
 	case !t.group.step.Speculative:
 		s.keepNewest(t)
--- a/internal/sched/inherited_test.go
+++ b/internal/sched/inherited_test.go
@@ -27,3 +27,29 @@
 	f.advanceTime(time.Second)
 	f.want("starts while the run goes on", len(f.takeStarts()), 0)
 }
+
+// Guards against a gang that isn't started again until its members of an older run have ended by themselves: a server listed them
+// to a new leader before another one listed the newer run.
+func TestOlderRunOfInheritedGangIsStopped(t *testing.T) {
+	for name, order := range map[string][]ServerID{"older run listed first": {"s1", "s2"}, "newer run listed first": {"s2", "s1"}} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, func(o *Options) { o.RunBase = 1000 })
+			f.s.AddJob(f.now, &Job{
+				ID: "g", Queue: testQueue(), Steps: []Step{{Count: 2, Demand: cores(1), Gang: true}}, Accepted: f.now,
+			}, Progress{}, true)
+			listed := map[ServerID]ActiveRun{
+				"s1": {Task: TaskID{Job: "g", Index: 0}, Run: 5},
+				"s2": {Task: TaskID{Job: "g", Index: 1}, Run: 6},
+			}
+			for _, id := range order {
+				f.s.Register(f.now, testServer(id, 16))
+				f.collectCommands()
+				f.answerPoll(id, Inventory{Running: []ActiveRun{listed[id]}})
+			}
+			f.want("stops", len(f.stops), 1)
+			if len(f.stops) > 0 {
+				f.want("stopped run", f.stops[0].Run, 5)
+			}
+		})
+	}
+}
