Set the speed of inherited best-effort runs

Callers may see a best-effort task that never goes on after a takeover. Cause: a new leader took inherited runs for running at full speed, so it sent no command to a run that the former leader had paused for a serving task.

The first inventory without a serving task over its target now sets the speed of such a run. A command whose reply is lost still isn't repeated.

TestInheritedBestEffortRunGetsFullSpeed failed before (no command) and passes.

--- a/internal/sched/adopt.go
+++ b/internal/sched/adopt.go
@@ -14,7 +14,10 @@
 		s.counts.Stops++
 		return nil
 	}
-	p := &run{task: t, number: r.Run, server: v, phase: phaseRunning, startedAt: s.now, confirmedAt: s.now, speedPercent: 100}
+	p := &run{
+		task: t, number: r.Run, server: v, phase: phaseRunning, startedAt: s.now, confirmedAt: s.now,
+		speedPercent: 100, speedUnknown: t.group.step.BestEffort,
+	}
 	s.attachRun(p)
 	t.group.job.begin()
 	switch {
--- a/internal/sched/inherited_test.go
+++ b/internal/sched/inherited_test.go
@@ -53,3 +53,21 @@
 		})
 	}
 }
+
+// Guards against a best-effort run that stays paused for ever because the former leader had paused it for a serving task.
+func TestInheritedBestEffortRunGetsFullSpeed(t *testing.T) {
+	f := newFixture(t, func(o *Options) { o.RunBase = 1000 })
+	f.s.AddJob(f.now, &Job{
+		ID: "j", Queue: testQueue(), Steps: []Step{{Count: 1, Demand: cores(1), BestEffort: true, LongRunning: true}}, Accepted: f.now,
+	}, Progress{}, true)
+	f.s.Register(f.now, testServer("s1", 16))
+	f.collectCommands()
+	for range 3 {
+		f.answerPoll("s1", Inventory{Running: []ActiveRun{{Task: TaskID{Job: "j"}, Run: 5, Percent: 100}}})
+		f.advanceTime(fallbackPollInterval)
+	}
+	f.want("throttle commands", len(f.throttles), 1)
+	if len(f.throttles) > 0 {
+		f.want("speed", f.throttles[0].Percent, 100)
+	}
+}
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -95,6 +95,7 @@
 	progressAt      time.Time // when the progress last rose
 	tailLatency     time.Duration
 	speedPercent    int
+	speedUnknown    bool // a former leader may have throttled the run
 }
 
 func newJob(spec *Job, p Progress, inherited bool) *job {
--- a/internal/sched/supervise.go
+++ b/internal/sched/supervise.go
@@ -187,8 +187,8 @@
 		if over {
 			want = throttled(p.speedPercent)
 		}
-		if want != p.speedPercent {
-			p.speedPercent = want
+		if want != p.speedPercent || p.speedUnknown {
+			p.speedPercent, p.speedUnknown = want, false
 			s.emit(ThrottleCommand{Server: v.info, Task: p.task.id(), Run: p.number, Percent: want})
 		}
 	}
