Reserve no server whose capacity long-running tasks hold

Callers may see a long-running task that never runs although a server has capacity for it. Cause: a server was reserved for a large long-running task also if other long-running tasks there left it too little capacity, whose end isn't expected, so that up to two servers of a service stayed reserved for ever.

The added case of TestServersAreNotReservedForStepsThatCannotUseThem failed before (not started in 10 s) and passes.

--- a/internal/sched/placement.go
+++ b/internal/sched/placement.go
@@ -16,6 +16,8 @@
 	maxReserved = 2
 	// maxConsidered bounds the groups of a service that a pass considers for a reservation.
 	maxConsidered = 8
+	// neverFree is the expected time until a long-running task ends.
+	neverFree = time.Hour
 )
 
 // Schedule starts the tasks that fit, in the order of rank. It does nothing if nothing changed since the last call.
@@ -307,7 +309,7 @@
 		if allowed, known := g.advice.allowed[v.incarnationID()]; r.queue.Advisor != nil && (!known || !allowed) {
 			continue
 		}
-		if w := p.untilFree(v, g.step.Charge()); best == nil || w < wait {
+		if w := p.untilFree(v, g.step.Charge()); w < neverFree && (best == nil || w < wait) {
 			best, wait = v, w
 		}
 	}
@@ -337,7 +339,7 @@
 	used := v.used
 	left := make([]expectedRelease, 0, len(v.runs))
 	for _, p := range v.runs {
-		w := time.Hour
+		w := neverFree
 		switch {
 		case p.phase == phaseStopping:
 			w = s.options.MaxStopTime
--- a/internal/sched/reservation_test.go
+++ b/internal/sched/reservation_test.go
@@ -10,6 +10,7 @@
 func TestServersAreNotReservedForStepsThatCannotUseThem(t *testing.T) {
 	for name, step := range map[string]Step{
 		"the server runs as many of its tasks as MaxPerServer admits": {Count: 2, Demand: cores(8), MaxPerServer: 1, LongRunning: true},
+		"a long-running task leaves too little capacity":              {Count: 2, Demand: cores(9), LongRunning: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t, nil)
