--- a/internal/sched/adopt.go
+++ b/internal/sched/adopt.go
@@ -14,7 +14,10 @@
 		s.counts.Stops++
 		return nil
 	}
-	p := &run{task: t, number: r.Run, server: v, phase: phaseRunning, startedAt: s.now, confirmedAt: s.now, speedPercent: 100}
+	p := &run{
+		task: t, number: r.Run, server: v, phase: phaseRunning, startedAt: s.now, confirmedAt: s.now,
+		speedPercent: 100, speedUnknown: t.group.step.BestEffort,
+	}
 	s.attachRun(p)
 	t.group.job.begin()
 	switch {
@@ -25,6 +28,9 @@
 			s.stop(p, "older run of the gang")
 			break
 		}
+		if r.Run > t.group.gangRun {
+			s.abortGang(t.group, "older run of the gang")
+		}
 		t.group.gangRun = r.Run
 	case !t.group.step.Speculative:
 		s.keepNewest(t)
--- a/internal/sched/placement.go
+++ b/internal/sched/placement.go
@@ -16,6 +16,8 @@
 	maxReserved = 2
 	// maxConsidered bounds the groups of a service that a pass considers for a reservation.
 	maxConsidered = 8
+	// neverFree is the expected time until a long-running task ends.
+	neverFree = time.Hour
 )
 
 // Schedule starts the tasks that fit, in the order of rank. It does nothing if nothing changed since the last call.
@@ -59,7 +61,8 @@
 // place starts as many tasks of a group as possible.
 func (p *pass) place(r *rankedGroup) {
 	g := r.group
-	if p.blocked[r.queue.Service] && g.job.inherited && !g.step.Speculative {
+	// The queue may have been sent to another service since the job was accepted.
+	if (p.blocked[r.queue.Service] || p.blocked[g.job.spec.Queue.Service]) && g.job.inherited && !g.step.Speculative {
 		return
 	}
 	if p.now.Before(g.noStartsBefore) {
@@ -287,7 +290,8 @@
 		if held >= g.missing() {
 			return
 		}
-		if g.advice.allowed[v.incarnationID()] && !p.reserved[v.info.ID] && v.usable(p.now) && large(g.step, v) && v.fits(g.step.Charge()) {
+		if g.advice.allowed[v.incarnationID()] && !p.reserved[v.info.ID] && v.usable(p.now) && large(g.step, v) &&
+			v.fits(g.step.Charge()) && g.allowsAnother(v, 0) {
 			p.reserved[v.info.ID] = true
 			held++
 		}
@@ -305,13 +309,13 @@
 		wait time.Duration
 	)
 	for _, v := range p.services[r.queue.Service] {
-		if !v.usable(p.now) || p.reserved[v.info.ID] || !eligible(g.step, v) || !large(g.step, v) {
+		if !v.usable(p.now) || p.reserved[v.info.ID] || !eligible(g.step, v) || !large(g.step, v) || !g.allowsAnother(v, 0) {
 			continue
 		}
 		if allowed, known := g.advice.allowed[v.incarnationID()]; r.queue.Advisor != nil && (!known || !allowed) {
 			continue
 		}
-		if w := p.untilFree(v, g.step.Charge()); best == nil || w < wait {
+		if w := p.untilFree(v, g.step.Charge()); w < neverFree && (best == nil || w < wait) {
 			best, wait = v, w
 		}
 	}
@@ -341,7 +345,7 @@
 	used := v.used
 	left := make([]expectedRelease, 0, len(v.runs))
 	for _, p := range v.runs {
-		w := time.Hour
+		w := neverFree
 		switch {
 		case p.phase == phaseStopping:
 			w = s.options.MaxStopTime
