--- a/internal/sched/faulty_server_test.go
+++ b/internal/sched/faulty_server_test.go
@@ -147,7 +147,8 @@
 	if w.random.IntN(20) == 0 {
 		outcome = OutcomeFailed
 	}
-	v.runs[key] = faultyServerRun{end: w.now.Add(time.Duration(100+w.random.IntN(600)) * time.Millisecond), outcome: outcome}
+	runTime := time.Duration(100+w.random.IntN(600))*time.Millisecond + w.lateInventories.extraRunTime()
+	v.runs[key] = faultyServerRun{end: w.now.Add(runTime), outcome: outcome}
 	w.losses.started(v, key)
 	return started
 }
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -308,6 +308,7 @@
 		j.writeInFlight = true
 		out[i] = ProgressUpdate{Job: j.spec.ID, Progress: j.progress(), Changes: j.changes}
 		if j.state.Terminal() {
+			out[i].Progress.Remaining = s.remainingOf(j)
 			out[i].EndedJob = j.spec.EndedRecord(out[i].Progress)
 		}
 	}
@@ -339,7 +340,9 @@
 		j.recordedChanges = max(j.recordedChanges, u.Changes)
 		if u.Progress.State.Terminal() {
 			j.recorded = u.Progress.State
-			j.dropDetails()
+			if !s.mayRunUncounted(j) { // else runs that a server lists later would have no known demand
+				j.dropDetails()
+			}
 		}
 		if j.changes == u.Changes {
 			delete(s.dirtyJobs, u.Job)
@@ -359,21 +362,6 @@
 	}
 }
 
-// TakeExpired removes up to limit ended jobs whose retention has expired and returns their ids.
-func (s *Scheduler) TakeExpired(now time.Time, limit int) []ident.JobID {
-	var ids []ident.JobID
-	for len(s.endedJobs) > 0 && len(ids) < limit {
-		j := s.endedJobs[0]
-		if now.Sub(j.endedAt) < s.options.Retention || s.dirtyJobs[j.spec.ID] != nil || j.live() > 0 {
-			break
-		}
-		s.endedJobs = s.endedJobs[1:]
-		delete(s.jobs, j.spec.ID)
-		ids = append(ids, j.spec.ID)
-	}
-	return ids
-}
-
 // Tick handles timeouts: expired leases, unanswered commands, scheduled occurrences and slow tasks.
 func (s *Scheduler) Tick(now time.Time) {
 	s.now = now
--- a/internal/sched/simulation_test.go
+++ b/internal/sched/simulation_test.go
@@ -14,26 +14,27 @@
 // replaces the leader. It checks the invariants that servers can observe.
 type faultSimulation struct {
 	*testing.T
-	random       *rand.Rand
-	now          time.Time
-	s            *Scheduler
-	epoch        FencingToken
-	tookOverAt   time.Time // takeover by the current leader
-	servers      map[ServerID]*faultyServer
-	specs        map[ident.JobID]*Job
-	recorded     map[ident.JobID]Progress
-	done         map[TaskID]bool       // tasks with a successful run whose report isn't lost
-	successes    map[TaskID][]*success // successful runs, without those that a restart lost
-	lateEndGrace map[TaskID]time.Time  // until then, a start may be sent after an end that is reported late
-	everDone     map[TaskID]bool       // tasks with a run that ever succeeded
-	failed       map[TaskID]map[RunNumber]bool
-	roster       map[ServerID]RosterEntry // in the store
-	events       []delayedCall
-	seed         uint64
-	starts       int
-	freeze       leaderFreeze
-	cancelled    []ident.JobID
-	losses       *serverLosses // nil if servers keep their ids and addresses
+	random          *rand.Rand
+	now             time.Time
+	s               *Scheduler
+	epoch           FencingToken
+	tookOverAt      time.Time // takeover by the current leader
+	servers         map[ServerID]*faultyServer
+	specs           map[ident.JobID]*Job
+	recorded        map[ident.JobID]Progress
+	done            map[TaskID]bool       // tasks with a successful run whose report isn't lost
+	successes       map[TaskID][]*success // successful runs, without those that a restart lost
+	lateEndGrace    map[TaskID]time.Time  // until then, a start may be sent after an end that is reported late
+	everDone        map[TaskID]bool       // tasks with a run that ever succeeded
+	failed          map[TaskID]map[RunNumber]bool
+	roster          map[ServerID]RosterEntry // in the store
+	events          []delayedCall
+	seed            uint64
+	starts          int
+	freeze          leaderFreeze
+	cancelled       []ident.JobID
+	losses          *serverLosses // nil if servers keep their ids and addresses
+	lateInventories lateInventories
 }
 
 // delayedCall is a call or a reply that arrives later.
@@ -79,7 +80,7 @@
 	w.freeze.end()
 	w.s = New(Options{
 		RunBase: RunNumber(w.epoch-1) * 1000, RunLease: 4 * time.Second, MaxFormerLease: 4 * time.Second, MaxRunLease: maxRunLease,
-		LeaderOverlap: time.Second, PollWait: 400 * time.Millisecond, MaxStopTime: 50 * time.Millisecond, Retention: time.Hour,
+		LeaderOverlap: w.lateInventories.leaderOverlap(), PollWait: 400 * time.Millisecond, MaxStopTime: 50 * time.Millisecond, Retention: time.Hour,
 	}, w.leaderNow())
 	w.s.Configure(w.leaderNow(), w.config())
 	for i := range len(w.specs) {
