Give up an unlisted run once the deadline of its start has passed

Callers would see a task that never runs again, also one that lasts: its start had no answer and was stopped, the stop is never answered, and the server answers polls, which renew its lease. Neither the lease nor an answered stop then ends the run, although the server doesn't list it.

A server refuses a start after its deadline. So an inventory whose clock is past the deadline of the last start, on the same incarnation, shows that an unlisted run can't start any more.

--- a/internal/sched/decision.go
+++ b/internal/sched/decision.go
@@ -12,6 +12,7 @@
 	CauseNewIncarnation Cause = "new-incarnation"  // the registration or a poll showed a restart of the server
 	CauseReplaced       Cause = "address-replaced" // another server responds at the address
 	CauseNotListed      Cause = "not-listed"       // a poll of the server lists neither the run nor its end
+	CauseStartExpired   Cause = "start-expired"    // the same for a run whose start had no answer and can't take effect any more
 )
 
 // Decision is a change of what the scheduler believes of a run that explains a second run of the task. The caller logs it.
--- a/internal/sched/inventory.go
+++ b/internal/sched/inventory.go
@@ -59,7 +59,7 @@
 	if len(v.unknownOutcomeTasks) > 0 {
 		s.clearUnknownOutcomes(v)
 	}
-	s.reconcile(v, inv.Running, answered.at)
+	s.reconcile(v, inv, answered.at)
 	if !v.attached {
 		s.attach(v, inv.Clock)
 	}
@@ -118,10 +118,10 @@
 
 // reconcile adopts runs that only the server lists, and drops runs that it should list and doesn't. The poll was sent at the
 // given time.
-func (s *Scheduler) reconcile(v *server, rows []ActiveRun, sentAt time.Time) {
-	listed := make(map[runKey]bool, len(rows))
+func (s *Scheduler) reconcile(v *server, inv Inventory, sentAt time.Time) {
+	listed := make(map[runKey]bool, len(inv.Running))
 	clear(v.unknownRuns)
-	for _, r := range rows {
+	for _, r := range inv.Running {
 		key := runKey{r.Task, r.Run}
 		listed[key] = true
 		p := v.runs[key]
@@ -140,10 +140,18 @@
 		case p.phase == phaseStopping && !p.stopAnsweredAt.IsZero() && p.stopAnsweredAt.Before(sentAt),
 			p.phase == phaseRunning && p.confirmedAt.Before(sentAt):
 			s.release(p, CauseNotListed)
+		case p.phase == phaseStopping && p.startExpired(inv):
+			s.release(p, CauseStartExpired)
 		}
 	}
 }
 
+// startExpired reports whether a run that an inventory doesn't list can't start any more, so that its stop needs no answer: the
+// server refuses a start after its deadline.
+func (p *run) startExpired(inv Inventory) bool {
+	return p.startDeadline > 0 && p.startIncarnation == inv.Incarnation && inv.Clock > p.startDeadline+clockMargin
+}
+
 // updateRun updates a run from its entry in an inventory.
 func (s *Scheduler) updateRun(p *run, r ActiveRun) {
 	p.confirmInDoubt = false
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -81,23 +81,25 @@
 
 // run is one attempt at a task on a server. It holds capacity until its end is known for certain.
 type run struct {
-	task            *task
-	number          RunNumber
-	server          *server
-	phase           phase
-	startedAt       time.Time
-	confirmedAt     time.Time // when the start was answered or an inventory first listed the run
-	sentAt          time.Time // last start or stop command
-	startAttempts   int
-	startUncertain  bool      // a start is unanswered and may still take effect
-	confirmInDoubt  bool      // a later incarnation of the server than the known one may have confirmed the start
-	stoppingSince   time.Time // when the first stop was sent
-	stopAnsweredAt  time.Time // when the stop was answered
-	progressPercent int
-	progressAt      time.Time // when the progress last rose
-	tailLatency     time.Duration
-	speedPercent    int
-	speedUnknown    bool // a former leader may have throttled the run
+	task             *task
+	number           RunNumber
+	server           *server
+	phase            phase
+	startedAt        time.Time
+	confirmedAt      time.Time // when the start was answered or an inventory first listed the run
+	sentAt           time.Time // last start or stop command
+	startAttempts    int
+	startUncertain   bool          // a start is unanswered and may still take effect
+	startDeadline    time.Duration // of the last start, on the clock of startIncarnation; 0 if a former leader started the run
+	startIncarnation int64
+	confirmInDoubt   bool      // a later incarnation of the server than the known one may have confirmed the start
+	stoppingSince    time.Time // when the first stop was sent
+	stopAnsweredAt   time.Time // when the stop was answered
+	progressPercent  int
+	progressAt       time.Time // when the progress last rose
+	tailLatency      time.Duration
+	speedPercent     int
+	speedUnknown     bool // a former leader may have throttled the run
 }
 
 func newJob(spec *Job, p Progress, inherited bool) *job {
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -93,10 +93,11 @@
 	p.startAttempts++
 	p.sentAt = s.now
 	s.counts.Starts++
+	p.startDeadline, p.startIncarnation = s.deadline(p.server, 0), p.server.info.Incarnation
 	g := p.task.group
 	s.emit(StartCommand{
 		Server: p.server.info, Task: p.task.id(), Run: p.number, Payload: g.job.spec.Payload, Checkpoint: p.task.checkpoint,
-		Ticket: ticket, Deadline: s.deadline(p.server, 0), Attempt: p.startAttempts, JobAge: s.now.Sub(g.job.due(g.occurrence)),
+		Ticket: ticket, Deadline: p.startDeadline, Attempt: p.startAttempts, JobAge: s.now.Sub(g.job.due(g.occurrence)),
 	})
 }
 
