Leave a share of the advisor calls to steps of mostly free services

A burst of large jobs had filled the other service. The steps of both share the advisor's connections, and those are given out by rank. Each large job asks about all servers of its full service and gets tickets that expire unused; its priority is higher, so it takes every connection that accepts long calls. Only a twentieth of the calls' time goes to starved steps, and those of the full service use most of it: steps of the free one weren't asked about for 24 s.

Starved steps of a service that is less than half in use now have a budget of their own, a quarter of the time of other calls. Such steps can start at once, while calls for a full service mostly end in waiting.

The test fails without the change (47, 34 and 43 steps wait) and passes with it.

Tried and left out: steps that aren't ready or have no server to ask about hide younger starved steps from starved().

--- a/internal/sched/advice.go
+++ b/internal/sched/advice.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/resource"
 )
 
 const (
@@ -22,6 +24,9 @@
 	// starvedShare is the share of the advisors' time that goes to starved steps. It is a share of time, since a call for a
 	// starved step may take many times longer than one for an urgent step, so a share of the calls would take most of the time.
 	starvedShare = 0.05
+	// freeStarvedShare is the same for starved steps of services that are mostly free. They could start at once, so they don't wait
+	// behind the calls for a full service.
+	freeStarvedShare = 0.25
 	// maxStarvedBudget bounds the advisor time that accumulates for starved steps.
 	maxStarvedBudget = time.Second
 	// adviceRetry is the pause after a failed advisor call.
@@ -38,6 +43,13 @@
 	return incarnationID{server: v.info.ID, incarnation: v.info.Incarnation}
 }
 
+// starvation limits the advisor calls for starved steps.
+type starvation struct {
+	budget     time.Duration      // advisor time that starved steps may still use
+	freeBudget time.Duration      // the same for steps of mostly free services
+	mostlyFree map[ServiceID]bool // services with most of their capacity free at the last pass
+}
+
 // grant is a ticket for an incarnation of a server. It names the server instead of pointing to it, as it may outlive the server.
 type grant struct {
 	holder    incarnationID
@@ -79,34 +91,59 @@
 
 // NextAdviceRequest returns the most urgent advisor call that takes no longer than atMost, for a step whose longest call
 // takes longer than moreThan; 0 means no bound. The servers are selected at the time of the call, when their free capacity is
-// known. Starved steps come first while they have budget left, since urgent steps could otherwise keep the advisor's
-// connections busy for ever.
+// known. Starved steps come first while they have budget left, those of mostly free services before others, since urgent steps
+// could otherwise keep the advisor's connections busy for ever.
 func (s *Scheduler) NextAdviceRequest(now time.Time, moreThan, atMost time.Duration) (AdviceRequest, bool) {
 	s.now = now
+	if r := s.starvedOnFreeService(); r != nil {
+		if request, ok := s.adviceFor(r, moreThan, atMost); ok {
+			s.starvation.freeBudget -= request.Cost
+			return request, true
+		}
+	}
 	if r := s.starved(); r != nil {
 		if request, ok := s.adviceFor(r, moreThan, atMost); ok {
-			s.starvedBudget -= request.Cost
+			s.starvation.budget -= request.Cost
 			return request, true
 		}
 	}
 	for i := range s.adviceQueue {
 		if request, ok := s.adviceFor(&s.adviceQueue[i], moreThan, atMost); ok {
-			s.starvedBudget = min(s.starvedBudget+scale(request.Cost, starvedShare), maxStarvedBudget)
+			s.starvation.budget = min(s.starvation.budget+scale(request.Cost, starvedShare), maxStarvedBudget)
+			s.starvation.freeBudget = min(s.starvation.freeBudget+scale(request.Cost, freeStarvedShare), maxStarvedBudget)
 			return request, true
 		}
 	}
 	return AdviceRequest{}, false
 }
 
-// starved returns the step that has waited longest for a call, if it is starved and starvedBudget isn't used up.
+// starved returns the step that has waited longest for a call, if it is starved and the budget isn't used up.
 func (s *Scheduler) starved() *rankedGroup {
-	if s.starvedBudget <= 0 {
+	if s.starvation.budget <= 0 {
+		return nil
+	}
+	return s.longestStarved(func(*rankedGroup) bool { return true })
+}
+
+// starvedOnFreeService is like starved for the steps of mostly free services that are ready, which have a budget of their own.
+func (s *Scheduler) starvedOnFreeService() *rankedGroup {
+	if s.starvation.freeBudget <= 0 {
 		return nil
 	}
+	return s.longestStarved(func(r *rankedGroup) bool {
+		return s.starvation.mostlyFree[r.queue.Service] && r.group.ready && !s.now.Before(r.group.advice.nextCall)
+	})
+}
+
+// longestStarved returns the starved step that has waited longest for a call, of those to which a condition applies.
+func (s *Scheduler) longestStarved(applies func(*rankedGroup) bool) *rankedGroup {
 	var oldest *rankedGroup
 	for i := range s.adviceQueue {
 		r := &s.adviceQueue[i]
-		if !r.group.advice.inFlight && (oldest == nil || r.group.awaitingAdviceSince().Before(oldest.group.awaitingAdviceSince())) {
+		if r.group.advice.inFlight || !applies(r) {
+			continue
+		}
+		if oldest == nil || r.group.awaitingAdviceSince().Before(oldest.group.awaitingAdviceSince()) {
 			oldest = r
 		}
 	}
@@ -116,6 +153,17 @@
 	return oldest
 }
 
+// isMostlyFree reports whether less than half of the capacity of a service's usable servers is in use.
+func (s *Scheduler) isMostlyFree(id ServiceID) bool {
+	var used, whole resource.Vector
+	for _, v := range s.services[id] {
+		if v.usable(s.now) {
+			used, whole = used.Add(v.used), whole.Add(v.info.Capacity)
+		}
+	}
+	return 2*used.CPU < whole.CPU && 2*used.Memory < whole.Memory && 2*used.GPUs <= whole.GPUs
+}
+
 // awaitingAdviceSince returns the time since which a group has waited for an advisor call.
 func (g *group) awaitingAdviceSince() time.Time { return latest(g.readySince, g.advice.lastCall) }
 
--- a/internal/sched/burst_test.go
+++ b/internal/sched/burst_test.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"maps"
 	"testing"
 	"time"
 
@@ -64,3 +65,53 @@
 		}
 	}
 }
+
+// A burst of large jobs fills one service, while the other one is mostly idle. Guards against jobs of the idle service that wait
+// behind the advisor calls of the full one: 14 s after the last arrival none may be without a run for 3 s.
+func TestFullServiceLeavesAdviceToIdleOne(t *testing.T) {
+	const (
+		arrivals = 34 * time.Second
+		asked    = arrivals + 14*time.Second
+	)
+	for seed := range uint64(3) {
+		kinds, servers := bensalem()
+		p := newLoadSimulation(seed, 4, kinds, servers)
+		for _, k := range kinds {
+			k.rate *= 1.8
+			k.burst = 1
+			if k.queue.ID == "hall" {
+				k.burst = 2.5
+			}
+			p.addArrivals(k, arrivals, 16*time.Second, 26*time.Second)
+		}
+		p.run(asked - 3*time.Second)
+		waiting := p.needlesslyWaiting()
+		for p.now.Sub(epochStart) < asked-100*time.Millisecond {
+			p.run(p.now.Sub(epochStart) + 100*time.Millisecond)
+			still := p.needlesslyWaiting()
+			maps.DeleteFunc(waiting, func(g *group, _ bool) bool { return !still[g] })
+		}
+		if len(waiting) > 0 {
+			t.Errorf("seed %d: %d steps have nothing running, with most of their service free", seed, len(waiting))
+		}
+	}
+}
+
+// needlesslyWaiting returns the steps without a run whose service is less than half in use and has room for them.
+func (p *loadSimulation) needlesslyWaiting() map[*group]bool {
+	out := map[*group]bool{}
+	for _, g := range p.s.groups {
+		var used, whole resource.Vector
+		room := 0
+		for _, v := range p.s.services[g.job.queue.Service] {
+			used, whole = used.Add(v.used), whole.Add(v.info.Capacity)
+			if v.fits(g.step.Charge()) {
+				room++
+			}
+		}
+		if g.hasWaiting() && g.live() == 0 && 2*used.CPU < whole.CPU && 2*room > len(p.s.services[g.job.queue.Service]) {
+			out[g] = true
+		}
+	}
+	return out
+}
--- a/internal/sched/placement.go
+++ b/internal/sched/placement.go
@@ -29,8 +29,10 @@
 		Scheduler: s, reserved: map[ServerID]bool{}, reservations: map[ServiceID]int{}, considered: map[ServiceID]int{},
 		blocked: map[ServiceID]bool{},
 	}
+	s.starvation.mostlyFree = map[ServiceID]bool{}
 	for id := range s.services {
 		p.blocked[id] = s.hasUnknownInventory(id)
+		s.starvation.mostlyFree[id] = s.isMostlyFree(id)
 	}
 	groups := s.rankedGroups()
 	s.adviceQueue = s.adviceQueue[:0]
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -59,7 +59,7 @@
 	commands       []Command
 	lastPollSerial uint64
 	adviceQueue    []rankedGroup        // groups that need advice, the most urgent first; then prefetchQueue
-	starvedBudget  time.Duration        // advisor time that starved steps may still use
+	starvation     starvation           // advisor calls for steps that have waited long
 	prefetchQueue  []rankedGroup        // groups that will be ready soon and need advice by then
 	prefetchedAt   time.Time            // when prefetchQueue was last filled
 	dirtyJobs      map[ident.JobID]*job // jobs with unrecorded progress
