--- a/internal/sched/starved_test.go
+++ b/internal/sched/starved_test.go
@@ -62,14 +62,14 @@
 	add("starved", Step{Count: 1, Demand: cores(1), LongRunning: true})
 	f.s.Schedule(f.now)
 	f.s.jobs["starved"].occurrences[0].groups[0].readySince = f.now.Add(-2 * starvedAfter)
-	f.s.starvedBudget = time.Second
+	f.s.starvation.budget = time.Second
 	f.now = f.now.Add(100 * time.Millisecond)
 	f.s.Tick(f.now)
 	f.s.Schedule(f.now)
 	request, _ := f.s.NextAdviceRequest(f.now, 0, 0)
 	f.want("first call", request.Job, "starved")
-	used := f.s.starvedBudget
+	used := f.s.starvation.budget
 	request, _ = f.s.NextAdviceRequest(f.now, 0, 0)
 	f.want("second call", request.Job, "two-steps")
-	f.want("use of the share by the second call", f.s.starvedBudget < used, false)
+	f.want("use of the share by the second call", f.s.starvation.budget < used, false)
 }
