Let polls of the simulated servers wait

The servers of the simulation answered polls at once, so no poll was in flight when a server ended, and replies had no delay. With server losses a poll now waits until a run ends, like that of a platform's server, and the delay of its reply is reported.

--- a/internal/sched/faulty_server_test.go
+++ b/internal/sched/faulty_server_test.go
@@ -255,6 +255,9 @@
 	}
 	return func() {
 		w.extendGrace(late)
+		if w.losses != nil {
+			inv.Delay = w.now.Sub(sent.at) - cmd.Wait
+		}
 		w.s.Polled(w.leaderNow(), cmd.Server.ID, cmd.Serial, inv)
 	}
 }
--- a/internal/sched/property_test.go
+++ b/internal/sched/property_test.go
@@ -83,6 +83,10 @@
 	fence := w.epoch
 	send := func() {
 		sent := sendTime{w.now, w.leaderNow()}
+		if w.losses != nil && cmd.Wait > 0 {
+			w.losses.sendWaitingPoll(cmd, sent)
+			return
+		}
 		w.deliver(func() func() { return w.poll(fence, cmd, sent) },
 			func() { w.s.PollFailed(w.leaderNow(), cmd.Server.ID, cmd.Serial) }, true)
 	}
