Restart long-running tasks once the leases of their runs have ended

Cause: while a server that answered slowly before it fell silent may still report ends late, all of its runs were held. A long-running task starts again however its run ended, so only finite runs need that wait.

TestLongRunningTaskDoesNotWaitForLateReports failed before (0 starts, want 1) and passes.

--- a/internal/sched/idle_server_test.go
+++ b/internal/sched/idle_server_test.go
@@ -35,3 +35,36 @@
 		})
 	}
 }
+
+// Guards against a long-running task that is away for 4 s longer than the lease of its run: the scheduler waited for a late report of
+// the run's end, as its server had answered slowly before it fell silent.
+func TestLongRunningTaskDoesNotWaitForLateReports(t *testing.T) {
+	f := newFixture(t, nil)
+	f.addServer("s1", 16)
+	f.addJob("finite", Step{Count: 1, Demand: cores(1), Estimate: time.Minute})
+	f.addJob("lasting", Step{Count: 1, Demand: cores(1), LongRunning: true})
+	f.want("starts", len(f.takeStarts()), 2)
+	f.answerPoll("s1", Inventory{Delay: 2 * maxStartReplyDelay, Running: f.running("s1", TaskID{}, 0)})
+	f.addServer("s2", 16)
+	lastReply := f.now
+	leaseEnds := f.s.servers["s1"].leaseBound
+	for f.now.Before(leaseEnds.Add(300 * time.Millisecond)) {
+		if poll, ok := f.polls["s1"]; ok && f.now.Sub(lastReply) > time.Second {
+			delete(f.polls, "s1")
+			f.s.PollFailed(f.now, "s1", poll.Serial)
+		}
+		f.advanceTime(100 * time.Millisecond)
+		if _, ok := f.polls["s2"]; ok {
+			f.answerPoll("s2", Inventory{Running: f.running("s2", TaskID{}, 0)})
+		}
+		leaseEnds = f.s.servers["s1"].leaseBound
+		if len(f.starts) > 0 && !f.now.After(leaseEnds) {
+			t.Fatalf("started again %s before the lease of its run has ended", leaseEnds.Sub(f.now))
+		}
+	}
+	starts := f.takeStarts()
+	f.want("starts after the lease has ended", len(starts), 1)
+	if len(starts) > 0 {
+		f.want("restarted job", starts[0].Task.Job, "lasting")
+	}
+}
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -241,6 +241,19 @@
 	}
 }
 
+// loseLongRunning releases the long-running runs of a server whose leases have expired.
+func (s *Scheduler) loseLongRunning(v *server) {
+	if len(v.runs) == v.finiteRuns {
+		return
+	}
+	for _, p := range sortedRuns(v) {
+		if p.task.group.step.LongRunning {
+			s.counts.Lapses++
+			s.release(p, CauseLeaseExpired)
+		}
+	}
+}
+
 // markOutcomesUnknown counts the runs of an unresponsive server as ended with an unknown outcome: each may have failed.
 func (s *Scheduler) markOutcomesUnknown(v *server) {
 	for _, p := range v.runs {
@@ -285,7 +298,11 @@
 	case (len(v.runs) > 0 || !v.answersPromptly()) && idle >= fallbackPollInterval:
 		s.poll(v, 0, 0)
 	}
-	if v.failures > 0 && s.now.After(v.leaseBound) && !v.mayReportLate(s.now) {
+	switch {
+	case v.failures == 0 || !s.now.After(v.leaseBound):
+	case v.mayReportLate(s.now):
+		s.loseLongRunning(v) // their ends needn't be waited for, as they start again in any case
+	default:
 		s.markOutcomesUnknown(v)
 		s.loseAllRuns(v, CauseLeaseExpired)
 		v.attached = false
