Call the stand-in's checks without the lock of the jobs

Cause: the checks of refused and cancelled jobs held the lock of the jobs while they waited for that of the simulated servers. A start takes them in the other order, as the servers read a task's prerequisites and team limit from the jobs. Change: the checks work on a copy of the records.

--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -250,26 +250,32 @@
 	}
 }
 
-// checkRefusedJobs checks that no task of a job was started if every attempt to submit the job was refused as not run.
-func (w *workload) checkRefusedJobs() {
+// jobRecords returns a copy of the records. The fleet reads them under its own lock, so checks call it without w.mu.
+func (w *workload) jobRecords() []jobRecord {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	records := make([]jobRecord, 0, len(w.jobs))
 	for _, j := range w.jobs {
+		records = append(records, *j)
+	}
+	return records
+}
+
+// checkRefusedJobs checks that no task of a job was started if every attempt to submit the job was refused as not run.
+func (w *workload) checkRefusedJobs() {
+	for _, j := range w.jobRecords() {
 		if j.refused && !j.accepted && !j.outcomeUnknown && w.cell.fleet.WasStarted(j.id) {
-			w.violations = append(w.violations, fmt.Sprintf("job %s was refused as not run, but a task of it was started", j.id))
+			w.addViolation("job %s was refused as not run, but a task of it was started", j.id)
 		}
 	}
 }
 
 // checkCancelledJobs checks that no task of a cancelled job runs after maxRunAfterCancel.
 func (w *workload) checkCancelledJobs() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for _, j := range w.jobs {
+	for _, j := range w.jobRecords() {
 		if n := w.cell.fleet.RunningTasks(j.id); n > 0 && !j.cancelConfirmed.IsZero() &&
 			time.Since(j.cancelConfirmed) > maxRunAfterCancel {
-			w.violations = append(w.violations, fmt.Sprintf(
-				"%d tasks of job %s are running %s after its cancellation", n, j.id, time.Since(j.cancelConfirmed)))
+			w.addViolation("%d tasks of job %s are running %s after its cancellation", n, j.id, time.Since(j.cancelConfirmed))
 		}
 	}
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -151,3 +152,38 @@
 		})
 	}
 }
+
+// Guards against a soak that hangs: the checks held the lock of the jobs while they waited for that of the servers, whose starts
+// read the jobs.
+func TestChecksDuringStarts(t *testing.T) {
+	f := runhost.New(
+		func(sched.TaskID) time.Duration { return time.Millisecond },
+		func(sched.TaskID) resource.Vector { return taskDemand })
+	f.Add(sched.Server{ID: "s0", Service: serviceName, Capacity: taskDemand.Times(100)})
+	w := newWorkload(&cell{fleet: f})
+	w.jobs["j"] = &jobRecord{id: "j", refused: true, steps: []sched.Step{{Count: 1000, Demand: taskDemand}}}
+	f.SetPrerequisites(w.prerequisites)
+	f.SetTeamLimit(w.teamLimit)
+	var group sync.WaitGroup
+	for n := range 1000 {
+		group.Go(func() {
+			_, _ = f.Client().Start(context.Background(), 1, sched.StartCommand{
+				Server: sched.Server{ID: "s0"}, Task: sched.TaskID{Job: "j", Index: n}, Run: 1, Deadline: 2 * time.Hour,
+			})
+		})
+		group.Go(func() {
+			w.checkRefusedJobs()
+			w.checkCancelledJobs()
+		})
+	}
+	finished := make(chan struct{})
+	go func() {
+		group.Wait()
+		close(finished)
+	}()
+	select {
+	case <-finished:
+	case <-time.After(10 * time.Second):
+		t.Fatal("deadlock")
+	}
+}
