Let the simulated servers play an advisor, gangs, long-running tasks and their end

Change: an advisor whose tickets are bound to a step and an incarnation and expire; starts without a valid one are refused, and one that was never granted for the step and the server is a violation, as is a start on a server of another service. Members of a gang work from the moment when all of one run are there, end together, break each other, or give up after 3 s. Long-running tasks run until they are stopped; each third run fails by itself after 2 s. Hosts can end for good and boot anew.

--- a/internal/standin/runhost/runhost.go
+++ b/internal/standin/runhost/runhost.go
@@ -1,6 +1,7 @@
 // Package runhost simulates the backend servers of internal/coordinator, which run tasks under fencing tokens and leases.
 // It records violations that servers can observe: a task that runs on two hosts, a start after the task has ended or before
-// its prerequisites, and demand above a host's capacity or a team's limit. Package worker simulates the backend servers of
+// its prerequisites, demand above a host's capacity or a team's limit, and a start with a ticket that the advisor didn't grant.
+// Package worker simulates the backend servers of
 // the other protocol, internal/backend.
 package runhost
 
@@ -34,6 +35,11 @@
 	violations    []string
 	countListed   bool          // see CountListedEnds
 	changed       chan struct{} // closed when the next run ends
+	traits        func(sched.TaskID) Traits
+	lastRunEnds   map[sched.TaskID]time.Time
+	gangs         map[gangKey]*gang
+	gangTimeouts  []gangTimeout
+	advisor       *advisor
 }
 
 type host struct {
@@ -49,8 +55,11 @@
 }
 
 type run struct {
-	number sched.RunNumber
-	end    time.Time // at which the run completes, unless it is stopped or the lease expires before
+	number   sched.RunNumber
+	duration time.Duration
+	end      time.Time     // at which the run completes, unless it is stopped or the lease expires before
+	outcome  sched.Outcome // at the end
+	gang     *gang         // nil for a task that runs by itself
 }
 
 // New returns a fleet without hosts. The functions return the duration and the demand of a task.
@@ -60,17 +69,9 @@
 		successes: map[sched.TaskID][]*success{}, everSucceeded: map[sched.TaskID]bool{}, startCounts: map[sched.TaskID]int{},
 		teamLimit:     func(ident.JobID) (ident.TeamID, resource.MilliCPU) { return "", 0 },
 		prerequisites: func(sched.TaskID) []sched.TaskID { return nil },
-		changed:       make(chan struct{}),
-	}
-}
-
-// Add adds a host that was booted an hour ago.
-func (f *Fleet) Add(v sched.Server) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.hosts[v.ID] = &host{
-		info: v, bootedAt: time.Now().Add(-time.Hour),
-		runs: map[sched.TaskID]*run{}, tombstones: map[sched.TaskID]sched.RunNumber{},
+		traits:        func(sched.TaskID) Traits { return Traits{} },
+		lastRunEnds:   map[sched.TaskID]time.Time{}, gangs: map[gangKey]*gang{},
+		changed: make(chan struct{}),
 	}
 }
 
@@ -109,19 +110,6 @@
 	}
 }
 
-// Crash makes a host lose its runs, tombstones, lease and fencing token, and returns the host with its new incarnation.
-func (f *Fleet) Crash(id sched.ServerID) sched.Server {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	h := f.hosts[id]
-	f.endDueRuns(h, time.Now())
-	f.forgetUnacknowledged(h)
-	h.runs, h.tombstones, h.finished, h.lastFinished = map[sched.TaskID]*run{}, map[sched.TaskID]sched.RunNumber{}, nil, 0
-	h.fence, h.leaseEnd, h.bootedAt = 0, time.Time{}, time.Now()
-	h.info.Incarnation = max(h.info.Incarnation+1, time.Now().UnixMilli())
-	return h.info
-}
-
 // HasSucceeded reports whether a run of a task has ever succeeded, even if its host has crashed since.
 func (f *Fleet) HasSucceeded(t sched.TaskID) bool {
 	f.mu.Lock()
@@ -141,22 +129,6 @@
 	return false
 }
 
-// RunningTasks returns the number of a job's tasks that are running.
-func (f *Fleet) RunningTasks(job ident.JobID) int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	n, now := 0, time.Now()
-	for _, h := range f.hosts {
-		f.endDueRuns(h, now)
-		for t := range h.runs {
-			if t.Job == job {
-				n++
-			}
-		}
-	}
-	return n
-}
-
 // SetUnresponsive sets whether a host leaves calls without a reply.
 func (f *Fleet) SetUnresponsive(id sched.ServerID, unresponsive bool) {
 	f.mu.Lock()
@@ -181,16 +153,14 @@
 	return starts, len(f.startCounts)
 }
 
-// Client returns a client that calls the hosts of the fleet in process. Throttling has no effect, and the fleet has no advisor.
+// Client returns a client that calls the hosts and the advisor of the fleet in process. Throttling has no effect.
 func (f *Fleet) Client() coordinator.ServerClient {
 	return coordinator.ServerClient{
 		Start: f.start, Stop: f.stop, Poll: f.poll, CloseConnections: func(string) {},
 		Throttle: func(context.Context, sched.FencingToken, sched.ThrottleCommand) (time.Duration, error) {
 			return 0, nil
 		},
-		Advise: func(context.Context, time.Duration, sched.AdviceRequest) (map[sched.ServerID]sched.Ticket, error) {
-			return nil, coordinator.ErrNotSent
-		},
+		Advise: f.advise,
 	}
 }
 
@@ -200,23 +170,30 @@
 // endDueRuns ends the runs that completed or whose lease expired.
 func (f *Fleet) endDueRuns(h *host, now time.Time) {
 	for task, r := range h.runs {
-		outcome := sched.OutcomeDone
 		switch {
+		case r.gang != nil: // see endDueGangs
 		case now.After(h.leaseEnd) && r.end.After(h.leaseEnd):
-			outcome = sched.OutcomeLeaseExpired
+			f.finishRun(h, task, r.number, sched.OutcomeLeaseExpired)
 		case now.Before(r.end):
-			continue
+		case r.outcome == sched.OutcomeDone:
+			f.succeed(h, task, r.number)
 		default:
-			f.everSucceeded[task] = true
-			f.successes[task] = append(f.successes[task], &success{host: h, finishedNumber: h.lastFinished + 1})
+			f.finishRun(h, task, r.number, r.outcome)
 		}
-		f.finishRun(h, task, r.number, outcome)
 	}
 }
 
+// succeed ends a run as done.
+func (f *Fleet) succeed(h *host, task sched.TaskID, number sched.RunNumber) {
+	f.everSucceeded[task] = true
+	f.successes[task] = append(f.successes[task], &success{host: h, finishedNumber: h.lastFinished + 1})
+	f.finishRun(h, task, number, sched.OutcomeDone)
+}
+
 // finishRun removes a run from the host, leaves a tombstone for it and adds it to the finished runs.
 func (f *Fleet) finishRun(h *host, task sched.TaskID, number sched.RunNumber, outcome sched.Outcome) {
 	delete(h.runs, task)
+	f.lastRunEnds[task] = time.Now()
 	h.tombstones[task] = max(h.tombstones[task], number)
 	h.lastFinished++
 	h.finished = append(h.finished, sched.FinishedRun{Number: h.lastFinished, Task: task, Run: number, Outcome: outcome})
@@ -230,6 +207,7 @@
 	if h == nil || h.unresponsive {
 		return nil, coordinator.ErrNoResponse
 	}
+	f.endDueGangs(now)
 	f.endDueRuns(h, now)
 	if fence < h.fence {
 		return nil, &coordinator.RefusedError{Reason: sched.RefusedFenced, Clock: h.clock(now)}
@@ -263,21 +241,29 @@
 	if command.Deadline > 0 && h.clock(now) > command.Deadline {
 		return 0, &coordinator.RefusedError{Reason: sched.RefusedLeaseExpired, Clock: h.clock(now)}
 	}
-	f.extendLease(h, command.Deadline)
 	if r := h.runs[command.Task]; r != nil && r.number == command.Run {
+		f.extendLease(h, command.Deadline)
 		return h.clock(now), nil
 	}
 	if command.Run <= h.tombstones[command.Task] {
+		f.extendLease(h, command.Deadline)
 		return 0, &coordinator.RefusedError{Reason: sched.RefusedOldRun, Clock: h.clock(now)}
 	}
+	if !f.acceptsTicket(h, command, now) {
+		return 0, &coordinator.RefusedError{Reason: sched.RefusedTicket, Clock: h.clock(now)}
+	}
+	f.extendLease(h, command.Deadline)
 	f.checkStart(h, command.Task, now)
-	h.runs[command.Task] = &run{number: command.Run, end: now.Add(f.taskDuration(command.Task))}
+	f.addRun(h, command.Task, command.Run, now)
 	f.startCounts[command.Task]++
 	return h.clock(now), nil
 }
 
 // checkStart records the violations of starting a task on a host.
 func (f *Fleet) checkStart(h *host, task sched.TaskID, now time.Time) {
+	if service := f.traits(task).Service; service != "" && service != h.info.Service {
+		f.violations = append(f.violations, fmt.Sprintf("%v started on %s of service %s, not %s", task, h.info.ID, h.info.Service, service))
+	}
 	for _, other := range f.hosts {
 		f.endDueRuns(other, now)
 	}
@@ -319,6 +305,7 @@
 	h.tombstones[command.Task] = max(h.tombstones[command.Task], command.Run)
 	if r := h.runs[command.Task]; r != nil && r.number <= command.Run {
 		f.finishRun(h, command.Task, r.number, sched.OutcomeStopped)
+		f.breakGang(r.gang, command.Task)
 	}
 	return h.clock(now), nil
 }
@@ -351,7 +338,7 @@
 			inv := sched.Inventory{Incarnation: h.info.Incarnation, Clock: h.clock(now), Finished: slices.Clone(h.finished)}
 			f.markListed(h, now)
 			for task, r := range h.runs {
-				inv.Running = append(inv.Running, sched.ActiveRun{Task: task, Run: r.number, Percent: f.progressPercent(task, r, now)})
+				inv.Running = append(inv.Running, sched.ActiveRun{Task: task, Run: r.number, Percent: r.progressPercent(now)})
 			}
 			f.mu.Unlock()
 			return inv, nil
@@ -366,7 +353,9 @@
 }
 
 // progressPercent returns the elapsed part of a run.
-func (f *Fleet) progressPercent(task sched.TaskID, r *run, now time.Time) int {
-	total := f.taskDuration(task)
-	return int(100 * (total - r.end.Sub(now)) / total)
+func (r *run) progressPercent(now time.Time) int {
+	if r.gang != nil && !r.gang.started() {
+		return 0
+	}
+	return min(int(100*(r.duration-r.end.Sub(now))/r.duration), 100)
 }
