Add a profile of lost servers to the soak

Change: the profile server-loss plays servers that end in all ways of the platform, with a share of jobs that are advised, run together or last. New checks: long-running tasks run again in time, gangs find their members, starts have a ticket and go to their service.

--- a/internal/command/soak.go
+++ b/internal/command/soak.go
@@ -64,6 +64,7 @@
 	f.Uint64Var(&firstSeed, "first-seed", 1, "first seed")
 	f.Uint64Var(&seedCount, "seeds", 1, "number of seeds")
 	f.IntVar(&parallel, "parallel", 2, "number of seeds that run at the same time")
+	f.StringVar((*string)(&o.Profile), "profile", string(soak.ProfileMixed), fmt.Sprintf("mix of faults and jobs, one of %q", soak.Profiles))
 	f.DurationVar(&o.FaultDuration, "length", 12*time.Second, "time during which faults are injected")
 	f.IntVar(&o.Daemons, "daemons", 3, "daemons")
 	f.IntVar(&o.Servers, "servers", 6, "backend servers")
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -25,8 +25,10 @@
 type jobRecord struct {
 	id              ident.JobID
 	team            string
+	prefix          string // of its queue
 	steps           []sched.Step
 	accepted        bool
+	acceptedAt      time.Time
 	outcomeUnknown  bool      // an attempt ended without a final reply, so the job may have been accepted
 	refused         bool      // at least one attempt was refused as not run
 	cancelConfirmed time.Time // zero without a confirmation
@@ -36,6 +38,8 @@
 // workload simulates the callers of a run and records their jobs and the violations that they detect.
 type workload struct {
 	cell *cell
+	// background cancels long-running jobs while their callers submit others.
+	background sync.WaitGroup
 
 	mu             sync.Mutex
 	jobs           map[ident.JobID]*jobRecord
@@ -69,6 +73,7 @@
 		})
 	}
 	group.Wait()
+	w.background.Wait()
 }
 
 // sleep waits for d or until ctx ends.
@@ -81,37 +86,42 @@
 	}
 }
 
-// newCaller returns a caller with a random key of the team, which may have been revoked.
-func (w *workload) newCaller(random *rand.Rand, team string, client *http.Client) *standin.Caller {
-	key := team + "-0"
-	if team == multiKeyTeam {
-		key = fmt.Sprintf("%s-%d", team, random.IntN(4))
+// newCaller returns a caller with a random key of the job's team, which may have been revoked.
+func (j *jobRecord) newCaller(random *rand.Rand, client *http.Client) *standin.Caller {
+	c := j.newOwner(client)
+	if j.team == multiKeyTeam {
+		c.Key = fmt.Sprintf("%s-%d", j.team, random.IntN(4))
 	}
-	return &standin.Caller{Host: queueHost, Prefix: queuePrefix, Key: key, Client: client}
+	return c
+}
+
+// newOwner returns a caller with the key of the job's team that is never revoked.
+func (j *jobRecord) newOwner(client *http.Client) *standin.Caller {
+	return &standin.Caller{Host: queueHost, Prefix: j.prefix, Key: j.team + "-0", Client: client}
 }
 
 // submitJob submits a job, repeats this on random daemons while the outcome isn't final, and cancels some accepted jobs.
 func (w *workload) submitJob(ctx context.Context, random *rand.Rand, team string, client *http.Client) {
-	j := &jobRecord{id: ident.JobID(fmt.Sprintf("%016x", random.Uint64())), team: team}
-	j.steps = []sched.Step{{Count: 1 + random.IntN(5), Demand: taskDemand, Estimate: (minTaskDuration + maxTaskDuration) / 2}}
-	if random.IntN(2) == 0 {
-		j.steps = append(j.steps, sched.Step{
-			Count: 1 + random.IntN(3), Demand: taskDemand, After: []int{0}, Estimate: maxTaskDuration / 2,
-		})
-	}
+	j := w.newJob(random, team)
 	w.mu.Lock()
 	w.jobs[j.id] = j
 	w.submittedCount++
 	w.mu.Unlock()
 	for range submitAttempts {
-		if w.submit(ctx, j, w.newCaller(random, team, client), random) {
+		if w.submit(ctx, j, j.newCaller(random, client), random) {
 			break
 		}
 		sleep(ctx, 200*time.Millisecond)
 	}
-	if j.accepted && random.Float64() < cancelProbability {
+	switch {
+	case !j.accepted:
+	case j.longRunning():
+		if random.IntN(2) == 0 {
+			w.cancelLater(ctx, j, client, rand.New(rand.NewPCG(random.Uint64(), 0)))
+		}
+	case random.Float64() < cancelProbability:
 		sleep(ctx, time.Duration(random.IntN(800))*time.Millisecond)
-		w.cancel(ctx, j, &standin.Caller{Host: queueHost, Prefix: queuePrefix, Key: team + "-0", Client: client}, random)
+		w.cancel(ctx, j, j.newOwner(client), random)
 	}
 }
 
@@ -134,6 +144,7 @@
 		}
 		if !j.accepted {
 			w.acceptedCount++
+			j.acceptedAt = time.Now()
 		}
 		j.accepted = true
 		return true
--- a/internal/soak/cell.go
+++ b/internal/soak/cell.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"os"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/rosemaryspoke/rosemaryspoke/internal/sched"
@@ -25,8 +24,10 @@
 	limitedTeam     = "red"
 	queueHost       = "soak.example"
 	queuePrefix     = "/q/"
-	serverCores     = 8  // of each backend server
-	teamLimitCores  = 12 // CPU limit of limitedTeam
+	advisedPrefix   = "/advised/" // of a queue with an advisor
+	serverCores     = 8           // of each backend server
+	scarceCores     = 4           // of each backend server in ProfileServerLoss, so that all are in use
+	teamLimitCores  = 12          // CPU limit of limitedTeam
 	minTaskDuration = 50 * time.Millisecond
 	maxTaskDuration = 900 * time.Millisecond
 	slowStoreDelay  = 200 * time.Millisecond // delay of the replies of a slow store
@@ -37,14 +38,14 @@
 // cell is a deployment on loopback: a simulated store and simulated backend servers in this process, and daemons in separate
 // processes.
 type cell struct {
-	store         *txstore.Store
-	storeHTTP     *standin.StoreServer
-	fleet         *runhost.Fleet
-	servers       []sched.Server
-	serverProxies []*proxy // one for each server
-	storeProxies  []*proxy // from each daemon to the store
-	daemons       []*process
-	httpServers   []*http.Server
+	store        *txstore.Store
+	storeHTTP    *standin.StoreServer
+	fleet        *runhost.Fleet
+	profile      Profile
+	slots        []*slot
+	storeProxies []*proxy // from each daemon to the store
+	daemons      []*process
+	httpServers  []*http.Server
 
 	randomMu sync.Mutex // the store's faults take it under the store's lock, so no call to the store may be made under it
 	random   *rand.Rand
@@ -61,11 +62,13 @@
 		return nil, fmt.Errorf("create directory: %w", err)
 	}
 	c := &cell{
-		store: txstore.New(time.Now), random: rand.New(rand.NewPCG(seed, 5)), revokedKeys: map[string]time.Time{},
+		profile: o.Profile,
+		store:   txstore.New(time.Now), random: rand.New(rand.NewPCG(seed, 5)), revokedKeys: map[string]time.Time{},
 		keys: map[string][]string{multiKeyTeam: {"blue-0", "blue-1", "blue-2", "blue-3"}, limitedTeam: {limitedTeam + "-0"}},
 	}
 	c.storeHTTP = standin.NewStoreServer(c.store)
 	c.fleet = runhost.New(taskDuration, func(sched.TaskID) resource.Vector { return taskDemand })
+	c.fleet.SetAdvisor(advisorTiming, advisorAllows)
 	storeAddress, err := c.listen(c.storeHTTP.Handler())
 	if err != nil {
 		return nil, err
@@ -84,9 +87,13 @@
 			return nil, fmt.Errorf("start a proxy from daemon d%d to the store: %w", i, err)
 		}
 		c.storeProxies = append(c.storeProxies, storeProxy)
+		advisorAddress, err := c.listen(standin.NewAdvisorHandler(c.fleet.Client()))
+		if err != nil {
+			return nil, err
+		}
 		p, err := newProcess(o.Binary, dir, standin.DaemonSettings{
 			Member: ident.MemberID(fmt.Sprintf("d%d", i)), IP: fmt.Sprintf("127.%d.%d.%d", 1+seed%200, 1+seed/200%200, 1+i),
-			StoreAddress: storeProxy.address(), FirstInternalPort: port, Grace: gracePeriod, MaxRunLease: runhost.MaxLease,
+			StoreAddress: storeProxy.address(), AdvisorAddress: advisorAddress, FirstInternalPort: port, Grace: gracePeriod, MaxRunLease: runhost.MaxLease,
 			StopTimeout: 200 * time.Millisecond, Revocation: revocationBound,
 		})
 		if err != nil {
@@ -106,6 +113,9 @@
 	return minTaskDuration + time.Duration(n%uint64(maxTaskDuration-minTaskDuration))
 }
 
+// advisorTiming has the short calls of a queue whose jobs are urgent.
+var advisorTiming = sched.Advisor{BaseTime: 13 * time.Millisecond, TimePerServer: time.Millisecond, TicketValidity: 3 * time.Second}
+
 var taskDemand = resource.Vector{CPU: resource.Cores(1), Memory: 100}
 
 // listen serves a handler on a free loopback port and returns its address.
@@ -120,48 +130,16 @@
 	return l.Addr().String(), nil
 }
 
-// addServers starts and registers backend servers, each behind a proxy.
-func (c *cell) addServers(count int) error {
-	for i := range count {
-		v := sched.Server{
-			ID: sched.ServerID(fmt.Sprintf("s%d", i)), Incarnation: time.Now().UnixMilli(), Service: serviceName, DataCentre: "z1",
-			Labels: []string{"a", "r1"}, Capacity: resource.Vector{CPU: resource.Cores(serverCores), Memory: 4096},
-		}
-		address, err := c.listen(standin.NewBackendHandler(c.fleet.Client(), v.ID))
-		if err != nil {
-			return err
-		}
-		serverProxy, err := newProxy(address)
-		if err != nil {
-			return fmt.Errorf("start a proxy to backend server %s: %w", v.ID, err)
-		}
-		v.Address = serverProxy.address()
-		c.fleet.Add(v)
-		c.servers, c.serverProxies = append(c.servers, v), append(c.serverProxies, serverProxy)
-		if err := c.register(v); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// register writes the registration of a backend server to the store.
-func (c *cell) register(v sched.Server) error {
-	raw, err := standin.EncodeRegistration(v)
-	if err != nil {
-		return fmt.Errorf("encode the registration of %s: %w", v.ID, err)
-	}
-	c.store.Put("servers/"+string(v.ID), raw)
-	return nil
-}
-
 // writeConfig writes the next version of the configuration to the store.
 func (c *cell) writeConfig() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.configVersion++
 	raw, err := standin.EncodeConfig(c.configVersion,
-		[]standin.Queue{{Name: "q", Host: queueHost, Prefix: queuePrefix, Service: serviceName, MaxAttempts: 3}},
+		[]standin.Queue{
+			{Name: "q", Host: queueHost, Prefix: queuePrefix, Service: serviceName, MaxAttempts: 3},
+			{Name: "advised", Host: queueHost, Prefix: advisedPrefix, Service: serviceName, MaxAttempts: 3, Advisor: &advisorTiming},
+		},
 		[]standin.Team{
 			{Name: multiKeyTeam, Keys: c.keys[multiKeyTeam]},
 			{Name: limitedTeam, Keys: c.keys[limitedTeam], Limit: resource.Vector{CPU: resource.Cores(teamLimitCores)}},
@@ -201,103 +179,17 @@
 	return at, ok
 }
 
-// minDrainTime is the time that a draining server announces to keep running for.
-const minDrainTime = 2 * time.Second
-
-// startFault starts a fault and returns the function that ends it, which does nothing if the fault has no duration.
-func (c *cell) startFault(f plannedFault) (end func()) {
-	d, n := f.Target%len(c.daemons), f.Target%len(c.servers)
-	noEnd := func() {}
-	setProxyMode := func(p *proxy, m mode) func() {
-		p.setMode(m)
-		return func() { p.setMode(modeForward) }
-	}
-	switch f.Fault {
-	case kill:
-		c.daemons[d].signal(syscall.SIGKILL)
-	case terminate:
-		c.daemons[d].signal(syscall.SIGTERM)
-	case killAll:
-		for _, p := range c.daemons {
-			p.signal(syscall.SIGKILL)
-		}
-	case freeze:
-		c.daemons[d].signal(syscall.SIGSTOP)
-		return func() { c.daemons[d].signal(syscall.SIGCONT) }
-	case storeDown:
-		return c.setStoreFault(func() txstore.Fault { return txstore.Unavailable })
-	case storeSilent:
-		return c.setStoreFault(func() txstore.Fault {
-			return []txstore.Fault{txstore.LoseRequest, txstore.LoseReply}[c.randomInt(2)]
-		})
-	case storeLossy:
-		return c.setStoreFault(func() txstore.Fault {
-			return []txstore.Fault{txstore.LoseReply, txstore.None, txstore.None}[c.randomInt(3)]
-		})
-	case storeSlow:
-		c.storeHTTP.SetDelay(slowStoreDelay)
-		return func() { c.storeHTTP.SetDelay(0) }
-	case storeCompact:
-		c.store.Compact()
-	case storeCut:
-		return setProxyMode(c.storeProxies[d], modeBlockAll)
-	case storeOneWay:
-		return setProxyMode(c.storeProxies[d], modeBlockReplies)
-	case storeReset:
-		return setProxyMode(c.storeProxies[d], modeReset)
-	case storeDelay:
-		return setProxyMode(c.storeProxies[d], modeDelay)
-	case serverSilent:
-		return setProxyMode(c.serverProxies[n], modeBlockAll)
-	case serverOneWay:
-		return setProxyMode(c.serverProxies[n], modeBlockReplies)
-	case serverDelay:
-		return setProxyMode(c.serverProxies[n], modeDelay)
-	case serverCrash:
-		v := c.fleet.Crash(c.servers[n].ID)
-		c.serverProxies[n].reset() // a crash closes the server's connections
-		return func() { c.logError(c.register(v)) }
-	case serverDrain:
-		v := c.servers[n]
-		v.Draining, v.Remaining = true, minDrainTime
-		c.logError(c.register(v))
-		return func() { c.logError(c.register(c.servers[n])) }
-	case revokeKey:
-		c.logError(c.revokeNextKey())
-	case registrationLost:
-		c.store.Delete("servers/" + string(c.servers[n].ID))
-		return func() { c.logError(c.register(c.servers[n])) }
-	}
-	return noEnd
-}
-
-// logError prints an error of the soak test itself.
-func (c *cell) logError(err error) {
-	if err != nil {
-		_, _ = fmt.Fprintln(os.Stderr, "soak:", err)
-	}
-}
-
-func (c *cell) randomInt(n int) int {
-	c.randomMu.Lock()
-	defer c.randomMu.Unlock()
-	return c.random.IntN(n)
-}
-
-// setStoreFault applies a fault to all calls to the store and returns the function that ends it.
-func (c *cell) setStoreFault(f func() txstore.Fault) func() {
-	c.store.SetFault(func(string, string) txstore.Fault { return f() })
-	return func() { c.store.SetFault(nil) }
-}
-
 // close stops the daemons, the proxies and the HTTP servers.
 func (c *cell) close() error {
 	for _, d := range c.daemons {
 		d.stop()
 	}
-	for _, p := range append(c.serverProxies, c.storeProxies...) {
+	for _, p := range c.storeProxies {
 		p.close()
 	}
+	for _, s := range c.slots {
+		s.currentProxy().close()
+	}
 	var errs []error
 	for _, l := range c.httpServers {
 		errs = append(errs, l.Close())
--- a/internal/soak/cell_test.go
+++ b/internal/soak/cell_test.go
@@ -7,7 +7,6 @@
 	"testing"
 	"time"
 
-	"github.com/rosemaryspoke/rosemaryspoke/internal/sched"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/standin/txstore"
 )
 
@@ -15,7 +14,7 @@
 func TestConfigurationChangesDuringStoreFault(t *testing.T) {
 	c := &cell{
 		store: txstore.New(time.Now), random: rand.New(rand.NewPCG(1, 5)), keys: map[string][]string{},
-		daemons: make([]*process, 1), servers: make([]sched.Server, 1),
+		daemons: make([]*process, 1),
 	}
 	end := c.startFault(plannedFault{Fault: storeLossy})
 	var group sync.WaitGroup
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -32,6 +32,18 @@
 	serverDrain      fault = "server-drains"   // a backend server drains for a while
 	revokeKey        fault = "revoke-key"      // the operator revokes an API key
 	registrationLost fault = "registry-lapses" // the registration of a live server is missing for a while
+
+	// Faults of profileServerLoss. The lost servers never return under their ids, except with serverReborn.
+	serverReplaced     fault = "server-replaced"     // a server ends and another one takes over its address at once
+	serverReused       fault = "server-reused"       // a server ends and one of another service takes over its address
+	serverGone         fault = "server-gone"         // a server ends, and a new one starts at another address
+	serverReborn       fault = "server-reborn"       // a server is cut off, crashes meanwhile and returns under its id
+	serviceCrash       fault = "service-crash"       // all servers are silent, then new ones are at their addresses
+	rackCrash          fault = "rack-crash"          // the same for the servers of a rack
+	dataCentreCrash    fault = "data-centre-crash"   // the same for the servers of a data centre
+	reclaim            fault = "reclaim"             // the servers of a data centre drain at short notice and leave; new ones come later
+	ordersLate         fault = "orders-late"         // some starts and stops get no reply and are carried out seconds later
+	registrationsLapse fault = "registrations-lapse" // the registrations of all live servers are missing for a while
 )
 
 // plannedFault is a fault with its start, counted from the start of the plan, and its duration.
@@ -43,54 +55,113 @@
 
 // String returns the fault on one line.
 func (f plannedFault) String() string {
-	return fmt.Sprintf("%5.2fs %-15s on %d for %s", f.At.Seconds(), f.Fault, f.Target, f.Duration.Round(time.Millisecond))
+	return fmt.Sprintf("%5.2fs %-19s on %d for %s", f.At.Seconds(), f.Fault, f.Target, f.Duration.Round(time.Millisecond))
+}
+
+// Profile names a mix of faults and a workload.
+type Profile string
+
+// The profiles.
+const (
+	ProfileMixed      Profile = "mixed"       // faults of daemons, the store and single servers
+	ProfileServerLoss Profile = "server-loss" // servers end in all ways, with advised, all-at-once and long-running jobs
+)
+
+// Profiles are all profiles; the first is the default.
+var Profiles = []Profile{ProfileMixed, ProfileServerLoss}
+
+// faultWeight is the relative frequency of a fault.
+type faultWeight struct {
+	fault   fault
+	weight  int
+	longest time.Duration // maxFaultDuration if it is 0
 }
 
-// faultWeights are the relative frequencies of the faults.
-var faultWeights = []struct {
-	fault  fault
-	weight int
-}{
-	{kill, 4},
-	{terminate, 3},
-	{freeze, 4},
-	{killAll, 1},
-	{storeDown, 2},
-	{storeSilent, 2},
-	{storeLossy, 2},
-	{storeSlow, 2},
-	{storeCompact, 1},
-	{storeCut, 2},
-	{storeOneWay, 2},
-	{storeReset, 2},
-	{storeDelay, 1},
-	{serverSilent, 4},
-	{serverOneWay, 3},
-	{serverDelay, 2},
-	{serverCrash, 3},
-	{serverDrain, 2},
-	{revokeKey, 1},
-	{registrationLost, 2},
+// faultWeights are the faults of each profile. A change of those of a profile changes the plans of all of its seeds.
+var faultWeights = map[Profile][]faultWeight{
+	ProfileMixed:      mixedFaults,
+	ProfileServerLoss: serverLossFaults,
 }
 
+var mixedFaults = []faultWeight{
+	{fault: kill, weight: 4},
+	{fault: terminate, weight: 3},
+	{fault: freeze, weight: 4},
+	{fault: killAll, weight: 1},
+	{fault: storeDown, weight: 2},
+	{fault: storeSilent, weight: 2},
+	{fault: storeLossy, weight: 2},
+	{fault: storeSlow, weight: 2},
+	{fault: storeCompact, weight: 1},
+	{fault: storeCut, weight: 2},
+	{fault: storeOneWay, weight: 2},
+	{fault: storeReset, weight: 2},
+	{fault: storeDelay, weight: 1},
+	{fault: serverSilent, weight: 4},
+	{fault: serverOneWay, weight: 3},
+	{fault: serverDelay, weight: 2},
+	{fault: serverCrash, weight: 3},
+	{fault: serverDrain, weight: 2},
+	{fault: revokeKey, weight: 1},
+	{fault: registrationLost, weight: 2},
+}
+
+var serverLossFaults = []faultWeight{
+	{fault: kill, weight: 2},
+	{fault: terminate, weight: 1},
+	{fault: freeze, weight: 2},
+	{fault: killAll, weight: 1},
+	{fault: storeDown, weight: 1},
+	{fault: storeLossy, weight: 1},
+	{fault: storeSlow, weight: 1},
+	{fault: storeCut, weight: 1},
+	{fault: serverSilent, weight: 2},
+	{fault: serverOneWay, weight: 2},
+	{fault: serverDelay, weight: 1},
+	{fault: serverDrain, weight: 2},
+	{fault: registrationLost, weight: 1},
+	{fault: serverReplaced, weight: 6},
+	{fault: serverReused, weight: 4},
+	{fault: serverGone, weight: 3},
+	{fault: serverReborn, weight: 4},
+	{fault: serviceCrash, weight: 1},
+	{fault: serviceCrash, weight: 4, longest: briefCrash},
+	{fault: rackCrash, weight: 3, longest: briefCrash},
+	{fault: dataCentreCrash, weight: 3},
+	{fault: reclaim, weight: 3},
+	{fault: ordersLate, weight: 3},
+	{fault: registrationsLapse, weight: 2},
+}
+
+const (
+	minFaultDuration = 200 * time.Millisecond
+	maxFaultDuration = 4 * time.Second
+	// briefCrash is shorter than it takes to notice that a server doesn't answer a poll, so that its successor shows the crash.
+	briefCrash = 800 * time.Millisecond
+)
+
 // faultsPerSecond is the mean rate at which faults start. They last about two seconds, so several overlap.
 const faultsPerSecond = 1.5
 
 // newPlan returns the fault plan of a seed, ordered by start. It depends only on its arguments.
-func newPlan(seed uint64, duration time.Duration, daemons, servers int) []plannedFault {
+func newPlan(profile Profile, seed uint64, duration time.Duration, daemons, servers int) []plannedFault {
+	weights := faultWeights[profile]
 	rng := rand.New(rand.NewPCG(seed, 77))
 	total := 0
-	for _, w := range faultWeights {
+	for _, w := range weights {
 		total += w.weight
 	}
 	var plan []plannedFault
 	for at := 500 * time.Millisecond; at < duration; at += time.Duration(rng.ExpFloat64() / faultsPerSecond * float64(time.Second)) {
 		n := rng.IntN(total)
-		for _, w := range faultWeights {
+		for _, w := range weights {
 			if n -= w.weight; n >= 0 {
 				continue
 			}
-			next := plannedFault{At: at, Duration: time.Duration(200+rng.IntN(3800)) * time.Millisecond, Fault: w.fault}
+			next := plannedFault{At: at, Duration: minFaultDuration + time.Duration(rng.IntN(3800))*time.Millisecond, Fault: w.fault}
+			if w.longest > 0 {
+				next.Duration = minFaultDuration + (next.Duration-minFaultDuration)*(w.longest-minFaultDuration)/(maxFaultDuration-minFaultDuration)
+			}
 			next.Target = rng.IntN(daemons * servers)
 			plan = append(plan, next)
 			break
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"io"
 	"net"
 	"sync"
 	"time"
@@ -29,9 +28,11 @@
 	listener net.Listener
 	target   string
 
-	mu    sync.Mutex
-	mode  mode
-	conns map[net.Conn]bool
+	mu      sync.Mutex
+	mode    mode
+	conns   map[net.Conn]bool
+	orphans map[net.Conn]bool // connections of callers to a server that lost power
+	dark    bool              // no server is up behind the orphans
 }
 
 func newProxy(target string) (*proxy, error) {
@@ -39,7 +40,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, target: target, conns: map[net.Conn]bool{}}
+	p := &proxy{listener: l, target: target, conns: map[net.Conn]bool{}, orphans: map[net.Conn]bool{}}
 	go p.serve()
 	return p, nil
 }
@@ -79,6 +80,36 @@
 		_ = c.Close()
 	}
 	clear(p.conns)
+	clear(p.orphans)
+}
+
+// loseServer makes the connections silent, as the loss of power of the server does: callers get neither a reply nor a reset,
+// until they send on such a connection after serverIsBack.
+func (p *proxy) loseServer() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dark = true
+	for c := range p.conns {
+		if c.RemoteAddr().String() == p.target {
+			_ = c.Close() // ends the calls that the server handles
+		} else {
+			p.orphans[c] = true
+		}
+	}
+}
+
+// serverIsBack makes callers that use a connection to the lost server get a reset.
+func (p *proxy) serverIsBack() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dark = false
+}
+
+// orphaned returns whether a connection leads to a lost server, and whether none has taken its place.
+func (p *proxy) orphaned(c net.Conn) (orphan, dark bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.orphans[c], p.dark
 }
 
 func (p *proxy) track(c net.Conn) {
@@ -91,6 +122,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.conns, c)
+	delete(p.orphans, c)
 	_ = c.Close()
 }
 
@@ -119,14 +151,25 @@
 
 // pipe forwards bytes in one direction until a connection ends, as the mode allows.
 func (p *proxy) pipe(to, from net.Conn, fromServer bool) {
-	defer p.closeConn(to)
-	defer p.closeConn(from)
+	defer func() {
+		if orphan, _ := p.orphaned(to); !orphan {
+			p.closeConn(to)
+		}
+		p.closeConn(from)
+	}()
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
 		for blocked := p.blocked(fromServer); blocked; blocked = p.blocked(fromServer) {
 			time.Sleep(modePollInterval)
 		}
+		orphan, dark := p.orphaned(from)
+		for ; orphan && dark && err == nil; orphan, dark = p.orphaned(from) {
+			time.Sleep(modePollInterval)
+		}
+		if orphan {
+			return
+		}
 		if p.currentMode() == modeDelay && !fromServer {
 			time.Sleep(requestDelay)
 		}
@@ -136,9 +179,6 @@
 			}
 		}
 		if err != nil {
-			if err != io.EOF {
-				p.closeConn(to)
-			}
 			return
 		}
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -3,6 +3,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -16,13 +17,13 @@
 	"github.com/rosemaryspoke/rosemaryspoke/internal/sched"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/resource"
-	"github.com/rosemaryspoke/rosemaryspoke/platform/standin"
 )
 
 // Options are the settings of a soak test.
 type Options struct {
 	Binary        string        // path of the program under test
 	Dir           string        // parent of a directory with settings and logs for each seed
+	Profile       Profile       // empty means ProfileMixed
 	FaultDuration time.Duration // time during which faults start
 	Daemons       int
 	Servers       int
@@ -55,6 +56,10 @@
 // Run runs the daemons, the callers and the fault plan of a seed, and returns the violations.
 func Run(ctx context.Context, o Options, seed uint64) (Result, error) {
 	started := time.Now()
+	o.Profile = cmp.Or(o.Profile, ProfileMixed)
+	if !slices.Contains(Profiles, o.Profile) {
+		return Result{}, fmt.Errorf("unknown profile %q, want one of %q", o.Profile, Profiles)
+	}
 	dir := filepath.Join(o.Dir, fmt.Sprintf("seed-%d", seed))
 	c, err := newCell(o, dir, seed)
 	if err != nil {
@@ -63,7 +68,8 @@
 	w := newWorkload(c)
 	c.fleet.SetPrerequisites(w.prerequisites)
 	c.fleet.SetTeamLimit(w.teamLimit)
-	plan := newPlan(seed, o.FaultDuration, o.Daemons, o.Servers)
+	c.fleet.SetTraits(w.traits)
+	plan := newPlan(o.Profile, seed, o.FaultDuration, o.Daemons, o.Servers)
 	r := Result{Seed: seed}
 	if err := w.awaitCompletedJob(ctx, startTimeout); err != nil {
 		r.Violations = append(r.Violations, "before any fault: "+err.Error())
@@ -122,9 +128,15 @@
 	c := w.cell
 	c.store.SetFault(nil)
 	c.storeHTTP.SetDelay(0)
-	for _, p := range append(slices.Clone(c.serverProxies), c.storeProxies...) {
+	for _, p := range c.storeProxies {
 		p.setMode(modeForward)
 	}
+	for _, s := range c.slots {
+		s.currentProxy().setMode(modeForward)
+	}
+	if c.profile == ProfileServerLoss {
+		c.restoreServers()
+	}
 }
 
 // prerequisites returns the tasks that must have succeeded before a task may start.
@@ -158,11 +170,12 @@
 func (w *workload) awaitCompletedJob(ctx context.Context, limit time.Duration) error {
 	client := &http.Client{}
 	defer client.CloseIdleConnections()
-	c := &standin.Caller{Host: queueHost, Prefix: queuePrefix, Key: "blue-0", Client: client}
 	id := ident.JobID(fmt.Sprintf("%016x", time.Now().UnixNano()))
 	steps := []sched.Step{{Count: 1, Demand: taskDemand, Estimate: minTaskDuration}}
+	j := &jobRecord{id: id, team: multiKeyTeam, prefix: queuePrefix, steps: steps}
+	c := j.newOwner(client)
 	w.mu.Lock()
-	w.jobs[id] = &jobRecord{id: id, team: "blue", steps: steps}
+	w.jobs[id] = j
 	w.mu.Unlock()
 	last := "no call was made"
 	for end := time.Now().Add(limit); time.Now().Before(end) && ctx.Err() == nil; sleep(ctx, pollInterval) {
@@ -189,6 +202,8 @@
 	}
 	client := &http.Client{}
 	defer client.CloseIdleConnections()
+	w.checkLongRunningTasks(ctx, faultsEnded)
+	w.cancelLongRunningJobs(ctx, client)
 	unfinished := w.acceptedJobs()
 	for len(unfinished) > 0 && time.Since(faultsEnded) < completionTimeout && ctx.Err() == nil {
 		unfinished = slices.DeleteFunc(unfinished, func(j *jobRecord) bool { return w.isFinished(ctx, j, client) })
@@ -199,6 +214,7 @@
 	}
 	w.checkRefusedJobs()
 	w.checkCancelledJobs()
+	w.checkGangs(faultsEnded)
 }
 
 // acceptedJobs returns the accepted jobs.
@@ -217,7 +233,7 @@
 // isFinished reads a job's state, checks it and reports whether it is final. Every job can complete, so a failed job is a
 // violation.
 func (w *workload) isFinished(ctx context.Context, j *jobRecord, client *http.Client) bool {
-	c := &standin.Caller{Host: queueHost, Prefix: queuePrefix, Key: j.team + "-0", Client: client}
+	c := j.newOwner(client)
 	d := w.cell.daemons[len(j.id)%len(w.cell.daemons)]
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"hash/fnv"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -10,6 +11,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rosemaryspoke/rosemaryspoke/internal/sched"
@@ -26,18 +28,42 @@
 
 const (
 	shortDuration      = 6 * time.Second
+	serverLossDuration = 8 * time.Second
 	regressionDuration = 12 * time.Second
 )
 
-// Guards against violations of the product's guarantees under faults from outside, with the built program in separate
-// processes.
-func TestShortSoak(t *testing.T) {
+// buildProgram builds the program under test.
+func buildProgram(t *testing.T) string {
+	t.Helper()
 	binary := filepath.Join(t.TempDir(), "rosemaryspoke")
 	build := exec.Command("go", "build", "-o", binary, "../../cmd/rosemaryspoke")
 	build.Stderr = os.Stderr
 	if err := build.Run(); err != nil {
 		t.Fatalf("build the program: %v", err)
 	}
+	return binary
+}
+
+// checkRun plays a seed and reports its violations.
+func checkRun(t *testing.T, o Options, seed uint64) {
+	t.Helper()
+	r, err := Run(context.Background(), o, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Log(r)
+	for _, violation := range r.Violations {
+		t.Error(violation)
+	}
+	if r.Accepted == 0 || r.Starts == 0 {
+		t.Error("no job was accepted, or no task was started")
+	}
+}
+
+// Guards against violations of the product's guarantees under faults from outside, with the built program in separate
+// processes.
+func TestShortSoak(t *testing.T) {
+	binary := buildProgram(t)
 	type soakRun struct {
 		seed     uint64
 		duration time.Duration
@@ -50,38 +76,69 @@
 	for name, p := range runs {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			seed := p.seed
-			o := Options{Binary: binary, Dir: dir, FaultDuration: p.duration, Daemons: 3, Servers: 6, Callers: 6}
-			r, err := Run(context.Background(), o, seed)
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Log(r)
-			for _, violation := range r.Violations {
-				t.Error(violation)
-			}
-			if r.Accepted == 0 || r.Starts == 0 {
-				t.Error("no job was accepted, or no task was started")
-			}
+			checkRun(t, Options{Binary: binary, Dir: dir, FaultDuration: p.duration, Daemons: 3, Servers: 6, Callers: 6}, p.seed)
+		})
+	}
+}
+
+// Guards against accepted jobs that never end, long-running tasks without a run and starts without a ticket when servers end in
+// every way that the platform has.
+func TestShortServerLoss(t *testing.T) {
+	binary, dir := buildProgram(t), t.TempDir()
+	for name, seed := range map[string]uint64{
+		"seed 6": 6, // tasks were started on a removed server that their advice still named
+		"seed 9": 9,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			checkRun(t, Options{
+				Binary: binary, Dir: dir, Profile: ProfileServerLoss, FaultDuration: serverLossDuration, Daemons: 3, Servers: 6, Callers: 6,
+			}, seed)
 		})
 	}
 }
 
 // Guards against a seed that gives another plan when it is run again, and against a fault that no plan has.
 func TestPlanIsDeterministic(t *testing.T) {
-	a, b := newPlan(9, 20*time.Second, 3, 6), newPlan(9, 20*time.Second, 3, 6)
-	if !slices.Equal(a, b) {
-		t.Errorf("two plans of a seed differ:\n%v\n%v", a, b)
-	}
-	seen := map[fault]bool{}
-	for seed := range uint64(60) {
-		for _, f := range newPlan(seed, 20*time.Second, 3, 6) {
-			seen[f.Fault] = true
+	for _, profile := range Profiles {
+		a, b := newPlan(profile, 9, 20*time.Second, 3, 6), newPlan(profile, 9, 20*time.Second, 3, 6)
+		if !slices.Equal(a, b) {
+			t.Errorf("two plans of a seed of %s differ:\n%v\n%v", profile, a, b)
+		}
+		seen := map[fault]bool{}
+		for seed := range uint64(60) {
+			for _, f := range newPlan(profile, seed, 20*time.Second, 3, 6) {
+				seen[f.Fault] = true
+			}
+		}
+		for _, w := range faultWeights[profile] {
+			if !seen[w.fault] {
+				t.Errorf("no plan of 60 seeds of %s has the fault %s", profile, w.fault)
+			}
 		}
 	}
-	for _, w := range faultWeights {
-		if !seen[w.fault] {
-			t.Errorf("no plan of 60 seeds has the fault %s", w.fault)
+}
+
+// Guards against regression seeds that no longer play the faults by which they failed. A new kind of fault belongs to another
+// profile, as it changes all plans of its own.
+func TestPlansOfMixedProfile(t *testing.T) {
+	for seed, want := range map[uint64]struct {
+		duration time.Duration
+		hash     uint64
+	}{
+		1:  {shortDuration, 0xb535bdb0a1e4d4ba},
+		2:  {shortDuration, 0x58fb45e14cfcd0eb},
+		9:  {regressionDuration, 0x15fc831fedf214b8},
+		24: {regressionDuration, 0x8ca60a5c3ba67e68},
+		31: {regressionDuration, 0xd35130bdb45405eb},
+	} {
+		h := fnv.New64a()
+		plan := newPlan(ProfileMixed, seed, want.duration, 3, 6)
+		for _, f := range plan {
+			_, _ = fmt.Fprintln(h, f.At, f.Duration, f.Fault, f.Target)
+		}
+		if h.Sum64() != want.hash {
+			t.Errorf("the plan of seed %d has changed: %v", seed, plan)
 		}
 	}
 }
@@ -130,25 +187,107 @@
 				start(w.cell.fleet, "large", task(0, i), 1)
 			}
 		}, "team red has"},
+		"start without a ticket": {func(w *workload) {
+			w.jobs["j"].prefix = advisedPrefix
+			start(w.cell.fleet, "s0", task(0, 0), 1)
+		}, "got a start on s0 with ticket"},
+		"start on a server of another service": {func(w *workload) { start(w.cell.fleet, "other", task(0, 0), 1) }, "of service annex"},
+		"long-running task that isn't started again": {func(w *workload) {
+			w.jobs["j"].steps = []sched.Step{{Count: 2, Demand: taskDemand, LongRunning: true}}
+			w.jobs["j"].accepted, w.jobs["j"].acceptedAt = true, time.Now()
+			start(w.cell.fleet, "s0", task(0, 0), 1)
+			time.Sleep(time.Second)
+			w.cell.fleet.Crash("s0")
+			w.checkLongRunningTasks(context.Background(), time.Now())
+		}, "{j 0 0 0} is long-running and has had no run for 9"},
+		"long-running task that is never started": {func(w *workload) {
+			w.jobs["j"].steps = []sched.Step{{Count: 1, Demand: taskDemand, LongRunning: true}}
+			w.jobs["j"].accepted, w.jobs["j"].acceptedAt = true, time.Now().Add(-time.Hour)
+			w.checkLongRunningTasks(context.Background(), time.Now())
+		}, "is long-running and has had no run for 1h0m7"},
+		"gang of which a member isn't started": {func(w *workload) {
+			w.jobs["j"].steps = []sched.Step{{Count: 2, Demand: taskDemand, Gang: true}}
+			faultsEnded := time.Now()
+			time.Sleep(calmTime + time.Second)
+			start(w.cell.fleet, "s0", task(0, 0), 1)
+			time.Sleep(runhost.GangTimeout + time.Second)
+			w.checkGangs(faultsEnded)
+		}, "without the other tasks of its gang"},
 		"completed job with a task that hasn't succeeded": {func(w *workload) { w.checkAllTasksRan(w.jobs["j"]) }, "hasn't succeeded"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := runhost.New(
-				func(sched.TaskID) time.Duration { return 50 * time.Millisecond },
-				func(sched.TaskID) resource.Vector { return taskDemand })
-			for i := range 2 {
-				f.Add(sched.Server{ID: sched.ServerID(fmt.Sprintf("s%d", i)), Capacity: taskDemand})
-			}
-			f.Add(sched.Server{ID: "large", Capacity: taskDemand.Times(100)})
-			w := newWorkload(&cell{fleet: f})
-			w.jobs["j"] = &jobRecord{id: "j", steps: steps}
-			f.SetPrerequisites(w.prerequisites)
-			f.SetTeamLimit(w.teamLimit)
-			c.violate(w)
-			all := strings.Join(append(f.Violations(), w.violations...), "\n")
-			if !strings.Contains(all, c.want) {
-				t.Errorf("violations %q, want one with %q", all, c.want)
-			}
+			synctest.Test(t, func(t *testing.T) {
+				f := runhost.New(
+					func(sched.TaskID) time.Duration { return 50 * time.Millisecond },
+					func(sched.TaskID) resource.Vector { return taskDemand })
+				for i := range 2 {
+					f.Add(sched.Server{ID: sched.ServerID(fmt.Sprintf("s%d", i)), Service: serviceName, Capacity: taskDemand})
+				}
+				f.Add(sched.Server{ID: "large", Service: serviceName, Capacity: taskDemand.Times(100)})
+				f.Add(sched.Server{ID: "other", Service: otherService, Capacity: taskDemand})
+				f.SetAdvisor(advisorTiming, advisorAllows)
+				w := newWorkload(&cell{fleet: f})
+				w.jobs["j"] = &jobRecord{id: "j", steps: steps}
+				f.SetPrerequisites(w.prerequisites)
+				f.SetTeamLimit(w.teamLimit)
+				f.SetTraits(w.traits)
+				c.violate(w)
+				all := strings.Join(append(f.Violations(), w.violations...), "\n")
+				if !strings.Contains(all, c.want) {
+					t.Errorf("violations %q, want one with %q", all, c.want)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a check of long-running tasks that reports one before it must run, or one that runs.
+func TestOverdueLongRunningTask(t *testing.T) {
+	const before, after = -time.Millisecond, time.Millisecond
+	for name, c := range map[string]struct {
+		runEnded time.Duration // after the last fault; a run starts a second before
+		now      time.Duration // after the last fault
+		overdue  bool
+	}{
+		"long idle, before the end of the tolerance":        {-time.Minute, calmTime + restartTolerance + before, false},
+		"long idle, after the tolerance":                    {-time.Minute, calmTime + restartTolerance + after, true},
+		"run ended with the last fault, in the tolerance":   {0, restartTime + restartTolerance + before, false},
+		"run ended with the last fault, after it":           {0, restartTime + restartTolerance + after, true},
+		"run ended in the calm time":                        {5 * time.Second, longRunningCheck, false},
+		"running since the last fault, although never calm": {time.Hour, longRunningCheck, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := runhost.New(
+					func(sched.TaskID) time.Duration { return time.Second },
+					func(sched.TaskID) resource.Vector { return taskDemand })
+				f.Add(sched.Server{ID: "s0", Service: serviceName, Capacity: taskDemand})
+				w := newWorkload(&cell{fleet: f})
+				j := &jobRecord{id: "j", steps: []sched.Step{{Count: 1, LongRunning: true}}, acceptedAt: time.Now()}
+				w.jobs[j.id] = j
+				f.SetTraits(w.traits)
+				faultsEnded := time.Now().Add(2 * time.Minute)
+				at := func(d time.Duration) { time.Sleep(time.Until(faultsEnded.Add(d))) }
+				start := func() {
+					_, _ = f.Client().Start(context.Background(), 1, sched.StartCommand{
+						Server: sched.Server{ID: "s0"}, Task: sched.TaskID{Job: "j"}, Run: 1, Deadline: 2 * time.Hour,
+					})
+				}
+				if c.runEnded < c.now {
+					at(c.runEnded - time.Second)
+					start()
+					at(c.runEnded)
+					f.Crash("s0")
+					at(c.now)
+				} else {
+					at(c.now - time.Second)
+					start()
+					at(c.now)
+				}
+				if idle := w.overdue(j, sched.TaskID{Job: "j"}, faultsEnded, time.Now()); idle > 0 != c.overdue {
+					t.Errorf("overdue %s, want it %t", idle, c.overdue)
+				}
+			})
 		})
 	}
 }
