Close a cell of the soak that fails to start

Cause: newCell returned nil with its error, so that the servers, proxies and daemons that it had started went on until the process ended. Change: newCell closes what was started and returns both errors; a process that can't be started closes its log. Result: TestCellThatFailsToStart finds the store's and the advisor's addresses still open with the former code, and passes with the race detector.

--- a/internal/soak/cell.go
+++ b/internal/soak/cell.go
@@ -56,11 +56,8 @@
 	revokedKeys   map[string]time.Time // revoked keys with the time of the revocation
 }
 
-// newCell starts a cell. Settings and logs are written to the directory.
+// newCell starts a cell. Settings and logs are written to the directory. After an error nothing of the cell is left running.
 func newCell(o Options, dir string, seed uint64) (*cell, error) {
-	if err := os.MkdirAll(dir, 0o755); err != nil {
-		return nil, fmt.Errorf("create directory: %w", err)
-	}
 	c := &cell{
 		profile: o.Profile,
 		store:   txstore.New(time.Now), random: rand.New(rand.NewPCG(seed, 5)), revokedKeys: map[string]time.Time{},
@@ -69,27 +66,38 @@
 	c.storeHTTP = standin.NewStoreServer(c.store)
 	c.fleet = runhost.New(taskDuration, func(sched.TaskID) resource.Vector { return taskDemand })
 	c.fleet.SetAdvisor(advisorTiming, advisorAllows)
+	if err := c.start(o, dir, seed); err != nil {
+		return nil, errors.Join(err, c.close())
+	}
+	return c, nil
+}
+
+// start starts the servers, the proxies and the daemons. After an error some may be running.
+func (c *cell) start(o Options, dir string, seed uint64) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return fmt.Errorf("create directory: %w", err)
+	}
 	storeAddress, err := c.listen(c.storeHTTP.Handler())
 	if err != nil {
-		return nil, err
+		return err
 	}
 	if err := c.addServers(o.Servers); err != nil {
-		return nil, err
+		return err
 	}
 	if err := c.writeConfig(); err != nil {
-		return nil, err
+		return err
 	}
 	// The daemons of a cell differ in their IP address; the port separates test processes and seeds that run at the same time.
 	port := 20000 + os.Getpid()%300*40 + int(seed%4)*10
 	for i := range o.Daemons {
 		storeProxy, err := newProxy(storeAddress)
 		if err != nil {
-			return nil, fmt.Errorf("start a proxy from daemon d%d to the store: %w", i, err)
+			return fmt.Errorf("start a proxy from daemon d%d to the store: %w", i, err)
 		}
 		c.storeProxies = append(c.storeProxies, storeProxy)
 		advisorAddress, err := c.listen(standin.NewAdvisorHandler(c.fleet.Client()))
 		if err != nil {
-			return nil, err
+			return err
 		}
 		p, err := newProcess(o.Binary, dir, standin.DaemonSettings{
 			Member: ident.MemberID(fmt.Sprintf("d%d", i)), IP: fmt.Sprintf("127.%d.%d.%d", 1+seed%200, 1+seed/200%200, 1+i),
@@ -97,11 +105,11 @@
 			StopTimeout: 200 * time.Millisecond, Revocation: revocationBound,
 		})
 		if err != nil {
-			return nil, err
+			return err
 		}
 		c.daemons = append(c.daemons, p)
 	}
-	return c, nil
+	return nil
 }
 
 // taskDuration returns the duration of a task. It depends only on the task's id, so that every run takes the same time.
--- a/internal/soak/cell_test.go
+++ b/internal/soak/cell_test.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
+	"path/filepath"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/BurntSushi/toml"
+
 	"github.com/rosemaryspoke/rosemaryspoke/internal/standin/txstore"
 )
 
@@ -34,3 +38,25 @@
 		t.Fatal("deadlock")
 	}
 }
+
+// Guards against servers and proxies that stay when a cell can't be started.
+func TestCellThatFailsToStart(t *testing.T) {
+	dir := t.TempDir()
+	o := Options{Binary: filepath.Join(dir, "missing"), Profile: ProfileMixed, Daemons: 1, Servers: 1}
+	if _, err := newCell(o, dir, 1); err == nil {
+		t.Fatal("a cell was started without the program")
+	}
+	var settings struct {
+		Advice   string
+		Platform struct{ Address string }
+	}
+	if _, err := toml.DecodeFile(filepath.Join(dir, "d0.toml"), &settings); err != nil {
+		t.Fatal(err)
+	}
+	for name, address := range map[string]string{"advisor": settings.Advice, "store": settings.Platform.Address} {
+		if c, err := net.Dial("tcp", address); err == nil {
+			t.Errorf("the %s at %s still accepts connections", name, address)
+			_ = c.Close()
+		}
+	}
+}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -50,6 +50,7 @@
 		return nil, fmt.Errorf("create log of %s: %w", node.Member, err)
 	}
 	if err := p.start(); err != nil {
+		_ = p.logFile.Close()
 		return nil, err
 	}
 	go p.restartLoop()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -5,7 +5,6 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"path/filepath"
@@ -63,7 +62,7 @@
 	dir := filepath.Join(o.Dir, fmt.Sprintf("seed-%d", seed))
 	c, err := newCell(o, dir, seed)
 	if err != nil {
-		return Result{}, errors.Join(err, c.closeIfCreated())
+		return Result{}, err
 	}
 	w := newWorkload(c)
 	c.fleet.SetPrerequisites(w.prerequisites)
@@ -94,14 +93,6 @@
 	return r, c.close()
 }
 
-// closeIfCreated closes the cell, if there is one.
-func (c *cell) closeIfCreated() error {
-	if c == nil {
-		return nil
-	}
-	return c.close()
-}
-
 // runPlan runs the callers while the faults of the plan start and end.
 func (w *workload) runPlan(ctx context.Context, o Options, plan []plannedFault, seed uint64) {
 	callersCtx, stopCallers := context.WithCancel(ctx)
