Reserve the addresses of a soak's daemons

Cause: the ports depended on the process id modulo 300, so two soaks of one seed could use the same addresses at a time, and their daemons couldn't listen or reached those of the other cell. Change: a soak binds one more address of its block of ports as long as it plays, and takes the next block if that one is in use.

--- a/internal/soak/cell.go
+++ b/internal/soak/cell.go
@@ -46,6 +46,7 @@
 	storeProxies []*proxy // from each daemon to the store
 	daemons      []*process
 	httpServers  []*http.Server
+	addresses    *addressBlock // of the daemons
 
 	randomMu sync.Mutex // the store's faults take it under the store's lock, so no call to the store may be made under it
 	random   *rand.Rand
@@ -87,8 +88,11 @@
 	if err := c.writeConfig(); err != nil {
 		return err
 	}
-	// The daemons of a cell differ in their IP address; the port separates test processes and seeds that run at the same time.
-	port := 20000 + os.Getpid()%300*40 + int(seed%4)*10
+	addresses, err := reserveAddresses(os.Getpid(), seed)
+	if err != nil {
+		return err
+	}
+	c.addresses = addresses
 	for i := range o.Daemons {
 		storeProxy, err := newProxy(storeAddress)
 		if err != nil {
@@ -100,8 +104,8 @@
 			return err
 		}
 		p, err := newProcess(o.Binary, dir, standin.DaemonSettings{
-			Member: ident.MemberID(fmt.Sprintf("d%d", i)), IP: fmt.Sprintf("127.%d.%d.%d", 1+seed%200, 1+seed/200%200, 1+i),
-			StoreAddress: storeProxy.address(), AdvisorAddress: advisorAddress, FirstInternalPort: port, Grace: gracePeriod, MaxRunLease: runhost.MaxLease,
+			Member: ident.MemberID(fmt.Sprintf("d%d", i)), IP: addresses.ip(i),
+			StoreAddress: storeProxy.address(), AdvisorAddress: advisorAddress, FirstInternalPort: addresses.port, Grace: gracePeriod, MaxRunLease: runhost.MaxLease,
 			StopTimeout: 200 * time.Millisecond, Revocation: revocationBound,
 		})
 		if err != nil {
@@ -199,6 +203,9 @@
 		s.currentProxy().close()
 	}
 	var errs []error
+	if c.addresses != nil {
+		errs = append(errs, c.addresses.release())
+	}
 	for _, l := range c.httpServers {
 		errs = append(errs, l.Close())
 	}
