--- a/internal/soak/cell.go
+++ b/internal/soak/cell.go
@@ -26,7 +26,7 @@
 	queuePrefix     = "/q/"
 	advisedPrefix   = "/advised/" // of a queue with an advisor
 	serverCores     = 8           // of each backend server
-	scarceCores     = 4           // of each backend server in ProfileServerLoss, so that all are in use
+	scarceCores     = 6           // of each backend server in ProfileServerLoss, so that all are in use
 	teamLimitCores  = 12          // CPU limit of limitedTeam
 	minTaskDuration = 50 * time.Millisecond
 	maxTaskDuration = 900 * time.Millisecond
