Let simulated long-running tasks get to work

Cause: they reported the elapsed part of 24 hours as their progress, so never the 100 % of a task at work. Change: they report 100 % from 0.2 s after their start.

--- a/internal/standin/runhost/gang_test.go
+++ b/internal/standin/runhost/gang_test.go
@@ -125,7 +125,8 @@
 	}
 }
 
-// Guards against a long-running task that ends as done in the stand-in, or whose idle time counts from a wrong moment.
+// Guards against a long-running task that ends as done in the stand-in, that never gets to work (a leader then stops it and
+// suspects its server), or whose idle time counts from a wrong moment.
 func TestLongRunningTask(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newTestFleet(t, Traits{LongRunning: true})
@@ -134,7 +135,20 @@
 			t.Errorf("before the first start: running %t, last end %s", running, end)
 		}
 		w.mustStart("s0", 0, 1)
+		percent := func() int {
+			inv, err := w.f.poll(context.Background(), 1, sched.PollCommand{Server: sched.Server{ID: "s0"}})
+			if err != nil || len(inv.Running) != 1 {
+				t.Fatalf("inventory %v, %v", inv, err)
+			}
+			return inv.Running[0].Percent
+		}
+		if p := percent(); p != 0 {
+			t.Errorf("at work for %d %% at its start", p)
+		}
 		time.Sleep(5 * time.Second)
+		if p := percent(); p != 100 {
+			t.Errorf("at work for %d %% after 5 s", p)
+		}
 		if _, running := w.f.LastRunEnd(task); !running {
 			t.Error("the task doesn't run")
 		}
--- a/internal/standin/runhost/runhost.go
+++ b/internal/standin/runhost/runhost.go
@@ -60,6 +60,8 @@
 	end      time.Time     // at which the run completes, unless it is stopped or the lease expires before
 	outcome  sched.Outcome // at the end
 	gang     *gang         // nil for a task that runs by itself
+
+	longRunning bool
 }
 
 // New returns a fleet without hosts. The functions return the duration and the demand of a task.
@@ -352,10 +354,15 @@
 	}
 }
 
-// progressPercent returns the elapsed part of a run.
+// progressPercent returns the elapsed part of a run; a long-running task has 100 as soon as it is at work.
 func (r *run) progressPercent(now time.Time) int {
-	if r.gang != nil && !r.gang.started() {
+	switch {
+	case r.gang != nil && !r.gang.started():
+		return 0
+	case r.longRunning && r.duration-r.end.Sub(now) < startupTime:
 		return 0
+	case r.longRunning:
+		return 100
 	}
 	return min(int(100*(r.duration-r.end.Sub(now))/r.duration), 100)
 }
--- a/internal/standin/runhost/traits.go
+++ b/internal/standin/runhost/traits.go
@@ -27,6 +27,8 @@
 	// Every shortLivedEvery-th run of a long-running task fails after shortLifetime.
 	shortLivedEvery = 3
 	shortLifetime   = 2 * time.Second
+	// startupTime is the time after which a long-running task is at work.
+	startupTime = 200 * time.Millisecond
 )
 
 // addRun adds a run to a host.
@@ -34,7 +36,7 @@
 	traits := f.traits(task)
 	r := &run{number: number, duration: f.taskDuration(task), outcome: sched.OutcomeDone}
 	if traits.LongRunning {
-		r.duration, r.outcome = stableLifetime, sched.OutcomeFailed
+		r.duration, r.outcome, r.longRunning = stableLifetime, sched.OutcomeFailed, true
 		if (uint64(number)+uint64(task.Index))%shortLivedEvery == 0 {
 			r.duration = shortLifetime
 		}
