Stop the daemons of a soak that is interrupted

Change: SIGTERM and SIGINT end the context; a play that is cut short stops what it has started and returns an error.

--- a/internal/command/soak.go
+++ b/internal/command/soak.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -38,7 +40,9 @@
 					return fmt.Errorf("create a directory for settings and logs: %w", err)
 				}
 			}
-			results, err := runSeeds(c.Context(), c, o, firstSeed, seedCount, parallel)
+			ctx, stop := signal.NotifyContext(c.Context(), syscall.SIGTERM, syscall.SIGINT) // daemons are stopped before the end
+			defer stop()
+			results, err := runSeeds(ctx, c, o, firstSeed, seedCount, parallel)
 			if err != nil {
 				return err
 			}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"path/filepath"
@@ -52,7 +53,8 @@
 	Runtime    time.Duration
 }
 
-// Run runs the daemons, the callers and the fault plan of a seed, and returns the violations.
+// Run runs the daemons, the callers and the fault plan of a seed, and returns the violations. It stops everything and returns an
+// error if the context ends before.
 func Run(ctx context.Context, o Options, seed uint64) (Result, error) {
 	started := time.Now()
 	o.Profile = cmp.Or(o.Profile, ProfileMixed)
@@ -90,7 +92,7 @@
 	}
 	slices.Sort(r.Violations)
 	r.Runtime = time.Since(started)
-	return r, c.close()
+	return r, errors.Join(ctx.Err(), c.close())
 }
 
 // runPlan runs the callers while the faults of the plan start and end.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"hash/fnv"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -14,6 +16,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/BurntSushi/toml"
+
 	"github.com/rosemaryspoke/rosemaryspoke/internal/sched"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/standin/runhost"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/resource"
@@ -98,6 +102,27 @@
 	}
 }
 
+// Guards against daemons that go on after the soak was interrupted: they loaded the host and kept their addresses.
+func TestInterruptedSoak(t *testing.T) {
+	dir := t.TempDir()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	o := Options{Binary: buildProgram(t), Dir: dir, FaultDuration: time.Minute, Daemons: 2, Servers: 2, Callers: 2}
+	if _, err := Run(ctx, o, 3); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("error %v", err)
+	}
+	for i := range o.Daemons {
+		var settings struct{ Listen struct{ Front string } }
+		if _, err := toml.DecodeFile(filepath.Join(dir, "seed-3", fmt.Sprintf("d%d.toml", i)), &settings); err != nil {
+			t.Fatal(err)
+		}
+		if c, err := net.Dial("tcp", settings.Listen.Front); err == nil {
+			t.Errorf("daemon d%d still accepts connections", i)
+			_ = c.Close()
+		}
+	}
+}
+
 // Guards against a seed that gives another plan when it is run again, and against a fault that no plan has.
 func TestPlanIsDeterministic(t *testing.T) {
 	for _, profile := range Profiles {
