--- a/internal/command/soak.go
+++ b/internal/command/soak.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -38,7 +40,9 @@
 					return fmt.Errorf("create a directory for settings and logs: %w", err)
 				}
 			}
-			results, err := runSeeds(c.Context(), c, o, firstSeed, seedCount, parallel)
+			ctx, stop := signal.NotifyContext(c.Context(), syscall.SIGTERM, syscall.SIGINT) // daemons are stopped before the end
+			defer stop()
+			results, err := runSeeds(ctx, c, o, firstSeed, seedCount, parallel)
 			if err != nil {
 				return err
 			}
@@ -64,6 +68,7 @@
 	f.Uint64Var(&firstSeed, "first-seed", 1, "first seed")
 	f.Uint64Var(&seedCount, "seeds", 1, "number of seeds")
 	f.IntVar(&parallel, "parallel", 2, "number of seeds that run at the same time")
+	f.StringVar((*string)(&o.Profile), "profile", string(soak.ProfileMixed), fmt.Sprintf("mix of faults and jobs, one of %q", soak.Profiles))
 	f.DurationVar(&o.FaultDuration, "length", 12*time.Second, "time during which faults are injected")
 	f.IntVar(&o.Daemons, "daemons", 3, "daemons")
 	f.IntVar(&o.Servers, "servers", 6, "backend servers")
