Repeat a start with the ticket of its first attempt

Cause: a repeat took the ticket from the advice, which has none once it has expired on the leader's clock. The server refused the repeat, and the task was stopped and started elsewhere, which costs a late start.

A repeat is the same request now.

--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -84,6 +84,7 @@
 	task             *task
 	number           RunNumber
 	server           *server
+	ticket           Ticket
 	phase            phase
 	startedAt        time.Time
 	confirmedAt      time.Time // when the start was answered or an inventory first listed the run
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -84,12 +84,12 @@
 
 // start creates a run and sends its start.
 func (s *Scheduler) start(t *task, v *server, number RunNumber, ticket Ticket) {
-	p := &run{task: t, number: number, server: v, phase: phaseStarting, startedAt: s.now, speedPercent: 100}
+	p := &run{task: t, number: number, server: v, ticket: ticket, phase: phaseStarting, startedAt: s.now, speedPercent: 100}
 	s.attachRun(p)
-	s.sendStart(p, ticket)
+	s.sendStart(p)
 }
 
-func (s *Scheduler) sendStart(p *run, ticket Ticket) {
+func (s *Scheduler) sendStart(p *run) {
 	p.startAttempts++
 	p.sentAt = s.now
 	s.counts.Starts++
@@ -97,7 +97,7 @@
 	g := p.task.group
 	s.emit(StartCommand{
 		Server: p.server.info, Task: p.task.id(), Run: p.number, Payload: g.job.spec.Payload, Checkpoint: p.task.checkpoint,
-		Ticket: ticket, Deadline: p.startDeadline, Attempt: p.startAttempts, JobAge: s.now.Sub(g.job.due(g.occurrence)),
+		Ticket: p.ticket, Deadline: p.startDeadline, Attempt: p.startAttempts, JobAge: s.now.Sub(g.job.due(g.occurrence)),
 	})
 }
 
@@ -178,7 +178,7 @@
 	case RefusedLeaseExpired, RefusedOldRun, RefusedFenced:
 	}
 	if reason == RefusedLeaseExpired && p.startAttempts < maxStartAttempts && v.usable(now) {
-		s.sendStart(p, g.advice.ticket(v, now))
+		s.sendStart(p)
 		return
 	}
 	s.abandonStart(p, "refused: "+string(reason))
@@ -208,7 +208,7 @@
 	p.startUncertain = p.startUncertain || sent
 	v.incarnationInDoubt = v.incarnationInDoubt || sent
 	if p.startAttempts < maxStartAttempts && v.attached && sent {
-		s.sendStart(p, p.task.group.advice.ticket(v, now))
+		s.sendStart(p)
 		return
 	}
 	v.failures++
