--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -90,8 +90,8 @@
 func TestShortServerLoss(t *testing.T) {
 	binary, dir := buildProgram(t), t.TempDir()
 	for name, seed := range map[string]uint64{
-		"seed 6": 6, // tasks were started on a removed server that their advice still named
-		"seed 9": 9,
+		"seed 6":  6,  // see KNOWN-RED.txt
+		"seed 18": 18, // tasks were started on a removed server that their advice still named
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
