Add a seed on which a late reply holds back tasks without a takeover

Found among the seeds 2600 to 4299 of TestRandomServerLosses with the same trial. On 2944 the latest reply of s51 was late before it ended for good, so its runs are held beyond the end of their lease for replies that may still come.

--- a/internal/sched/server_losses_liveness_test.go
+++ b/internal/sched/server_losses_liveness_test.go
@@ -138,11 +138,11 @@
 	}
 }
 
-// Guards against tasks that last and wait for a server that has ended, after a takeover. 220, 489: a server that restarted before
-// may hold the longest lease. 710: the first reply of a server came late, after its end. 2506 is of a gang that never starts, as
-// an advisor's answer about a server that has been removed is kept when that one returns under its id.
+// Guards against tasks that wait long for a server that has ended. 220, 489: a server that restarted before a takeover may hold the
+// longest lease. 710, 2944: the latest reply of a server was late, so that its polls may be answered after its lease. 2506 is of a
+// gang that never starts, as an advisor's answer about a removed server is kept when that one returns under its id.
 func TestServerLossSeeds(t *testing.T) {
-	for _, seed := range []uint64{220, 489, 710, 2506} {
+	for _, seed := range []uint64{220, 489, 710, 2944, 2506} {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			newServerLosses(emptyFaultSimulation(t, seed)).run()
 		})
