--- a/internal/sched/burst_test.go
+++ b/internal/sched/burst_test.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"fmt"
 	"maps"
 	"testing"
 	"time"
@@ -75,26 +76,29 @@
 		asked    = arrivals + 14*time.Second
 	)
 	for seed := range uint64(3) {
-		kinds, servers := bensalem()
-		p := newLoadSimulation(seed, 4, kinds, servers)
-		for _, k := range kinds {
-			k.rate *= 1.8
-			k.burst = 1
-			if k.queue.ID == "hall" {
-				k.burst = 2.5
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			kinds, servers := bensalem()
+			p := newLoadSimulation(seed, 4, kinds, servers)
+			for _, k := range kinds {
+				k.rate *= 1.8
+				k.burst = 1
+				if k.queue.ID == "hall" {
+					k.burst = 2.5
+				}
+				p.addArrivals(k, arrivals, 16*time.Second, 26*time.Second)
 			}
-			p.addArrivals(k, arrivals, 16*time.Second, 26*time.Second)
-		}
-		p.run(asked - 3*time.Second)
-		waiting := p.needlesslyWaiting()
-		for p.now.Sub(epochStart) < asked-100*time.Millisecond {
-			p.run(p.now.Sub(epochStart) + 100*time.Millisecond)
-			still := p.needlesslyWaiting()
-			maps.DeleteFunc(waiting, func(g *group, _ bool) bool { return !still[g] })
-		}
-		if len(waiting) > 0 {
-			t.Errorf("seed %d: %d steps have nothing running, with most of their service free", seed, len(waiting))
-		}
+			p.run(asked - 3*time.Second)
+			waiting := p.needlesslyWaiting()
+			for p.now.Sub(epochStart) < asked-100*time.Millisecond {
+				p.run(p.now.Sub(epochStart) + 100*time.Millisecond)
+				still := p.needlesslyWaiting()
+				maps.DeleteFunc(waiting, func(g *group, _ bool) bool { return !still[g] })
+			}
+			if len(waiting) > 0 {
+				t.Errorf("%d steps have nothing running, with most of their service free", len(waiting))
+			}
+		})
 	}
 }
 
