--- a/internal/sched/restart.go
+++ b/internal/sched/restart.go
@@ -89,7 +89,7 @@
 func (s *Scheduler) resetIncarnation(v *server) {
 	v.formerIncarnationBound = s.now.Add(scale(s.options.MaxRunLease, 1+clockDrift) + leaseMargin)
 	v.leaseBound = latest(v.leaseBound, v.formerIncarnationBound)
-	v.longLease, v.mayRunLong, v.mayRunLongRecorded = true, len(v.runs) > v.finiteRuns, false
+	v.longLease, v.longRunningAllowed, v.longRunningRecorded = true, len(v.runs) > v.finiteRuns, false
 	s.clearUnknownOutcomes(v)
 	s.touchRoster(v)
 	v.attached = false
--- a/internal/sched/roster.go
+++ b/internal/sched/roster.go
@@ -65,7 +65,7 @@
 
 func (v *server) rosterEntry() RosterChange {
 	c := RosterChange{
-		Entry:   RosterEntry{Server: v.info, Cordoned: v.cordoned, LongLease: v.longLease, LongRunning: v.longLease && v.mayRunLong},
+		Entry:   RosterEntry{Server: v.info, Cordoned: v.cordoned, LongLease: v.longLease, LongRunning: v.longLease && v.longRunningAllowed},
 		Removed: v.removed, change: v.rosterChange,
 	}
 	if v.cordoned {
@@ -86,7 +86,7 @@
 			continue
 		}
 		v.cordonMayBeRecorded = c.Entry.Cordoned
-		v.mayRunLongRecorded = c.Entry.LongRunning && v.mayRunLong
+		v.longRunningRecorded = c.Entry.LongRunning && v.longRunningAllowed
 		if v.rosterChange == c.change && v.removed == c.Removed {
 			delete(s.rosterDirty, id)
 		}
@@ -108,7 +108,7 @@
 		v.longLease, v.formerIncarnationBound = true, s.longestFormerLeaseBound()
 		v.leaseBound = latest(v.leaseBound, v.formerIncarnationBound)
 		v.formerLeaderBound = latest(v.formerLeaderBound, v.formerIncarnationBound)
-		v.mayRunLong, v.mayRunLongRecorded = e.LongRunning, e.LongRunning
+		v.longRunningAllowed, v.longRunningRecorded = e.LongRunning, e.LongRunning
 		if e.LongRunning {
 			v.formerLongRunningBound = v.formerLeaderBound
 		}
@@ -136,12 +136,12 @@
 
 // admitsLongRunning reports whether long-running tasks may start on a server. They don't while it may have a long lease, unless the
 // roster says so: the next leader would hold all of them back until that lease has ended.
-func (v *server) admitsLongRunning() bool { return !v.longLease || v.mayRunLongRecorded }
+func (v *server) admitsLongRunning() bool { return !v.longLease || v.longRunningRecorded }
 
 // requestLongRunning records that long-running tasks may start on a server in spite of its long lease.
 func (s *Scheduler) requestLongRunning(v *server) {
-	if !v.mayRunLong {
-		v.mayRunLong = true
+	if !v.longRunningAllowed {
+		v.longRunningAllowed = true
 		s.touchRoster(v)
 	}
 }
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -76,9 +76,9 @@
 
 	incarnationUnknown     bool      // the clock has shown a restart, but the new incarnation isn't known yet
 	formerIncarnationBound time.Time // after it, no run commanded for a former incarnation is in progress on this one
-	mayRunLong             bool      // long-running tasks may be in progress under the long lease
-	mayRunLongRecorded     bool      // the roster says so
 	longLease              bool      // recorded in the roster, see RosterEntry; false after formerIncarnationBound
+	longRunningAllowed     bool      // long-running tasks may be in progress under the long lease
+	longRunningRecorded    bool      // the roster says so
 	incarnationClaimedAt   time.Time // when a registration named the incarnation; zero once the server itself has reported it
 	incarnationSeenAt      time.Time // when the latest poll was sent in whose reply the server named its incarnation
 	disprovedIncarnation   int64     // named by a registration, but not by the server; 0 if there was none
