Close connections whose sent data stays unacknowledged in the product's own clients too

The kernel sends no keep-alive probes while data is unacknowledged, so a connection of the product's own store and server clients that went silent stayed open until the call's time limit, and its socket for minutes. The tests of the packages pass.

--- a/internal/backend/http.go
+++ b/internal/backend/http.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rosemaryspoke/rosemaryspoke/internal/tcp"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 )
 
@@ -20,6 +21,8 @@
 	DefaultTimeout = 2 * time.Second
 	// dialTimeout is below DefaultTimeout, so that an unreachable host is reported as such and not as a timeout.
 	dialTimeout = time.Second
+	// userTimeout is how long sent data may stay unacknowledged before the kernel closes the connection.
+	userTimeout = DefaultTimeout
 	// maxIdleConnsPerHost covers the connections of the long poll and of concurrent starts, for which a host has 8 slots.
 	maxIdleConnsPerHost = 10
 	// idleTimeout is above the longest poll interval, so that polls of an idle host need no new connections.
@@ -29,7 +32,7 @@
 // NewHTTPClient returns a client with a persistent connection pool, to be shared by the adapters of all hosts.
 func NewHTTPClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout, KeepAlive: time.Minute}).DialContext,
+		DialContext:         (&net.Dialer{Timeout: dialTimeout, KeepAlive: time.Minute, Control: tcp.UserTimeout(userTimeout)}).DialContext,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true, // saves the Accept-Encoding header of every exchange
--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -16,6 +16,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/rosemaryspoke/rosemaryspoke/internal/tcp"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 )
 
@@ -62,7 +63,7 @@
 	c.CallTimeout = cmp.Or(c.CallTimeout, DefaultCallTimeout)
 	c.MaxReplyBytes = cmp.Or(c.MaxReplyBytes, DefaultMaxReplyBytes)
 	if c.Transport == nil {
-		dialer := net.Dialer{Timeout: c.CallTimeout}
+		dialer := net.Dialer{Timeout: c.CallTimeout, Control: tcp.UserTimeout(c.CallTimeout)}
 		c.Transport = &http.Transport{
 			DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: idleTimeout,
 		}
