Replace connections between daemons that have gone silent

Cause: recordAbandoned closed a connection only if one call waited a whole CallTimeout with nothing read. Change: the evidence belongs to the connection, over all calls. If nothing is received for 0.2 s after a call was sent, the transport sends a ping that no handler can delay; 0.2 s later it opens a second connection and pings that. It shares link, queues and peer with the first, so only if it delivers and the first doesn't, the first one is replaced. The waits double up to 1.6 s with each second connection. Accepted connections get TCP_USER_TIMEOUT, as the kernel sends no keep-alive probes once a reply is unacknowledged. Ruled out: a fixed limit of 0.3 s for one call, which closes slow links again and again. Tests: TestSilentConnection and TestSilentConnectionOfShortCalls fail on (no call is answered for 3 and 2 s); TestSlowLinkStaysOpen, TestSlowHandlerKeepsConnection and TestSilentPeerIsNotReplaced keep connections open that aren't silent.

--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -65,6 +65,8 @@
 
 // call sends one request and waits for its reply.
 func (o *outboundConn) call(ctx context.Context, method string, req, resp any) error {
+	o.activity.callStarted()
+	defer o.activity.callEnded()
 	// The slot is taken before jsonrpc2's own write lock, because waiting for that lock ignores the context.
 	select {
 	case o.writeSlot <- struct{}{}:
--- a/internal/peer/counters.go
+++ b/internal/peer/counters.go
@@ -52,6 +52,8 @@
 	connReceived   *metrics.Counter
 	dials          *metrics.Counter
 	backpressure   *metrics.Counter
+
+	silenceChecks, silentConnections *metrics.Counter
 }
 
 func newCounters(set *metrics.Set) *counters {
@@ -61,6 +63,9 @@
 		connReceived: set.GetOrCreateCounter(`rosemaryspoke_peer_connection_bytes_total{direction="received"}`),
 		dials:        set.GetOrCreateCounter(`rosemaryspoke_peer_dials_total`),
 		backpressure: set.GetOrCreateCounter(`rosemaryspoke_peer_backpressure_total`),
+
+		silenceChecks:     set.GetOrCreateCounter(`rosemaryspoke_peer_silence_checks_total`),
+		silentConnections: set.GetOrCreateCounter(`rosemaryspoke_peer_silent_connections_total`),
 	}
 	for _, class := range []Class{Control, Work} {
 		name := `rosemaryspoke_peer_message_bytes_total{direction=%q,class=%q}`
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -34,18 +34,23 @@
 	redialAfter   time.Time
 	lastDialError error
 	closed        bool
+	checking      bool          // a silence check is in progress
+	patience      time.Duration // how long the next silence check waits for a reply to its ping
+	comparedAt    time.Time     // when a silence check last opened a second connection
 }
 
 // outboundConn is one dialled connection.
 type outboundConn struct {
 	node      *Node
+	link      *link
 	address   string
 	conn      net.Conn
 	stream    *stream
 	rpc       *jsonrpc2.Conn
 	writeSlot chan struct{} // semaphore with one slot, held while a request is written
 	lastID    uint64        // id of the last call; guarded by writeSlot
-	abandoned atomic.Int64  // calls that ended without a reply; jsonrpc2 keeps their state until the connection closes
+	activity  *activity
+	abandoned atomic.Int64 // calls that ended without a reply; jsonrpc2 keeps their state until the connection closes
 }
 
 // link returns the link with the key and creates it on first use.
@@ -138,7 +143,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", address, err)
 	}
-	var conn net.Conn = &countedConn{Conn: raw, counters: n.counters}
+	a := newActivity()
+	var conn net.Conn = &countedConn{Conn: raw, counters: n.counters, activity: a}
 	if n.config.TLS != nil {
 		if conn, err = n.config.TLS.clientHandshake(ctx, conn, l.member); err != nil {
 			_ = raw.Close()
@@ -150,7 +156,10 @@
 		_ = raw.Close()
 		return nil, fmt.Errorf("connect to %s: %w", address, err)
 	}
-	o := &outboundConn{node: n, address: address, conn: conn, stream: newStream(conn, n), writeSlot: make(chan struct{}, 1)}
+	o := &outboundConn{
+		node: n, link: l, address: address, conn: conn, stream: newStream(conn, n), writeSlot: make(chan struct{}, 1), activity: a,
+	}
+	a.onOverdue = func() { n.goTracked(o.checkSilence) }
 	o.rpc = jsonrpc2.NewConn(n.ctx, o.stream, o, o.stream.connOptions()...)
 	return o, nil
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -14,6 +14,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/peer/wire"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/tcp"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 	"github.com/zeebo/errs"
 )
@@ -27,12 +28,16 @@
 	DefaultMaxInFlight   = 512
 	DefaultCallTimeout   = 2 * time.Second
 
-	// maxConnections bounds the accepted connections. A cell has at most twelve members, which open one connection each.
+	// maxConnections bounds the accepted connections. Each member of a cell of up to 150 opens one; beside it there may be
+	// the connection that checks whether it is silent, and former ones until userTimeout.
 	maxConnections = 64
 	// handshakeTimeout bounds a dial including its TLS handshake, and the handshake of an accepted connection.
 	handshakeTimeout = 2 * time.Second
 	// keepAliveInterval is the interval of TCP keep-alive probes, which close connections to a peer that is gone.
 	keepAliveInterval = 5 * time.Second
+	// userTimeout is how long sent data may stay unacknowledged before the kernel closes the connection. Without it an
+	// accepted connection that went silent holds its place for minutes once a reply was written to it.
+	userTimeout = 10 * time.Second
 )
 
 // Config has the settings and dependencies of a Node.
@@ -98,6 +103,7 @@
 	if c.Dial == nil {
 		c.Dial = (&net.Dialer{
 			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 3},
+			Control:         tcp.UserTimeout(userTimeout),
 		}).DialContext
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/peer/receive.go
+++ b/internal/peer/receive.go
@@ -8,6 +8,7 @@
 	"net"
 
 	"github.com/rosemaryspoke/rosemaryspoke/internal/peer/wire"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/tcp"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 	"github.com/sourcegraph/jsonrpc2"
 )
@@ -101,6 +102,10 @@
 // Handle implements jsonrpc2.Handler. The reading goroutine calls it, so it doesn't wait for the method's handler.
 func (in *inboundConn) Handle(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) {
 	n := in.node
+	if r.Method == methodPing && !r.Notif {
+		go in.reply(ctx, conn, r, struct{}{}, nil) // not through the handlers, whose limit may be reached
+		return
+	}
 	if r.Notif || r.Params == nil || !in.trackRequest(r) {
 		n.counters.countRefusal(refusedMalformed)
 		_ = conn.Close()
@@ -180,6 +185,7 @@
 func (n *Node) handshakeInbound(ctx context.Context, raw net.Conn) (net.Conn, *peerIdentity, error) {
 	if t, ok := raw.(*net.TCPConn); ok {
 		_ = t.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 3})
+		_ = tcp.SetUserTimeout(t, userTimeout)
 	}
 	counted := &countedConn{Conn: raw, counters: n.counters}
 	if n.config.TLS == nil {
@@ -197,20 +203,33 @@
 type countedConn struct {
 	net.Conn
 	counters *counters
+	activity *activity // nil for accepted connections
 }
 
 // Read implements net.Conn.
 func (c *countedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.counters.connReceived.Add(n)
+	if n > 0 && c.activity != nil {
+		c.activity.received()
+	}
 	return n, err
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. It writes large buffers in parts, so that a slow write shows progress.
 func (c *countedConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.counters.connSent.Add(n)
-	return n, err
+	written := 0
+	for {
+		n, err := c.Conn.Write(b[written:min(len(b), written+writePart)])
+		c.counters.connSent.Add(n)
+		written += n
+		if err != nil || written == len(b) {
+			return written, err
+		}
+		if c.activity != nil {
+			c.activity.wrotePart()
+		}
+	}
 }
 
 // peerIdentity contains the names in the verified certificate of a peer. It is nil for a connection without TLS.
