Accept the peer connections of cells with 150 daemons

Cause: a daemon accepted at most 64 peer connections, sized for twelve members. Change: 512, for one connection of each member, one that checks whether it is silent and former ones until their user timeout. Test: TestConnectionsOfLargeCell failed at connection 65.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -30,7 +30,7 @@
 
 	// maxConnections bounds the accepted connections. Each member of a cell of up to 150 opens one; beside it there may be
 	// the connection that checks whether it is silent, and former ones until userTimeout.
-	maxConnections = 64
+	maxConnections = 512
 	// handshakeTimeout bounds a dial including its TLS handshake, and the handshake of an accepted connection.
 	handshakeTimeout = 2 * time.Second
 	// keepAliveInterval is the interval of TCP keep-alive probes, which close connections to a peer that is gone.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -328,3 +328,21 @@
 		})
 	}
 }
+
+// TestConnectionsOfLargeCell guards against refusing members of a cell of 150 daemons: with a limit of 64, the leader of
+// bensalem-quotes-large refused the connections of the other 83.
+func TestConnectionsOfLargeCell(t *testing.T) {
+	const members = 150
+	b := newAddressBook()
+	startNode(t, b, "b", nil)
+	for i := range members {
+		conn, err := net.Dial("tcp", b.addresses["b"])
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		if err := awaitGreeting(conn); err != nil {
+			t.Fatalf("connection %d: %v", i+1, err)
+		}
+	}
+}
