Repeat a call to the leader when its connection was lost

Cause: a report, cancellation or query that was in progress when its connection was closed or found silent failed, though the leader answers on a new connection. A job that isn't reported waits until the leader finds it in the store. Change: callLeader repeats such a call once within its time limit; all calls to the leader are idempotent (AddJob ignores known jobs).

--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -159,6 +159,10 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	resp, err := peer.CallAddress[Req, Resp](ctx, c.config.Peer, l.Address, method, r)
+	if errors.Is(err, peer.ErrUnknownOutcome) && ctx.Err() == nil {
+		// The connection was lost or silent, and a new one may work. All calls to the leader are idempotent.
+		resp, err = peer.CallAddress[Req, Resp](ctx, c.config.Peer, l.Address, method, r)
+	}
 	if err != nil {
 		return resp, fmt.Errorf("%w: %w", ErrNoLeader, err)
 	}
