Double the backoff of daemons whose advisor calls fail, and log the failures

The leader's advisor calls went through daemons behind silent connections: each took its cost and 1.5 s, and the daemon got the next one a second later, so that 13 to 20 steps had no advice for seconds and the most urgent ones lost their calls again and again. Change: consecutive failures double the backoff of a daemon up to 8 s, and each failed call is a log line with job, step, daemon, duration, number of failures and error. Test: TestAdvisorProxyBackoffDoubles failed (1 s each time).

--- a/internal/coordinator/advice.go
+++ b/internal/coordinator/advice.go
@@ -13,8 +13,12 @@
 const (
 	// adviceMargin is added to the cost of an advisor call to give its timeout.
 	adviceMargin = 1500 * time.Millisecond
-	// proxyBackoff is how long a daemon makes no advisor calls after one of its calls failed.
-	proxyBackoff = time.Second
+	// proxyBackoff is how long a daemon makes no advisor calls after one of its calls failed. It doubles with each further
+	// failure up to maxProxyBackoff: each call through a daemon that can't be reached delays its step by the call's timeout.
+	proxyBackoff    = time.Second
+	maxProxyBackoff = 8 * time.Second
+	// maxProxyDoublings are enough to reach maxProxyBackoff.
+	maxProxyDoublings = 3
 	// maxShortCallCost is the highest cost of a short call, which may use the proxies reserved for short calls.
 	maxShortCallCost = 100 * time.Millisecond
 	// reservedShare is the share of the proxies that is reserved for short calls, which would otherwise wait behind long
@@ -46,10 +50,11 @@
 type advisorProxies struct {
 	inFlight     map[ident.MemberID]int       // number of calls; members without one are absent
 	backoffUntil map[ident.MemberID]time.Time // end of the backoff after a failure
+	failures     map[ident.MemberID]int       // consecutive failed calls
 }
 
 func newAdvisorProxies() advisorProxies {
-	return advisorProxies{inFlight: map[ident.MemberID]int{}, backoffUntil: map[ident.MemberID]time.Time{}}
+	return advisorProxies{inFlight: map[ident.MemberID]int{}, backoffUntil: map[ident.MemberID]time.Time{}, failures: map[ident.MemberID]int{}}
 }
 
 // busy returns the number of daemons with a call in flight.
@@ -58,14 +63,19 @@
 // callStarted counts a new call of a daemon.
 func (p *advisorProxies) callStarted(m ident.MemberID) { p.inFlight[m]++ }
 
-// callEnded removes a call of a daemon. After a failed call the daemon backs off.
-func (p *advisorProxies) callEnded(m ident.MemberID, now time.Time, failed bool) {
+// callEnded removes a call of a daemon. After a failed call the daemon backs off. It returns the number of its consecutive
+// failures.
+func (p *advisorProxies) callEnded(m ident.MemberID, now time.Time, failed bool) int {
 	if p.inFlight[m]--; p.inFlight[m] == 0 {
 		delete(p.inFlight, m)
 	}
-	if failed {
-		p.backoffUntil[m] = now.Add(proxyBackoff)
+	if !failed {
+		delete(p.failures, m)
+		return 0
 	}
+	p.failures[m]++
+	p.backoffUntil[m] = now.Add(min(proxyBackoff<<min(p.failures[m]-1, maxProxyDoublings), maxProxyBackoff))
+	return p.failures[m]
 }
 
 // acceptsCall reports whether one more call can be made through a proxy. Proxies that are reserved for short calls may have
@@ -139,14 +149,19 @@
 	}
 	t.config.Log.V(1).Info("advice", "job", string(request.Job), "step", request.Step, "named", len(request.Servers),
 		"granted", len(tickets), "by", string(proxy.member), "took", t.coordinator.now().Sub(sentAt).String(), "outcome", describeOutcome(err))
+	failures := 0
 	t.update(func(now time.Time, s *sched.Scheduler) {
-		t.advisorProxies.callEnded(proxy.member, now, err != nil)
+		failures = t.advisorProxies.callEnded(proxy.member, now, err != nil)
 		if err != nil {
 			s.AdviceFailed(now, request)
 			return
 		}
 		s.AdviceReceived(now, request, tickets, sentAt)
 	})
+	if err != nil { // bounded by the backoff of the daemons
+		t.config.Log.Info("advisor call failed", "job", string(request.Job), "occurrence", request.Occurrence, "step", request.Step,
+			"by", string(proxy.member), "took", t.coordinator.now().Sub(sentAt).String(), "failures", failures, "error", err.Error())
+	}
 	t.requestAdvice()
 }
 
--- a/internal/coordinator/advice_test.go
+++ b/internal/coordinator/advice_test.go
@@ -50,3 +50,27 @@
 		})
 	}
 }
+
+// TestAdvisorProxyBackoffDoubles guards against a daemon that can't be reached and takes a call each second: a long-running
+// task whose advice was requested through such daemons had no run for 9 s (severed.toml, seed 103).
+func TestAdvisorProxyBackoffDoubles(t *testing.T) {
+	proxies := newAdvisorProxies()
+	now := time.Unix(1000, 0)
+	fail := func() time.Duration {
+		proxies.callStarted("b")
+		proxies.callEnded("b", now, true)
+		return proxies.backoffUntil["b"].Sub(now)
+	}
+	got := []time.Duration{}
+	for range 6 {
+		got = append(got, fail())
+	}
+	if want := "[1s 2s 4s 8s 8s 8s]"; fmt.Sprint(got) != want {
+		t.Errorf("backoff after consecutive failures: got %v, want %s", got, want)
+	}
+	proxies.callStarted("b")
+	proxies.callEnded("b", now, false)
+	if got := fail(); got != time.Second {
+		t.Errorf("backoff after a failure that follows a success: got %s, want 1s", got)
+	}
+}
