Choose the servers of advisor calls from a list that is sorted once a pass

Cause: for each step, proxy and pass, adviceFor selected and sorted all servers of the service, found the call too long for a proxy that makes only short ones and threw the selection away. Change: the servers are sorted by free processor time once a pass, by keys without pointers; a call takes the first ones that fit, and tickets are renewed from the list of allowed servers. A step whose call was too long for a proxy isn't tried again for 30 ms, nor further proxies of a kind for which no call was due. Test: TestLongCallsCostShortProxiesNothing failed (allocations for each of 300 waiting steps).

--- a/internal/coordinator/advice.go
+++ b/internal/coordinator/advice.go
@@ -36,6 +36,8 @@
 	anyCall        callPreference = iota
 	longCallsFirst                // short calls only while no long one is due
 	shortCallsOnly                // no long calls
+
+	callPreferences = iota // number of preferences
 )
 
 // advisorProxy is a daemon through which the leader calls the advisor, as the advisor handles one call of each client at a
@@ -116,9 +118,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.coordinator.now()
+	var none [callPreferences]bool // preferences for which no call is due
 	for _, proxy := range t.advisorProxies.available(now, t.config.Member, peers) {
+		if none[proxy.preference] {
+			continue
+		}
 		request, ok := t.nextAdvisorCall(proxy, now)
 		if !ok {
+			none[proxy.preference] = true
 			continue
 		}
 		t.advisorProxies.callStarted(proxy.member)
--- a/internal/sched/advice.go
+++ b/internal/sched/advice.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -60,11 +59,15 @@
 // advice holds the answers of an advisor about the servers that may run a group.
 type advice struct {
 	allowed   map[incarnationID]bool // answers so far; an advisor never changes them
+	positive  []incarnationID        // the allowed ones of these, in the order of the answers
 	grants    []grant                // at most one for each server
 	expiresAt time.Time              // when the newest ticket expires
 	inFlight  bool
 	lastCall  time.Time // start of the last call
 	nextCall  time.Time // no call before this time
+	// tooLong is the duration of a call that was longer than its proxy makes, at tooLongAt.
+	tooLong   time.Duration
+	tooLongAt time.Time
 }
 
 // ticket returns the valid ticket for a server, or "".
@@ -172,6 +175,9 @@
 	if g.advice.inFlight || s.now.Before(g.advice.nextCall) || g.job.state.Terminal() || g.complete() {
 		return false
 	}
+	if atMost > 0 && g.advice.tooLong > atMost && s.now.Sub(g.advice.tooLongAt) < adviceRecheck {
+		return false
+	}
 	return (atMost == 0 || r.queue.Advisor.CallTime(1) <= atMost) && r.queue.Advisor.CallTime(maxServersPerCall) > moreThan
 }
 
@@ -188,6 +194,7 @@
 	}
 	cost := r.queue.Advisor.CallTime(len(ids))
 	if atMost > 0 && cost > atMost {
+		g.advice.tooLong, g.advice.tooLongAt = cost, s.now
 		return AdviceRequest{}, false
 	}
 	g.advice.inFlight, g.advice.lastCall = true, s.now
@@ -201,34 +208,6 @@
 	return request, true
 }
 
-// selectServers selects the servers of a call: those known to be allowed that have capacity or soon will, else those without an
-// answer. Once the group has tickets, servers without an answer are selected only if they have free capacity.
-func (s *Scheduler) selectServers(g *group, q *Queue) []ServerID {
-	a, cost := &g.advice, q.Advisor
-	charge := g.step.Charge()
-	need := g.missing() + spareServers
-	answered := s.now.Add(cost.CallTime(1))
-	var renew, fresh []*server
-	for _, v := range s.services[q.Service] {
-		if !v.usable(answered) || !eligible(g.step, v) || !g.allowsAnother(v, 0) {
-			continue
-		}
-		allowed, known := a.allowed[v.incarnationID()]
-		switch {
-		case !known:
-			if len(a.grants) == 0 || v.fits(charge) {
-				fresh = append(fresh, v)
-			}
-		case allowed && a.ticket(v, s.now) == "" && s.hasCapacityWithin(g.step, v, cost.CallTime(1)+renewalLead):
-			renew = append(renew, v)
-		}
-	}
-	if len(renew) > 0 {
-		return mostFree(renew, min(need, maxServersPerCall))
-	}
-	return mostFree(fresh, maxServersPerCall)
-}
-
 // hasCapacityWithin reports whether a server has capacity for a task of a step, or will have within a time. The latter is
 // computed for large tasks only, as it isn't worth the computation for small ones.
 func (s *Scheduler) hasCapacityWithin(step *Step, v *server, within time.Duration) bool {
@@ -239,19 +218,6 @@
 // missing returns the number of tasks of a group that have to be started.
 func (g *group) missing() int { return g.waiting }
 
-// mostFree returns the ids of the servers with the most processor time free.
-func mostFree(servers []*server, limit int) []ServerID {
-	free := func(v *server) int64 { return int64(v.info.Capacity.CPU - v.used.CPU) }
-	slices.SortStableFunc(servers, func(x, y *server) int {
-		return cmp.Or(-cmp.Compare(free(x), free(y)), cmp.Compare(x.info.ID, y.info.ID))
-	})
-	ids := make([]ServerID, min(limit, len(servers)))
-	for i := range ids {
-		ids[i] = servers[i].info.ID
-	}
-	return ids
-}
-
 func boolToInt(b bool) int {
 	if b {
 		return 1
@@ -288,6 +254,9 @@
 		ticket, ok := granted[id]
 		a.allowed[v.incarnationID()] = ok
 		if ok {
+			if !slices.Contains(a.positive, v.incarnationID()) {
+				a.positive = append(a.positive, v.incarnationID())
+			}
 			a.grant(v, ticket, now.Add(valid-ticketMargin))
 		}
 	}
--- a/internal/sched/placement.go
+++ b/internal/sched/placement.go
@@ -27,6 +27,7 @@
 		return
 	}
 	s.passNeeded = false
+	s.passes++
 	p := pass{
 		Scheduler: s, reserved: map[ServerID]bool{}, reservations: map[ServiceID]int{}, considered: map[ServiceID]int{},
 		blocked: map[unknownInventory]bool{},
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -49,6 +49,8 @@
 	groups        []*group // groups with tasks to start or in progress, in no order
 	servers       map[ServerID]*server
 	services      map[ServiceID][]*server
+	freeOrders    map[ServiceID]*freeOrder
+	passes        uint64 // number of scheduling passes
 
 	durations    durations
 	fleetVersion uint64               // incremented when the set of servers or their capacity changes
@@ -95,7 +97,8 @@
 		options: o, started: now, now: now,
 		queues: map[ident.QueueID]*Queue{}, teams: map[ident.TeamID]*team{}, jobs: map[ident.JobID]*job{},
 		servers: map[ServerID]*server{}, services: map[ServiceID][]*server{},
-		durations: newDurations(), dirtyJobs: map[ident.JobID]*job{}, unknownJobs: map[ident.JobID]bool{}, rosterDirty: map[ServerID]*server{},
+		freeOrders: map[ServiceID]*freeOrder{},
+		durations:  newDurations(), dirtyJobs: map[ident.JobID]*job{}, unknownJobs: map[ident.JobID]bool{}, rosterDirty: map[ServerID]*server{},
 	}
 }
 
