Choose the servers of an advisor call by the room that its step needs

Cause: each call named at most 30 servers, the freest ones. Calls in flight at the same time named the same servers, and the first steps to be answered filled them; a wide step needed several calls, whose base time is most of their duration; and tickets were renewed for as many members of a gang as had room, so that they expired unused while the rest was asked about. Change: the use that calls in flight will make of a server counts when the next one is chosen; a call names as many servers, up to the advisor's limit of 100, as are expected to have room for the step, by the share of servers that the queue's advisor has allowed so far; a gang's tickets are renewed when all members have room. Ruled out: holding room for waiting gangs against tasks of lower rank (a tenth of the service at most).

--- a/internal/sched/advice.go
+++ b/internal/sched/advice.go
@@ -8,8 +8,10 @@
 )
 
 const (
-	// maxServersPerCall bounds the servers in one advisor call, as the duration of the call grows with each.
-	maxServersPerCall = 30
+	// maxServersPerCall bounds the servers in the advisor call of a step with few tasks, as the duration of the call grows with
+	// each. Wide steps may name up to maxServersOfWideStep, the most that an advisor accepts: a second call costs more.
+	maxServersPerCall    = 30
+	maxServersOfWideStep = 100
 	// spareServers is the number of servers that a call asks about beyond the number of waiting tasks.
 	spareServers = 2
 	// renewalLead is how long before capacity becomes free a ticket is renewed, in addition to the duration of the call.
@@ -205,6 +207,7 @@
 	for _, id := range ids {
 		request.incarnations[id] = s.servers[id].info.Incarnation
 	}
+	s.expectUse(&request, g)
 	return request, true
 }
 
@@ -233,6 +236,7 @@
 // AdviceReceived handles an advisor's answer: tickets for those of the servers that may run the step.
 func (s *Scheduler) AdviceReceived(now time.Time, request AdviceRequest, granted map[ServerID]Ticket, asked time.Time) {
 	s.now = now
+	s.useNoLongerExpected(&request)
 	g := s.group(request)
 	if g == nil {
 		return
@@ -242,6 +246,7 @@
 	if a.allowed == nil {
 		a.allowed = map[incarnationID]bool{}
 	}
+	s.learnGrants(g.job.queue.ID, &request, granted, a)
 	valid := time.Duration(0)
 	if a := g.job.queue.Advisor; a != nil {
 		valid = a.TicketValidity
@@ -266,6 +271,7 @@
 // AdviceFailed handles a failed advisor call.
 func (s *Scheduler) AdviceFailed(now time.Time, request AdviceRequest) {
 	s.now = now
+	s.useNoLongerExpected(&request)
 	if g := s.group(request); g != nil {
 		g.advice.inFlight = false
 		g.advice.nextCall = now.Add(adviceRetry)
--- a/internal/sched/advice_servers.go
+++ b/internal/sched/advice_servers.go
@@ -2,8 +2,11 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
+	"time"
 
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/resource"
 )
 
@@ -36,7 +39,7 @@
 	o.pass, o.fleet = s.passes, s.fleetVersion
 	o.keys = o.keys[:0]
 	for i, v := range all {
-		o.keys = append(o.keys, freeKey{v.info.Capacity.CPU - v.used.CPU, i})
+		o.keys = append(o.keys, freeKey{v.unclaimed(), i})
 	}
 	slices.SortFunc(o.keys, func(a, b freeKey) int {
 		if a.free != b.free {
@@ -51,23 +54,111 @@
 	return o.servers
 }
 
+// unclaimed returns the free processor time of a server less what steps with an advisor call in flight will take.
+func (v *server) unclaimed() resource.MilliCPU { return v.info.Capacity.CPU - v.used.CPU - v.expected }
+
+// expectUse counts the use of the servers by a step whose advisor call begins, so that calls in flight at the same time don't
+// all name the same servers and find them full when the answers arrive.
+func (s *Scheduler) expectUse(request *AdviceRequest, g *group) {
+	request.expected = resource.MilliCPU(int64(g.step.Charge().CPU) * int64(g.missing()) / int64(len(request.Servers)))
+	for _, id := range request.Servers {
+		s.servers[id].expected += request.expected
+	}
+}
+
+// useNoLongerExpected ends what expectUse counted.
+func (s *Scheduler) useNoLongerExpected(request *AdviceRequest) {
+	for _, id := range request.Servers {
+		if v := s.servers[id]; v != nil {
+			v.expected = max(v.expected-request.expected, 0) // the server may have been added anew
+		}
+	}
+}
+
+const (
+	// initialGrantShare is the expected share of servers that an advisor allows until it has answered.
+	initialGrantShare = 0.5
+	// grantShareWeight is the weight of a new answer in the learned share.
+	grantShareWeight = 0.1
+	// minGrantShare bounds the learned share, so that the number of servers in a call stays finite.
+	minGrantShare = 0.05
+)
+
+// learnGrants updates the share of servers that the advisor of a queue allows from an answer about servers without an earlier
+// answer.
+func (s *Scheduler) learnGrants(q ident.QueueID, request *AdviceRequest, granted map[ServerID]Ticket, a *advice) {
+	fresh, allowed := 0, 0
+	for _, id := range request.Servers {
+		if _, known := a.allowed[incarnationID{id, request.incarnations[id]}]; known {
+			continue
+		}
+		fresh++
+		if _, ok := granted[id]; ok {
+			allowed++
+		}
+	}
+	if fresh > 0 {
+		s.grantShares[q] += grantShareWeight * (float64(allowed)/float64(fresh) - s.grantShare(q))
+	}
+}
+
+// grantShare returns the expected share of servers that the advisor of a queue allows.
+func (s *Scheduler) grantShare(q ident.QueueID) float64 {
+	if _, ok := s.grantShares[q]; !ok {
+		s.grantShares[q] = initialGrantShare
+	}
+	return max(s.grantShares[q], minGrantShare)
+}
+
+// places returns how many tasks of a group have room on a server, at most limit.
+func (g *group) places(v *server, charge resource.Vector, limit int) int {
+	n := 0
+	for n < limit && v.fits(charge.Times(int64(n+1))) && g.allowsAnother(v, n) {
+		n++
+	}
+	return n
+}
+
 // selectServers selects the servers of a call: those known to be allowed that have capacity or soon will, else those without an
 // answer. Once the group has tickets, servers without an answer are selected only if they have free capacity.
 func (s *Scheduler) selectServers(g *group, q *Queue) []ServerID {
-	if ids := s.serversToRenew(g, q); len(ids) > 0 {
+	missing := g.missing()
+	if g.step.Gang {
+		ids, places := s.gangServersToRenew(g, q)
+		if len(ids) > 0 {
+			return ids
+		}
+		missing = max(missing-places, 1)
+	} else if ids := s.serversToRenew(g, q); len(ids) > 0 {
 		return ids
 	}
+	return s.freshServers(g, q, missing)
+}
+
+// placesWanted is how many places a call of a wide step asks for, as a multiple of the tasks: other steps take some of them
+// until the answer arrives.
+const placesWanted = 1.5
+
+// freshServers selects servers without an answer: as many as are expected to have room for the missing tasks.
+func (s *Scheduler) freshServers(g *group, q *Queue, missing int) []ServerID {
 	a, charge := &g.advice, g.step.Charge()
 	answered := s.now.Add(q.Advisor.CallTime(1))
+	share, places := s.grantShare(q.ID), 0.0
 	var ids []ServerID
 	for _, v := range s.byFree(q.Service) {
-		if v.removed || !v.usable(answered) || len(a.grants) > 0 && !v.fits(charge) || !eligible(g.step, v) || !g.allowsAnother(v, 0) {
+		if v.removed || !v.usable(answered) || !eligible(g.step, v) || !g.allowsAnother(v, 0) {
 			continue
 		}
 		if _, known := a.allowed[v.incarnationID()]; known {
 			continue
 		}
-		if ids = append(ids, v.info.ID); len(ids) == maxServersPerCall {
+		room := g.places(v, charge, missing)
+		if room == 0 && (len(a.grants) > 0 || len(ids) >= maxServersPerCall) {
+			continue
+		}
+		ids = append(ids, v.info.ID)
+		places += share * float64(room)
+		if len(ids) == maxServersOfWideStep || len(ids) >= maxServersPerCall && places >= placesWanted*float64(missing) {
 			break
 		}
 	}
@@ -76,27 +167,76 @@
 
 // serversToRenew selects the servers known to be allowed that have no valid ticket and have capacity or soon will.
 func (s *Scheduler) serversToRenew(g *group, q *Queue) []ServerID {
-	a, cost := &g.advice, q.Advisor
-	answered := s.now.Add(cost.CallTime(1))
+	cost := q.Advisor
+	var renew []*server
+	for v := range s.allowedServers(g, q, s.now.Add(cost.CallTime(1))) {
+		if g.advice.ticket(v, s.now) == "" && s.hasCapacityWithin(g.step, v, cost.CallTime(1)+renewalLead) {
+			renew = append(renew, v)
+		}
+	}
+	return mostFree(renew, min(g.missing()+spareServers, maxServersPerCall))
+}
+
+// gangServersToRenew selects the servers known to be allowed whose tickets have to be renewed for the whole gang to have room at
+// once, or none if there isn't enough: tickets for a part of a gang expire unused. It also returns the number of places on
+// allowed servers.
+func (s *Scheduler) gangServersToRenew(g *group, q *Queue) ([]ServerID, int) {
+	charge, missing := g.step.Charge(), g.missing()
+	answered := s.now.Add(q.Advisor.CallTime(missing))
+	valid, places := 0, 0
 	var renew []*server
-	for _, id := range a.positive {
-		v := s.servers[id.server]
-		if v == nil || v.incarnationID() != id || v.info.Service != q.Service || !v.usable(answered) || !eligible(g.step, v) ||
-			!g.allowsAnother(v, 0) || a.ticket(v, s.now) != "" {
+	for v := range s.allowedServers(g, q, answered) {
+		room := g.places(v, charge, missing)
+		if room == 0 && large(g.step, v) && s.untilFree(v, charge) <= answered.Sub(s.now)+renewalLead {
+			room = 1
+		}
+		if room == 0 {
 			continue
 		}
-		if s.hasCapacityWithin(g.step, v, cost.CallTime(1)+renewalLead) {
+		places += room
+		if g.advice.ticket(v, answered) != "" {
+			valid += room
+		} else {
 			renew = append(renew, v)
 		}
 	}
-	return mostFree(renew, min(g.missing()+spareServers, maxServersPerCall))
+	if valid >= missing || places < missing {
+		return nil, places
+	}
+	slices.SortFunc(renew, func(x, y *server) int {
+		return cmp.Or(-cmp.Compare(x.unclaimed(), y.unclaimed()), cmp.Compare(x.info.ID, y.info.ID))
+	})
+	var ids []ServerID
+	for _, v := range renew {
+		ids = append(ids, v.info.ID)
+		valid += max(g.places(v, charge, missing), 1)
+		if len(ids) == maxServersOfWideStep || float64(valid) >= placesWanted*float64(missing) {
+			break
+		}
+	}
+	return ids, places
+}
+
+// allowedServers returns the servers that an advisor allows for a group and that may run a further task at a time.
+func (s *Scheduler) allowedServers(g *group, q *Queue, at time.Time) iter.Seq[*server] {
+	return func(yield func(*server) bool) {
+		for _, id := range g.advice.positive {
+			v := s.servers[id.server]
+			if v == nil || v.incarnationID() != id || v.info.Service != q.Service || !v.usable(at) || !eligible(g.step, v) ||
+				!g.allowsAnother(v, 0) {
+				continue
+			}
+			if !yield(v) {
+				return
+			}
+		}
+	}
 }
 
 // mostFree returns the ids of the servers with the most processor time free.
 func mostFree(servers []*server, limit int) []ServerID {
 	slices.SortFunc(servers, func(x, y *server) int {
-		free := func(v *server) resource.MilliCPU { return v.info.Capacity.CPU - v.used.CPU }
-		return cmp.Or(-cmp.Compare(free(x), free(y)), cmp.Compare(x.info.ID, y.info.ID))
+		return cmp.Or(-cmp.Compare(x.unclaimed(), y.unclaimed()), cmp.Compare(x.info.ID, y.info.ID))
 	})
 	ids := make([]ServerID, min(limit, len(servers)))
 	for i := range ids {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -260,6 +260,7 @@
 	Cost       time.Duration // expected duration of the call
 
 	incarnations map[ServerID]int64 // of the servers at the time of the call
+	expected     resource.MilliCPU  // processor time that the step is expected to take on each of the servers
 }
 
 func (StartCommand) command()    {}
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -50,7 +50,8 @@
 	servers       map[ServerID]*server
 	services      map[ServiceID][]*server
 	freeOrders    map[ServiceID]*freeOrder
-	passes        uint64 // number of scheduling passes
+	grantShares   map[ident.QueueID]float64 // share of the servers that a queue's advisor allows, learned from its answers
+	passes        uint64                    // number of scheduling passes
 
 	durations    durations
 	fleetVersion uint64               // incremented when the set of servers or their capacity changes
@@ -97,8 +98,8 @@
 		options: o, started: now, now: now,
 		queues: map[ident.QueueID]*Queue{}, teams: map[ident.TeamID]*team{}, jobs: map[ident.JobID]*job{},
 		servers: map[ServerID]*server{}, services: map[ServiceID][]*server{},
-		freeOrders: map[ServiceID]*freeOrder{},
-		durations:  newDurations(), dirtyJobs: map[ident.JobID]*job{}, unknownJobs: map[ident.JobID]bool{}, rosterDirty: map[ServerID]*server{},
+		freeOrders: map[ServiceID]*freeOrder{}, grantShares: map[ident.QueueID]float64{},
+		durations: newDurations(), dirtyJobs: map[ident.JobID]*job{}, unknownJobs: map[ident.JobID]bool{}, rosterDirty: map[ServerID]*server{},
 	}
 }
 
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -56,6 +56,7 @@
 	unregisteredAt time.Time // when the registration was removed
 	drainSince     time.Time
 	used           resource.Vector
+	expected       resource.MilliCPU // expected use by steps with an advisor call in flight that names the server
 	runs           map[runKey]*run
 	unknownRuns    map[runKey]bool // reported runs of unknown jobs, with unknown demand
 
