Don't stop gangs whose members have done their part

Cause: the progress of a gang was judged by its oldest run. A member that has done its part stays at 100 % until the others have, so after 2 s without progress it counted as stalled: the gang was stopped, its server suspected, and its work up to the last checkpoint thrown away. Members that did stall weren't found while the oldest went on. Change: a gang stalls if a member that hasn't done its part makes no progress after all were present. Test: TestGangMemberWaitsForOthers failed (gang stopped, s1 suspected).

--- a/internal/sched/supervise.go
+++ b/internal/sched/supervise.go
@@ -1,6 +1,9 @@
 package sched
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// minStallTime is the shortest time without progress after which a run counts as stalled.
@@ -48,7 +51,10 @@
 }
 
 // stalled reports whether a run has made no progress for far longer than expected of its image.
-func (s *Scheduler) stalled(p *run) bool {
+func (s *Scheduler) stalled(p *run) bool { return s.stalledSince(p, p.startedAt) }
+
+// stalledSince is like stalled for a run that began its work at a time.
+func (s *Scheduler) stalledSince(p *run, began time.Time) bool {
 	if p.progressPercent >= 100 && p.task.group.step.LongRunning {
 		return false
 	}
@@ -57,37 +63,56 @@
 		expected = defaultEstimate
 	}
 	stallTimeout := max(minStallTime, expected/100*stallFactor)
-	return p.server.polledAt.Sub(p.progressAt) > stallTimeout
+	return p.server.polledAt.Sub(latest(p.progressAt, began)) > stallTimeout
 }
 
-// checkGang stops a gang that stays incomplete or makes no progress.
+// checkGang stops a gang that stays incomplete or of which a member makes no progress.
 func (s *Scheduler) checkGang(g *group) {
-	live := 0
-	var oldest *run
+	var members []*run
 	for _, t := range g.tasks {
 		for _, p := range t.runs {
-			if p.number != g.gangRun || p.phase == phaseStopping {
-				continue
-			}
-			live++
-			if oldest == nil || p.startedAt.Before(oldest.startedAt) {
-				oldest = p
+			if p.number == g.gangRun && p.phase != phaseStopping {
+				members = append(members, p)
 			}
 		}
 	}
-	if oldest == nil {
+	if len(members) == 0 {
 		return
 	}
-	if live < len(g.tasks) && s.now.Sub(oldest.startedAt) > incompleteGangTimeout {
+	oldest := slices.MinFunc(members, func(a, b *run) int { return a.startedAt.Compare(b.startedAt) })
+	if len(members) < len(g.tasks) && s.now.Sub(oldest.startedAt) > incompleteGangTimeout {
 		s.abortGang(g, "incomplete")
 		return
 	}
-	if oldest.phase == phaseRunning && oldest.server.failures == 0 && s.stalled(oldest) {
-		s.suspect(oldest.server)
+	if p := s.stalledMember(g, members); p != nil {
+		s.suspect(p.server)
 		s.abortGang(g, "no progress")
 	}
 }
 
+// stalledMember returns a member of a complete gang that has made no progress for too long, or nil. The members begin together,
+// once all are present, and end together, so members that have done their part wait for the others.
+func (s *Scheduler) stalledMember(g *group, members []*run) *run {
+	var (
+		complete time.Time
+		slowest  *run
+	)
+	for _, p := range members {
+		if p.phase != phaseRunning {
+			return nil
+		}
+		complete = latest(complete, p.confirmedAt)
+		done, slowestDone := p.progressPercent >= 100, slowest != nil && slowest.progressPercent >= 100
+		if slowest == nil || slowestDone && !done || slowestDone == done && p.progressAt.Before(slowest.progressAt) {
+			slowest = p
+		}
+	}
+	if len(members) < len(g.tasks) || slowest.server.failures > 0 || !s.stalledSince(slowest, complete) {
+		return nil
+	}
+	return slowest
+}
+
 // startCopy starts a second run of a speculative task on another server.
 func (s *Scheduler) startCopy(t *task, slow *run) {
 	g := t.group
