--- a/internal/sched/advice_load_test.go
+++ b/internal/sched/advice_load_test.go
@@ -65,3 +65,78 @@
 		t.Errorf("a second call about %d servers after all tasks were started", len(again.Servers))
 	}
 }
+
+// The load is wide steps whose advisor calls overlap. Guards against calls that all name the same, freest servers: the first
+// steps to be answered filled them, and the others had to ask again (pecos-callout-grown, steps of 20 to 25 tasks).
+func TestOverlappingCallsNameDifferentServers(t *testing.T) {
+	q := advisedQueue("quotes", "pool", 0, 2, time.Second, 80*time.Millisecond, 2*time.Second)
+	f := advisedFixture(t, 200, q)
+	named := map[ServerID]int{}
+	for i := range 4 {
+		id := ident.JobID(fmt.Sprintf("j%d", i))
+		f.s.AddJob(f.now, &Job{ID: id, Queue: q, Accepted: f.now, Steps: []Step{{Count: 30, Demand: cores(4)}}}, Progress{}, false)
+		f.s.Schedule(f.now)
+		request, ok := f.s.NextAdviceRequest(f.now, 0, 0)
+		if !ok {
+			t.Fatalf("no call for %s", id)
+		}
+		for _, v := range request.Servers {
+			named[v]++
+		}
+	}
+	for v, n := range named {
+		if n > 1 {
+			t.Errorf("%s is named by %d calls in flight, with %d servers that none names", v, n, 200-len(named))
+		}
+	}
+}
+
+// Guards against a call of a wide step about as many servers as one of a step with few tasks: a second call takes the base
+// time again, and the tickets of the first expire meanwhile.
+func TestWideStepNamesEnoughServers(t *testing.T) {
+	for name, c := range map[string]struct {
+		tasks, want int
+	}{
+		"few tasks":                   {tasks: 3, want: maxServersPerCall},
+		"more than 30 servers hold":   {tasks: 40, want: 60}, // two a server, half of the servers expected to be allowed, half as many again
+		"more than the advisor takes": {tasks: 300, want: maxServersOfWideStep},
+	} {
+		t.Run(name, func(t *testing.T) {
+			q := advisedQueue("quotes", "pool", 0, 2, time.Second, 440*time.Millisecond, 2*time.Second)
+			f := advisedFixture(t, 200, q)
+			step := Step{Count: c.tasks, Demand: cores(8), Gang: true}
+			f.s.AddJob(f.now, &Job{ID: "j", Queue: q, Accepted: f.now, Steps: []Step{step}}, Progress{}, false)
+			f.s.Schedule(f.now)
+			request, _ := f.s.NextAdviceRequest(f.now, 0, 0)
+			f.want("servers named", len(request.Servers), c.want)
+		})
+	}
+}
+
+// Guards against renewing the tickets of a part of a gang: they expire unused while the rest is asked about.
+func TestGangRenewsTicketsOnlyForAllMembers(t *testing.T) {
+	q := advisedQueue("quotes", "pool", 0, 2, time.Second, 440*time.Millisecond, 2*time.Second)
+	f := advisedFixture(t, 4, q)
+	step := Step{Count: 8, Demand: cores(6), Gang: true}
+	f.s.AddJob(f.now, &Job{ID: "j", Queue: q, Accepted: f.now, Steps: []Step{step}}, Progress{}, false)
+	f.s.servers["s003"].used = cores(8)
+	f.s.Schedule(f.now)
+	request, _ := f.s.NextAdviceRequest(f.now, 0, 0)
+	granted := map[ServerID]Ticket{}
+	for _, id := range request.Servers {
+		granted[id] = "t"
+	}
+	f.s.AdviceReceived(f.now, request, granted, f.now)
+	f.now = f.now.Add(3 * time.Second) // the tickets have expired
+	f.s.Tick(f.now)
+	f.s.Schedule(f.now)
+	if request, ok := f.s.NextAdviceRequest(f.now, 0, 0); ok {
+		t.Errorf("a call about %v while seven of eight members have room", request.Servers)
+	}
+	f.s.servers["s003"].used = cores(0)
+	f.now = f.now.Add(100 * time.Millisecond)
+	f.s.Tick(f.now)
+	f.s.Schedule(f.now)
+	request, _ = f.s.NextAdviceRequest(f.now, 0, 0)
+	f.want("servers named", len(request.Servers), 4)
+}
