--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -146,7 +146,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return pendingReply{Leading: true, Count: t.scheduler.Pending(q)}
+	return pendingReply{Leading: true, Count: t.scheduler.Pending(c.now(), q)}
 }
 
 // callLeader calls a method of the leader that this daemon knows. It fails with ErrNoLeader if that is this daemon.
--- a/internal/sched/advice.go
+++ b/internal/sched/advice.go
@@ -49,6 +49,8 @@
 	budget     time.Duration      // advisor time that starved steps may still use
 	freeBudget time.Duration      // the same for steps of mostly free services
 	mostlyFree map[ServiceID]bool // services with most of their capacity free at the last pass
+	noneUntil  time.Time          // no step of the queue for advice is starved before this time
+	pass       uint64             // scheduling pass that filled that queue
 }
 
 // grant is a ticket for an incarnation of a server. It names the server instead of pointing to it, as it may outlive the server.
@@ -102,6 +104,7 @@
 // could otherwise keep the advisor's connections busy for ever.
 func (s *Scheduler) NextAdviceRequest(now time.Time, moreThan, atMost time.Duration) (AdviceRequest, bool) {
 	s.now = now
+	s.findStarved()
 	onFreeService := func(r *rankedGroup) bool { return s.starvation.mostlyFree[r.queue.Service] }
 	if request, ok := s.starvedRequest(&s.starvation.freeBudget, onFreeService, moreThan, atMost); ok {
 		return request, true
@@ -124,7 +127,7 @@
 func (s *Scheduler) starvedRequest(
 	budget *time.Duration, applies func(*rankedGroup) bool, moreThan, atMost time.Duration,
 ) (AdviceRequest, bool) {
-	for *budget > 0 {
+	for *budget > 0 && !s.now.Before(s.starvation.noneUntil) {
 		r := s.longestStarved(applies, moreThan, atMost)
 		if r == nil {
 			break
@@ -140,6 +143,22 @@
 	return AdviceRequest{}, false
 }
 
+// findStarved computes once a pass when the first step that waits for advice will be starved, as the search for it reads the whole
+// queue.
+func (s *Scheduler) findStarved() {
+	if s.starvation.pass == s.passes {
+		return
+	}
+	s.starvation.pass = s.passes
+	first := s.now
+	for i := range s.adviceQueue {
+		if g := s.adviceQueue[i].group; g.ready && g.awaitingAdviceSince().Before(first) {
+			first = g.awaitingAdviceSince()
+		}
+	}
+	s.starvation.noneUntil = first.Add(starvedAfter)
+}
+
 // longestStarved returns the starved step that has waited longest for a call, of those that may be called for now and to which a
 // condition applies. A step that isn't ready doesn't wait.
 func (s *Scheduler) longestStarved(applies func(*rankedGroup) bool, moreThan, atMost time.Duration) *rankedGroup {
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -48,6 +48,7 @@
 	scheduledJobs []*job   // jobs with a schedule that haven't ended
 	groups        []*group // groups with tasks to start or in progress, in no order
 	servers       map[ServerID]*server
+	byID          []*server // see sortedServers; nil if outdated
 	services      map[ServiceID][]*server
 	freeOrders    map[ServiceID]*freeOrder
 	grantShares   map[ident.QueueID]float64 // share of the servers that a queue's advisor allows, learned from its answers
@@ -61,10 +62,11 @@
 
 	commands       []Command
 	lastPollSerial uint64
-	adviceQueue    []rankedGroup        // groups that need advice, the most urgent first; then prefetchQueue
-	starvation     starvation           // advisor calls for steps that have waited long
-	prefetchQueue  []rankedGroup        // groups that will be ready soon and need advice by then
-	prefetchedAt   time.Time            // when prefetchQueue was last filled
+	adviceQueue    []rankedGroup // groups that need advice, the most urgent first; then prefetchQueue
+	starvation     starvation    // advisor calls for steps that have waited long
+	prefetchQueue  []rankedGroup // groups that will be ready soon and need advice by then
+	prefetchedAt   time.Time     // when prefetchQueue was last filled
+	pending        pendingCounts
 	dirtyJobs      map[ident.JobID]*job // jobs with unrecorded progress
 	unknownJobs    map[ident.JobID]bool // jobs that aren't known, but have a run or an end that a server listed
 	endedJobs      []*job               // jobs in a terminal state, in the order in which they ended
@@ -261,17 +263,6 @@
 	return StateQueued, j.spec, true
 }
 
-// Pending returns the number of unfinished jobs of a queue without a started task.
-func (s *Scheduler) Pending(q ident.QueueID) int {
-	n := 0
-	for _, j := range s.jobs {
-		if j.spec.Queue.ID == q && !j.begun && !j.state.Terminal() {
-			n++
-		}
-	}
-	return n
-}
-
 func (s *Scheduler) markDirty(j *job) {
 	j.changes++
 	s.dirtyJobs[j.spec.ID] = j
@@ -382,11 +373,15 @@
 	s.passNeeded = true
 }
 
+// sortedServers returns all servers in the order of their ids. The list is kept until a server is added or removed, as it is used on
+// each tick and for each record of progress.
 func (s *Scheduler) sortedServers() []*server {
-	all := make([]*server, 0, len(s.servers))
-	for _, v := range s.servers {
-		all = append(all, v)
+	if s.byID == nil {
+		s.byID = make([]*server, 0, len(s.servers))
+		for _, v := range s.servers {
+			s.byID = append(s.byID, v)
+		}
+		slices.SortFunc(s.byID, func(a, b *server) int { return cmp.Compare(a.info.ID, b.info.ID) })
 	}
-	slices.SortFunc(all, func(a, b *server) int { return cmp.Compare(a.info.ID, b.info.ID) })
-	return all
+	return s.byID
 }
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -169,7 +169,7 @@
 	if former := s.rosterDirty[info.ID]; former != nil {
 		v.cordonMayBeRecorded = former.cordonMayBeRecorded // its removal isn't recorded yet
 	}
-	s.servers[info.ID] = v
+	s.servers[info.ID], s.byID = v, nil
 	s.services[info.Service] = append(s.services[info.Service], v)
 	s.touchRoster(v)
 	s.fleetVersion++
@@ -280,6 +280,7 @@
 func (s *Scheduler) remove(v *server, cause Cause, held int) {
 	s.clearUnknownOutcomes(v)
 	delete(s.servers, v.info.ID)
+	s.byID = nil
 	v.removed = true
 	s.touchRoster(v)
 	s.services[v.info.Service] = slices.DeleteFunc(s.services[v.info.Service], func(o *server) bool { return o == v })
