Poll less often while the leader can't keep up

Cause: a poll that reported ended runs was followed by the next one 40 ms later, also when replies were handled hundreds of milliseconds late, so that most polls reported a single end. Change: the pause grows by the common delay of replies beyond 50 ms, up to 200 ms.

--- a/internal/sched/inventory.go
+++ b/internal/sched/inventory.go
@@ -66,7 +66,7 @@
 	s.advanceRecorded(v)
 	delay := time.Duration(0)
 	if v.handledUpTo > before {
-		delay = pollPause
+		delay = s.pollPauseNow()
 	}
 	if v.info.Draining {
 		s.evacuate(v)
--- a/internal/sched/poll.go
+++ b/internal/sched/poll.go
@@ -130,6 +130,12 @@
 	return min(max(next, minPollWait), s.options.PollWait)
 }
 
+// pollPauseNow returns the pause after a poll that reported ended runs. It is longer while the leader can't keep up, so that a poll
+// reports more of them.
+func (s *Scheduler) pollPauseNow() time.Duration {
+	return min(pollPause+max(s.delay.median-usualDelay, 0), maxPollPause)
+}
+
 // pollNext polls a server again if it has runs or if ended runs can be acknowledged.
 func (s *Scheduler) pollNext(v *server, delay time.Duration) {
 	if v.polling || !v.attached || v.failures > 0 {
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -13,6 +13,10 @@
 	leaseMargin = 100 * time.Millisecond
 	// pollPause delays the poll after one that reported ended runs, so that runs which end close together share a poll.
 	pollPause = 40 * time.Millisecond
+	// maxPollPause bounds the pause under load, as ends of runs are reported that much later.
+	maxPollPause = 200 * time.Millisecond
+	// usualDelay is the common delay of replies up to which the pause isn't extended.
+	usualDelay = congestedDelay / 2
 	// pollMargin is how long after the expected end of a run a poll returns if the run is still in progress.
 	pollMargin = 150 * time.Millisecond
 	// minPollWait bounds the rate of polls of a server whose runs take longer than expected.
@@ -378,6 +382,6 @@
 	}
 	if n > 0 {
 		v.unrecordedEnds = v.unrecordedEnds[n:]
-		s.pollNext(v, pollPause)
+		s.pollNext(v, s.pollPauseNow())
 	}
 }
