--- a/internal/sched/uncounted.go
+++ b/internal/sched/uncounted.go
@@ -27,7 +27,7 @@
 
 func newUncountedRuns(s *Scheduler) *uncountedRuns {
 	u := &uncountedRuns{Scheduler: s, demands: map[ident.TeamID]resource.Vector{}}
-	for _, v := range s.servers {
+	for _, v := range s.sortedServers() {
 		if s.mayHaveUncountedRuns(v) {
 			u.servers = append(u.servers, v)
 		}
