Name the metrics of BenchmarkBurst without spaces

The testing package panics on a unit with a space ("chip large-worth"), so the benchmark whose figures docs/CAPACITY.md quotes didn't run. It runs again.

--- a/internal/sched/load_test.go
+++ b/internal/sched/load_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -389,7 +390,7 @@
 		p.run(14 * second)
 		b.ReportMetric(float64(p.starts), "starts/op")
 		for kind, w := range p.usefulShare() {
-			b.ReportMetric(w, kind+"-worth")
+			b.ReportMetric(w, strings.ReplaceAll(kind, " ", "-")+"-worth") // a unit has no spaces
 		}
 	}
 }
