--- a/internal/sched/server_losses_liveness_test.go
+++ b/internal/sched/server_losses_liveness_test.go
@@ -142,7 +142,7 @@
 // takeover may hold the longest lease. 710, 1137, 1777, 2944: a server answered slowly before it ended. 2506: a gang never started, as an
 // advisor's answer about a removed server was kept when that one returned under its id.
 func TestServerLossSeeds(t *testing.T) {
-	for _, seed := range []uint64{220, 489, 710, 905, 972, 1137, 1777, 1927, 2103, 2506, 2944} {
+	for _, seed := range []uint64{220, 489, 710, 905, 972, 1137, 1777, 1851, 1927, 2103, 2506, 2944, 3524} {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			newServerLosses(emptyFaultSimulation(t, seed)).run()
 		})
