Set the garbage collector of a leader in the cell

Now the cell, one of which is in a process, reads the usual target once and sets it through a hook of the coordinator. Tests: TestOnLeading, and TestLeaderCollectsGarbageLessOften moves to internal/cell with the same check.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -27,6 +27,9 @@
 const (
 	// gcMemoryFraction of MemoryBytes is the memory limit of the garbage collector; the rest is for stacks and socket buffers.
 	gcMemoryFraction = 0.7
+	// leaderGCPercent makes a leader collect garbage less often, which otherwise takes a fifth of its processor time. The memory
+	// limit still holds.
+	leaderGCPercent = 300
 	// peerCallTimeout limits calls between daemons that have no deadline of their own; an advisor call may queue for
 	// seconds.
 	peerCallTimeout = 15 * time.Second
@@ -111,10 +114,23 @@
 		ElectionDelay: d.settings.ElectionDelay(), Store: d.adapter.Store, StoreTimeout: d.storeTimeout,
 		Registry: d.adapter.Registry, ServerClient: d.adapter.ServerClient,
 		Policy: watcher, Peer: n, Scheduling: d.settings.Bounds.SchedulingOptions(), PresenceTTL: d.periods.PresenceTTL,
-		Log: d.log.WithName("coordinator"), Metrics: set,
+		OnLeading: newGCTuner(), Log: d.log.WithName("coordinator"), Metrics: set,
 	})
 }
 
+// newGCTuner returns a function that sets the garbage collector's growth target for a leader, and back to the present one.
+func newGCTuner() func(leading bool) {
+	usual := debug.SetGCPercent(leaderGCPercent)
+	debug.SetGCPercent(usual)
+	return func(leading bool) {
+		if leading {
+			debug.SetGCPercent(leaderGCPercent)
+		} else {
+			debug.SetGCPercent(usual)
+		}
+	}
+}
+
 func newGateway(d *Daemon, watcher *policy.Watcher, c *coordinator.Coordinator, set *metrics.Set) *entry.Gateway {
 	return entry.New(entry.Config{
 		Store: d.adapter.Store, StoreTimeout: d.storeTimeout, Policy: watcher, Coordinator: c, MaxConfigurationAge: d.periods.Freshness,
--- a/internal/coordinator/cell_test.go
+++ b/internal/coordinator/cell_test.go
@@ -45,6 +45,8 @@
 	fleet *runhost.Fleet
 	// serverClient calls the servers of the fleet, in process unless a test replaces it.
 	serverClient coordinator.ServerClient
+	// onLeading is called at the start and the end of terms; it may be nil.
+	onLeading func(leading bool)
 	// region of the daemons that are started next
 	region ident.Region
 
@@ -134,7 +136,7 @@
 	coord, err := coordinator.New(coordinator.Config{
 		Member: name, Region: c.region, Address: l.Addr().String(), ElectionDelay: electionDelay, Store: s, Policy: watcher, Peer: node,
 		Registry: coordinator.Registry{Prefix: "servers/", Decode: decodeServer}, ServerClient: c.serverClient,
-		Scheduling: bounds.SchedulingOptions(), PresenceTTL: 800 * time.Millisecond,
+		Scheduling: bounds.SchedulingOptions(), PresenceTTL: 800 * time.Millisecond, OnLeading: c.onLeading,
 		Log: testr.NewWithOptions(c.t, testr.Options{}).WithName(string(name)),
 	})
 	if err != nil {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -80,8 +80,10 @@
 	Peer          *peer.Node
 	Scheduling    sched.Options // RunBase is set for each term; LeaderOverlap may be set to 0
 	PresenceTTL   time.Duration // time to live of this daemon's presence lease
-	Log           logr.Logger
-	Metrics       *metrics.Set
+	// OnLeading is called at the start and at the end of each term of this daemon; it may be nil.
+	OnLeading func(leading bool)
+	Log       logr.Logger
+	Metrics   *metrics.Set
 }
 
 // Coordinator takes part in the leader election of the cell, runs the scheduler while this daemon leads, and otherwise
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,9 +26,6 @@
 	passPauseFactor = 4
 	// maxPassPause bounds the pause, which delays the start of tasks.
 	maxPassPause = 40 * time.Millisecond
-	// leaderGCPercent makes a leader collect garbage less often, which otherwise takes a fifth of its processor time. The memory
-	// limit of the process still holds.
-	leaderGCPercent = 300
 	// tickInterval is the interval at which leases and slow tasks are checked.
 	tickInterval = 100 * time.Millisecond
 	// isolationTimeout is how long a leader goes on without a response from the store or any peer before it ends its term.
@@ -123,7 +119,10 @@
 	t.mu.Lock()
 	t.ctx, t.cancel = ctx, cancel
 	t.mu.Unlock()
-	defer debug.SetGCPercent(debug.SetGCPercent(leaderGCPercent))
+	if t.config.OnLeading != nil {
+		t.config.OnLeading(true)
+		defer t.config.OnLeading(false)
+	}
 	started := t.coordinator.now()
 	loaded, err := t.load(ctx)
 	if err != nil {
