Pause longer between scheduling passes while the leader is congested

Change: while replies are late in common by more than 50 ms, a pass is followed by ten times its length without one, up to 120 ms, instead of four times up to 40 ms.

--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -26,6 +26,10 @@
 	passPauseFactor = 4
 	// maxPassPause bounds the pause, which delays the start of tasks.
 	maxPassPause = 40 * time.Millisecond
+	// congestedPassPauseFactor and maxCongestedPassPause apply while the leader can't handle replies in time. Passes would take
+	// the processor from the replies that free capacity for them.
+	congestedPassPauseFactor = 10
+	maxCongestedPassPause    = 120 * time.Millisecond
 	// tickInterval is the interval at which leases and slow tasks are checked.
 	tickInterval = 100 * time.Millisecond
 	// isolationTimeout is how long a leader goes on without a response from the store or any peer before it ends its term.
@@ -198,14 +202,23 @@
 		started := t.coordinator.now()
 		t.scheduler.Schedule(started)
 		commands := t.scheduler.TakeCommands()
+		congested := t.scheduler.Congested()
 		took := t.coordinator.now().Sub(started)
 		t.mu.Unlock()
 		t.dispatch(commands)
 		t.requestAdvice()
-		sleep(ctx, min(max(minPassPause, passPauseFactor*took), maxPassPause))
+		sleep(ctx, passPause(took, congested))
 	}
 }
 
+// passPause returns the pause after a scheduling pass of a duration.
+func passPause(took time.Duration, congested bool) time.Duration {
+	if congested {
+		return min(max(minPassPause, congestedPassPauseFactor*took), maxCongestedPassPause)
+	}
+	return min(max(minPassPause, passPauseFactor*took), maxPassPause)
+}
+
 // tick advances the timers of the scheduler.
 func (t *term) tick(ctx context.Context) error {
 	for {
--- a/internal/sched/common_delay.go
+++ b/internal/sched/common_delay.go
@@ -68,6 +68,9 @@
 // CommonDelay returns by how much the replies of all servers are late, and how many starts may be unanswered at once.
 func (s *Scheduler) CommonDelay() (time.Duration, int) { return s.delay.median, s.delay.window }
 
+// Congested reports whether the leader handles replies so late that it should do less at once.
+func (s *Scheduler) Congested() bool { return s.delay.median > usualDelay }
+
 // noteCommandReply records the reply to a command that was sent at the given time.
 func (s *Scheduler) noteCommandReply(now, sent time.Time) { s.delay.add(now, now.Sub(sent)) }
 
