Report the results of an attach before its inventory counts as complete

The new owner of a backend server reported InventoryComplete as soon as the server was attached, and only then passed on the ended attempts that the attach had returned. The daemon that adopts the removed member's jobs starts every task that no complete inventory lists, so a task whose end lay in that gap was started again.

The results are now reported first. TestInventoryIncompleteBeforeResults failed in both cases before.

--- a/internal/ownership/cluster_test.go
+++ b/internal/ownership/cluster_test.go
@@ -47,6 +47,7 @@
 	hangPolls    bool         // polls get no reply
 	attachCalls  int          // number of attach calls
 	onPoll       func(*backend.PollRequest)
+	onFinished   func()
 	slowDetach   bool // Detached takes a second
 	unblocked    chan struct{}
 }
@@ -206,8 +207,16 @@
 			Attached: func(h platform.Host, i backend.Inventory) {
 				n.addEvent("attached %s running=%d finished=%d slots=%d", h.ID, len(i.Running), len(i.Finished), i.Capacity.Slots)
 			},
-			Updated:  func(ident.HostID, backend.PollReply) {},
-			Finished: func(h ident.HostID, r backend.Result) { n.addEvent("finished %s %s %s", h, r.Attempt, r.Exit) },
+			Updated: func(ident.HostID, backend.PollReply) {},
+			Finished: func(h ident.HostID, r backend.Result) {
+				n.mu.Lock()
+				onFinished := n.onFinished
+				n.mu.Unlock()
+				if onFinished != nil {
+					onFinished()
+				}
+				n.addEvent("finished %s %s %s", h, r.Attempt, r.Exit)
+			},
 			Detached: func(h ident.HostID, r DetachReason) {
 				n.mu.Lock()
 				slow := n.slowDetach
--- a/internal/ownership/renew.go
+++ b/internal/ownership/renew.go
@@ -46,10 +46,12 @@
 			return fmt.Errorf("attach %s: %w", e.id, err)
 		}
 	}
-	// The inventory is reported before starts are allowed, so that the scheduler knows the free capacity by then.
+	// The inventory is reported before starts are allowed, so that the scheduler knows the free capacity by then, and with all
+	// results before it counts as complete: a member that adopts jobs starts every task that no complete inventory lists.
 	e.attachReported = true
 	t.config.Log.V(1).Info("backend server attached", "host", e.id, "epoch", epoch, "boot", inventory.Boot)
 	t.config.Events.Attached(host, inventory)
+	t.reportFinished(e, inventory.Finished)
 	e.lock.Lock()
 	e.fence, e.boot, e.cursor = fence, inventory.Boot, inventory.Cursor
 	e.attached = !e.removed
@@ -62,7 +64,6 @@
 	e.validUntil = sent.Add(lease - t.config.ClockDrift)
 	e.othersLeaseEnd, e.lapsed, e.blockedEpoch = time.Time{}, false, 0
 	e.lock.Unlock()
-	t.reportFinished(e, inventory.Finished)
 	return nil
 }
 
