Keep the result of an attempt before the attempt leaves the pool

An attempt whose result had just arrived was for a moment neither listed as running nor as ended: Finished released it from the pool first, and kept the result afterwards. A daemon that adopted the job of a removed member, or whose audit looked for the attempt, could then take it for lost and start the task again, and a request that was sent again could run twice.

Finished keeps the result first. HandleFind reads the pool before the results, as the other two lookups do, so that an attempt that ends in between is found. It was found by tracing TestPausedDaemon; no play showed that this gap was behind the task that ran twice there.

--- a/internal/dispatch/results.go
+++ b/internal/dispatch/results.go
@@ -60,6 +60,9 @@
 	if p, ok := d.config.Pool.Find(r.Attempt); ok {
 		r.Origin = p.Task.Origin // The origin may have changed since the start; see HandleQuery.
 	}
+	intact := r.Intact()
+	// The result is kept before the attempt is released, so that a daemon that looks for the attempt finds one of them.
+	isNew := intact && d.unconfirmed.add(host, r, d.config.Now())
 	d.releaseAttempt(host, r.Attempt, r.Team)
 	switch r.Exit {
 	case backend.ExitSucceeded:
@@ -67,24 +70,29 @@
 	case backend.ExitFailed:
 		d.config.Blame.RecordFailure(host, r.Job)
 	}
-	if !r.Intact() {
+	if !intact {
 		d.counts.damaged.Inc()
 		d.config.Log.Info("result doesn't match its announced length or checksum", "attempt", r.Attempt, "host", host)
 		return // Not acknowledged, so the backend server sends it again.
 	}
-	d.deliver(host, r)
+	if isNew {
+		d.handOver(host, r)
+	}
 }
 
-// deliver hands a result to its origin and acknowledges it to the backend server once the origin has confirmed it.
+// deliver keeps a result and hands it to its origin, unless it is kept already.
 func (d *Dispatcher) deliver(host ident.HostID, r backend.Result) {
-	if d.unconfirmed.contains(r.Attempt) {
-		return
+	if d.unconfirmed.add(host, r, d.config.Now()) {
+		d.handOver(host, r)
 	}
+}
+
+// handOver hands a result to its origin and acknowledges it to the backend server once the origin has confirmed it.
+func (d *Dispatcher) handOver(host ident.HostID, r backend.Result) {
 	acknowledge := func() {
 		d.unconfirmed.remove(r.Attempt)
 		d.config.Servers.Acknowledge(host, r.Attempt)
 	}
-	d.unconfirmed.add(host, r, d.config.Now())
 	if r.Origin == d.config.Self().ID {
 		d.acceptResult(host, r, acknowledge)
 		return
--- a/internal/dispatch/unconfirmedresults.go
+++ b/internal/dispatch/unconfirmedresults.go
@@ -32,12 +32,17 @@
 	return &unconfirmedResults{results: map[ident.AttemptID]unconfirmedResult{}}
 }
 
-func (p *unconfirmedResults) add(host ident.HostID, r backend.Result, now time.Time) {
+// add keeps a result if there is room, and reports false if it is kept already.
+func (p *unconfirmedResults) add(host ident.HostID, r backend.Result, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if _, ok := p.results[r.Attempt]; ok {
+		return false
+	}
 	if len(p.results) < maxUnconfirmedResults {
 		p.results[r.Attempt] = unconfirmedResult{host: host, result: r, added: now}
 	}
+	return true
 }
 
 // UnconfirmedResults returns the number of results that no origin has confirmed yet.
@@ -62,11 +67,6 @@
 	delete(p.results, a)
 }
 
-func (p *unconfirmedResults) contains(a ident.AttemptID) bool {
-	_, ok := p.get(a)
-	return ok
-}
-
 func (p *unconfirmedResults) get(a ident.AttemptID) (unconfirmedResult, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -126,13 +126,13 @@
 func (d *Dispatcher) HandleFind(_ context.Context, f wire.FindRequest) (wire.FindReply, error) {
 	epoch, complete := d.config.Servers.InventoryComplete()
 	reply := wire.FindReply{Epoch: epoch, Complete: complete}
-	if pending, ok := d.unconfirmed.findRequest(f.ClaimKey); ok {
-		reply.Known, reply.Host, reply.Result = true, pending.host, &pending.result
-		return reply, nil
-	}
 	if p, ok := d.config.Pool.FindRequest(f.Team, f.Request); ok {
 		reply.Known, reply.Host = true, p.Host
 	}
+	// An attempt that ends becomes a result before it leaves the pool, so the results are read last.
+	if pending, ok := d.unconfirmed.findRequest(f.ClaimKey); ok {
+		reply.Known, reply.Host, reply.Result = true, pending.host, &pending.result
+	}
 	return reply, nil
 }
 
