Keep results in sight while they wait to be sent to another origin

When a daemon adopts an attempt whose result waits for a removed origin, the result goes to it after 0.5 s. Meanwhile it was removed from the kept results, so a query or a search for the request in that time didn't know the attempt; both count a missing attempt as one that may be started again. Results of a server with another owner were also kept again after that pause.

The result stays and only gets its new origin. TestLookupDuringRedelivery failed before for both lookups.

--- a/internal/dispatch/unconfirmed_test.go
+++ b/internal/dispatch/unconfirmed_test.go
@@ -92,3 +92,19 @@
 		})
 	}
 }
+
+// Guards against the same while a result waits to be sent to another origin.
+func TestLookupDuringRedelivery(t *testing.T) {
+	d := newLookupDispatcher(t)
+	r := placeAttempt(d, "attempt")
+	d.Finished("host", r)
+	calls := lookups(d, r)
+	if !calls["adopt-origin"]() {
+		t.Fatal("adopt-origin doesn't list the result")
+	}
+	for _, name := range []string{"query", "find"} {
+		if !calls[name]() {
+			t.Errorf("%s doesn't know the attempt", name)
+		}
+	}
+}
--- a/internal/dispatch/unconfirmedresults.go
+++ b/internal/dispatch/unconfirmedresults.go
@@ -61,6 +61,16 @@
 	}
 }
 
+// redirect makes another daemon the origin of a result, which is about to be pushed to it.
+func (p *unconfirmedResults) redirect(a ident.AttemptID, origin ident.MemberID, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if r, ok := p.results[a]; ok {
+		r.result.Origin, r.pushing, r.added = origin, true, now
+		p.results[a] = r
+	}
+}
+
 func (p *unconfirmedResults) remove(a ident.AttemptID) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -184,11 +194,11 @@
 // redeliver sends an unconfirmed result to another origin, after a pause in which that origin can process the current
 // reply.
 func (d *Dispatcher) redeliver(pending unconfirmedResult, origin ident.MemberID) {
-	pending.result.Origin = origin
-	d.unconfirmed.remove(pending.result.Attempt)
+	attempt := pending.result.Attempt
+	d.unconfirmed.redirect(attempt, origin, d.config.Now())
 	time.AfterFunc(pushRetryPause, func() {
-		if d.baseCtx.Err() == nil {
-			d.deliver(pending.host, pending.result)
+		if current, ok := d.unconfirmed.get(attempt); ok && d.baseCtx.Err() == nil {
+			d.handOver(current.host, current.result)
 		}
 	})
 }
