Check the sender of task.adopt-origin against its certificate

A member could redirect the results of a removed member's jobs in the name of any other one. peer.Handle checks senders by the method Origin of wire.Sender, and AdoptOriginRequest, which embeds it, has a field of the same name that hides the method, so the check was passed over without an error. The method is now MessageSender, a name that no message uses for a field.

TestSenderOfAdoptOrigin calls it over mutual TLS as another member; the request was handled before.

--- a/internal/peer/certificates_test.go
+++ b/internal/peer/certificates_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"context"
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
@@ -148,6 +149,29 @@
 	}
 }
 
+// Guards against a member that redirects the results of another member's jobs in the name of a third one: the sender of a
+// message whose own field has the name of the method that returns the sender wasn't checked.
+func TestSenderOfAdoptOrigin(t *testing.T) {
+	a, b := newAuthority(t), newAddressBook()
+	server := startNode(t, b, "b", func(g *Config) { g.TLS = mustLoad(t, a.issue("b", nil)) })
+	handled := false
+	Handle(server, wire.MethodAdoptOrigin, func(context.Context, wire.AdoptOriginRequest) (wire.AdoptOriginReply, error) {
+		handled = true
+		return wire.AdoptOriginReply{}, nil
+	})
+	client := startNode(t, b, "a", func(g *Config) { g.TLS = mustLoad(t, a.issue("a", nil)) })
+	_, err := Call[wire.AdoptOriginRequest, wire.AdoptOriginReply](t.Context(), client, "b", wire.MethodAdoptOrigin,
+		wire.AdoptOriginRequest{Sender: wire.Sender{Member: "c"}, Origin: "removed"})
+	var remote *RemoteError
+	if !errors.As(err, &remote) || remote.Code != CodeWrongSender {
+		t.Errorf("got %v, want code %d", err, CodeWrongSender)
+	}
+	server.Close() // waits for the handler
+	if handled {
+		t.Error("the request was handled")
+	}
+}
+
 // Guards against a server that accepts clients without a certificate or with TLS below 1.3.
 func TestUntrustedClients(t *testing.T) {
 	a := newAuthority(t)
--- a/internal/peer/receive.go
+++ b/internal/peer/receive.go
@@ -17,7 +17,7 @@
 type handler func(ctx context.Context, from *peerIdentity, params json.RawMessage) (any, error)
 
 // senderProvider is implemented by a message that embeds wire.Sender.
-type senderProvider interface{ Origin() wire.Sender }
+type senderProvider interface{ MessageSender() wire.Sender }
 
 // Handle registers the typed handler of a method. The handler's context is cancelled when the caller's connection
 // closes.
@@ -31,7 +31,7 @@
 			return nil, rpcError(CodeBadParameters, err.Error())
 		}
 		if o, ok := any(request).(senderProvider); ok {
-			if err := from.checkMember(o.Origin().Member); err != nil {
+			if err := from.checkMember(o.MessageSender().Member); err != nil {
 				n.counters.countRefusal(refusedSender)
 				return nil, rpcError(CodeWrongSender, err.Error())
 			}
