Report the failure of a daemon's component while its HTTP servers run

When a component of `rosemaryspoke serve` failed, as the peer listener, the daemon went on answering callers without it. Failed received the error only after all components had ended, and the HTTP servers end only through Stop or Kill, which serve calls once Failed has fired.

A component that fails before the daemon is stopped is now reported at once.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -138,8 +138,8 @@
 	return d.configConfirmed.Load()
 }
 
-// Failed returns a channel that receives the error of the first component that failed, once all components have ended. The
-// HTTP servers ignore the cancelled context: they end only through Stop, Kill or an error of their own.
+// Failed returns a channel that receives the error of the first component that failed before the daemon was stopped. The HTTP
+// servers go on until Stop or Kill.
 func (d *Daemon) Failed() <-chan error { return d.failures }
 
 // Start opens the listeners and runs all components in the background.
@@ -177,23 +177,31 @@
 		"operators":     func(context.Context) error { return serve(d.operatorServer, d.operatorListener) },
 	} {
 		d.group.Go(func() error {
-			if err := run(base); err != nil {
-				return fmt.Errorf("run %s: %w", name, err)
+			err := run(base)
+			if err == nil {
+				return nil
 			}
-			return nil
+			err = fmt.Errorf("run %s: %w", name, err)
+			if base.Err() == nil {
+				d.reportFailure(err)
+			}
+			return err
 		})
 	}
-	go func() {
-		if err := d.group.Wait(); err != nil {
-			d.failures <- err
-		}
-	}()
 	d.ready.Store(true)
 	d.log.Info("daemon started", "callers", d.callerListener.Addr().String(), "operators", d.operatorListener.Addr().String(),
 		"peers", d.peerListener.Addr().String(), "data-centre", d.settings.DataCentre, "region", d.settings.Region)
 	return nil
 }
 
+// reportFailure reports the error of a component, unless another one was reported.
+func (d *Daemon) reportFailure(err error) {
+	select {
+	case d.failures <- err:
+	default:
+	}
+}
+
 func listen(ctx context.Context, address string) (net.Listener, error) {
 	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
 	if err != nil {
