--- a/internal/dispatch/unconfirmedresults.go
+++ b/internal/dispatch/unconfirmedresults.go
@@ -32,12 +32,17 @@
 	return &unconfirmedResults{results: map[ident.AttemptID]unconfirmedResult{}}
 }
 
-func (p *unconfirmedResults) add(host ident.HostID, r backend.Result, now time.Time) {
+// add keeps a result if there is room, and reports false if it is kept already.
+func (p *unconfirmedResults) add(host ident.HostID, r backend.Result, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if _, ok := p.results[r.Attempt]; ok {
+		return false
+	}
 	if len(p.results) < maxUnconfirmedResults {
 		p.results[r.Attempt] = unconfirmedResult{host: host, result: r, added: now}
 	}
+	return true
 }
 
 // UnconfirmedResults returns the number of results that no origin has confirmed yet.
@@ -56,15 +61,20 @@
 	}
 }
 
-func (p *unconfirmedResults) remove(a ident.AttemptID) {
+// redirect makes another daemon the origin of a result, which is about to be pushed to it.
+func (p *unconfirmedResults) redirect(a ident.AttemptID, origin ident.MemberID, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.results, a)
+	if r, ok := p.results[a]; ok {
+		r.result.Origin, r.pushing, r.added = origin, true, now
+		p.results[a] = r
+	}
 }
 
-func (p *unconfirmedResults) contains(a ident.AttemptID) bool {
-	_, ok := p.get(a)
-	return ok
+func (p *unconfirmedResults) remove(a ident.AttemptID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.results, a)
 }
 
 func (p *unconfirmedResults) get(a ident.AttemptID) (unconfirmedResult, bool) {
@@ -126,13 +136,13 @@
 func (d *Dispatcher) HandleFind(_ context.Context, f wire.FindRequest) (wire.FindReply, error) {
 	epoch, complete := d.config.Servers.InventoryComplete()
 	reply := wire.FindReply{Epoch: epoch, Complete: complete}
-	if pending, ok := d.unconfirmed.findRequest(f.ClaimKey); ok {
-		reply.Known, reply.Host, reply.Result = true, pending.host, &pending.result
-		return reply, nil
-	}
 	if p, ok := d.config.Pool.FindRequest(f.Team, f.Request); ok {
 		reply.Known, reply.Host = true, p.Host
 	}
+	// An attempt that ends becomes a result before it leaves the pool, so the results are read last.
+	if pending, ok := d.unconfirmed.findRequest(f.ClaimKey); ok {
+		reply.Known, reply.Host, reply.Result = true, pending.host, &pending.result
+	}
 	return reply, nil
 }
 
@@ -184,11 +194,11 @@
 // redeliver sends an unconfirmed result to another origin, after a pause in which that origin can process the current
 // reply.
 func (d *Dispatcher) redeliver(pending unconfirmedResult, origin ident.MemberID) {
-	pending.result.Origin = origin
-	d.unconfirmed.remove(pending.result.Attempt)
+	attempt := pending.result.Attempt
+	d.unconfirmed.redirect(attempt, origin, d.config.Now())
 	time.AfterFunc(pushRetryPause, func() {
-		if d.baseCtx.Err() == nil {
-			d.deliver(pending.host, pending.result)
+		if current, ok := d.unconfirmed.get(attempt); ok && d.baseCtx.Err() == nil {
+			d.handOver(current.host, current.result)
 		}
 	})
 }
