Play silent connections, also between daemons, in the soak

A new profile, silent-links, has it: both directions and each alone, between daemons, to the store and to servers, and for all or 70 % of all connections at once. The daemons of this profile learn the addresses of proxies as those of their peers, as the soak's store replaces them in what daemons write; the product is unchanged. The plans of the other profiles are unchanged, too.

--- a/internal/soak/cell.go
+++ b/internal/soak/cell.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"sync"
 	"time"
 
@@ -26,7 +27,7 @@
 	queuePrefix     = "/q/"
 	advisedPrefix   = "/advised/" // of a queue with an advisor
 	serverCores     = 8           // of each backend server
-	scarceCores     = 6           // of each backend server in ProfileServerLoss, so that all are in use
+	scarceCores     = 6           // of each backend server in the other profiles than ProfileMixed, so that all are in use
 	teamLimitCores  = 12          // CPU limit of limitedTeam
 	minTaskDuration = 50 * time.Millisecond
 	maxTaskDuration = 900 * time.Millisecond
@@ -44,9 +45,11 @@
 	profile      Profile
 	slots        []*slot
 	storeProxies []*proxy // from each daemon to the store
+	peerProxies  []*proxy // from the other daemons to each one, with ProfileSilentLinks
 	daemons      []*process
 	httpServers  []*http.Server
 	addresses    *addressBlock // of the daemons
+	translation  *translatingStore
 
 	randomMu sync.Mutex // the store's faults take it under the store's lock, so no call to the store may be made under it
 	random   *rand.Rand
@@ -64,7 +67,8 @@
 		store:   txstore.New(time.Now), random: rand.New(rand.NewPCG(seed, 5)), revokedKeys: map[string]time.Time{},
 		keys: map[string][]string{multiKeyTeam: {"blue-0", "blue-1", "blue-2", "blue-3"}, limitedTeam: {limitedTeam + "-0"}},
 	}
-	c.storeHTTP = standin.NewStoreServer(c.store)
+	c.translation = &translatingStore{Store: c.store, addresses: map[string]string{}}
+	c.storeHTTP = standin.NewStoreServer(c.translation)
 	c.fleet = runhost.New(taskDuration, func(sched.TaskID) resource.Vector { return taskDemand })
 	c.fleet.SetAdvisor(advisorTiming, advisorAllows)
 	if err := c.start(o, dir, seed); err != nil {
@@ -93,6 +97,9 @@
 		return err
 	}
 	c.addresses = addresses
+	if err := c.addPeerProxies(o.Daemons); err != nil {
+		return err
+	}
 	for i := range o.Daemons {
 		storeProxy, err := newProxy(storeAddress)
 		if err != nil {
@@ -116,6 +123,24 @@
 	return nil
 }
 
+// addPeerProxies puts a proxy before the peer address of each daemon. The other profiles go without: a daemon that is down refuses
+// connections, and its proxy accepts and closes them.
+func (c *cell) addPeerProxies(daemons int) error {
+	if c.profile != ProfileSilentLinks {
+		return nil
+	}
+	for i := range daemons {
+		own := net.JoinHostPort(c.addresses.ip(i), strconv.Itoa(c.addresses.port))
+		p, err := newProxy(own)
+		if err != nil {
+			return fmt.Errorf("start a proxy to daemon d%d: %w", i, err)
+		}
+		c.peerProxies = append(c.peerProxies, p)
+		c.translation.addresses[own] = p.address()
+	}
+	return nil
+}
+
 // taskDuration returns the duration of a task. It depends only on the task's id, so that every run takes the same time.
 func taskDuration(t sched.TaskID) time.Duration {
 	n := uint64(t.Step*31 + t.Index*7)
@@ -196,7 +221,7 @@
 	for _, d := range c.daemons {
 		d.stop()
 	}
-	for _, p := range c.storeProxies {
+	for _, p := range append(c.storeProxies, c.peerProxies...) {
 		p.close()
 	}
 	for _, s := range c.slots {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -54,6 +54,9 @@
 		return setProxyMode(c.storeProxies[d], modeReset)
 	case storeDelay:
 		return setProxyMode(c.storeProxies[d], modeDelay)
+	case peerSilent, peerSilentTo, peerSilentFrom, storeLinkSilent, storeSilentTo, storeSilentFrom,
+		serverLinkSilent, serverSilentTo, serverSilentFrom, serversSilent, allSilent, mostSilent:
+		c.startSilence(f)
 	case revokeKey:
 		c.logError(c.revokeNextKey())
 	default:
--- a/internal/soak/jobs.go
+++ b/internal/soak/jobs.go
@@ -12,7 +12,7 @@
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 )
 
-// Shares of the jobs of ProfileServerLoss; the others are like those of ProfileMixed.
+// Shares of the jobs of ProfileServerLoss and ProfileSilentLinks; the others are like those of ProfileMixed.
 const (
 	advisedShare     = 0.6
 	gangShare        = 0.15
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -46,6 +46,22 @@
 	registrationsLapse fault = "registrations-lapse" // the registrations of all live servers are missing for a while
 )
 
+// Faults of ProfileSilentLinks: open connections deliver nothing any more, and new ones work.
+const (
+	peerSilent       fault = "peer-silent"         // the connections of the other daemons to one
+	peerSilentTo     fault = "peer-silent-to"      // the same, only what the others send
+	peerSilentFrom   fault = "peer-silent-from"    // the same, only what the others receive
+	storeLinkSilent  fault = "store-link-silent"   // one daemon's connections to the store
+	storeSilentTo    fault = "store-silent-to"     // the same, only what the store receives
+	storeSilentFrom  fault = "store-silent-from"   // the same, only what the store sends
+	serverLinkSilent fault = "server-link-silent"  // the connections to a backend server
+	serverSilentTo   fault = "server-silent-to"    // the same, only what the server receives
+	serverSilentFrom fault = "server-silent-from"  // the same, only what the server sends
+	serversSilent    fault = "servers-link-silent" // the connections to all backend servers
+	allSilent        fault = "all-links-silent"    // all connections
+	mostSilent       fault = "most-links-silent"   // silentShare of all connections
+)
+
 // plannedFault is a fault with its start, counted from the start of the plan, and its duration.
 type plannedFault struct {
 	At, Duration time.Duration
@@ -65,10 +81,12 @@
 const (
 	ProfileMixed      Profile = "mixed"       // faults of daemons, the store and single servers
 	ProfileServerLoss Profile = "server-loss" // servers end in all ways, with advised, all-at-once and long-running jobs
+	// ProfileSilentLinks has open connections that go silent while servers and daemons end, with the jobs of ProfileServerLoss.
+	ProfileSilentLinks Profile = "silent-links"
 )
 
 // Profiles are all profiles; the first is the default.
-var Profiles = []Profile{ProfileMixed, ProfileServerLoss}
+var Profiles = []Profile{ProfileMixed, ProfileServerLoss, ProfileSilentLinks}
 
 // faultWeight is the relative frequency of a fault.
 type faultWeight struct {
@@ -79,8 +97,9 @@
 
 // faultWeights are the faults of each profile. A change of those of a profile changes the plans of all of its seeds.
 var faultWeights = map[Profile][]faultWeight{
-	ProfileMixed:      mixedFaults,
-	ProfileServerLoss: serverLossFaults,
+	ProfileMixed:       mixedFaults,
+	ProfileServerLoss:  serverLossFaults,
+	ProfileSilentLinks: silentLinkFaults,
 }
 
 var mixedFaults = []faultWeight{
@@ -133,6 +152,33 @@
 	{fault: registrationsLapse, weight: 2},
 }
 
+var silentLinkFaults = []faultWeight{
+	{fault: kill, weight: 2},
+	{fault: terminate, weight: 1},
+	{fault: freeze, weight: 2},
+	{fault: storeSlow, weight: 1},
+	{fault: storeReset, weight: 1},
+	{fault: storeDelay, weight: 1},
+	{fault: serverSilent, weight: 1},
+	{fault: serverDelay, weight: 1},
+	{fault: serverDrain, weight: 1},
+	{fault: serverReplaced, weight: 4},
+	{fault: serverGone, weight: 2},
+	{fault: serverReborn, weight: 2},
+	{fault: peerSilent, weight: 3},
+	{fault: peerSilentTo, weight: 2},
+	{fault: peerSilentFrom, weight: 2},
+	{fault: storeLinkSilent, weight: 3},
+	{fault: storeSilentTo, weight: 2},
+	{fault: storeSilentFrom, weight: 2},
+	{fault: serverLinkSilent, weight: 3},
+	{fault: serverSilentTo, weight: 2},
+	{fault: serverSilentFrom, weight: 2},
+	{fault: serversSilent, weight: 2},
+	{fault: allSilent, weight: 3},
+	{fault: mostSilent, weight: 3},
+}
+
 const (
 	minFaultDuration = 200 * time.Millisecond
 	maxFaultDuration = 4 * time.Second
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -31,8 +31,10 @@
 	mu      sync.Mutex
 	mode    mode
 	conns   map[net.Conn]bool
-	orphans map[net.Conn]bool // connections of callers to a server that lost power
-	dark    bool              // no server is up behind the orphans
+	pairs   map[net.Conn]net.Conn // open connections to servers by those of their callers
+	silent  map[net.Conn]bool     // connections to whose remote side nothing is delivered any more
+	orphans map[net.Conn]bool     // connections of callers to a server that lost power
+	dark    bool                  // no server is up behind the orphans
 }
 
 func newProxy(target string) (*proxy, error) {
@@ -40,7 +42,10 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, target: target, conns: map[net.Conn]bool{}, orphans: map[net.Conn]bool{}}
+	p := &proxy{
+		listener: l, target: target, conns: map[net.Conn]bool{}, orphans: map[net.Conn]bool{},
+		pairs: map[net.Conn]net.Conn{}, silent: map[net.Conn]bool{},
+	}
 	go p.serve()
 	return p, nil
 }
@@ -49,6 +54,9 @@
 
 func (p *proxy) close() {
 	_ = p.listener.Close()
+	p.mu.Lock()
+	clear(p.silent)
+	p.mu.Unlock()
 	p.reset()
 }
 
@@ -69,17 +77,20 @@
 	return p.mode
 }
 
-// reset closes all connections with a TCP reset.
+// reset closes all connections with a TCP reset, except silent ones, to which it can't be delivered.
 func (p *proxy) reset() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
+		if p.silent[c] {
+			continue
+		}
 		if t, ok := c.(*net.TCPConn); ok {
 			_ = t.SetLinger(0)
 		}
 		_ = c.Close()
+		delete(p.conns, c)
 	}
-	clear(p.conns)
 	clear(p.orphans)
 }
 
@@ -112,10 +123,10 @@
 	return p.orphans[c], p.dark
 }
 
-func (p *proxy) track(c net.Conn) {
+func (p *proxy) track(caller, server net.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.conns[c] = true
+	p.conns[caller], p.conns[server], p.pairs[caller] = true, true, server
 }
 
 func (p *proxy) closeConn(c net.Conn) {
@@ -123,6 +134,7 @@
 	defer p.mu.Unlock()
 	delete(p.conns, c)
 	delete(p.orphans, c)
+	delete(p.pairs, c)
 	_ = c.Close()
 }
 
@@ -142,8 +154,7 @@
 			_ = c.Close()
 			continue
 		}
-		p.track(c)
-		p.track(server)
+		p.track(c, server)
 		go p.pipe(server, c, false)
 		go p.pipe(c, server, true)
 	}
@@ -151,15 +162,19 @@
 
 // pipe forwards bytes in one direction until a connection ends, as the mode allows.
 func (p *proxy) pipe(to, from net.Conn, fromServer bool) {
+	ended := false // the remote side of from closed it
 	defer func() {
-		if orphan, _ := p.orphaned(to); !orphan {
+		if orphan, _ := p.orphaned(to); !orphan && !p.isSilent(to) {
 			p.closeConn(to)
 		}
-		p.closeConn(from)
+		if ended || !p.isSilent(from) {
+			p.closeConn(from)
+		}
 	}()
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
+		ended = err != nil
 		for blocked := p.blocked(fromServer); blocked; blocked = p.blocked(fromServer) {
 			time.Sleep(modePollInterval)
 		}
@@ -173,7 +188,7 @@
 		if p.currentMode() == modeDelay && !fromServer {
 			time.Sleep(requestDelay)
 		}
-		if n > 0 {
+		if n > 0 && !p.isSilent(to) {
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
 			}
--- a/internal/soak/slot.go
+++ b/internal/soak/slot.go
@@ -59,7 +59,7 @@
 			Labels: []string{"a", "r1"}, Capacity: resource.Vector{CPU: resource.Cores(serverCores), Memory: 4096},
 		}
 		s := &slot{index: i, backend: standin.NewBackend(c.fleet.Client(), v.ID), up: true, lives: 1}
-		if c.profile == ProfileServerLoss {
+		if c.profile != ProfileMixed {
 			v.DataCentre = ident.DataCentre(fmt.Sprintf("z%d", s.dataCentre()))
 			v.Labels = []string{"a", fmt.Sprintf("r%d", s.rack())}
 			v.Capacity.CPU = resource.Cores(scarceCores)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -127,7 +127,7 @@
 	for _, s := range c.slots {
 		s.currentProxy().setMode(modeForward)
 	}
-	if c.profile == ProfileServerLoss {
+	if c.profile != ProfileMixed {
 		c.restoreServers()
 	}
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -105,6 +105,31 @@
 	}
 }
 
+// Guards against promises that are broken when open connections go silent, and against a fault that doesn't act on the connections
+// between daemons.
+func TestShortSilentLinks(t *testing.T) {
+	binary, dir := buildProgram(t), t.TempDir()
+	for name, seed := range map[string]uint64{"seed 1": 1, "seed 2": 2} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			checkRun(t, Options{
+				Binary: binary, Dir: dir, Profile: ProfileSilentLinks, FaultDuration: shortDuration, Daemons: 3, Servers: 6, Callers: 6,
+			}, seed)
+			replaced := 0
+			for d := range 3 {
+				log, err := os.ReadFile(filepath.Join(dir, fmt.Sprintf("seed-%d", seed), fmt.Sprintf("d%d.log", d)))
+				if err != nil {
+					t.Fatal(err)
+				}
+				replaced += strings.Count(string(log), "silent connection to a peer replaced")
+			}
+			if replaced == 0 {
+				t.Error("no daemon has found a silent connection to another one")
+			}
+		})
+	}
+}
+
 // Guards against daemons that go on after the soak was interrupted: they loaded the host and kept their addresses.
 func TestInterruptedSoak(t *testing.T) {
 	dir := t.TempDir()
