Count the longest lease of a new server only near a takeover

A task whose server was lost within seconds of the server's start waited 10.5 s for its next start, with room on other servers and no takeover near. Under each leader but a cell's very first one, Scheduler.attach counted every server younger than two longest leases as if a command of a former leader for a former incarnation might just have given it the longest lease.

Former leaders send nothing after their overlap with the present one. So such a lease has ended at the latest two longest leases after that, which allows for a command that was carried out a whole lease late, and the bound of a new server ends there. The leader itself has sent commands for a former incarnation only if it saw the restart, which is handled apart, or had removed a server of the id: then the bound stays as it was, and now also holds in the first term.

--- a/internal/sched/inventory.go
+++ b/internal/sched/inventory.go
@@ -101,10 +101,10 @@
 	if b := latest(s.formerLeaseBound(s.now), v.formerIncarnationBound); b.Before(v.leaseBound) {
 		v.leaseBound = b
 	}
-	if s.options.RunBase > 0 && clock < 2*s.options.MaxRunLease {
-		// A command of a former leader for an incarnation before this one, with a deadline on that one's clock, may have granted
-		// the longest lease, also if it was carried out seconds late.
-		v.leaseBound = latest(v.leaseBound, s.now.Add(scale(s.options.MaxRunLease, 1+clockDrift)+leaseMargin))
+	if clock < 2*s.options.MaxRunLease {
+		// A command for an incarnation before this one, with a deadline on that one's clock, may have granted the longest lease, also if
+		// it was carried out seconds late.
+		v.leaseBound = latest(v.leaseBound, s.longLeaseBound(v))
 	}
 	s.passNeeded = true
 }
--- a/internal/sched/restart.go
+++ b/internal/sched/restart.go
@@ -110,6 +110,23 @@
 	return s.started.Add(s.options.LeaderOverlap + scale(s.options.MaxRunLease, 1+clockDrift) + leaseMargin)
 }
 
+// longLeaseBound returns when all leases of the maximum length have expired that commands for former incarnations of a server may
+// have granted the one that has just answered its first poll. Former leaders send nothing after their overlap with this one.
+// This leader has sent commands for a former incarnation if it has removed a server of that id, and else has seen the restart.
+func (s *Scheduler) longLeaseBound(v *server) time.Time {
+	bound := s.now.Add(scale(s.options.MaxRunLease, 1+clockDrift) + leaseMargin)
+	if _, returned := s.serverLog.removals[v.info.ID]; returned {
+		return bound
+	}
+	if s.options.RunBase == 0 {
+		return s.started
+	}
+	if b := s.longestFormerLeaseBound().Add(s.options.MaxRunLease); b.Before(bound) { // carried out up to MaxRunLease late
+		return b
+	}
+	return bound
+}
+
 // handleRestart handles proof that a server has restarted, which ended all runs of its former incarnation.
 func (s *Scheduler) handleRestart(v *server, incarnation int64) {
 	v.info.Incarnation = incarnation
