Record in the roster which servers can't have a long lease

Its trace: the former leader started {j013 0 2 0} on s23 at 11.45 s, the next one took over at 11.56 s, and s23 ended for good at 11.59 s. Its reply to the poll that was sent at the takeover arrived at 13.54 s, listed the task and gave a clock reading of a few seconds. So Scheduler.attach counted the longest lease from then on, up to 21.80 s, as a command of a former leader for a former incarnation might have granted it. The former leader knew that incarnation and that it had no such lease; the roster entry didn't say so.

The roster now says (usual-lease) that the incarnation in the entry has answered a leader, with its fencing token, and that no command for a former one can have given it a long lease. It is written once the bounds of all such commands have passed, and no longer when a restart shows. The next leader uses it only if the server itself names the same incarnation; an entry without it, as of older daemons, keeps the cautious meaning.

--- a/internal/sched/inventory.go
+++ b/internal/sched/inventory.go
@@ -61,7 +61,7 @@
 	}
 	s.reconcile(v, inv, answered.at)
 	if !v.attached {
-		s.attach(v, inv.Clock)
+		s.attach(v, inv)
 	}
 	s.advanceRecorded(v)
 	delay := time.Duration(0)
@@ -86,6 +86,7 @@
 		s.handleRestart(v, incarnation)
 	case incarnation < v.info.Incarnation && v.disprovesIncarnation(sentAt):
 		v.disprovedIncarnation, v.info.Incarnation = v.info.Incarnation, incarnation
+		v.usualLease = false // it was of the other incarnation
 		s.touchRoster(v)
 	case incarnation < v.info.Incarnation:
 		return false
@@ -94,17 +95,22 @@
 	return true
 }
 
-// attach handles the first inventory of a server's incarnation, with a reading of its clock. From now on the server rejects
-// commands of former leaders.
-func (s *Scheduler) attach(v *server, clock time.Duration) {
+// attach handles the first inventory of a server's incarnation. From now on the server rejects commands of former leaders.
+func (s *Scheduler) attach(v *server, inv Inventory) {
 	v.attached, v.inventoryKnown = true, true
 	if b := latest(s.formerLeaseBound(s.now), v.formerIncarnationBound); b.Before(v.leaseBound) {
 		v.leaseBound = b
 	}
-	if clock < 2*s.options.MaxRunLease {
+	named := inv.Incarnation != 0 && inv.Incarnation == v.info.Incarnation
+	v.usualLease = v.usualLease && named
+	bound := s.longLeaseBound(v)
+	if !v.usualLease && inv.Clock < 2*s.options.MaxRunLease {
 		// A command for an incarnation before this one, with a deadline on that one's clock, may have granted the longest lease, also if
 		// it was carried out seconds late.
-		v.leaseBound = latest(v.leaseBound, s.longLeaseBound(v))
+		v.leaseBound = latest(v.leaseBound, bound)
+	}
+	if named {
+		v.usualLeaseFrom = bound
 	}
 	s.passNeeded = true
 }
--- a/internal/sched/new_server_lease_test.go
+++ b/internal/sched/new_server_lease_test.go
@@ -28,11 +28,16 @@
 	f.starts = nil
 	f.s.Started(f.now, f.now, "s1", cmd.Task, cmd.Run, time.Second)
 	f.addServer("s2", 16)
+	return f.untilStart("s1")
+}
+
+// untilStart returns how long the next start takes while one server is silent and s2 lists no runs.
+func (f *fixture) untilStart(silent ServerID) time.Duration {
 	from := f.now
 	for len(f.starts) == 0 && f.now.Sub(from) < 30*time.Second {
-		if poll, ok := f.polls["s1"]; ok {
-			delete(f.polls, "s1")
-			f.s.PollFailed(f.now, "s1", poll.Serial)
+		if poll, ok := f.polls[silent]; ok {
+			delete(f.polls, silent)
+			f.s.PollFailed(f.now, silent, poll.Serial)
 		}
 		if _, ok := f.polls["s2"]; ok {
 			f.answerPoll("s2", Inventory{})
--- a/internal/sched/restart.go
+++ b/internal/sched/restart.go
@@ -90,6 +90,7 @@
 	v.formerIncarnationBound = s.now.Add(scale(s.options.MaxRunLease, 1+clockDrift) + leaseMargin)
 	v.leaseBound = latest(v.leaseBound, v.formerIncarnationBound)
 	v.longLease, v.longRunningAllowed, v.longRunningRecorded = true, len(v.runs) > v.finiteRuns, false
+	v.usualLease, v.usualLeaseFrom = false, time.Time{}
 	s.clearUnknownOutcomes(v)
 	s.touchRoster(v)
 	v.attached = false
--- a/internal/sched/roster.go
+++ b/internal/sched/roster.go
@@ -24,6 +24,9 @@
 	LongLease bool `json:"long-lease,omitempty"`
 	// LongRunning reports that long-running tasks may be in progress there under such a lease. Others needn't wait for it.
 	LongRunning bool `json:"long-running,omitempty"`
+	// UsualLease reports that the incarnation of Server has answered a poll and that no command for a former one can have given it
+	// a longer lease. An entry without it says nothing.
+	UsualLease bool `json:"usual-lease,omitempty"`
 }
 
 // HeldRun is a run that may be in progress on a server.
@@ -65,7 +68,10 @@
 
 func (v *server) rosterEntry() RosterChange {
 	c := RosterChange{
-		Entry:   RosterEntry{Server: v.info, Cordoned: v.cordoned, LongLease: v.longLease, LongRunning: v.longLease && v.longRunningAllowed},
+		Entry: RosterEntry{
+			Server: v.info, Cordoned: v.cordoned, LongLease: v.longLease, LongRunning: v.longLease && v.longRunningAllowed,
+			UsualLease: v.usualLease,
+		},
 		Removed: v.removed, change: v.rosterChange,
 	}
 	if v.cordoned {
@@ -104,6 +110,7 @@
 	delete(s.rosterDirty, e.Server.ID)
 	v := s.servers[e.Server.ID]
 	v.history.registeredAt = time.Time{}
+	v.usualLease = e.UsualLease && !e.LongLease
 	if e.LongLease {
 		v.longLease, v.formerIncarnationBound = true, s.longestFormerLeaseBound()
 		v.leaseBound = latest(v.leaseBound, v.formerIncarnationBound)
@@ -132,6 +139,10 @@
 		v.longLease = false
 		s.touchRoster(v)
 	}
+	if !v.usualLease && !v.longLease && !v.usualLeaseFrom.IsZero() && !s.now.Before(v.usualLeaseFrom) {
+		v.usualLease = true
+		s.touchRoster(v)
+	}
 }
 
 // admitsLongRunning reports whether long-running tasks may start on a server. They don't while it may have a long lease, unless the
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -82,6 +82,8 @@
 	incarnationUnknown     bool      // the clock has shown a restart, but the new incarnation isn't known yet
 	formerIncarnationBound time.Time // after it, no run commanded for a former incarnation is in progress on this one
 	longLease              bool      // recorded in the roster, see RosterEntry; false after formerIncarnationBound
+	usualLease             bool      // recorded in the roster, see RosterEntry
+	usualLeaseFrom         time.Time // when usualLease may be set; zero until the incarnation has answered a poll
 	longRunningAllowed     bool      // long-running tasks may be in progress under the long lease
 	longRunningRecorded    bool      // the roster says so
 	incarnationClaimedAt   time.Time // when a registration named the incarnation; zero once the server itself has reported it
