Name the long-running tasks under a long lease in the roster

The entry now names the long-running tasks that may be in progress under the long lease (long-running-tasks); a task starts there only once a written entry names it, as many waiting tasks of a step in one write as the server has capacity for. The next leader holds back only these beyond the usual lease. A name goes once the task has no run there and has one elsewhere; a later start needs a new write, as one without the name may be in flight. An entry with long-running and no names, as of older daemons, still holds all of them back, and older daemons read the new entries so. A leader that sees a restart before it knows the inventory records such an entry now: it held all tasks back itself, but its successor didn't. Explain no longer changes what is admitted.

TestLongLeaseHoldsBackOnlyTheTasksThatItIsRecordedFor: without the names the task that never ran there started after 12.4 s, with them within 7 s, and the one that may run there still waits for 12 s. Without the last rule both tasks start after 6.3 s beside a run that may go on.

--- a/internal/sched/explain.go
+++ b/internal/sched/explain.go
@@ -125,12 +125,14 @@
 func (s *Scheduler) explainWaiting(row *StepExplanation, r *rankedGroup) {
 	g := r.group
 	row.Waiting, row.Servers = map[WaitReason]int{}, map[ServerStatus]int{}
-	held, unplaced := s.heldReason(r), s.unplacedReason(r)
+	held, unplaced, inDoubt := s.heldReason(r), s.unplacedReason(r), s.underFormerLongLease()
 	for _, t := range g.tasks {
 		switch {
 		case !t.waiting():
 		case held != "":
 			row.Waiting[held]++
+		case inDoubt[t.id()]:
+			row.Waiting[WaitUnknownInventory]++
 		case !g.step.Gang && t.attemptsMayBeExhausted(r.queue.MaxAttempts):
 			row.Waiting[WaitLastAttempt]++
 		default:
@@ -141,6 +143,7 @@
 	for _, v := range s.sortedServers() {
 		ofQueue := v.info.Service == r.queue.Service || v.info.Service == g.job.spec.Queue.Service
 		if held == WaitUnknownInventory && ofQueue && v.mayHoldUnknownRuns(s.now, g.step.LongRunning) ||
+			row.Waiting[WaitUnknownInventory] > 0 && slices.ContainsFunc(g.tasks, func(t *task) bool { return v.mayRunUnderLongLease(s.now, t) }) ||
 			row.Waiting[WaitLastAttempt] > 0 && slices.ContainsFunc(v.unknownOutcomeTasks, inGroup) {
 			row.HeldBackBy = append(row.HeldBackBy, v.info.ID)
 		}
@@ -176,7 +179,8 @@
 	p := pass{Scheduler: s, reserved: map[ServerID]bool{}}
 	tasks := g.tasks
 	if !g.step.Gang {
-		tasks = tasks[:1] // whether there is a server doesn't depend on the task
+		first := max(slices.IndexFunc(tasks, (*task).waiting), 0)
+		tasks = tasks[first : first+1] // whether there will be a server doesn't depend on the task
 	}
 	if !p.withinLimit(g, len(tasks)) {
 		return WaitTeamLimit
--- a/internal/sched/inventory.go
+++ b/internal/sched/inventory.go
@@ -112,6 +112,10 @@
 	if named {
 		v.usualLeaseFrom = bound
 	}
+	if v.longLeaseTasks.unnamed { // the runs that the inventory lists have been named
+		v.longLeaseTasks.unnamed = false
+		s.touchRoster(v)
+	}
 	s.passNeeded = true
 }
 
--- a/internal/sched/placement.go
+++ b/internal/sched/placement.go
@@ -30,7 +30,7 @@
 	s.passes++
 	p := pass{
 		Scheduler: s, reserved: map[ServerID]bool{}, reservations: map[ServiceID]int{}, considered: map[ServiceID]int{},
-		blocked: map[unknownInventory]bool{},
+		blocked: map[unknownInventory]bool{}, inDoubt: s.underFormerLongLease(),
 	}
 	s.starvation.mostlyFree = map[ServiceID]bool{}
 	for id := range s.services {
@@ -67,6 +67,8 @@
 	considered   map[ServiceID]int
 	scratch      []*server
 	blocked      map[unknownInventory]bool // results of hasUnknownInventory
+	inDoubt      map[TaskID]bool           // see underFormerLongLease
+	withheld     *server                   // the best server for the latest task among those that don't admit it yet, or nil
 	uncounted    *uncountedRuns            // nil until uncountedDemand is called
 }
 
@@ -87,7 +89,7 @@
 		return
 	}
 	for _, t := range g.tasks {
-		if !t.waiting() || t.attemptsMayBeExhausted(r.queue.MaxAttempts) {
+		if !t.waiting() || t.attemptsMayBeExhausted(r.queue.MaxAttempts) || p.inDoubt[t.id()] {
 			continue
 		}
 		if !p.withinLimit(g, 1) {
@@ -135,7 +137,7 @@
 // placeGang starts all members of a gang, or none.
 func (p *pass) placeGang(r *rankedGroup) {
 	g := r.group
-	if !p.withinLimit(g, len(g.tasks)) {
+	if !p.withinLimit(g, len(g.tasks)) || slices.ContainsFunc(g.tasks, func(t *task) bool { return p.inDoubt[t.id()] }) {
 		return
 	}
 	taken := tentative{}
@@ -161,14 +163,13 @@
 	}
 }
 
-// pickServer returns the server with the highest score for a task, or nil.
+// pickServer returns the server with the highest score for a task, or nil. It sets withheld.
 func (p *pass) pickServer(r *rankedGroup, t *task, taken tentative) *server {
 	g := r.group
 	charge := g.step.Charge()
 	var (
-		best     *server
-		score    float64
-		withheld *server // one that doesn't admit long-running tasks yet
+		best, withheld         *server
+		score, scoreOfWithheld float64
 	)
 	rack := g.rackInUse(taken)
 	for _, v := range p.candidates(g, r.queue) {
@@ -181,17 +182,19 @@
 		if !g.allowsAnother(v, taken[v]) {
 			continue
 		}
-		if g.step.LongRunning && !v.admitsLongRunning() {
-			withheld = v
-			continue
+		better := func(x float64, than *server, score float64) bool {
+			return than == nil || x > score || x == score && v.info.ID < than.info.ID
 		}
-		if x := p.score(g, t, v, rack); best == nil || x > score || x == score && v.info.ID < best.info.ID {
+		switch x := p.score(g, t, v, rack); {
+		case g.step.LongRunning && !v.admitsLongRunning(t.id()):
+			if better(x, withheld, scoreOfWithheld) {
+				withheld, scoreOfWithheld = v, x
+			}
+		case better(x, best, score):
 			best, score = v, x
 		}
 	}
-	if best == nil && withheld != nil {
-		p.requestLongRunning(withheld)
-	}
+	p.withheld = withheld
 	return best
 }
 
@@ -291,8 +294,12 @@
 	return float64(part) / float64(whole)
 }
 
-// handleNoCapacity handles a group for which no server has capacity: it requests advice and reserves servers for large tasks.
+// handleNoCapacity handles a group for which no server has capacity: it requests advice, has tasks admitted to a server with a long
+// lease, and reserves servers for large tasks.
 func (p *pass) handleNoCapacity(r *rankedGroup) {
+	if p.withheld != nil {
+		p.requestLongRunning(p.withheld, r.group)
+	}
 	if r.queue.Advisor != nil {
 		p.adviceQueue = append(p.adviceQueue, *r)
 		p.reserveAllowed(r)
--- a/internal/sched/restart.go
+++ b/internal/sched/restart.go
@@ -89,7 +89,8 @@
 func (s *Scheduler) resetIncarnation(v *server) {
 	v.formerIncarnationBound = s.now.Add(scale(s.options.MaxRunLease, 1+clockDrift) + leaseMargin)
 	v.leaseBound = latest(v.leaseBound, v.formerIncarnationBound)
-	v.longLease, v.longRunningAllowed, v.longRunningRecorded = true, len(v.runs) > v.finiteRuns, false
+	v.longLease, v.longLeaseTasks = true, v.longRunningTasks()
+	v.longLeaseTasks.unnamed = s.options.RunBase > 0 && !v.inventoryKnown // it may have confirmed starts of former leaders
 	v.usualLease, v.usualLeaseFrom = false, time.Time{}
 	s.clearUnknownOutcomes(v)
 	s.touchRoster(v)
--- a/internal/sched/roster.go
+++ b/internal/sched/roster.go
@@ -22,8 +22,10 @@
 	// LongLease reports that the server restarted recently, so that a command for its former incarnation may have given it a
 	// lease of MaxRunLease.
 	LongLease bool `json:"long-lease,omitempty"`
-	// LongRunning reports that long-running tasks may be in progress there under such a lease. Others needn't wait for it.
-	LongRunning bool `json:"long-running,omitempty"`
+	// LongRunning reports that long-running tasks may be in progress there under such a lease: LongRunningTasks, or any if there are
+	// none, as daemons before that list didn't write it. Others needn't wait for that lease.
+	LongRunning      bool     `json:"long-running,omitempty"`
+	LongRunningTasks []TaskID `json:"long-running-tasks,omitempty"`
 	// UsualLease reports that the incarnation of Server has answered a poll and that no command for a former one can have given it
 	// a longer lease. An entry without it says nothing.
 	UsualLease bool `json:"usual-lease,omitempty"`
@@ -69,8 +71,8 @@
 func (v *server) rosterEntry() RosterChange {
 	c := RosterChange{
 		Entry: RosterEntry{
-			Server: v.info, Cordoned: v.cordoned, LongLease: v.longLease, LongRunning: v.longLease && v.longRunningAllowed,
-			UsualLease: v.usualLease,
+			Server: v.info, Cordoned: v.cordoned, LongLease: v.longLease, UsualLease: v.usualLease,
+			LongRunning: v.longLeaseTasks.any(), LongRunningTasks: v.longLeaseTasks.list(),
 		},
 		Removed: v.removed, change: v.rosterChange,
 	}
@@ -92,7 +94,7 @@
 			continue
 		}
 		v.cordonMayBeRecorded = c.Entry.Cordoned
-		v.longRunningRecorded = c.Entry.LongRunning && v.longRunningAllowed
+		v.longLeaseTasks.noteRecorded(c.Entry)
 		if v.rosterChange == c.change && v.removed == c.Removed {
 			delete(s.rosterDirty, id)
 		}
@@ -115,8 +117,8 @@
 		v.longLease, v.formerIncarnationBound = true, s.longestFormerLeaseBound()
 		v.leaseBound = latest(v.leaseBound, v.formerIncarnationBound)
 		v.formerLeaderBound = latest(v.formerLeaderBound, v.formerIncarnationBound)
-		v.longRunningAllowed, v.longRunningRecorded = e.LongRunning, e.LongRunning
-		if e.LongRunning {
+		v.longLeaseTasks = restoredLongLeaseTasks(e)
+		if v.longLeaseTasks.unnamed {
 			v.formerLongRunningBound = v.formerLeaderBound
 		}
 	}
@@ -133,30 +135,6 @@
 	}
 }
 
-// updateLongLease records that a server no longer has a long lease, once that has expired.
-func (s *Scheduler) updateLongLease(v *server) {
-	if v.longLease && s.now.After(v.formerIncarnationBound) {
-		v.longLease = false
-		s.touchRoster(v)
-	}
-	if !v.usualLease && !v.longLease && !v.usualLeaseFrom.IsZero() && !s.now.Before(v.usualLeaseFrom) {
-		v.usualLease = true
-		s.touchRoster(v)
-	}
-}
-
-// admitsLongRunning reports whether long-running tasks may start on a server. They don't while it may have a long lease, unless the
-// roster says so: the next leader would hold all of them back until that lease has ended.
-func (v *server) admitsLongRunning() bool { return !v.longLease || v.longRunningRecorded }
-
-// requestLongRunning records that long-running tasks may start on a server in spite of its long lease.
-func (s *Scheduler) requestLongRunning(v *server) {
-	if !v.longRunningAllowed {
-		v.longRunningAllowed = true
-		s.touchRoster(v)
-	}
-}
-
 // updateCordon cordons a draining or unresponsive server, and uncordons it once it is neither. A server whose runs aren't
 // known can't be cordoned.
 func (s *Scheduler) updateCordon(v *server) {
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -30,6 +30,7 @@
 	v.runs[runKey{t.id(), p.number}] = p
 	s.countUnanswered(p, 1)
 	v.finiteRuns += boolToInt(!t.group.step.LongRunning)
+	s.nameUnderLongLease(v, t)
 	v.used = v.used.Add(t.charge())
 	tm := s.team(t.group.job.spec.Team)
 	tm.used = tm.used.Add(t.group.step.Demand)
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -76,7 +76,7 @@
 	// formerLeaderBound is when all runs that former leaders started have ended. A restart of the server extends it at most to
 	// a fixed time after the takeover, so that inherited tasks don't wait for ever for a server that keeps restarting.
 	formerLeaderBound time.Time
-	// formerLongRunningBound is the same for runs of long-running tasks.
+	// formerLongRunningBound is the same for runs of long-running tasks, except for those of longLeaseTasks.
 	formerLongRunningBound time.Time
 
 	incarnationUnknown     bool      // the clock has shown a restart, but the new incarnation isn't known yet
@@ -84,8 +84,7 @@
 	longLease              bool      // recorded in the roster, see RosterEntry; false after formerIncarnationBound
 	usualLease             bool      // recorded in the roster, see RosterEntry
 	usualLeaseFrom         time.Time // when usualLease may be set; zero until the incarnation has answered a poll
-	longRunningAllowed     bool      // long-running tasks may be in progress under the long lease
-	longRunningRecorded    bool      // the roster says so
+	longLeaseTasks         longLeaseTasks
 	incarnationClaimedAt   time.Time // when a registration named the incarnation; zero once the server itself has reported it
 	incarnationSeenAt      time.Time // when the latest poll was sent in whose reply the server named its incarnation
 	disprovedIncarnation   int64     // named by a registration, but not by the server; 0 if there was none
