Don't repeat an unanswered start to a cordoned server

The trace: s31 was silent from before 10.00 s and restarted under its id at 10.16 s. A start of {j008 0 1 1} was sent at 10.32 s and 10.63 s without an answer and the server was cordoned at 10.90 s after two failed polls. At 10.94 s the start was repeated all the same. The new incarnation, reachable again at 10.93 s, took its deadline for one on its own clock and carried it out under a lease of 6.7 s. The server ended at 11.21 s, before the takeover at 11.73 s, so the next leader had to wait for the longest lease. The other three tasks had starts in doubt on the same server.

A start without an answer is now stopped instead of repeated once its server is cordoned. A cordoned server gets no new starts either: it drains, or hasn't answered two polls in a row. After a single lost poll a start is repeated as before.

--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -220,7 +220,7 @@
 	v := p.server
 	p.startUncertain = p.startUncertain || sent
 	v.incarnationInDoubt = v.incarnationInDoubt || sent
-	if p.startAttempts < maxStartAttempts && v.attached && sent {
+	if p.startAttempts < maxStartAttempts && v.attached && sent && !v.cordoned {
 		s.sendStart(p)
 		return
 	}
