--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -30,6 +30,7 @@
 	v.runs[runKey{t.id(), p.number}] = p
 	s.countUnanswered(p, 1)
 	v.finiteRuns += boolToInt(!t.group.step.LongRunning)
+	s.nameUnderLongLease(v, t)
 	v.used = v.used.Add(t.charge())
 	tm := s.team(t.group.job.spec.Team)
 	tm.used = tm.used.Add(t.group.step.Demand)
@@ -219,7 +220,7 @@
 	v := p.server
 	p.startUncertain = p.startUncertain || sent
 	v.incarnationInDoubt = v.incarnationInDoubt || sent
-	if p.startAttempts < maxStartAttempts && v.attached && sent {
+	if p.startAttempts < maxStartAttempts && v.attached && sent && !v.cordoned {
 		s.sendStart(p)
 		return
 	}
