Test that a lapsed long-running run is replaced in time

The test plays servers that are silent, refuse starts or carry commands out late with virtual time and checks the users' bound of 9 s.

--- a/internal/sched/faulty_server_test.go
+++ b/internal/sched/faulty_server_test.go
@@ -139,6 +139,8 @@
 		return refuse(RefusedOldRun)
 	case !w.losses.ticketIsValid(v, cmd):
 		return refuse(RefusedTicket)
+	case w.losses.scriptedRefusal(v) != "":
+		return refuse(w.losses.scriptedRefusal(v))
 	}
 	w.extendLease(v, cmd.Deadline)
 	w.checkStart(v, cmd.Task, sent.at)
--- a/internal/sched/property_test.go
+++ b/internal/sched/property_test.go
@@ -49,10 +49,17 @@
 	for _, cmd := range w.s.TakeCommands() {
 		switch cmd := cmd.(type) {
 		case StartCommand:
-			w.deliver(func() func() { return w.start(fence, cmd, sent) },
-				func() { w.s.StartUnanswered(w.leaderNow(), cmd.Server.ID, cmd.Task, cmd.Run, true) }, false)
+			w.losses.noteStart(cmd)
+			effect := func() func() { return w.start(fence, cmd, sent) }
+			lost := func() { w.s.StartUnanswered(w.leaderNow(), cmd.Server.ID, cmd.Task, cmd.Run, true) }
+			if !w.losses.deliverScripted(cmd.Server.ID, effect, lost) {
+				w.deliver(effect, lost, false)
+			}
 		case StopCommand:
-			w.deliver(func() func() { return w.stop(fence, cmd, sent) }, nil, false)
+			effect := func() func() { return w.stop(fence, cmd, sent) }
+			if !w.losses.deliverScripted(cmd.Server.ID, effect, nil) {
+				w.deliver(effect, nil, false)
+			}
 		case PollCommand:
 			w.sendPoll(cmd)
 		}
@@ -83,7 +90,7 @@
 	fence := w.epoch
 	send := func() {
 		sent := sendTime{w.now, w.leaderNow()}
-		if w.losses != nil && cmd.Wait > 0 {
+		if w.losses != nil && (cmd.Wait > 0 || w.losses.script != nil) {
 			w.losses.sendWaitingPoll(cmd, sent)
 			return
 		}
--- a/internal/sched/server_losses_test.go
+++ b/internal/sched/server_losses_test.go
@@ -21,6 +21,7 @@
 	tickets          map[Ticket]issuedTicket
 	calmFrom         time.Time // end of the last impairment so far
 	lastRan          map[TaskID]time.Time
+	script           *serverScript // nil if faults are random
 }
 
 const (
@@ -142,7 +143,7 @@
 
 // calm reports whether no further impairment comes. Calls are neither lost nor late then.
 func (l *serverLosses) calm() bool {
-	return l != nil && l.now.Sub(epochStart) >= faultsUntil && !l.now.Before(l.calmFrom)
+	return l != nil && (l.script != nil || l.now.Sub(epochStart) >= faultsUntil && !l.now.Before(l.calmFrom))
 }
 
 // reach returns the server that a command for a server reaches, or nil and its answer, if there is any: a server with another id
@@ -185,7 +186,7 @@
 	if elapsed >= faultsFrom && elapsed < faultsUntil {
 		l.injectFault()
 	}
-	if elapsed%(100*time.Millisecond) == 0 {
+	if elapsed%(100*time.Millisecond) == 0 && l.script == nil {
 		l.checkLongRunning()
 	}
 }
