Start long-running tasks on servers that answer

Cause: an idle server is polled before such a task starts there, one server at a time, and each silent one took 0.6 s, though others had answered. Change: once a preferred server hasn't answered within 0.2 s, the task takes the best one that has answered recently; if there is none, the other candidates are polled at once. Nothing starts on a server that hasn't answered, as before.

--- /dev/null
+++ b/internal/sched/pick_server.go
@@ -0,0 +1,87 @@
+package sched
+
+// pickServer returns the server with the highest score for a task, or nil. A long-running task waits briefly for the answer of a
+// server that hasn't answered recently; once one doesn't come, it takes a server that has.
+func (p *pass) pickServer(r *rankedGroup, t *task, taken tentative) *server {
+	g := r.group
+	charge := g.step.Charge()
+	var (
+		best     choice
+		proven   choice // the best one of those that answered recently; only for long-running tasks
+		unproven []*server
+		silent   bool    // one didn't answer promptly
+		withheld *server // one that doesn't admit long-running tasks yet
+	)
+	rack := g.rackInUse(taken)
+	for _, v := range p.candidates(g, r.queue) {
+		if !v.usable(p.now) || p.reserved[v.info.ID] || !eligible(g.step, v) {
+			continue
+		}
+		if !v.fits(charge.Times(int64(taken[v] + 1))) {
+			continue
+		}
+		if !g.allowsAnother(v, taken[v]) {
+			continue
+		}
+		if g.step.LongRunning && !v.admitsLongRunning() {
+			withheld = v
+			continue
+		}
+		x := p.score(g, t, v, rack)
+		switch {
+		case !g.step.LongRunning:
+		case p.answeredRecently(v):
+			proven.add(v, x)
+		case p.overdue(v):
+			silent = true
+			continue
+		default:
+			unproven = append(unproven, v)
+		}
+		best.add(v, x)
+	}
+	if silent {
+		// Servers are often lost together, so the idle ones are polled at once and not one after the other.
+		if proven.server != nil {
+			return proven.server
+		}
+		p.allRespond(unproven)
+	}
+	if best.server == nil && withheld != nil {
+		p.requestLongRunning(withheld)
+	}
+	return best.server
+}
+
+// choice is the server with the highest score so far.
+type choice struct {
+	server *server
+	score  float64
+}
+
+func (c *choice) add(v *server, score float64) {
+	if c.server == nil || score > c.score || score == c.score && v.info.ID < c.server.info.ID {
+		c.server, c.score = v, score
+	}
+}
+
+// candidates returns the servers that may run a group now: all of the service, or those with a valid ticket if the queue has
+// an advisor.
+func (p *pass) candidates(g *group, q *Queue) []*server {
+	if q.Advisor == nil {
+		return p.services[q.Service]
+	}
+	if !p.now.Before(g.advice.expiresAt) {
+		return nil
+	}
+	out := p.scratch[:0]
+	for i := range g.advice.grants {
+		t := &g.advice.grants[i]
+		v := p.servers[t.holder.server]
+		if v != nil && v.incarnationID() == t.holder && v.info.Service == q.Service && p.now.Before(t.expiresAt) {
+			out = append(out, v)
+		}
+	}
+	p.scratch = out
+	return out
+}
--- a/internal/sched/placement.go
+++ b/internal/sched/placement.go
@@ -161,61 +161,6 @@
 	}
 }
 
-// pickServer returns the server with the highest score for a task, or nil.
-func (p *pass) pickServer(r *rankedGroup, t *task, taken tentative) *server {
-	g := r.group
-	charge := g.step.Charge()
-	var (
-		best     *server
-		score    float64
-		withheld *server // one that doesn't admit long-running tasks yet
-	)
-	rack := g.rackInUse(taken)
-	for _, v := range p.candidates(g, r.queue) {
-		if !v.usable(p.now) || p.reserved[v.info.ID] || !eligible(g.step, v) {
-			continue
-		}
-		if !v.fits(charge.Times(int64(taken[v] + 1))) {
-			continue
-		}
-		if !g.allowsAnother(v, taken[v]) {
-			continue
-		}
-		if g.step.LongRunning && !v.admitsLongRunning() {
-			withheld = v
-			continue
-		}
-		if x := p.score(g, t, v, rack); best == nil || x > score || x == score && v.info.ID < best.info.ID {
-			best, score = v, x
-		}
-	}
-	if best == nil && withheld != nil {
-		p.requestLongRunning(withheld)
-	}
-	return best
-}
-
-// candidates returns the servers that may run a group now: all of the service, or those with a valid ticket if the queue has
-// an advisor.
-func (p *pass) candidates(g *group, q *Queue) []*server {
-	if q.Advisor == nil {
-		return p.services[q.Service]
-	}
-	if !p.now.Before(g.advice.expiresAt) {
-		return nil
-	}
-	out := p.scratch[:0]
-	for i := range g.advice.grants {
-		t := &g.advice.grants[i]
-		v := p.servers[t.holder.server]
-		if v != nil && v.incarnationID() == t.holder && v.info.Service == q.Service && p.now.Before(t.expiresAt) {
-			out = append(out, v)
-		}
-	}
-	p.scratch = out
-	return out
-}
-
 // allowsAnother reports whether MaxPerServer admits another task of the group on a server, beyond its runs there and the
 // coming tasks that are assigned to the server but not yet started.
 func (g *group) allowsAnother(v *server, coming int) bool {
--- a/internal/sched/poll.go
+++ b/internal/sched/poll.go
@@ -15,6 +15,8 @@
 	replyTimeoutFactor = 2
 	// maxStartReplyDelay is the delay of replies from which a server gets no starts, since those would time out and be repeated.
 	maxStartReplyDelay = 400 * time.Millisecond
+	// promptReply is how long a long-running task waits for the answer of an idle server. After it, a server that answers is preferred.
+	promptReply = 200 * time.Millisecond
 	// maxReplyDelay is the time after which no reply is used, beyond the wait of its poll. It is as long as a lease: what a server
 	// reports during the lease counts as reported, though the reply may be late.
 	maxReplyDelay = 4 * time.Second
@@ -68,10 +70,23 @@
 // answersPromptly reports whether starts on the server would be confirmed in time.
 func (v *server) answersPromptly() bool { return v.lastReplyDelay <= maxStartReplyDelay }
 
-// responds reports whether the latest reply of a server is recent. If it isn't, the server is polled. Only servers with runs are
-// polled regularly, so that the loss of an idle one doesn't show until its registration lapses.
+// answeredRecently reports whether the latest reply of a server without failed calls is recent. Only servers with runs are polled
+// regularly, so that the loss of an idle one doesn't show until its registration lapses.
+func (s *Scheduler) answeredRecently(v *server) bool {
+	return s.now.Sub(v.polledAt) <= s.options.PollWait+minReplyTimeout
+}
+
+// overdue reports whether a server that hasn't answered recently doesn't answer its latest poll promptly either.
+func (s *Scheduler) overdue(v *server) bool {
+	if s.answeredRecently(v) || !v.polling || len(v.unansweredPolls) == 0 {
+		return false
+	}
+	return s.now.Sub(v.unansweredPolls[len(v.unansweredPolls)-1].at) >= promptReply+replyTimeoutFactor*s.delay.median
+}
+
+// responds reports whether a server has answered recently. If it hasn't, it is polled.
 func (s *Scheduler) responds(v *server) bool {
-	if s.now.Sub(v.polledAt) <= s.options.PollWait+minReplyTimeout {
+	if s.answeredRecently(v) {
 		return true
 	}
 	if !v.polling {
