Prefer servers that confirm starts

Cause: a server that refused a start for its own state or didn't answer it, but answers polls, was as good as before once its pause of 0.5 s was over. With enough such servers the best score always was one of them. Change: for 10 s, or until it confirms a start, such a server comes after others, like one on which the task has failed. Only the order of choice changes, and no bound of a lease. Two functions move from runs.go to job.go, unchanged.

--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -272,3 +272,16 @@
 
 // HasJob reports whether the scheduler knows the job.
 func (s *Scheduler) HasJob(id ident.JobID) bool { return s.jobs[id] != nil }
+
+func (j *job) begin() { j.begun = true }
+
+// saveCheckpoint stores a checkpoint of the task, or of all members of its gang.
+func (t *task) saveCheckpoint(c Checkpoint) {
+	if !t.group.step.Gang {
+		t.checkpoint = c
+		return
+	}
+	for _, o := range t.group.tasks {
+		o.checkpoint = c
+	}
+}
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -118,23 +118,10 @@
 	p.phase = phaseRunning
 	p.confirmedAt = s.now
 	p.progressAt = s.now
-	p.server.refusals = 0
+	p.server.refusals, p.server.startFailedAt = 0, time.Time{}
 	p.task.group.job.begin()
 }
 
-func (j *job) begin() { j.begun = true }
-
-// saveCheckpoint stores a checkpoint of the task, or of all members of its gang.
-func (t *task) saveCheckpoint(c Checkpoint) {
-	if !t.group.step.Gang {
-		t.checkpoint = c
-		return
-	}
-	for _, o := range t.group.tasks {
-		o.checkpoint = c
-	}
-}
-
 // Started handles a server's confirmation of a start that was sent at the given time.
 func (s *Scheduler) Started(now, sent time.Time, id ServerID, task TaskID, number RunNumber, clock time.Duration) {
 	s.now = now
@@ -181,8 +168,10 @@
 		g.advice.forget(v.info.ID)
 	case RefusedUnhealthy:
 		v.refusals++
+		v.startFailedAt = now
 		v.noStartsBefore = now.Add(min(unhealthyPause<<min(v.refusals-1, 4), maxUnhealthyPause))
 	case RefusedCapacity:
+		v.startFailedAt = now
 		v.noStartsBefore = now.Add(unhealthyPause)
 	case RefusedInvalid:
 		g.noStartsBefore = now.Add(time.Second)
@@ -224,6 +213,7 @@
 		return
 	}
 	v.failures++
+	v.startFailedAt = now
 	if !v.polling {
 		s.poll(v, 0, 0)
 	}
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -34,6 +34,9 @@
 	// up to maxUnhealthyPause with each consecutive refusal as unhealthy.
 	unhealthyPause    = 500 * time.Millisecond
 	maxUnhealthyPause = 4 * time.Second
+	// startFailureMemory is how long a server comes after others once it hasn't confirmed a start. It exceeds two leases, as a start
+	// without an answer holds its task for one.
+	startFailureMemory = 10 * time.Second
 )
 
 // runKey identifies a run.
@@ -107,6 +110,7 @@
 	// incarnationInDoubt is set from an unanswered call until a poll reports the server's incarnation.
 	incarnationInDoubt bool
 	refusals           int       // starts refused as unhealthy since the last confirmed one
+	startFailedAt      time.Time // when a start was last unanswered, or refused for the server's state, since the last confirmed one
 	noStartsBefore     time.Time // no starts before this time
 
 	cordoned            bool   // gets no starts, see RosterEntry
@@ -133,6 +137,11 @@
 		!now.Before(v.noStartsBefore) && (v.suspicions == 0 || v.finiteRuns == 0)
 }
 
+// failedStart reports whether the server recently didn't confirm a start, although it may answer polls.
+func (v *server) failedStart(now time.Time) bool {
+	return !v.startFailedAt.IsZero() && now.Sub(v.startFailedAt) < startFailureMemory
+}
+
 // deadline returns the end of a lease that a command grants after a delay, on the server's clock, and extends the server's
 // leaseBound to cover it.
 func (s *Scheduler) deadline(v *server, delay time.Duration) time.Duration {
