Ask for tickets of servers that start tasks

Cause: an advisor call for a step named the servers that are known to be allowed again, also those that had just refused the step's tickets or starts, and asked about others only if there was none. Evidence: TestLapsedRunIsReplacedAfterRefusedTickets, no run within 30 s and 658 starts with 20 of 23 servers that refuse tickets, and TestLapsedRunIsReplacedInTime with servers that refuse for lack of capacity.

--- a/internal/sched/advice.go
+++ b/internal/sched/advice.go
@@ -65,6 +65,7 @@
 	allowed   map[incarnationID]bool // answers so far; an advisor never changes them
 	positive  []incarnationID        // the allowed ones of these, in the order of the answers
 	grants    []grant                // at most one for each server
+	refused   []refusedTicket        // at most one for each server
 	expiresAt time.Time              // when the newest ticket expires
 	inFlight  bool
 	lastCall  time.Time // start of the last call
@@ -86,6 +87,28 @@
 	return ""
 }
 
+// refusedTicket is a server's refusal of a ticket that wasn't known to have expired.
+type refusedTicket struct {
+	holder incarnationID
+	at     time.Time
+}
+
+// refuse drops the ticket that a server has refused.
+func (a *advice) refuse(v *server, now time.Time) {
+	a.forget(v.info.ID)
+	a.refused = slices.DeleteFunc(a.refused, func(r refusedTicket) bool {
+		return r.holder.server == v.info.ID || now.Sub(r.at) >= startFailureMemory
+	})
+	a.refused = append(a.refused, refusedTicket{v.incarnationID(), now})
+}
+
+// refusedTicket reports whether a server recently refused a ticket.
+func (a *advice) refusedTicket(v *server, now time.Time) bool {
+	return slices.ContainsFunc(a.refused, func(r refusedTicket) bool {
+		return r.holder == v.incarnationID() && now.Sub(r.at) < startFailureMemory
+	})
+}
+
 // forget drops the ticket for a server.
 func (a *advice) forget(id ServerID) {
 	a.grants = slices.DeleteFunc(a.grants, func(g grant) bool { return g.holder.server == id })
--- a/internal/sched/advice_servers.go
+++ b/internal/sched/advice_servers.go
@@ -120,7 +120,7 @@
 }
 
 // selectServers selects the servers of a call: those known to be allowed that have capacity or soon will, else those without an
-// answer. Once the group has tickets, servers without an answer are selected only if they have free capacity.
+// answer, else those that are allowed but didn't start tasks lately. Once the group has tickets, servers without an answer are selected only if they have free capacity.
 func (s *Scheduler) selectServers(g *group, q *Queue) []ServerID {
 	missing := g.missing()
 	if g.step.Gang {
@@ -129,10 +129,13 @@
 			return ids
 		}
 		missing = max(missing-places, 1)
-	} else if ids := s.serversToRenew(g, q); len(ids) > 0 {
+	} else if ids := s.serversToRenew(g, q, false); len(ids) > 0 {
 		return ids
 	}
-	return s.freshServers(g, q, missing)
+	if ids := s.freshServers(g, q, missing); len(ids) > 0 || g.step.Gang {
+		return ids
+	}
+	return s.serversToRenew(g, q, true)
 }
 
 // placesWanted is how many places a call of a wide step asks for, as a multiple of the tasks: other steps take some of them
@@ -165,11 +168,15 @@
 	return ids
 }
 
-// serversToRenew selects the servers known to be allowed that have no valid ticket and have capacity or soon will.
-func (s *Scheduler) serversToRenew(g *group, q *Queue) []ServerID {
+// serversToRenew selects the servers known to be allowed that have no valid ticket and have capacity or soon will. It selects either
+// those that recently didn't start tasks or the others.
+func (s *Scheduler) serversToRenew(g *group, q *Queue, failedStart bool) []ServerID {
 	cost := q.Advisor
 	var renew []*server
 	for v := range s.allowedServers(g, q, s.now.Add(cost.CallTime(1))) {
+		if (v.failedStart(s.now) || g.advice.refusedTicket(v, s.now)) != failedStart {
+			continue
+		}
 		if g.advice.ticket(v, s.now) == "" && s.hasCapacityWithin(g.step, v, cost.CallTime(1)+renewalLead) {
 			renew = append(renew, v)
 		}
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -165,7 +165,7 @@
 	s.readClock(v, sent, clock, p)
 	switch reason {
 	case RefusedTicket:
-		g.advice.forget(v.info.ID)
+		g.advice.refuse(v, now)
 	case RefusedUnhealthy:
 		v.refusals++
 		v.startFailedAt = now
