Grant a short lease with starts of long-running tasks

Cause: a start without an answer holds its task until its lease has certainly ended, 4.1 s after the third attempt or after a poll that was sent meanwhile, so two such starts took over 10 s. Change: the start grants 2 s (more while the leader is overloaded), repeated starts keep that deadline, and polls renew a lease only once a run is confirmed. No bound is shortened: it follows the leases that were sent, which TestUnansweredStartIsHeldUntilItsLeaseHasEnded checks. The first poll after the start waits briefly, so that the lease is renewed in time if one poll fails.

--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -93,6 +93,7 @@
 	startUncertain   bool          // a start is unanswered and may still take effect
 	startDeadline    time.Duration // of the last start, on the clock of startIncarnation; 0 if a former leader started the run
 	startIncarnation int64
+	startLeaseEnds   time.Time // when startDeadline is due
 	confirmInDoubt   bool      // a later incarnation of the server than the known one may have confirmed the start
 	stoppingSince    time.Time // when the first stop was sent
 	stopAnsweredAt   time.Time // when the stop was answered
--- a/internal/sched/poll.go
+++ b/internal/sched/poll.go
@@ -121,22 +121,26 @@
 		Delay: delay, Serial: v.pollSerial,
 	}
 	if v.attached && s.renewsLease(v) {
-		cmd.Deadline = s.deadline(v, delay)
+		cmd.Deadline = s.deadline(v, delay, s.options.RunLease)
 	}
 	s.emit(cmd)
 }
 
-// renewsLease reports whether polls renew a server's lease. They don't while the server is unresponsive, since each call that
-// may have arrived would postpone the time after which its runs are known to have ended.
+// renewsLease reports whether polls renew a server's lease. They don't while the server is unresponsive or has only unanswered starts,
+// since each call that may have arrived would postpone the time after which its runs are known to have ended.
 func (s *Scheduler) renewsLease(v *server) bool {
-	return len(v.runs) > 0 && v.failures == 0 &&
+	return v.holdsConfirmedRun() && v.failures == 0 &&
 		(v.registered || s.now.Sub(v.unregisteredAt) < reregistrationGrace || !v.info.Draining)
 }
 
 // pollWait returns how long a server may delay its reply: until shortly after the next run is expected to end. If the reply is
 // lost, the poll then times out about when the end would have been reported, not a whole PollWait later.
+// The same applies to a poll that extends a short lease: its failure has to show before that lease ends.
 func (s *Scheduler) pollWait(v *server) time.Duration {
 	next := s.options.PollWait
+	if left := v.grantedUntil - v.clock - s.now.Sub(v.clockAt); left > 0 && left <= startLease {
+		next = minPollWait
+	}
 	for _, p := range v.runs {
 		if p.phase == phaseRunning && !p.task.group.step.LongRunning {
 			next = min(next, s.remaining(p)+pollMargin)
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -101,7 +101,7 @@
 	p.startAttempts++
 	p.sentAt = s.now
 	s.counts.Starts++
-	p.startDeadline, p.startIncarnation = s.deadline(p.server, 0), p.server.info.Incarnation
+	s.setStartDeadline(p)
 	g := p.task.group
 	s.emit(StartCommand{
 		Server: p.server.info, Task: p.task.id(), Run: p.number, Payload: g.job.spec.Payload, Checkpoint: p.task.checkpoint,
@@ -178,6 +178,7 @@
 	case RefusedLeaseExpired, RefusedOldRun, RefusedFenced:
 	}
 	if reason == RefusedLeaseExpired && p.startAttempts < maxStartAttempts && v.usable(now) {
+		p.startLeaseEnds = now
 		s.sendStart(p)
 		return
 	}
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -144,11 +144,11 @@
 
 // deadline returns the end of a lease that a command grants after a delay, on the server's clock, and extends the server's
 // leaseBound to cover it.
-func (s *Scheduler) deadline(v *server, delay time.Duration) time.Duration {
+func (s *Scheduler) deadline(v *server, delay, lease time.Duration) time.Duration {
 	age := s.now.Sub(v.clockAt) + delay
-	lease := scale(s.options.RunLease, 1+clockDrift) + scale(age, clockDrift) + leaseMargin
-	v.leaseBound = latest(v.leaseBound, s.now.Add(delay+lease))
-	end := v.clock + age + s.options.RunLease
+	longest := scale(lease, 1+clockDrift) + scale(age, clockDrift) + leaseMargin
+	v.leaseBound = latest(v.leaseBound, s.now.Add(delay+longest))
+	end := v.clock + age + lease
 	v.grantedUntil = max(v.grantedUntil, end)
 	return end
 }
--- /dev/null
+++ b/internal/sched/start_lease.go
@@ -0,0 +1,33 @@
+package sched
+
+import "time"
+
+const (
+	// startLease is the lease that the start of a long-running task grants. It is shorter than RunLease, as the task is held back for it
+	// if the start has no answer. Polls extend it once the start is confirmed; it outlasts the failure of one of them.
+	startLease = 2 * time.Second
+	// minStartLease is the least time that a repeated start leaves until its deadline.
+	minStartLease = time.Second
+)
+
+// setStartDeadline sets the deadline of a start. A repeated start of a long-running task keeps it while it leaves enough time.
+func (s *Scheduler) setStartDeadline(p *run) {
+	v, lease := p.server, s.options.RunLease
+	if p.task.group.step.LongRunning {
+		if p.startIncarnation == v.info.Incarnation && s.now.Add(minStartLease).Before(p.startLeaseEnds) {
+			return
+		}
+		lease = min(startLease+maxStartAttempts*replyTimeoutFactor*s.delay.median, lease)
+	}
+	p.startDeadline, p.startIncarnation, p.startLeaseEnds = s.deadline(v, 0, lease), v.info.Incarnation, s.now.Add(lease)
+}
+
+// holdsConfirmedRun reports whether the server has confirmed or listed one of its runs.
+func (v *server) holdsConfirmedRun() bool {
+	for _, p := range v.runs {
+		if !p.confirmedAt.IsZero() {
+			return true
+		}
+	}
+	return false
+}
