--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -93,6 +93,7 @@
 	startUncertain   bool          // a start is unanswered and may still take effect
 	startDeadline    time.Duration // of the last start, on the clock of startIncarnation; 0 if a former leader started the run
 	startIncarnation int64
+	startLeaseEnds   time.Time // when startDeadline is due
 	confirmInDoubt   bool      // a later incarnation of the server than the known one may have confirmed the start
 	stoppingSince    time.Time // when the first stop was sent
 	stopAnsweredAt   time.Time // when the stop was answered
@@ -272,3 +273,16 @@
 
 // HasJob reports whether the scheduler knows the job.
 func (s *Scheduler) HasJob(id ident.JobID) bool { return s.jobs[id] != nil }
+
+func (j *job) begin() { j.begun = true }
+
+// saveCheckpoint stores a checkpoint of the task, or of all members of its gang.
+func (t *task) saveCheckpoint(c Checkpoint) {
+	if !t.group.step.Gang {
+		t.checkpoint = c
+		return
+	}
+	for _, o := range t.group.tasks {
+		o.checkpoint = c
+	}
+}
--- a/internal/sched/placement.go
+++ b/internal/sched/placement.go
@@ -163,62 +163,6 @@
 	}
 }
 
-// pickServer returns the server with the highest score for a task, or nil. It sets withheld.
-func (p *pass) pickServer(r *rankedGroup, t *task, taken tentative) *server {
-	g := r.group
-	charge := g.step.Charge()
-	var (
-		best, withheld         *server
-		score, scoreOfWithheld float64
-	)
-	rack := g.rackInUse(taken)
-	for _, v := range p.candidates(g, r.queue) {
-		if !v.usable(p.now) || p.reserved[v.info.ID] || !eligible(g.step, v) {
-			continue
-		}
-		if !v.fits(charge.Times(int64(taken[v] + 1))) {
-			continue
-		}
-		if !g.allowsAnother(v, taken[v]) {
-			continue
-		}
-		better := func(x float64, than *server, score float64) bool {
-			return than == nil || x > score || x == score && v.info.ID < than.info.ID
-		}
-		switch x := p.score(g, t, v, rack); {
-		case g.step.LongRunning && !v.admitsLongRunning(t.id()):
-			if better(x, withheld, scoreOfWithheld) {
-				withheld, scoreOfWithheld = v, x
-			}
-		case better(x, best, score):
-			best, score = v, x
-		}
-	}
-	p.withheld = withheld
-	return best
-}
-
-// candidates returns the servers that may run a group now: all of the service, or those with a valid ticket if the queue has
-// an advisor.
-func (p *pass) candidates(g *group, q *Queue) []*server {
-	if q.Advisor == nil {
-		return p.services[q.Service]
-	}
-	if !p.now.Before(g.advice.expiresAt) {
-		return nil
-	}
-	out := p.scratch[:0]
-	for i := range g.advice.grants {
-		t := &g.advice.grants[i]
-		v := p.servers[t.holder.server]
-		if v != nil && v.incarnationID() == t.holder && v.info.Service == q.Service && p.now.Before(t.expiresAt) {
-			out = append(out, v)
-		}
-	}
-	p.scratch = out
-	return out
-}
-
 // allowsAnother reports whether MaxPerServer admits another task of the group on a server, beyond its runs there and the
 // coming tasks that are assigned to the server but not yet started.
 func (g *group) allowsAnother(v *server, coming int) bool {
@@ -277,7 +221,7 @@
 	if g.step.Rack != "" && v.info.Rack != g.step.Rack || rack != "" && v.info.Rack != rack {
 		x -= remoteWeight
 	}
-	if t.avoidServer == v.info.ID {
+	if t.avoidServer == v.info.ID || v.failedStart(p.now) {
 		x -= failedWeight
 	}
 	x -= failedWeight * v.recentFailures / (v.recentRuns + 1)
--- a/internal/sched/poll.go
+++ b/internal/sched/poll.go
@@ -15,6 +15,8 @@
 	replyTimeoutFactor = 2
 	// maxStartReplyDelay is the delay of replies from which a server gets no starts, since those would time out and be repeated.
 	maxStartReplyDelay = 400 * time.Millisecond
+	// promptReply is how long a long-running task waits for the answer of an idle server. After it, a server that answers is preferred.
+	promptReply = 200 * time.Millisecond
 	// maxReplyDelay is the time after which no reply is used, beyond the wait of its poll. It is as long as a lease: what a server
 	// reports during the lease counts as reported, though the reply may be late.
 	maxReplyDelay = 4 * time.Second
@@ -68,10 +70,23 @@
 // answersPromptly reports whether starts on the server would be confirmed in time.
 func (v *server) answersPromptly() bool { return v.lastReplyDelay <= maxStartReplyDelay }
 
-// responds reports whether the latest reply of a server is recent. If it isn't, the server is polled. Only servers with runs are
-// polled regularly, so that the loss of an idle one doesn't show until its registration lapses.
+// answeredRecently reports whether the latest reply of a server without failed calls is recent. Only servers with runs are polled
+// regularly, so that the loss of an idle one doesn't show until its registration lapses.
+func (s *Scheduler) answeredRecently(v *server) bool {
+	return s.now.Sub(v.polledAt) <= s.options.PollWait+minReplyTimeout
+}
+
+// overdue reports whether a server that hasn't answered recently doesn't answer its latest poll promptly either.
+func (s *Scheduler) overdue(v *server) bool {
+	if s.answeredRecently(v) || !v.polling || len(v.unansweredPolls) == 0 {
+		return false
+	}
+	return s.now.Sub(v.unansweredPolls[len(v.unansweredPolls)-1].at) >= promptReply+replyTimeoutFactor*s.delay.median
+}
+
+// responds reports whether a server has answered recently. If it hasn't, it is polled.
 func (s *Scheduler) responds(v *server) bool {
-	if s.now.Sub(v.polledAt) <= s.options.PollWait+minReplyTimeout {
+	if s.answeredRecently(v) {
 		return true
 	}
 	if !v.polling {
@@ -106,22 +121,26 @@
 		Delay: delay, Serial: v.pollSerial,
 	}
 	if v.attached && s.renewsLease(v) {
-		cmd.Deadline = s.deadline(v, delay)
+		cmd.Deadline = s.deadline(v, delay, s.options.RunLease)
 	}
 	s.emit(cmd)
 }
 
-// renewsLease reports whether polls renew a server's lease. They don't while the server is unresponsive, since each call that
-// may have arrived would postpone the time after which its runs are known to have ended.
+// renewsLease reports whether polls renew a server's lease. They don't while the server is unresponsive or has only unanswered starts,
+// since each call that may have arrived would postpone the time after which its runs are known to have ended.
 func (s *Scheduler) renewsLease(v *server) bool {
-	return len(v.runs) > 0 && v.failures == 0 &&
+	return v.holdsConfirmedRun() && v.failures == 0 &&
 		(v.registered || s.now.Sub(v.unregisteredAt) < reregistrationGrace || !v.info.Draining)
 }
 
 // pollWait returns how long a server may delay its reply: until shortly after the next run is expected to end. If the reply is
 // lost, the poll then times out about when the end would have been reported, not a whole PollWait later.
+// The same applies to a poll that extends a short lease: its failure has to show before that lease ends.
 func (s *Scheduler) pollWait(v *server) time.Duration {
 	next := s.options.PollWait
+	if left := v.grantedUntil - v.clock - s.now.Sub(v.clockAt); left > 0 && left <= startLease {
+		next = minPollWait
+	}
 	for _, p := range v.runs {
 		if p.phase == phaseRunning && !p.task.group.step.LongRunning {
 			next = min(next, s.remaining(p)+pollMargin)
