Let audits ask again for a result that was sent before its task was known

A job stayed running for ever after its owner was removed. If the daemon itself had adopted the job, and didn't know the task yet when the result came, no later audit had it sent again.

TestResultRedeliveredBeforeResume failed on it before.

--- a/internal/dispatch/unconfirmed_test.go
+++ b/internal/dispatch/unconfirmed_test.go
@@ -6,10 +6,12 @@
 	"slices"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/rosemaryspoke/rosemaryspoke/internal/backend"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/peer/wire"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/platform"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/resource"
 )
@@ -108,3 +110,33 @@
 		}
 	}
 }
+
+// Guards against a task that stays in the running phase forever: its result was sent to the adopting daemon before that knew of
+// the task, and then counted as being sent, so that no audit asked for it with success.
+func TestResultRedeliveredBeforeResume(t *testing.T) {
+	d := newLookupDispatcher(t)
+	r := placeAttempt(d, "attempt")
+	d.Finished("host", r)
+	d.wg.Wait() // until no push to the removed origin is in progress
+	self := wire.Sender{Member: d.config.Self().ID, Incarnation: 1}
+	adopted, err := d.HandleAdoptOrigin(t.Context(), wire.AdoptOriginRequest{Sender: self, Origin: r.Origin, Jobs: []ident.JobID{r.Job}})
+	if err != nil || len(adopted.Attempts) != 1 {
+		t.Fatalf("adopted %+v, %v", adopted, err)
+	}
+	time.Sleep(2 * pushRetryPause)
+	ends := make(chan Completion, 1)
+	w := Work{Kind: api.KindBatch, OnDone: func(f Completion, acknowledge func()) { acknowledge(); ends <- f }}
+	w.Task = backend.Task{Job: r.Job, Team: r.Team}
+	if err := d.Resume(w, AdoptedAttempt{AdoptedAttempt: adopted.Attempts[0], Owner: self.Member}); err != nil {
+		t.Fatal(err)
+	}
+	d.audit()
+	select {
+	case f := <-ends:
+		if f.Outcome != api.Answered {
+			t.Errorf("ended as %+v", f)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("the result was not delivered to the resumed task")
+	}
+}
--- a/internal/dispatch/unconfirmedresults.go
+++ b/internal/dispatch/unconfirmedresults.go
@@ -197,6 +197,7 @@
 	attempt := pending.result.Attempt
 	d.unconfirmed.redirect(attempt, origin, d.config.Now())
 	time.AfterFunc(pushRetryPause, func() {
+		d.unconfirmed.setPushing(attempt, false) // from now on only pushResult sets it
 		if current, ok := d.unconfirmed.get(attempt); ok && d.baseCtx.Err() == nil {
 			d.handOver(current.host, current.result)
 		}
