Ignore a late sign of another server for a former incarnation

A 421 shows that the server which a call was meant for has ended, and its runs are released at once. If it was read only after the server had returned to its address under its id, it released the runs of the new incarnation, which then ran twice.

ServerReplaced takes the server that the call was meant for and compares its incarnation as well. A 421 for the present incarnation, as the next call gets one if the server is really gone, still removes it. TestLateSignOfAnotherServer failed before. The tests that called ServerReplaced with id and address pass the same server now.

--- a/internal/coordinator/commands.go
+++ b/internal/coordinator/commands.go
@@ -42,7 +42,7 @@
 		case err == nil:
 			s.Started(now, sent, id, cmd.Task, cmd.Run, clock)
 		case errors.Is(err, ErrInstanceMismatch):
-			s.ServerReplaced(now, id, cmd.Server.Address)
+			s.ServerReplaced(now, cmd.Server)
 			s.StartUnanswered(now, id, cmd.Task, cmd.Run, false) // ends the start if the server has registered elsewhere
 		case errors.As(err, &refused):
 			s.StartRefused(now, sent, id, cmd.Task, cmd.Run, refused.Reason, refused.Clock)
@@ -78,7 +78,7 @@
 		case err == nil:
 			s.Stopped(now, sent, cmd.Server.ID, cmd.Task, cmd.Run, clock)
 		case errors.Is(err, ErrInstanceMismatch):
-			s.ServerReplaced(now, cmd.Server.ID, cmd.Server.Address)
+			s.ServerReplaced(now, cmd.Server)
 		case errors.As(err, &refused) && refused.Reason == sched.RefusedFenced:
 			s.StopRefused(now)
 		}
--- a/internal/coordinator/diagnostics_test.go
+++ b/internal/coordinator/diagnostics_test.go
@@ -55,7 +55,7 @@
 		m, lines := newLoggedTerm(t)
 		v := sched.Server{ID: "s1", Incarnation: 7, Address: "s1:1", Service: "pool", Capacity: resource.Vector{CPU: resource.Cores(1)}}
 		m.update(func(now time.Time, s *sched.Scheduler) { s.Register(now, v) })
-		m.update(func(now time.Time, s *sched.Scheduler) { s.ServerReplaced(now, "s1", "s1:1") })
+		m.update(func(now time.Time, s *sched.Scheduler) { s.ServerReplaced(now, v) })
 		m.update(func(now time.Time, s *sched.Scheduler) { s.Register(now, v) })
 		for _, want := range []string{
 			`"server added" "server"="s1" "cause"="registered" "incarnation"=7 "address"="s1:1"`,
--- a/internal/coordinator/poll.go
+++ b/internal/coordinator/poll.go
@@ -38,7 +38,7 @@
 	case errors.Is(err, ErrInstanceMismatch):
 		t.config.Log.Info("another server responds", "server", string(id), "address", cmd.Server.Address)
 		t.update(func(now time.Time, s *sched.Scheduler) {
-			s.ServerReplaced(now, id, cmd.Server.Address)
+			s.ServerReplaced(now, cmd.Server)
 			s.PollFailed(now, id, cmd.Serial) // ends the poll if the server has registered elsewhere
 		})
 		return
--- a/internal/sched/decision_test.go
+++ b/internal/sched/decision_test.go
@@ -39,7 +39,7 @@
 		"a clock reading shows a restart": {func(f *fixture, _ StartCommand) {
 			f.s.readClock(f.s.servers["s1"], f.now, time.Millisecond, nil)
 		}, CauseClockWentBack},
-		"another server responds": {func(f *fixture, _ StartCommand) { f.s.ServerReplaced(f.now, "s1", "s1:1") }, CauseReplaced},
+		"another server responds": {func(f *fixture, _ StartCommand) { f.s.ServerReplaced(f.now, testServer("s1", 16)) }, CauseReplaced},
 		"a poll doesn't list the run": {func(f *fixture, _ StartCommand) {
 			f.advanceTime(10 * time.Millisecond)
 			f.answerPoll("s1", Inventory{})
--- a/internal/sched/incarnation_test.go
+++ b/internal/sched/incarnation_test.go
@@ -160,3 +160,25 @@
 		})
 	}
 }
+
+// Guards against tasks that run twice: another server had responded at the address while a server was away, the answer was read
+// after the server had returned there, and the runs of its new incarnation counted as ended.
+func TestLateSignOfAnotherServer(t *testing.T) {
+	f := newFixture(t, nil)
+	f.addServer("s1", 16)
+	meant := f.s.servers["s1"].info
+	v := testServer("s1", 16)
+	v.Incarnation = 2
+	f.s.Register(f.now, v)
+	f.collectCommands()
+	f.advanceTime(10 * time.Millisecond)
+	f.s.Polled(f.now, "s1", f.polls["s1"].Serial, Inventory{Incarnation: 2, Clock: time.Second})
+	f.collectCommands()
+	f.addJob("a", Step{Count: 1, Demand: cores(1)})
+	f.want("starts", len(f.takeStarts()), 1)
+	f.s.ServerReplaced(f.now, meant)
+	f.want("server kept", f.s.servers["s1"] != nil, true)
+	f.want("runs kept", len(f.s.servers["s1"].runs), 1)
+	f.s.ServerReplaced(f.now, f.s.servers["s1"].info)
+	f.want("server kept after a sign for its present incarnation", f.s.servers["s1"] != nil, false)
+}
--- a/internal/sched/poll_test.go
+++ b/internal/sched/poll_test.go
@@ -146,7 +146,7 @@
 			v := testServer("s1", 16)
 			v.Address = "s1:2"
 			f.s.Register(f.now, v)
-			f.s.ServerReplaced(f.now, "s1", "s1:1")
+			f.s.ServerReplaced(f.now, testServer("s1", 16))
 			f.want("runs kept", len(f.s.servers["s1"].runs), 1)
 		},
 		// A server may answer before the wait of a poll is over if a run ends, so such a reply doesn't show its delay.
--- a/internal/sched/removed_server_test.go
+++ b/internal/sched/removed_server_test.go
@@ -30,7 +30,7 @@
 
 // replaceServer reports that another server responds at a server's address.
 func (f *fixture) replaceServer(id ServerID) {
-	f.s.ServerReplaced(f.now, id, testServer(id, 16).Address)
+	f.s.ServerReplaced(f.now, testServer(id, 16))
 	delete(f.polls, id)
 	f.collectCommands()
 }
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -230,11 +230,11 @@
 	}
 }
 
-// ServerReplaced handles proof that a server's address now belongs to another server, so that the former one has ended. It does
-// nothing if the server has registered with another address since.
-func (s *Scheduler) ServerReplaced(now time.Time, id ServerID, address string) {
+// ServerReplaced handles proof that another server responded at the address of the server that a call was meant for, so that the
+// incarnation which it was meant for has ended. It does nothing if the server has another address or incarnation since.
+func (s *Scheduler) ServerReplaced(now time.Time, meant Server) {
 	s.now = now
-	if v := s.servers[id]; v != nil && v.info.Address == address {
+	if v := s.servers[meant.ID]; v != nil && v.info.Address == meant.Address && v.info.Incarnation == meant.Incarnation {
 		held := len(v.runs)
 		s.loseAllRuns(v, CauseReplaced)
 		v.polling = false
--- a/internal/sched/server_decision_test.go
+++ b/internal/sched/server_decision_test.go
@@ -73,14 +73,14 @@
 		"another server responds at its address": {
 			func(f *fixture) {
 				startOne(f)
-				f.s.ServerReplaced(f.now, "s1", "s1:1")
+				f.s.ServerReplaced(f.now, testServer("s1", 16))
 			},
 			[]ServerDecision{{Event: ServerRemoved, Cause: CauseReplaced, Runs: 1, Attached: true, Registered: true, RegistrationAge: away}},
 		},
 		"it is added again after its removal": {
 			func(f *fixture) {
 				startOne(f)
-				f.s.ServerReplaced(f.now, "s1", "s1:1")
+				f.s.ServerReplaced(f.now, testServer("s1", 16))
 				f.s.TakeServerDecisions()
 				f.now = f.now.Add(away)
 				register(f, 1)
@@ -153,7 +153,7 @@
 		for n := range maxRemovals + 3 {
 			id := ServerID(fmt.Sprint("s", n))
 			f.s.Register(f.now, testServer(id, 16))
-			f.s.ServerReplaced(f.now, id, string(id)+":1")
+			f.s.ServerReplaced(f.now, testServer(id, 16))
 		}
 		f.s.TakeServerDecisions()
 		f.s.Register(f.now, testServer("s0", 16))
--- a/internal/sched/server_losses_test.go
+++ b/internal/sched/server_losses_test.go
@@ -159,7 +159,7 @@
 		return nil, nil
 	case v.info.ID != meant.ID:
 		return nil, func() {
-			w.s.ServerReplaced(w.leaderNow(), meant.ID, meant.Address)
+			w.s.ServerReplaced(w.leaderNow(), meant)
 			if refused != nil {
 				refused()
 			}
