Go on with the page that failed when a takeover reads its records

While some calls to the store failed, a takeover with several pages of records might not end: each failed page made it read all pages before it again, each 100 ms, and these reads used up the rate that the next ones needed. RangeAll always began at the first page.

RangeReader keeps what was read and goes on with the failed page, and the takeover uses it.

--- a/internal/coordinator/load.go
+++ b/internal/coordinator/load.go
@@ -44,21 +44,12 @@
 	)
 	read := func(into *[]platform.Item, prefix string, from *platform.Revision) func() error {
 		return func() error {
-			for {
-				items, rev, err := platform.RangeAll(ctx, t.config.Store, prefix)
-				if err == nil {
-					*into = items
-					if from != nil {
-						*from = rev
-					}
-					return nil
-				}
-				if ctx.Err() != nil {
-					return context.Cause(ctx)
-				}
-				t.config.Log.Info("load failed, retrying", "prefix", prefix, "error", err.Error())
-				sleep(ctx, loadRetryDelay)
+			items, rev, err := t.readAll(ctx, prefix)
+			*into = items
+			if from != nil {
+				*from = rev
 			}
+			return err
 		}
 	}
 	var g errgroup.Group
@@ -84,6 +75,23 @@
 	return result, nil
 }
 
+// readAll reads all items under a prefix and returns them with the revision of the first page. A page that can't be read is read
+// again until the context ends.
+func (t *term) readAll(ctx context.Context, prefix string) ([]platform.Item, platform.Revision, error) {
+	var r platform.RangeReader
+	for {
+		err := r.ReadAll(ctx, t.config.Store, prefix)
+		if err == nil {
+			return r.Items, r.Revision, nil
+		}
+		if ctx.Err() != nil {
+			return nil, 0, context.Cause(ctx)
+		}
+		t.config.Log.Info("load failed, retrying", "prefix", prefix, "read", len(r.Items), "error", err.Error())
+		sleep(ctx, loadRetryDelay)
+	}
+}
+
 // decodeProgress decodes progress records and notes their revisions. It skips unreadable ones.
 func (t *term) decodeProgress(items []platform.Item) map[ident.JobID]sched.Progress {
 	records := make(map[ident.JobID]sched.Progress, len(items))
--- a/internal/platform/transact.go
+++ b/internal/platform/transact.go
@@ -72,23 +72,34 @@
 
 // RangeAll reads all pages under a prefix. It returns the revision of the first page: a watch from there misses no change.
 func RangeAll(ctx context.Context, s TransactionalStore, prefix string) ([]Item, Revision, error) {
-	var (
-		items []Item
-		start Revision
-		after string
-	)
+	var r RangeReader
+	if err := r.ReadAll(ctx, s, prefix); err != nil {
+		return nil, 0, err
+	}
+	return r.Items, r.Revision, nil
+}
+
+// RangeReader reads all pages under a prefix. After a page that can't be read, another call of ReadAll goes on with that page.
+type RangeReader struct {
+	Items    []Item
+	Revision Revision // of the first page: a watch from there misses no change
+	after    string
+}
+
+// ReadAll reads the remaining pages.
+func (r *RangeReader) ReadAll(ctx context.Context, s TransactionalStore, prefix string) error {
 	for {
-		p, err := s.Range(ctx, prefix, after)
+		p, err := s.Range(ctx, prefix, r.after)
 		if err != nil {
-			return nil, 0, err
+			return err
 		}
-		if start == 0 {
-			start = p.Revision
+		if r.Revision == 0 {
+			r.Revision = p.Revision
 		}
-		items = append(items, p.Items...)
+		r.Items = append(r.Items, p.Items...)
 		if !p.HasMore || len(p.Items) == 0 {
-			return items, start, nil
+			return nil
 		}
-		after = p.Items[len(p.Items)-1].Key
+		r.after = p.Items[len(p.Items)-1].Key
 	}
 }
