Repeat the deletion of an expired job's separate results

A result too large for its job's record has a key of its own. It is deleted after the record, once: if the store didn't answer then, the key stayed in the store for ever, as nothing names it any more.

The results of a batch are now deleted one after the other, and a failed deletion is repeated each second until the daemon stops; a stop before leaves the key as before. TestDeletionOfExpiredResultsIsRepeated waited 20 s in vain before.

--- a/internal/job/expire.go
+++ b/internal/job/expire.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 )
@@ -37,22 +38,50 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.forgetBatch(b)
+	var keys []string
 	for _, j := range b.record.Jobs {
 		for i, task := range j.Tasks {
 			if task.Stored {
-				t.wg.Go(func() { t.deleteResult(resultKey(j.ID, i)) })
+				keys = append(keys, resultKey(j.ID, i))
+			}
+		}
+	}
+	if len(keys) > 0 {
+		t.wg.Go(func() { t.deleteResults(t.baseCtx, keys) })
+	}
+}
+
+// deleteRetryDelay is the pause before a failed deletion of a separate result is repeated.
+const deleteRetryDelay = time.Second
+
+// deleteResults deletes separate results one after the other. No record names them any more, so a deletion that fails is
+// repeated until the context ends.
+func (t *Table) deleteResults(ctx context.Context, keys []string) {
+	for _, key := range keys {
+		for {
+			err := t.deleteResult(ctx, key)
+			if err == nil {
+				break
+			}
+			t.config.Log.V(1).Info("failed to delete an expired result", "key", key, "error", err.Error())
+			if !sleep(ctx, deleteRetryDelay) {
+				return
 			}
 		}
 	}
 }
 
-// deleteResult deletes a separate result. A result whose deletion fails stays in the store.
-func (t *Table) deleteResult(key string) {
-	item, err := t.config.Store.Get(t.baseCtx, key)
+// deleteResult deletes a separate result if it exists.
+func (t *Table) deleteResult(ctx context.Context, key string) error {
+	item, err := t.config.Store.Get(ctx, key)
+	if isNotFound(err) {
+		return nil
+	}
 	if err != nil {
-		return
+		return fmt.Errorf("read result: %w", err)
 	}
-	if err := t.config.Store.Delete(t.baseCtx, key, item.Revision); err != nil {
-		t.config.Log.V(1).Info("failed to delete an expired result", "key", key, "error", err.Error())
+	if err := t.config.Store.Delete(ctx, key, item.Revision); err != nil && !isNotFound(err) {
+		return fmt.Errorf("delete result: %w", err)
 	}
+	return nil
 }
