Close idle connections that one lost call shows to be silent

Callers saw starts late or given up: after open connections to a server went silent, each start took 450 ms on one silent connection, then the same on another, and the idle ones were closed only after two calls in a row without a reply. A reply on any other connection reset that count, so that beside one live connection three starts of three were lost, which gives up a run on a server that works.

The evidence now belongs to the connections, in internal/httpconn: a lost call closes the idle connections to the same address that have brought nothing since it was sent. Those that have answered since stay open, and calls in progress aren't touched. The outcome of a lost call is unknown, as before.

--- /dev/null
+++ b/internal/httpconn/httpconn.go
@@ -0,0 +1,130 @@
+// Package httpconn closes pooled HTTP connections that have gone silent, which neither end is told of.
+package httpconn
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"time"
+)
+
+// Transport is an HTTP transport that closes idle connections of which a lost call shows that they may be silent: those to the same
+// address that have brought nothing since the call was sent. Without it, each of them would cost a call of its own. Connections
+// that have answered other calls since stay open, and calls in progress aren't touched. HTTP/2 isn't supported.
+type Transport struct {
+	pool *http.Transport
+
+	mu   sync.Mutex
+	open map[*connection]bool
+}
+
+// connection records when it last brought bytes and how many calls use it.
+type connection struct {
+	net.Conn
+	transport *Transport
+	address   string // that was dialled
+
+	// Guarded by transport.mu.
+	calls  int
+	readAt time.Time
+}
+
+// New returns a transport with the settings of a pool, whose DialContext must be set. It takes over the pool.
+func New(pool *http.Transport) *Transport {
+	t := &Transport{pool: pool, open: map[*connection]bool{}}
+	dial := pool.DialContext
+	pool.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		raw, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		c := &connection{Conn: raw, transport: t, address: address, readAt: time.Now()}
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.open[c] = true
+		return c, nil
+	}
+	return t
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	var used *connection
+	var sentAt time.Time
+	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
+		GotConn: func(i httptrace.GotConnInfo) {
+			used, sentAt = trackedConn(i.Conn), time.Now()
+			used.use(1)
+		},
+		PutIdleConn: func(err error) {
+			if err == nil {
+				used.use(-1)
+			}
+		},
+	})
+	response, err := t.pool.RoundTrip(r.WithContext(ctx))
+	if err != nil && used != nil && !errors.Is(context.Cause(ctx), context.Canceled) {
+		t.CloseIdleSince(used.address, sentAt)
+	}
+	return response, err
+}
+
+// trackedConn returns the connection that New's dial function made, or nil.
+func trackedConn(conn net.Conn) *connection {
+	if secured, ok := conn.(interface{ NetConn() net.Conn }); ok {
+		conn = secured.NetConn()
+	}
+	c, _ := conn.(*connection)
+	return c
+}
+
+// CloseIdleSince closes the idle connections to an address that have brought nothing after a time. A working one among them costs
+// a new connection.
+func (t *Transport) CloseIdleSince(address string, at time.Time) {
+	t.mu.Lock()
+	var idle []*connection
+	for c := range t.open {
+		if c.address == address && c.calls == 0 && c.readAt.Before(at) {
+			idle = append(idle, c)
+		}
+	}
+	t.mu.Unlock()
+	for _, c := range idle {
+		_ = c.Close()
+	}
+}
+
+// CloseIdleConnections closes all idle connections.
+func (t *Transport) CloseIdleConnections() { t.pool.CloseIdleConnections() }
+
+// use records that a call uses the connection, or with -1 that it has ended.
+func (c *connection) use(calls int) {
+	if c == nil {
+		return
+	}
+	c.transport.mu.Lock()
+	defer c.transport.mu.Unlock()
+	c.calls += calls
+}
+
+// Read implements net.Conn.
+func (c *connection) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.transport.mu.Lock()
+		c.readAt = time.Now()
+		c.transport.mu.Unlock()
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *connection) Close() error {
+	c.transport.mu.Lock()
+	delete(c.transport.open, c)
+	c.transport.mu.Unlock()
+	return c.Conn.Close()
+}
