Keep new connections open until they have got their first call

A call that failed at once, as by a reset, closed the connections that other calls had just opened and not yet used: they counted as idle, and their calls ended with an unknown outcome.

A connection counts as idle now 100 ms after it was opened or last brought bytes.

--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -11,6 +11,10 @@
 	"time"
 )
 
+// handOverTime is the age from which a connection without a call counts as idle. A younger one may be about to get its first call,
+// which would be lost.
+const handOverTime = 100 * time.Millisecond
+
 // Transport is an HTTP transport that closes idle connections of which a lost call shows that they may be silent: those to the same
 // address that have brought nothing since the call was sent. Without it, each of them would cost a call of its own. Connections
 // that have answered other calls since stay open, and calls in progress aren't touched. HTTP/2 isn't supported.
@@ -85,6 +89,9 @@
 // a new connection.
 func (t *Transport) CloseIdleSince(address string, at time.Time) {
 	t.mu.Lock()
+	if latest := time.Now().Add(-handOverTime); latest.Before(at) {
+		at = latest
+	}
 	var idle []*connection
 	for c := range t.open {
 		if c.address == address && c.calls == 0 && c.readAt.Before(at) {
