--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -33,6 +33,7 @@
 
 	// Guarded by transport.mu.
 	calls  int
+	sentAt time.Time // of the last call
 	readAt time.Time
 }
 
@@ -104,6 +105,20 @@
 	}
 }
 
+// OldestUnanswered returns the time at which the oldest call in progress was sent whose connection has brought nothing since, and
+// whether there is any.
+func (t *Transport) OldestUnanswered() (time.Time, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var oldest time.Time
+	for c := range t.open {
+		if c.calls > 0 && c.readAt.Before(c.sentAt) && (oldest.IsZero() || c.sentAt.Before(oldest)) {
+			oldest = c.sentAt
+		}
+	}
+	return oldest, !oldest.IsZero()
+}
+
 // CloseIdleConnections closes all idle connections.
 func (t *Transport) CloseIdleConnections() { t.pool.CloseIdleConnections() }
 
@@ -114,7 +129,9 @@
 	}
 	c.transport.mu.Lock()
 	defer c.transport.mu.Unlock()
-	c.calls += calls
+	if c.calls += calls; calls > 0 {
+		c.sentAt = time.Now()
+	}
 }
 
 // Read implements net.Conn.
