--- a/internal/sched/property_test.go
+++ b/internal/sched/property_test.go
@@ -36,14 +36,8 @@
 	}
 	w.s.Schedule(w.leaderNow())
 	w.losses.requestAdvice()
-	if w.random.IntN(3) == 0 {
-		w.recordRoster()
-	}
-	if u := w.s.TakeProgressUpdates(5); len(u) > 0 {
-		for _, x := range u {
-			w.recorded[x.Job] = x.Progress
-		}
-		w.s.ProgressWritten(w.leaderNow(), u)
+	if !w.losses.storeIsDown() {
+		w.writeStore()
 	}
 	fence, sent := w.epoch, sendTime{w.now, w.leaderNow()}
 	for _, cmd := range w.s.TakeCommands() {
@@ -66,6 +60,19 @@
 	}
 }
 
+// writeStore records progress and, at random, the roster.
+func (w *faultSimulation) writeStore() {
+	if w.random.IntN(3) == 0 {
+		w.recordRoster()
+	}
+	if u := w.s.TakeProgressUpdates(5); len(u) > 0 {
+		for _, x := range u {
+			w.recorded[x.Job] = x.Progress
+		}
+		w.s.ProgressWritten(w.leaderNow(), u)
+	}
+}
+
 // checkPolls checks that a reply is still accepted for each pending poll, as no other poll is sent until it is answered or fails.
 func (w *faultSimulation) checkPolls() {
 	for _, v := range w.s.sortedServers() {
--- a/internal/sched/server_script_test.go
+++ b/internal/sched/server_script_test.go
@@ -16,6 +16,8 @@
 	lateBy   map[ServerID]time.Duration              // how late servers carry out commands, without an answer
 	onStart  func(cmd StartCommand, v *faultyServer) // called when a start is sent
 	starts   []StartCommand
+	// storeDownUntil is the end of an outage of the store, in which nothing is recorded.
+	storeDownUntil time.Time
 }
 
 // commandTimeout is the time after which a command counts as unanswered, as in the platform's client.
@@ -87,6 +89,11 @@
 	}
 }
 
+// storeIsDown reports whether the store is down by the script.
+func (l *serverLosses) storeIsDown() bool {
+	return l != nil && l.script != nil && l.now.Before(l.script.storeDownUntil)
+}
+
 // scriptedRefusal returns why a server refuses all starts, or "".
 func (l *serverLosses) scriptedRefusal(v *faultyServer) Refusal {
 	if l == nil || l.script == nil {
