Test that the roster names the task that waits for a long lease

A long-running gang of two with one member a server, on two servers that have restarted under their ids, starts after 10.5 s, once the long leases have ended; on after 0.2 s. A task behind one that may be in progress on a silent server waits as long.

--- a/internal/sched/long_lease_tasks_test.go
+++ b/internal/sched/long_lease_tasks_test.go
@@ -182,3 +182,47 @@
 	f.want("waiting", e.Steps[0].Waiting[WaitUnknownInventory], 1)
 	f.want("held back by", e.Steps[0].HeldBackBy, []ServerID{"s1"})
 }
+
+// Guards against a long-running task that doesn't start before a long lease has ended: of a group whose members need two servers, the
+// roster named only those before the waiting member for the second one.
+func TestWaitingTaskIsNamedForTheServerThatHasRoomForIt(t *testing.T) {
+	step := Step{Count: 2, Demand: cores(1), LongRunning: true, MaxPerServer: 1}
+	gang := step
+	gang.Gang = true
+	for name, c := range map[string]struct {
+		step   Step
+		silent bool // one task may be in progress on a silent server
+		want   int
+		within time.Duration
+	}{
+		"members of a gang":                 {gang, false, 2, 2 * time.Second},
+		"task after one that may not start": {step, true, 1, 7 * time.Second}, // 2 s of overlap and a lease of 4 s of the silent server
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixtureWithLongLeases(t, 1000)
+			f.s.AddJob(f.now, &Job{ID: "a", Team: "blue", Queue: testQueue(), Steps: []Step{c.step}, Accepted: f.now}, Progress{}, true)
+			servers := []ServerID{"s1", "s2"}
+			if c.silent {
+				servers = servers[1:]
+				f.s.RestoreServer(f.now, RosterEntry{
+					Server: testServer("s1", 16), LongLease: true, LongRunning: true, LongRunningTasks: []TaskID{{Job: "a"}},
+				})
+			}
+			for _, id := range servers {
+				f.addServer(id, 16)
+				f.restartServer(id)
+			}
+			for from := f.now; len(f.starts) < c.want; f.advanceTime(100 * time.Millisecond) {
+				if f.now.Sub(from) > c.within {
+					t.Fatalf("%d tasks started, want %d", len(f.starts), c.want)
+				}
+				f.recordRoster()
+				for _, id := range servers {
+					if _, ok := f.polls[id]; ok {
+						f.answerPoll(id, Inventory{Incarnation: 2, Running: f.running(id, TaskID{}, 0)})
+					}
+				}
+			}
+		})
+	}
+}
