Name the waiting task for the server that has room for it

Callers saw a long-running gang wait up to 10.5 s, longer than the 9 s in which such a task is due, when the servers with room for it had restarted under their ids. The roster names the tasks that may run under a long lease; for each server the first waiting tasks of the group were named, as many as it has capacity for. With one member a server, the first member was named for both servers and the second for none. The same holds for a task after one that must not start yet, as it may be in progress on a silent server.

Tasks are now named from the one on that no server admits. Each pass names at least that one, so the number of passes is bounded.

--- a/internal/sched/long_lease.go
+++ b/internal/sched/long_lease.go
@@ -115,11 +115,11 @@
 	return !v.longLease || v.longLeaseTasks.recorded[id]
 }
 
-// requestLongRunning names as many waiting tasks of a group as a server has capacity for, so that they may start there once the
-// roster names them.
-func (s *Scheduler) requestLongRunning(v *server, g *group) {
+// requestLongRunning names as many waiting tasks of a group as a server has capacity for, from a given one on, so that they may start
+// there once the roster names them. Those before it have another server or must not start yet.
+func (s *Scheduler) requestLongRunning(v *server, g *group, first *task) {
 	coming := 0
-	for _, t := range g.tasks {
+	for _, t := range g.tasks[slices.Index(g.tasks, first):] {
 		if !t.waiting() {
 			continue
 		}
--- a/internal/sched/pick_server.go
+++ b/internal/sched/pick_server.go
@@ -1,7 +1,7 @@
 package sched
 
 // pickServer returns the server with the highest score for a task, or nil. A long-running task waits briefly for the answer of a
-// server that hasn't answered recently; once one doesn't come, it takes a server that has. It sets withheld.
+// server that hasn't answered recently; once one doesn't come, it takes a server that has. It sets withheld and latestTask.
 func (p *pass) pickServer(r *rankedGroup, t *task, taken tentative) *server {
 	g := r.group
 	charge := g.step.Charge()
@@ -39,7 +39,7 @@
 		}
 		best.add(v, x)
 	}
-	p.withheld = withheld.server
+	p.withheld, p.latestTask = withheld.server, t
 	if silent {
 		// Servers are often lost together, so the idle ones are polled at once and not one after the other.
 		if proven.server != nil {
--- a/internal/sched/placement.go
+++ b/internal/sched/placement.go
@@ -68,7 +68,8 @@
 	scratch      []*server
 	blocked      map[unknownInventory]bool // results of hasUnknownInventory
 	inDoubt      map[TaskID]bool           // see underFormerLongLease
-	withheld     *server                   // the best server for the latest task among those that don't admit it yet, or nil
+	withheld     *server                   // the best server for latestTask among those that don't admit it yet, or nil
+	latestTask   *task                     // the latest task that pickServer was called for
 	uncounted    *uncountedRuns            // nil until uncountedDemand is called
 }
 
@@ -242,7 +243,7 @@
 // lease, and reserves servers for large tasks.
 func (p *pass) handleNoCapacity(r *rankedGroup) {
 	if p.withheld != nil {
-		p.requestLongRunning(p.withheld, r.group)
+		p.requestLongRunning(p.withheld, r.group, p.latestTask)
 	}
 	if r.queue.Advisor != nil {
 		p.adviceQueue = append(p.adviceQueue, *r)
