Restart lost long-running tasks on servers that answer now

Cause: a reply counted as recent for 1.6 s, so a task whose run was lost was started on servers that had fallen silent since, often together with its former server. Change: after a loss without a reported end, a server has to have answered since then. One with runs is polled for it beside the poll that waits for an end; a reply to the earlier poll is no longer used then, as its ends are listed again.

--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -68,7 +68,8 @@
 	unknownOutcomes int // runs with an unknown outcome; each may have failed
 	checkpoint      Checkpoint
 	runs            []*run
-	avoidServer     ServerID // server of the last failed, stalled or slow run
+	lostAt          time.Time // when a run was last released without a reported end
+	avoidServer     ServerID  // server of the last failed, stalled or slow run
 }
 
 type phase int
@@ -199,6 +200,15 @@
 // complete reports whether every task of the group is done.
 func (g *group) complete() bool { return g.done == len(g.tasks) }
 
+// lostAt returns when a run of the group was last released without a reported end.
+func (g *group) lostAt() time.Time {
+	var last time.Time
+	for _, t := range g.tasks {
+		last = latest(last, t.lostAt)
+	}
+	return last
+}
+
 // waiting reports whether the task has to be started.
 func (t *task) waiting() bool { return !t.done && len(t.runs) == 0 }
 
--- a/internal/sched/pick_server.go
+++ b/internal/sched/pick_server.go
@@ -30,7 +30,7 @@
 		x := p.score(g, t, v, rack)
 		switch {
 		case !g.step.LongRunning:
-		case p.answeredRecently(v):
+		case p.answeredSince(v, t.lostAt):
 			proven.add(v, x)
 		case p.overdue(v):
 			silent = true
@@ -45,7 +45,7 @@
 		if proven.server != nil {
 			return proven.server
 		}
-		p.allRespond(unproven)
+		p.allRespond(unproven, t.lostAt)
 	}
 	if best.server == nil && withheld != nil {
 		p.requestLongRunning(withheld)
--- a/internal/sched/placement.go
+++ b/internal/sched/placement.go
@@ -98,7 +98,7 @@
 			p.handleNoCapacity(r)
 			return
 		}
-		if g.step.LongRunning && !p.responds(v) {
+		if g.step.LongRunning && !p.responds(v, t.lostAt) {
 			continue
 		}
 		if p.startWindowFull() {
@@ -148,7 +148,7 @@
 		}
 		taken[where[i]]++
 	}
-	if g.step.LongRunning && !p.allRespond(where) || p.startWindowFull() {
+	if g.step.LongRunning && !p.allRespond(where, g.lostAt()) || p.startWindowFull() {
 		return
 	}
 	number := RunNumber(0)
--- a/internal/sched/poll.go
+++ b/internal/sched/poll.go
@@ -28,6 +28,7 @@
 type sentPoll struct {
 	serial uint64
 	at     time.Time
+	waits  bool // the server may delay its reply until a run ends
 }
 
 // notePoll records a poll that is about to be sent.
@@ -70,36 +71,44 @@
 // answersPromptly reports whether starts on the server would be confirmed in time.
 func (v *server) answersPromptly() bool { return v.lastReplyDelay <= maxStartReplyDelay }
 
-// answeredRecently reports whether the latest reply of a server without failed calls is recent. Only servers with runs are polled
+// answeredSince reports whether a server without failed calls has answered recently and since a time. Only servers with runs are polled
 // regularly, so that the loss of an idle one doesn't show until its registration lapses.
-func (s *Scheduler) answeredRecently(v *server) bool {
-	return s.now.Sub(v.polledAt) <= s.options.PollWait+minReplyTimeout
+func (s *Scheduler) answeredSince(v *server, since time.Time) bool {
+	return s.now.Sub(v.polledAt) <= s.options.PollWait+minReplyTimeout && !v.polledAt.Before(since)
 }
 
-// overdue reports whether a server that hasn't answered recently doesn't answer its latest poll promptly either.
+// overdue reports whether a server doesn't answer a poll promptly that is to show whether it responds.
 func (s *Scheduler) overdue(v *server) bool {
-	if s.answeredRecently(v) || !v.polling || len(v.unansweredPolls) == 0 {
+	n := len(v.unansweredPolls)
+	if n == 0 || !v.polling || v.latestPollWaits() {
 		return false
 	}
-	return s.now.Sub(v.unansweredPolls[len(v.unansweredPolls)-1].at) >= promptReply+replyTimeoutFactor*s.delay.median
+	return s.now.Sub(v.unansweredPolls[n-1].at) >= promptReply+replyTimeoutFactor*s.delay.median
 }
 
-// responds reports whether a server has answered recently. If it hasn't, it is polled.
-func (s *Scheduler) responds(v *server) bool {
-	if s.answeredRecently(v) {
+// latestPollWaits reports whether the latest poll is unanswered and doesn't have to be answered at once.
+func (v *server) latestPollWaits() bool {
+	n := len(v.unansweredPolls)
+	return n > 0 && v.unansweredPolls[n-1].waits
+}
+
+// responds reports whether a server has answered recently and since a time. If it hasn't, it is polled, also beside a poll that waits
+// for the end of a run.
+func (s *Scheduler) responds(v *server, since time.Time) bool {
+	if s.answeredSince(v, since) {
 		return true
 	}
-	if !v.polling {
+	if !v.polling || v.latestPollWaits() {
 		s.poll(v, 0, 0)
 	}
 	return false
 }
 
 // allRespond reports whether responds holds for each of some servers.
-func (s *Scheduler) allRespond(servers []*server) bool {
+func (s *Scheduler) allRespond(servers []*server, since time.Time) bool {
 	all := true
 	for _, v := range servers {
-		all = s.responds(v) && all
+		all = s.responds(v, since) && all
 	}
 	return all
 }
@@ -114,7 +123,7 @@
 	v.polling = true
 	s.lastPollSerial++
 	v.pollSerial = s.lastPollSerial
-	v.notePoll(sentPoll{serial: v.pollSerial, at: s.now.Add(delay)})
+	v.notePoll(sentPoll{serial: v.pollSerial, at: s.now.Add(delay), waits: wait > 0})
 	v.acknowledgedUpTo = v.acknowledgeable()
 	cmd := PollCommand{
 		Server: v.info, Acknowledged: v.acknowledgedUpTo, Wait: wait, Timeout: wait + min(v.replyTimeout()+replyTimeoutFactor*s.delay.median, maxReplyTimeout), EndsAfter: wait + maxReplyDelay,
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -74,6 +74,7 @@
 // runLost handles a run that is known to have ended without a reported outcome.
 func (s *Scheduler) runLost(p *run) {
 	s.detachRun(p)
+	p.task.lostAt = s.now
 	if p.task.group.step.Gang && !p.task.done && p.number == p.task.group.gangRun {
 		s.abortGang(p.task.group, "member lost")
 	}
