--- a/internal/sched/pick_server.go
+++ b/internal/sched/pick_server.go
@@ -29,7 +29,7 @@
 		case !v.admitsLongRunning(t.id()):
 			withheld.add(v, x)
 			continue
-		case p.answeredRecently(v):
+		case p.answeredSince(v, t.lostAt):
 			proven.add(v, x)
 		case p.overdue(v):
 			silent = true
@@ -45,7 +45,7 @@
 		if proven.server != nil {
 			return proven.server
 		}
-		p.allRespond(unproven)
+		p.allRespond(unproven, t.lostAt)
 	}
 	return best.server
 }
