Count the attempts of a task on when its job is taken over

After another member had taken a job over, a running task showed one attempt again, whatever its record said, and a task that kept failing got more attempts than its queue allows, since the dispatcher counted from one as well.

The count goes on from the record; an attempt that the record doesn't name yet, as starts cause no write, counts as one more. TestAttemptsAfterAdoption failed before in both cases, TestAttemptsOfResumedTask checks the dispatcher's part.

--- a/internal/dispatch/resume_test.go
+++ b/internal/dispatch/resume_test.go
@@ -44,3 +44,18 @@
 	d.cancelBase()
 	d.wg.Wait()
 }
+
+// Guards against retries beyond the bound of a queue: a resumed task counted as having had one attempt.
+func TestAttemptsOfResumedTask(t *testing.T) {
+	for attempts, want := range map[int]int{0: 1, 3: 3} {
+		d := newTestDispatcher(t)
+		w := Work{Kind: api.KindBatch, Task: backend.Task{Job: "job", Team: "team"}}
+		a := AdoptedAttempt{AdoptedAttempt: wire.AdoptedAttempt{Attempt: "attempt", Job: "job"}, Owner: "entry-1", Attempts: attempts}
+		if err := d.Resume(w, a); err != nil {
+			t.Fatal(err)
+		}
+		if s, ok := d.Status(w.key()); !ok || s.Attempts != want {
+			t.Errorf("resumed after %d attempts: %+v, %v, want %d attempts", attempts, s, ok, want)
+		}
+	}
+}
--- a/internal/dispatch/unconfirmedresults.go
+++ b/internal/dispatch/unconfirmedresults.go
@@ -232,14 +232,15 @@
 // AdoptedAttempt is an attempt of a dead origin, with the daemon that owns its backend server.
 type AdoptedAttempt struct {
 	wire.AdoptedAttempt
-	Owner ident.MemberID
+	Owner    ident.MemberID
+	Attempts int // attempts of the task so far, including this one; 0 means that this is the first known one
 }
 
 // Resume takes over a task whose attempt already runs. The owner of its backend server delivers the result.
 func (d *Dispatcher) Resume(w Work, a AdoptedAttempt) error {
 	e := &entry{
 		key: w.key(), work: w, phase: running, attempt: a.Attempt, host: a.Host, member: a.Owner,
-		attempts: 1, submitted: d.config.Now(), started: d.config.Now(), mayHaveRun: true, locationStale: true,
+		attempts: max(a.Attempts, 1), submitted: d.config.Now(), started: d.config.Now(), mayHaveRun: true, locationStale: true,
 	}
 	return d.insert(e)
 }
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -272,3 +272,46 @@
 	second.mu.Unlock()
 	waitFor(t, "the start", func() bool { _, ok := second.work(dispatch.Key{Job: j.ID}); return ok })
 }
+
+// Guards against a count of attempts that begins anew when another member takes a job over: callers saw it go back, and a task
+// that kept failing got more attempts than its queue allows.
+func TestAttemptsAfterAdoption(t *testing.T) {
+	for name, c := range map[string]struct {
+		running ident.AttemptID
+		want    int
+	}{
+		"recorded attempt": {"second", 2},
+		"later attempt":    {"third", 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			store := kv.New(kv.Config{})
+			first := newFixture(t, "b", store, nil)
+			j := create(t, first, api.Spec{Team: "t", Tasks: 2})
+			key := dispatch.Key{Job: j.ID}
+			w, _ := first.work(key)
+			w.OnStart("second", "h", 2)
+			other, _ := first.work(dispatch.Key{Job: j.ID, Index: 1})
+			other.OnDone(dispatch.Completion{Outcome: api.Failed}, func() {}) // its record includes the start
+			waitFor(t, "the record of the start", func() bool {
+				items, err := store.Store().List(t.Context(), batchKeyPrefix)
+				if err != nil || len(items) != 1 {
+					return false
+				}
+				r, err := decodeRecord(items[0].Value)
+				return err == nil && r.Jobs[0].Tasks[0].Attempts == 2
+			})
+			second := newFixture(t, "a", store, func(b *tableFixture) {
+				b.running = []dispatch.AdoptedAttempt{{AdoptedAttempt: wire.AdoptedAttempt{Attempt: c.running, Job: j.ID, Host: "h2"}, Owner: "a"}}
+			})
+			waitFor(t, "the resumption", func() bool {
+				second.mu.Lock()
+				defer second.mu.Unlock()
+				return slices.Contains(second.resumed, key)
+			})
+			waitFor(t, "the record of the resumed attempt", func() bool {
+				found, err := second.table.Get(context.Background(), j.ID)
+				return err == nil && found.Tasks[0].Host == "h2" && found.Tasks[0].Attempts == c.want
+			})
+		})
+	}
+}
--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -43,6 +43,14 @@
 	Reason     string          `json:"reason,omitempty"`
 }
 
+// attemptsWith returns the number of attempts up to a running one. The record may lack it, as a start causes no write.
+func (r *taskRecord) attemptsWith(running ident.AttemptID) int {
+	if r.Attempt == running && r.Attempts > 0 {
+		return r.Attempts
+	}
+	return r.Attempts + 1
+}
+
 // newJobRecord returns the record of a new job, with a random id and all tasks queued.
 func newJobRecord(spec api.Spec, p Policy, now time.Time) *jobRecord {
 	spec.Tasks = max(1, spec.Tasks)
--- a/internal/job/recover.go
+++ b/internal/job/recover.go
@@ -177,11 +177,12 @@
 		a, runs := found[key]
 		switch {
 		case runs:
+			a.Attempts = j.Tasks[i].attemptsWith(a.Attempt)
 			if err := t.config.Dispatcher.Resume(w, a); err != nil {
 				t.config.Log.Info("failed to resume a running task", "job", j.ID, "task", i, "error", err.Error())
 				continue
 			}
-			t.recordStart(j.ID, i, a.Attempt, a.Host, 1)
+			t.recordStart(j.ID, i, a.Attempt, a.Host, a.Attempts)
 			if j.Cancelled != "" {
 				t.config.Dispatcher.Cancel(key, j.Cancelled)
 			}
