Repeat throttle commands without an answer

A best-effort run went on disturbing the serving tasks beside it, or stayed paused, when the command that was to change its speed got no answer: the scheduler counted it as carried out, and sent another one only for another speed.

A command without an answer is repeated after the server's next poll, with the speed that is wanted by then; a refused one isn't. TestThrottleIsRepeated failed for the unanswered command, TestThrottleWithoutAnswerIsRepeated for the coordinator's part.

--- a/internal/coordinator/commands.go
+++ b/internal/coordinator/commands.go
@@ -104,14 +104,18 @@
 	}
 }
 
-// throttleRun sends a command that limits the speed of a run. The scheduler ignores its result.
+// throttleRun sends a command that limits the speed of a run. Without an answer the scheduler repeats it.
 func (t *term) throttleRun(cmd sched.ThrottleCommand) {
 	if !t.awaitConfirmation() {
 		return
 	}
 	_, err := t.config.ServerClient.Throttle(t.ctx, t.fence, cmd)
-	if err != nil && t.ctx.Err() == nil {
-		t.config.Log.Info("run not throttled", "job", string(cmd.Task.Job), "server", string(cmd.Server.ID), "percent", cmd.Percent,
-			"error", err.Error())
+	if err == nil || t.ctx.Err() != nil {
+		return
+	}
+	t.config.Log.Info("run not throttled", "job", string(cmd.Task.Job), "server", string(cmd.Server.ID), "percent", cmd.Percent,
+		"error", err.Error())
+	if refused := (*RefusedError)(nil); !errors.As(err, &refused) {
+		t.update(func(now time.Time, s *sched.Scheduler) { s.ThrottleUnanswered(now, cmd.Server.ID, cmd.Task, cmd.Run) })
 	}
 }
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -101,6 +101,7 @@
 	tailLatency      time.Duration
 	speedPercent     int
 	speedUnknown     bool // a former leader may have throttled the run
+	speedUnanswered  bool // the latest throttle command got no answer
 }
 
 func newJob(spec *Job, p Progress, inherited bool) *job {
--- a/internal/sched/supervise.go
+++ b/internal/sched/supervise.go
@@ -192,8 +192,9 @@
 // throttleBestEffort slows best-effort runs down while a serving task on the server exceeds its target, and speeds them up
 // again afterwards.
 func (s *Scheduler) throttleBestEffort(v *server) {
-	over, low := false, true
+	over, low, unanswered := false, true, false
 	for _, p := range v.runs {
+		unanswered = unanswered || p.speedUnanswered
 		target := p.task.group.step.TailTarget
 		if target <= 0 || p.phase != phaseRunning {
 			continue
@@ -201,24 +202,35 @@
 		over = over || p.tailLatency > target
 		low = low && p.tailLatency < scale(target, lowLatencyShare)
 	}
-	if !over && !low {
+	if !over && !low && !unanswered {
 		return
 	}
 	for _, p := range sortedRuns(v) {
 		if !p.task.group.step.BestEffort || p.phase != phaseRunning {
 			continue
 		}
-		want := min(100, p.speedPercent+speedUpStep)
-		if over {
+		want := p.speedPercent
+		switch {
+		case over:
 			want = throttled(p.speedPercent)
+		case low:
+			want = min(100, p.speedPercent+speedUpStep)
 		}
-		if want != p.speedPercent || p.speedUnknown {
-			p.speedPercent, p.speedUnknown = want, false
+		if want != p.speedPercent || p.speedUnanswered || p.speedUnknown && (over || low) {
+			p.speedPercent, p.speedUnknown, p.speedUnanswered = want, false, false
 			s.emit(ThrottleCommand{Server: v.info, Task: p.task.id(), Run: p.number, Percent: want})
 		}
 	}
 }
 
+// ThrottleUnanswered handles a throttle command without an answer. The command is repeated after the next poll.
+func (s *Scheduler) ThrottleUnanswered(now time.Time, id ServerID, task TaskID, number RunNumber) {
+	s.now = now
+	if p := s.findRun(id, task, number); p != nil {
+		p.speedUnanswered = true
+	}
+}
+
 // throttled returns the reduced speed of a best-effort run, in percent.
 func throttled(speedPercent int) int {
 	reduced := int(float64(speedPercent) * throttleFactor)
