--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -25,7 +25,7 @@
 
 // regressionSeeds are seeds that led to a violation within regressionDuration in the past.
 var regressionSeeds = map[string]uint64{
-	"seed 9":  9,  // finished runs were acknowledged by numbers of a server's earlier incarnation; also see KNOWN-RED.txt
+	"seed 9":  9,  // finished runs were acknowledged by numbers of a server's earlier incarnation; probably also a late clock reading that counted as a restart
 	"seed 24": 24, // finished runs were acknowledged by numbers of a server's earlier incarnation
 	"seed 31": 31, // connections of a simulated server stayed open after its crash
 }
