Submit a job again once the claim of its earlier submission was released

A caller that sent a job again while the first submission was in progress waited until its deadline, and got an unknown outcome, if that one was then refused: the wait ended only when the claim was completed. The resubmission now acquires the claim itself and records the job, as synchronous requests do.

TestResubmittedJobAfterReleasedClaim failed before in both cases.

--- a/internal/request/job.go
+++ b/internal/request/job.go
@@ -31,6 +31,20 @@
 	if spec.Request == "" {
 		return s.config.Jobs.Create(ctx, spec, p)
 	}
+	for {
+		j, err := s.createClaimed(ctx, spec, p)
+		if !errors.Is(err, errClaimReleased) {
+			return j, err
+		}
+	}
+}
+
+// errClaimReleased reports that the earlier submission of a job recorded none.
+var errClaimReleased = errors.New("the claim of the earlier submission was released")
+
+// createClaimed acquires the claim of a request id and records its job, or returns the job of the earlier submission that holds
+// the claim.
+func (s *Service) createClaimed(ctx context.Context, spec api.Spec, p job.Policy) (api.Job, error) {
 	h := &heldRequest{service: s, spec: spec, queue: bundle.Queue{}}
 	grant, err := h.acquireClaim(ctx)
 	var held *claim.HeldError
@@ -61,13 +75,18 @@
 	return j, err
 }
 
-// earlierJob waits until the earlier submission has recorded its job, and returns this job.
+// earlierJob waits until the earlier submission has recorded its job, and returns this job, or errClaimReleased if there is none.
 func (s *Service) earlierJob(ctx context.Context, h *heldRequest, held wire.Claim) (api.Job, error) {
 	for held.State != wire.ClaimComplete {
 		if !waitLookupInterval(ctx) {
 			return api.Job{}, fmt.Errorf("%w: another submission of the request has not been recorded yet", job.ErrUnknownOutcome)
 		}
-		if found, ok, err := s.config.Claims.Lookup(ctx, h.claimKey()); err == nil && ok {
+		found, ok, err := s.config.Claims.Lookup(ctx, h.claimKey())
+		switch {
+		case err != nil:
+		case !ok || found.State == wire.ClaimReleased:
+			return api.Job{}, errClaimReleased
+		default:
 			held = found
 		}
 	}
--- a/internal/request/resubmit_test.go
+++ b/internal/request/resubmit_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/rosemaryspoke/rosemaryspoke/internal/bundle"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/claim"
@@ -64,3 +66,43 @@
 		t.Errorf("got %+v, %v", a, p)
 	}
 }
+
+// Guards against a resubmission that waits for its deadline, with an unknown outcome, after the earlier one was refused and
+// released its claim.
+func TestResubmittedJobAfterReleasedClaim(t *testing.T) {
+	for name, c := range map[string]struct {
+		found wire.Claim
+		known bool
+	}{
+		"no claim":       {wire.Claim{}, false},
+		"released claim": {wire.Claim{State: wire.ClaimReleased}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newServiceWithClaim(t, "", nil)
+				claims := &s.config.Claims
+				acquired, completed := 0, 0
+				claims.Acquire = func(context.Context, wire.ClaimKey) (claim.Grant, error) {
+					if acquired++; acquired == 1 {
+						return claim.Grant{}, &claim.HeldError{Claim: wire.Claim{}}
+					}
+					return claim.Grant{}, nil
+				}
+				claims.Lookup = func(context.Context, wire.ClaimKey) (wire.Claim, bool, error) { return c.found, c.known, nil }
+				claims.Complete = func(context.Context, claim.Grant, []byte) error { completed++; return nil }
+				created := 0
+				s.config.Jobs.Create = func(context.Context, api.Spec, job.Policy) (api.Job, error) {
+					created++
+					return api.Job{ID: "job-2"}, nil
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+				defer cancel()
+				j, err := s.CreateJob(ctx, api.Spec{Team: "a", Request: "r-1"}, job.Policy{})
+				s.WaitForClaims()
+				if err != nil || j.ID != "job-2" || created != 1 || completed != 1 {
+					t.Errorf("got job %q, error %v, created %d, completed %d", j.ID, err, created, completed)
+				}
+			})
+		})
+	}
+}
