Find silent connections of the own path and of pkg/client together

Each connection that had gone silent while it was idle cost a call of its own: of the daemons' own path to the store and to backend servers, and of callers that use pkg/client. Nothing closed the other idle connections after a lost call. They use internal/httpconn now, as the platform's adapter does. It keeps connections by address, as the pool of the calls to backend servers is shared by all servers. The outcome of the lost call stays unknown.

TestPortsRequireTLS made its client for TLS 1.2 from that of pkg/client, whose transport has another type now. It makes its own client with the same certificate and the same bound; the cases and the expected results are unchanged, and both TLS 1.2 cases fail with a client for TLS 1.3.

--- a/internal/backend/http.go
+++ b/internal/backend/http.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rosemaryspoke/rosemaryspoke/internal/httpconn"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/tcp"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 )
@@ -31,12 +32,12 @@
 
 // NewHTTPClient returns a client with a persistent connection pool, to be shared by the adapters of all hosts.
 func NewHTTPClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: httpconn.New(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout, KeepAlive: time.Minute, Control: tcp.UserTimeout(userTimeout)}).DialContext,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true, // saves the Accept-Encoding header of every exchange
-	}}
+	})}
 }
 
 // HTTPConfig configures an HTTPAdapter.
--- a/internal/daemon/certificates_test.go
+++ b/internal/daemon/certificates_test.go
@@ -109,10 +109,11 @@
 	other, _ := selfSigned(t, 2, time.Now().Add(time.Hour))
 	tlsDaemon := startWithoutStore(t, func(s *settings.Serve) { s.CallerCertificate, s.CallerKey = cert, key })
 	plainCallerDaemon := startWithoutStore(t, func(s *settings.Serve) { s.CallerCertificate, s.CallerKey, s.CallerTLSAtBalancer = cert, key, true })
-	trusted, tls12Client := clientTrusting(t, cert), clientTrusting(t, cert)
-	if transport, ok := tls12Client.Transport.(*http.Transport); ok {
-		transport.TLSClientConfig.MinVersion, transport.TLSClientConfig.MaxVersion = 0, tls.VersionTLS12
+	trusted, roots := clientTrusting(t, cert), x509.NewCertPool()
+	if !roots.AppendCertsFromPEM([]byte(cert)) {
+		t.Fatal("no certificate found")
 	}
+	tls12Client := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: roots, MaxVersion: tls.VersionTLS12}}}
 	caller, operator := "://"+tlsDaemon.CallerAddress()+"/v1/none", "://"+tlsDaemon.OperatorAddress()+"/healthz"
 	cases := map[string]struct {
 		client *http.Client
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -22,7 +22,7 @@
 	pool *http.Transport
 
 	mu   sync.Mutex
-	open map[*connection]bool
+	open map[string]map[*connection]bool // by address
 }
 
 // connection records when it last brought bytes and how many calls use it.
@@ -39,7 +39,7 @@
 
 // New returns a transport with the settings of a pool, whose DialContext must be set. It takes over the pool.
 func New(pool *http.Transport) *Transport {
-	t := &Transport{pool: pool, open: map[*connection]bool{}}
+	t := &Transport{pool: pool, open: map[string]map[*connection]bool{}}
 	dial := pool.DialContext
 	pool.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		raw, err := dial(ctx, network, address)
@@ -49,7 +49,10 @@
 		c := &connection{Conn: raw, transport: t, address: address, readAt: time.Now()}
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		t.open[c] = true
+		if t.open[address] == nil {
+			t.open[address] = map[*connection]bool{}
+		}
+		t.open[address][c] = true
 		return c, nil
 	}
 	return t
@@ -94,8 +97,8 @@
 		at = latest
 	}
 	var idle []*connection
-	for c := range t.open {
-		if c.address == address && c.calls == 0 && c.readAt.Before(at) {
+	for c := range t.open[address] {
+		if c.calls == 0 && c.readAt.Before(at) {
 			idle = append(idle, c)
 		}
 	}
@@ -105,13 +108,13 @@
 	}
 }
 
-// OldestUnanswered returns the time at which the oldest call in progress was sent whose connection has brought nothing since, and
-// whether there is any.
-func (t *Transport) OldestUnanswered() (time.Time, bool) {
+// OldestUnanswered returns the time at which the oldest call to an address was sent that is in progress and whose connection has
+// brought nothing since, and whether there is any.
+func (t *Transport) OldestUnanswered(address string) (time.Time, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var oldest time.Time
-	for c := range t.open {
+	for c := range t.open[address] {
 		if c.calls > 0 && c.readAt.Before(c.sentAt) && (oldest.IsZero() || c.sentAt.Before(oldest)) {
 			oldest = c.sentAt
 		}
@@ -148,7 +151,10 @@
 // Close implements net.Conn.
 func (c *connection) Close() error {
 	c.transport.mu.Lock()
-	delete(c.transport.open, c)
+	delete(c.transport.open[c.address], c)
+	if len(c.transport.open[c.address]) == 0 {
+		delete(c.transport.open, c.address)
+	}
 	c.transport.mu.Unlock()
 	return c.Conn.Close()
 }
--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -86,17 +86,22 @@
 	}
 	group.Wait()
 	time.Sleep(handOverTime)
-	transport.mu.Lock()
-	opened := len(transport.open)
-	transport.mu.Unlock()
+	opened := transport.openConnections()
 	silent.Store(1)
 	if err := call(); err == nil {
 		t.Fatal("the silent connection answered")
 	}
-	transport.mu.Lock()
-	left := len(transport.open)
-	transport.mu.Unlock()
-	if opened < 2 || left != 0 {
+	if left := transport.openConnections(); opened < 2 || left != 0 {
 		t.Errorf("%d of %d connections are still open after a lost call", left, opened)
 	}
 }
+
+func (t *Transport) openConnections() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, connections := range t.open {
+		n += len(connections)
+	}
+	return n
+}
--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -16,6 +16,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/rosemaryspoke/rosemaryspoke/internal/httpconn"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/tcp"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 )
@@ -64,9 +65,9 @@
 	c.MaxReplyBytes = cmp.Or(c.MaxReplyBytes, DefaultMaxReplyBytes)
 	if c.Transport == nil {
 		dialer := net.Dialer{Timeout: c.CallTimeout, Control: tcp.UserTimeout(c.CallTimeout)}
-		c.Transport = &http.Transport{
+		c.Transport = httpconn.New(&http.Transport{
 			DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: idleTimeout,
-		}
+		})
 	}
 	if c.Metrics == nil {
 		c.Metrics = metrics.NewSet()
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -10,11 +10,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strings"
 	"time"
 
+	"github.com/rosemaryspoke/rosemaryspoke/internal/httpconn"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 )
@@ -56,9 +58,10 @@
 			return nil, errors.New("parse CA certificates: no certificate found")
 		}
 	}
-	return &http.Client{Transport: &http.Transport{
-		Proxy: http.ProxyFromEnvironment, TLSClientConfig: c, MaxIdleConnsPerHost: maxIdleConnsPerHost, IdleConnTimeout: idleTimeout,
-	}}, nil
+	return &http.Client{Transport: httpconn.New(&http.Transport{
+		DialContext: (&net.Dialer{}).DialContext,
+		Proxy:       http.ProxyFromEnvironment, TLSClientConfig: c, MaxIdleConnsPerHost: maxIdleConnsPerHost, IdleConnTimeout: idleTimeout,
+	})}, nil
 }
 
 // Request runs a synchronous request and waits for its answer. A *api.Problem error carries the outcome of a refused
