Test that a gang starts after refusals

Servers that an advisor allows refuse the members of a gang for a ticket or for lack of capacity, while others with room would take them.

--- a/internal/sched/lapsed_run_test.go
+++ b/internal/sched/lapsed_run_test.go
@@ -123,15 +123,22 @@
 	}
 	others := r.othersThan(r.lost)
 	r.preferred = others[:len(others)-notPreferred]
-	if queue == advisedQueueID && !slices.ContainsFunc(others[len(r.preferred):], func(v *faultyServer) bool {
-		return r.allows(r.task.Job, 0, v.info.ID)
-	}) {
+	if queue == advisedQueueID && r.allowedOthers(r.task.Job) == 0 {
 		t.Fatal("no server that the advisor allows is left")
 	}
 	r.lost.silentUntil = r.now.Add(forever)
 	return r
 }
 
+// allowedOthers returns the number of servers that aren't preferred and that the advisor allows for the first step of a job.
+func (r *lapsedRun) allowedOthers(job ident.JobID) int {
+	n := 0
+	for _, v := range r.othersThan(r.lost) {
+		n += boolToInt(!slices.Contains(r.preferred, v) && r.allows(job, 0, v.info.ID))
+	}
+	return n
+}
+
 // checkReplaced checks that the task has another run in time.
 func (r *lapsedRun) checkReplaced() {
 	r.Helper()
@@ -149,3 +156,29 @@
 		r.Errorf("the task has had no run for %v, with %d runs started", took, len(r.script.starts))
 	}
 }
+
+// Guards against a gang that an advisor's queue never starts: servers refuse its members, and the scheduler renews the tickets of the
+// same servers over and over instead of asking about others.
+func TestGangStartsAfterRefusals(t *testing.T) {
+	gang := Step{Count: 2, Demand: cores(1), Gang: true, MaxPerServer: 1}
+	lasting := gang
+	lasting.LongRunning = true
+	for name, step := range map[string]Step{"finite gang": gang, "long-running gang": lasting} {
+		for _, reason := range []Refusal{RefusedTicket, RefusedCapacity} {
+			t.Run(name+", "+string(reason), func(t *testing.T) {
+				r := newLapsedRun(t, advisedQueueID, 0)
+				r.refusePreferred(reason)
+				job := r.addJobWithStep(advisedQueueID, step)
+				if r.allowedOthers(job) < step.Count {
+					t.Fatal("too few servers that the advisor allows are left")
+				}
+				for began := r.now; r.serverOf(TaskID{Job: job}) == nil || r.serverOf(TaskID{Job: job, Index: 1}) == nil; {
+					r.advance(10 * time.Millisecond)
+					if r.Failed() || r.now.Sub(began) > longRunningBound {
+						t.Fatalf("no run of the whole gang within %v", longRunningBound)
+					}
+				}
+			})
+		}
+	}
+}
--- a/internal/sched/server_script_test.go
+++ b/internal/sched/server_script_test.go
@@ -48,13 +48,15 @@
 
 // addLongRunningJob adds a job with one long-running task and returns the task's id.
 func (l *serverLosses) addLongRunningJob(queue ident.QueueID) TaskID {
+	return TaskID{Job: l.addJobWithStep(queue, Step{Count: 1, Demand: cores(1), LongRunning: true})}
+}
+
+// addJobWithStep adds a job with one step and returns the job's id.
+func (l *serverLosses) addJobWithStep(queue ident.QueueID, step Step) ident.JobID {
 	id := ident.JobID(fmt.Sprintf("j%03d", len(l.specs)))
-	l.specs[id] = &Job{
-		ID: id, Team: "blue", Queue: l.queues[queue], Accepted: l.now,
-		Steps: []Step{{Count: 1, Demand: cores(1), LongRunning: true}},
-	}
+	l.specs[id] = &Job{ID: id, Team: "blue", Queue: l.queues[queue], Accepted: l.now, Steps: []Step{step}}
 	l.s.AddJob(l.leaderNow(), l.specs[id], Progress{}, false)
-	return TaskID{Job: id}
+	return id
 }
 
 // serverOf returns the server on which a task runs, or nil.
