Ask for tickets of a gang for servers that start tasks

Callers saw a gang of a queue with an advisor that never started while servers refused its members for a ticket or for lack of capacity: those servers counted as places of the gang, so that advice was asked of them again instead of others. Steps without a gang had the same fault and ask about such servers last since.

Servers that recently didn't start tasks, or refused a ticket of the step, now count only if the servers without an answer aren't enough either.

--- a/internal/sched/advice_servers.go
+++ b/internal/sched/advice_servers.go
@@ -120,11 +120,12 @@
 }
 
 // selectServers selects the servers of a call: those known to be allowed that have capacity or soon will, else those without an
-// answer, else those that are allowed but didn't start tasks lately. Once the group has tickets, servers without an answer are selected only if they have free capacity.
+// answer, else those that are allowed but didn't start tasks lately. Once the group has tickets, servers without an answer are selected
+// only if they have free capacity.
 func (s *Scheduler) selectServers(g *group, q *Queue) []ServerID {
 	missing := g.missing()
 	if g.step.Gang {
-		ids, places := s.gangServersToRenew(g, q)
+		ids, places := s.gangServersToRenew(g, q, false)
 		if len(ids) > 0 {
 			return ids
 		}
@@ -132,12 +133,21 @@
 	} else if ids := s.serversToRenew(g, q, false); len(ids) > 0 {
 		return ids
 	}
-	if ids := s.freshServers(g, q, missing); len(ids) > 0 || g.step.Gang {
+	if ids := s.freshServers(g, q, missing); len(ids) > 0 {
+		return ids
+	}
+	if g.step.Gang {
+		ids, _ := s.gangServersToRenew(g, q, true)
 		return ids
 	}
 	return s.serversToRenew(g, q, true)
 }
 
+// failedStart reports whether a server recently didn't start a task or refused a ticket of the group.
+func (g *group) failedStart(v *server, now time.Time) bool {
+	return v.failedStart(now) || g.advice.refusedTicket(v, now)
+}
+
 // placesWanted is how many places a call of a wide step asks for, as a multiple of the tasks: other steps take some of them
 // until the answer arrives.
 const placesWanted = 1.5
@@ -174,7 +184,7 @@
 	cost := q.Advisor
 	var renew []*server
 	for v := range s.allowedServers(g, q, s.now.Add(cost.CallTime(1))) {
-		if (v.failedStart(s.now) || g.advice.refusedTicket(v, s.now)) != failedStart {
+		if g.failedStart(v, s.now) != failedStart {
 			continue
 		}
 		if g.advice.ticket(v, s.now) == "" && s.hasCapacityWithin(g.step, v, cost.CallTime(1)+renewalLead) {
@@ -186,13 +196,16 @@
 
 // gangServersToRenew selects the servers known to be allowed whose tickets have to be renewed for the whole gang to have room at
 // once, or none if there isn't enough: tickets for a part of a gang expire unused. It also returns the number of places on
-// allowed servers.
-func (s *Scheduler) gangServersToRenew(g *group, q *Queue) ([]ServerID, int) {
+// allowed servers. Servers that recently didn't start tasks count only if failedStart is set.
+func (s *Scheduler) gangServersToRenew(g *group, q *Queue, failedStart bool) ([]ServerID, int) {
 	charge, missing := g.step.Charge(), g.missing()
 	answered := s.now.Add(q.Advisor.CallTime(missing))
 	valid, places := 0, 0
 	var renew []*server
 	for v := range s.allowedServers(g, q, answered) {
+		if !failedStart && g.failedStart(v, s.now) {
+			continue
+		}
 		room := g.places(v, charge, missing)
 		if room == 0 && large(g.step, v) && s.untilFree(v, charge) <= answered.Sub(s.now)+renewalLead {
 			room = 1
