Test that a confirmed start is renewed beside a lost poll

The start of a long-running task grants 2 s, and polls before its confirmation don't extend that. If such a poll is in flight when the start is confirmed, no other one is sent until it fails, which takes up to 2 s on a server whose replies were late before: the run ends though the server answers.

--- a/internal/sched/start_lease_test.go
+++ b/internal/sched/start_lease_test.go
@@ -111,3 +111,39 @@
 		t.Errorf("the lease isn't renewed before it ends: clock %s, end of the lease %s", clock, leaseEnds)
 	}
 }
+
+// Guards against a run that ends 2 s after its start on a server that answers: when the start is confirmed, a poll is in flight that
+// doesn't extend its short lease, and that poll is lost. Its timeout is long, as earlier replies of the server were late.
+func TestConfirmedStartIsRenewedBesideALostPoll(t *testing.T) {
+	const delay = 900 * time.Millisecond
+	f := newFixture(t, nil)
+	f.addServer("s1", 16)
+	f.s.servers["s1"].noteReplyDelay(2 * delay)
+	f.s.servers["s1"].noteReplyDelay(0) // prompt again, so that the server gets starts
+	f.advanceTime(1500 * time.Millisecond)
+	f.addJob("a", Step{Count: 1, Demand: cores(1), LongRunning: true})
+	f.want("starts", len(f.starts), 1)
+	leaseEnds := f.starts[0].Deadline
+	f.advanceTime(100 * time.Millisecond)
+	lost, ok := f.polls["s1"]
+	if !ok || lost.Deadline != 0 {
+		t.Fatal("no poll without a lease is in flight")
+	}
+	f.takeStarts()
+	for from := f.now; ; f.advanceTime(50 * time.Millisecond) {
+		clock := f.now.Sub(epochStart) + time.Hour
+		switch poll, ok := f.polls["s1"]; {
+		case clock >= leaseEnds-100*time.Millisecond:
+			t.Fatal("no poll extends the lease in time")
+		case !ok:
+		case poll.Serial != lost.Serial && poll.Deadline > leaseEnds:
+			return
+		case poll.Serial != lost.Serial:
+			f.answerPoll("s1", Inventory{Running: f.running("s1", TaskID{}, 0)})
+		case f.now.Sub(from) >= lost.Timeout:
+			delete(f.polls, "s1")
+			f.s.PollFailed(f.now, "s1", lost.Serial)
+			f.collectCommands()
+		}
+	}
+}
