Renew the lease of a confirmed start beside a poll in flight

Callers saw a long-running task end 2 s after its start on a server that answered, and wait for another one, if a single poll was lost: polls that are sent before the confirmation don't extend the short lease of the start, and the next one was sent only once the poll in flight had an answer or had failed. On a server whose replies were late before, that takes up to 2 s.

Once the start is confirmed, a poll that extends the lease is sent beside the one in flight. It isn't sent again for other starts there, as it grants a lease to all of them. TestConfirmedStartIsRenewedBesideALostPoll failed before.

--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -137,6 +137,10 @@
 		s.confirm(p)
 		p.confirmInDoubt = p.server.mayBeLaterIncarnation(clock, now)
 	}
+	if p.needsRenewal() {
+		s.poll(p.server, 0, pollPause)
+		return
+	}
 	s.pollNext(p.server, pollPause)
 }
 
--- a/internal/sched/start_lease.go
+++ b/internal/sched/start_lease.go
@@ -22,6 +22,14 @@
 	p.startDeadline, p.startIncarnation, p.startLeaseEnds = s.deadline(v, 0, lease), v.info.Incarnation, s.now.Add(lease)
 }
 
+// needsRenewal reports whether a confirmed run has only the short lease of its start although a poll is in flight. That poll was sent
+// before the confirmation, and if it is lost, it may fail after the end of that lease.
+func (p *run) needsRenewal() bool {
+	v := p.server
+	return p.phase == phaseRunning && p.task.group.step.LongRunning && v.polling && v.attached && v.failures == 0 &&
+		v.grantedUntil <= p.startDeadline
+}
+
 // holdsConfirmedRun reports whether the server has confirmed or listed one of its runs.
 func (v *server) holdsConfirmedRun() bool {
 	for _, p := range v.runs {
