Test that unreachable daemons are asked for advice once

The leader calls the advisor through a daemon that can make another call. One that can't be reached costs the step the timeout of the call, 1.6 s for a call of 0.1 s, and is preferred again once its backoff of 1 s to 8 s is over.

--- a/internal/coordinator/advice_test.go
+++ b/internal/coordinator/advice_test.go
@@ -74,3 +74,28 @@
 		t.Errorf("backoff after a failure that follows a success: got %s, want 1s", got)
 	}
 }
+
+// Guards against a step that gets no advice for minutes while some daemons can't be reached: six of 25 took all its calls by turns, as
+// each was preferred again once its backoff was over.
+func TestUnreachableProxiesAreAskedOnce(t *testing.T) {
+	const cost, unreachable = 100 * time.Millisecond, 6
+	proxies, peers := newAdvisorProxies(), map[ident.MemberID]string{}
+	lost := map[ident.MemberID]bool{}
+	for n := range 24 {
+		m := ident.MemberID(fmt.Sprintf("d%02d", n))
+		peers[m], lost[m] = string(m)+":1", n < unreachable
+	}
+	now := time.Unix(1000, 0)
+	for failed := 0; ; failed++ {
+		proxy := proxies.available(now, "self", peers)[0]
+		if !lost[proxy.member] {
+			return
+		}
+		if failed == unreachable {
+			t.Fatalf("call %d is made through %s, which has failed before", failed+1, proxy.member)
+		}
+		proxies.callStarted(proxy.member)
+		now = now.Add(cost + adviceMargin)
+		proxies.callEnded(proxy.member, now, true)
+	}
+}
