Ask daemons whose latest advisor call failed last

Callers saw a task wait for advice for 6.4 s with two unreachable daemons of 25, and for over two minutes with six, in trials with one step: each of them was preferred again once its backoff of at most 8 s was over, while five calls through the others take as long.

Daemons now come in the order of their consecutive failures, so that each unreachable one is asked once while others are free. Several of them still take a first call each: 1.6 s times their number for a step that meets all of them (not measured beyond the test). TestUnreachableProxiesAreAskedOnce failed before at the seventh call.

--- a/internal/coordinator/advice.go
+++ b/internal/coordinator/advice.go
@@ -89,7 +89,8 @@
 }
 
 // available returns the proxies that accept one more call. Those that prefer long calls come first; this daemon comes last,
-// as the leader has more other work.
+// as the leader has more other work. After it come those whose latest call failed, as each further call through an unreachable daemon
+// delays a step by the call's timeout.
 func (p *advisorProxies) available(now time.Time, self ident.MemberID, peers map[ident.MemberID]string) []advisorProxy {
 	all := []advisorProxy{{member: self}}
 	for m, a := range peers {
@@ -107,6 +108,7 @@
 			all[len(all)-1-i].preference = shortCallsOnly
 		}
 	}
+	slices.SortStableFunc(all, func(a, b advisorProxy) int { return cmp.Compare(p.failures[a.member], p.failures[b.member]) })
 	return slices.DeleteFunc(all, func(proxy advisorProxy) bool {
 		return !p.acceptsCall(proxy) || now.Before(p.backoffUntil[proxy.member])
 	})
