Test that an unnamed incarnation isn't recorded as having no long lease

After its lease has lapsed, a server answers a poll without naming its incarnation. The roster goes on to say usual-lease, as the time from which an earlier incarnation could be recorded so is kept.

--- a/internal/sched/usual_lease_test.go
+++ b/internal/sched/usual_lease_test.go
@@ -128,3 +128,28 @@
 	e = f.recordRoster()["s1"]
 	f.want("long lease, usual lease recorded at its end", [2]bool{e.LongLease, e.UsualLease}, [2]bool{false, true})
 }
+
+// Guards against a server that is recorded as having no long lease although its present incarnation isn't known: it answered a poll
+// without naming one, and the record was of an earlier incarnation.
+func TestUsualLeaseIsNotRecordedForAnUnnamedIncarnation(t *testing.T) {
+	f := newFixtureWithLongLeases(t, 0)
+	f.addServer("s1", 16)
+	f.addJob("a", Step{Count: 1, Demand: cores(1), LongRunning: true})
+	f.takeStarts()
+	f.advanceTime(100 * time.Millisecond)
+	f.want("recorded at first", f.recordRoster()["s1"].UsualLease, true)
+	v := f.s.servers["s1"]
+	for v.attached {
+		if poll, ok := f.polls["s1"]; ok {
+			delete(f.polls, "s1")
+			f.s.PollFailed(f.now, "s1", poll.Serial)
+		}
+		f.advanceTime(100 * time.Millisecond)
+	}
+	f.advanceTime(pollRetry)
+	f.s.Polled(f.now, "s1", f.polls["s1"].Serial, Inventory{Clock: time.Second})
+	f.advanceTime(time.Second)
+	f.want("attached", v.attached, true)
+	f.s.touchRoster(v)
+	f.want("recorded afterwards", f.recordRoster()["s1"].UsualLease, false)
+}
