Forget when an earlier incarnation had its usual lease

A server that answered a poll without naming its incarnation, after its lease had lapsed, was recorded with usual-lease from the time that was computed for an earlier incarnation. A next leader would then not wait for a long lease. Servers of the platform always name their incarnation, so that no caller has seen this.

The time now goes when an attach names no incarnation, and the roster is written.

--- a/internal/sched/inventory.go
+++ b/internal/sched/inventory.go
@@ -102,13 +102,17 @@
 		v.leaseBound = b
 	}
 	named := inv.Incarnation != 0 && inv.Incarnation == v.info.Incarnation
-	v.usualLease = v.usualLease && named
+	if !named && v.usualLease {
+		v.usualLease = false
+		s.touchRoster(v)
+	}
 	bound := s.longLeaseBound(v)
 	if !v.usualLease && inv.Clock < 2*s.options.MaxRunLease {
 		// A command for an incarnation before this one, with a deadline on that one's clock, may have granted the longest lease, also if
 		// it was carried out seconds late.
 		v.leaseBound = latest(v.leaseBound, bound)
 	}
+	v.usualLeaseFrom = time.Time{}
 	if named {
 		v.usualLeaseFrom = bound
 	}
