Don't renew the lease of stopped runs

Cause: a draining server that answers polls, but whose stops are late, kept its lease, so once it had left, its tasks waited for a lease from long after their stops. Change: polls renew a lease only while a run of the server is to go on. A stop takes less than the rest of the lease, and the bound follows the leases that were sent, as before.

--- a/internal/sched/poll.go
+++ b/internal/sched/poll.go
@@ -135,10 +135,10 @@
 	s.emit(cmd)
 }
 
-// renewsLease reports whether polls renew a server's lease. They don't while the server is unresponsive or has only unanswered starts,
-// since each call that may have arrived would postpone the time after which its runs are known to have ended.
+// renewsLease reports whether polls renew a server's lease. They don't while the server is unresponsive or all its runs are unanswered
+// starts or being stopped, since each call that may have arrived would postpone the time after which its runs are known to have ended.
 func (s *Scheduler) renewsLease(v *server) bool {
-	return v.holdsConfirmedRun() && v.failures == 0 &&
+	return v.needsLease() && v.failures == 0 &&
 		(v.registered || s.now.Sub(v.unregisteredAt) < reregistrationGrace || !v.info.Draining)
 }
 
@@ -147,7 +147,7 @@
 // The same applies to a poll that extends a short lease: its failure has to show before that lease ends.
 func (s *Scheduler) pollWait(v *server) time.Duration {
 	next := s.options.PollWait
-	if left := v.grantedUntil - v.clock - s.now.Sub(v.clockAt); left > 0 && left <= startLease {
+	if left := v.grantedUntil - v.clock - s.now.Sub(v.clockAt); left > 0 && left <= startLease && v.needsLease() {
 		next = minPollWait
 	}
 	for _, p := range v.runs {
--- a/internal/sched/start_lease.go
+++ b/internal/sched/start_lease.go
@@ -22,10 +22,10 @@
 	p.startDeadline, p.startIncarnation, p.startLeaseEnds = s.deadline(v, 0, lease), v.info.Incarnation, s.now.Add(lease)
 }
 
-// holdsConfirmedRun reports whether the server has confirmed or listed one of its runs.
-func (v *server) holdsConfirmedRun() bool {
+// needsLease reports whether the server has a run that it has confirmed or listed and that is to go on.
+func (v *server) needsLease() bool {
 	for _, p := range v.runs {
-		if !p.confirmedAt.IsZero() {
+		if p.phase != phaseStopping && !p.confirmedAt.IsZero() {
 			return true
 		}
 	}
