Let start leases outlast late answers

Besides, a repeated start kept a deadline up to 1 s away although its answer may take 0.45 s and twice the common delay, so that the run's lease might end before the first poll renews it. Change: the lease has one such delay added, and a repeated start keeps its deadline only if that delay and 1 s are left. The bound still follows the leases that were sent.

--- a/internal/sched/start_lease.go
+++ b/internal/sched/start_lease.go
@@ -14,10 +14,11 @@
 func (s *Scheduler) setStartDeadline(p *run) {
 	v, lease := p.server, s.options.RunLease
 	if p.task.group.step.LongRunning {
-		if p.startIncarnation == v.info.Incarnation && s.now.Add(minStartLease).Before(p.startLeaseEnds) {
+		common := replyTimeoutFactor * s.delay.median // by which an answer may be late
+		if p.startIncarnation == v.info.Incarnation && s.now.Add(minStartLease+common).Before(p.startLeaseEnds) {
 			return
 		}
-		lease = min(startLease+maxStartAttempts*replyTimeoutFactor*s.delay.median, lease)
+		lease = min(startLease+common, lease)
 	}
 	p.startDeadline, p.startIncarnation, p.startLeaseEnds = s.deadline(v, 0, lease), v.info.Incarnation, s.now.Add(lease)
 }
--- a/internal/sched/start_lease_test.go
+++ b/internal/sched/start_lease_test.go
@@ -111,3 +111,35 @@
 		t.Errorf("the lease isn't renewed before it ends: clock %s, end of the lease %s", clock, leaseEnds)
 	}
 }
+
+// Guards against a run whose lease ends before the leader has read the answer to its start: repeated starts keep their deadline, and
+// the answers of all servers are late if the leader is overloaded.
+func TestStartLeaseOutlastsLateAnswer(t *testing.T) {
+	for _, commonDelay := range []time.Duration{0, 100 * time.Millisecond, 450 * time.Millisecond, maxCommonDelay} {
+		t.Run(commonDelay.String(), func(t *testing.T) {
+			f := newFixture(t, nil)
+			f.addServer("s1", 16)
+			f.s.delay.median = commonDelay
+			f.addJob("a", Step{Count: 1, Demand: cores(1), LongRunning: true})
+			timeout := 450*time.Millisecond + replyTimeoutFactor*commonDelay
+			for attempt := range maxStartAttempts {
+				if len(f.starts) != 1 {
+					t.Fatalf("%d starts at attempt %d", len(f.starts), attempt+1)
+				}
+				cmd := f.starts[0]
+				f.starts = nil
+				left := cmd.Deadline - (f.now.Sub(epochStart) + time.Hour)
+				if left <= timeout {
+					t.Errorf("attempt %d has a lease of %s, its answer may take %s", attempt+1, left, timeout)
+				}
+				if longest := startLease + replyTimeoutFactor*commonDelay; left > longest {
+					t.Errorf("attempt %d has a lease of %s, more than %s", attempt+1, left, longest)
+				}
+				f.advanceTime(timeout)
+				f.s.delay.median = commonDelay
+				f.s.StartUnanswered(f.now, "s1", cmd.Task, cmd.Run, true)
+				f.collectCommands()
+			}
+		})
+	}
+}
