Poll when an unanswered start has expired

A long-running task whose start is unanswered by a server that answers polls is released by the first inventory after the start's deadline. The poll waited for the end of a run, up to 1 s more. Change: it returns once that deadline has passed. Evidence: TestPollReturnsOnceUnansweredStartHasExpired, which failed before with a wait of 10 s for 2 s.

--- a/internal/sched/poll.go
+++ b/internal/sched/poll.go
@@ -144,15 +144,20 @@
 
 // pollWait returns how long a server may delay its reply: until shortly after the next run is expected to end. If the reply is
 // lost, the poll then times out about when the end would have been reported, not a whole PollWait later.
-// The same applies to a poll that extends a short lease: its failure has to show before that lease ends.
+// The same applies to a poll that extends a short lease: its failure has to show before that lease ends. A start without an answer is
+// given up after the reply that comes after its deadline.
 func (s *Scheduler) pollWait(v *server) time.Duration {
 	next := s.options.PollWait
-	if left := v.grantedUntil - v.clock - s.now.Sub(v.clockAt); left > 0 && left <= startLease && v.needsLease() {
+	clock := v.clock + s.now.Sub(v.clockAt)
+	if left := v.grantedUntil - clock; left > 0 && left <= startLease && v.needsLease() {
 		next = minPollWait
 	}
 	for _, p := range v.runs {
-		if p.phase == phaseRunning && !p.task.group.step.LongRunning {
+		switch {
+		case p.phase == phaseRunning && !p.task.group.step.LongRunning:
 			next = min(next, s.remaining(p)+pollMargin)
+		case p.phase == phaseStopping && p.confirmedAt.IsZero() && p.startDeadline > clock:
+			next = min(next, p.startDeadline-clock+pollMargin)
 		}
 	}
 	return min(max(next, minPollWait), s.options.PollWait)
--- a/internal/sched/start_lease_test.go
+++ b/internal/sched/start_lease_test.go
@@ -143,3 +143,21 @@
 		})
 	}
 }
+
+// Guards against a task that waits for a poll although the start that holds it back has expired: a server answers polls, but no
+// commands, and its poll waited for the end of a run for up to a second more.
+func TestPollReturnsOnceUnansweredStartHasExpired(t *testing.T) {
+	f := newFixture(t, func(o *Options) { o.PollWait = 10 * time.Second })
+	f.addServer("s1", 16)
+	f.addJob("a", Step{Count: 1, Demand: cores(1), LongRunning: true})
+	for range maxStartAttempts {
+		cmd := f.starts[len(f.starts)-1]
+		f.s.StartUnanswered(f.now, "s1", cmd.Task, cmd.Run, true)
+		f.collectCommands()
+	}
+	f.answerPoll("s1", Inventory{})
+	left := f.starts[0].Deadline - (f.now.Sub(epochStart) + time.Hour)
+	if poll, ok := f.polls["s1"]; !ok || poll.Wait < left || poll.Wait > left+pollMargin {
+		t.Errorf("the poll waits for %s, the start expires in %s", poll.Wait, left)
+	}
+}
