--- a/internal/sched/start_lease.go
+++ b/internal/sched/start_lease.go
@@ -14,10 +14,11 @@
 func (s *Scheduler) setStartDeadline(p *run) {
 	v, lease := p.server, s.options.RunLease
 	if p.task.group.step.LongRunning {
-		if p.startIncarnation == v.info.Incarnation && s.now.Add(minStartLease).Before(p.startLeaseEnds) {
+		common := replyTimeoutFactor * s.delay.median // by which an answer may be late
+		if p.startIncarnation == v.info.Incarnation && s.now.Add(minStartLease+common).Before(p.startLeaseEnds) {
 			return
 		}
-		lease = min(startLease+maxStartAttempts*replyTimeoutFactor*s.delay.median, lease)
+		lease = min(startLease+common, lease)
 	}
 	p.startDeadline, p.startIncarnation, p.startLeaseEnds = s.deadline(v, 0, lease), v.info.Incarnation, s.now.Add(lease)
 }
@@ -30,10 +31,10 @@
 		v.grantedUntil <= p.startDeadline
 }
 
-// holdsConfirmedRun reports whether the server has confirmed or listed one of its runs.
-func (v *server) holdsConfirmedRun() bool {
+// needsLease reports whether the server has a run that it has confirmed or listed and that is to go on.
+func (v *server) needsLease() bool {
 	for _, p := range v.runs {
-		if !p.confirmedAt.IsZero() {
+		if p.phase != phaseStopping && !p.confirmedAt.IsZero() {
 			return true
 		}
 	}
