Keep idle connections to a server when a poll waits beside another

The scheduler now says in the poll whether the latest call of the server has failed, and only then are they closed.

--- a/internal/sched/poll.go
+++ b/internal/sched/poll.go
@@ -126,8 +126,9 @@
 	v.notePoll(sentPoll{serial: v.pollSerial, at: s.now.Add(delay), waits: wait > 0})
 	v.acknowledgedUpTo = v.acknowledgeable()
 	cmd := PollCommand{
-		Server: v.info, Acknowledged: v.acknowledgedUpTo, Wait: wait, Timeout: wait + min(v.replyTimeout()+replyTimeoutFactor*s.delay.median, maxReplyTimeout), EndsAfter: wait + maxReplyDelay,
-		Delay: delay, Serial: v.pollSerial,
+		Server: v.info, Acknowledged: v.acknowledgedUpTo, Wait: wait,
+		Timeout:   wait + min(v.replyTimeout()+replyTimeoutFactor*s.delay.median, maxReplyTimeout),
+		EndsAfter: wait + maxReplyDelay, Delay: delay, Serial: v.pollSerial, Overdue: v.failures > 0,
 	}
 	if v.attached && s.renewsLease(v) {
 		cmd.Deadline = s.deadline(v, delay, s.options.RunLease)
--- a/internal/sched/poll_test.go
+++ b/internal/sched/poll_test.go
@@ -183,3 +183,17 @@
 		})
 	}
 }
+
+// Guards against polls that go over one silent connection after the other: the adapter closes idle connections only if it is told that
+// an earlier poll has failed.
+func TestPollAfterFailedPollIsOverdue(t *testing.T) {
+	f := newFixture(t, nil)
+	f.addServer("s1", 16)
+	f.addJob("j", Step{Count: 1, Demand: cores(1)})
+	f.s.Started(f.now, f.now, "s1", f.starts[0].Task, f.starts[0].Run, time.Hour)
+	f.collectCommands()
+	f.want("overdue", f.polls["s1"].Overdue, false)
+	f.s.PollFailed(f.now, "s1", f.polls["s1"].Serial)
+	f.collectCommands()
+	f.want("overdue after a failed poll", f.polls["s1"].Overdue, true)
+}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -253,6 +253,7 @@
 	EndsAfter    time.Duration // from the call on; no reply is used after it
 	Delay        time.Duration // pause before the call
 	Serial       uint64        // numbers the polls of a scheduler
+	Overdue      bool          // the latest call of the server has failed, so its other connections may be silent as well
 }
 
 // AdviceRequest asks a queue's advisor which of the servers may run a step. NextAdviceRequest returns it.
