--- a/internal/dispatch/unconfirmed_test.go
+++ b/internal/dispatch/unconfirmed_test.go
@@ -95,7 +95,7 @@
 	}
 }
 
-// Guards against the same while a result waits to be sent to another origin.
+// Guards against tasks that run twice: a result that waited to be sent to another origin wasn't known meanwhile.
 func TestLookupDuringRedelivery(t *testing.T) {
 	d := newLookupDispatcher(t)
 	r := placeAttempt(d, "attempt")
