Poll few idle servers at once for a waiting task

At most 32 are polled in a pass now; those that don't answer are passed over, so that further ones follow 0.2 s later. TestSilentServerLeadsToFewPolls saw 320 polls of 320 servers before.

--- a/internal/sched/idle_server_test.go
+++ b/internal/sched/idle_server_test.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -68,3 +69,22 @@
 		f.want("restarted job", starts[0].Task.Job, "lasting")
 	}
 }
+
+// Guards against a poll of each idle server of a service at once when a single one is silent: on a large service that delays all other
+// work of the leader.
+func TestSilentServerLeadsToFewPolls(t *testing.T) {
+	f := newFixture(t, nil)
+	for n := range 10 * maxPolledAtOnce {
+		f.addServer(ServerID(fmt.Sprintf("s%04d", n)), 16)
+	}
+	f.advanceTime(5 * time.Second)
+	clear(f.polls)
+	f.addJob("a", Step{Count: 1, Demand: cores(1), LongRunning: true})
+	f.want("polls at first", len(f.polls), 1)
+	for range 4 {
+		f.advanceTime(100 * time.Millisecond)
+	}
+	if n := len(f.polls); n <= 1 || n > 1+2*maxPolledAtOnce {
+		t.Errorf("%d polls within 0.4 s", n)
+	}
+}
--- a/internal/sched/pick_server.go
+++ b/internal/sched/pick_server.go
@@ -1,5 +1,8 @@
 package sched
 
+// maxPolledAtOnce bounds the idle servers that are polled in one pass for a task because another one is silent.
+const maxPolledAtOnce = 32
+
 // pickServer returns the server with the highest score for a task, or nil. A long-running task waits briefly for the answer of a
 // server that hasn't answered recently; once one doesn't come, it takes a server that has. It sets withheld and latestTask.
 func (p *pass) pickServer(r *rankedGroup, t *task, taken tentative) *server {
@@ -41,11 +44,11 @@
 	}
 	p.withheld, p.latestTask = withheld.server, t
 	if silent {
-		// Servers are often lost together, so the idle ones are polled at once and not one after the other.
+		// Servers are often lost together, so idle ones are polled at once and not one after the other.
 		if proven.server != nil {
 			return proven.server
 		}
-		p.allRespond(unproven)
+		p.allRespond(unproven[:min(len(unproven), maxPolledAtOnce)])
 	}
 	return best.server
 }
