--- a/internal/sched/lapsed_run_test.go
+++ b/internal/sched/lapsed_run_test.go
@@ -67,6 +67,11 @@
 				r.script.lateBy[v.info.ID] = 5 * time.Second
 			}
 		},
+		"commands to preferred servers late": func(r *lapsedRun) {
+			for _, v := range r.preferred {
+				r.script.lateBy[v.info.ID] = 5 * time.Second
+			}
+		},
 		"rolling release without registrations": func(r *lapsedRun) {
 			for n, v := range r.preferred {
 				shutdown := 3500*time.Millisecond + time.Duration(n)*500*time.Millisecond
