Play a seed of tasks that wait for a server through two takeovers

Seed 61290 shows seven long-running tasks without a run for 15 s: a leader sees a restart of a lost server before it knows the inventory, and the next one holds back all long-running tasks of the service for the longest lease, counted from its own beginning.

--- a/internal/sched/server_losses_liveness_test.go
+++ b/internal/sched/server_losses_liveness_test.go
@@ -138,12 +138,12 @@
 	}
 }
 
-// Guards against tasks that wait long for a server that has ended. 220, 489, 905, 972, 1329, 1927, 2103, 60153: a server that restarted before
-// a takeover may hold the longest lease. 710, 1137, 1777, 2944: a server answered slowly before it ended. 2506: a gang never started, as an
+// Guards against tasks that wait long for a server that has ended. 220, 489, 905, 972, 1329, 1927, 2103, 60153, 61290: a server that restarted
+// before a takeover may hold the longest lease. 710, 1137, 1777, 2944: a server answered slowly before it ended. 2506: a gang never started, as an
 // advisor's answer about a removed server was kept when that one returned under its id. 50699, against a task that runs again after its
 // end: a poll that was sent for the former incarnation acknowledged it.
 func TestServerLossSeeds(t *testing.T) {
-	for _, seed := range []uint64{220, 489, 710, 905, 972, 1137, 1329, 1777, 1851, 1927, 2103, 2506, 2944, 3524, 50699, 60153} {
+	for _, seed := range []uint64{220, 489, 710, 905, 972, 1137, 1329, 1777, 1851, 1927, 2103, 2506, 2944, 3524, 50699, 60153, 61290} {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			newServerLosses(emptyFaultSimulation(t, seed)).run()
 		})
