Start steps that no former leader can have started after a takeover

After a takeover each inherited job waits while a server of its service, also one that is known from the roster only, hasn't told its inventory: for 12 s in the test if that one restarted and then fell silent.

A step now starts at once if it became ready by the end of a run that was still in progress when the former leaders sent no more commands: a poll sent after LeaderOverlap listed it, or this leader started it then. Until that end they can't have counted the step before as done, and afterwards they start nothing. The end of a gang or of a speculative task doesn't count, as they may have learnt it from another run, nor does the end of a run that no such poll listed. The time of the poll counts, not that of its reply, and not the fencing token, as a poll of a former leader may be waiting at the server for the end.

--- a/internal/sched/inventory.go
+++ b/internal/sched/inventory.go
@@ -139,7 +139,7 @@
 			p = s.adopt(v, r)
 		}
 		if p != nil {
-			s.updateRun(p, r)
+			s.updateRun(p, r, sentAt)
 		}
 	}
 	for _, p := range sortedRuns(v) {
@@ -162,9 +162,9 @@
 	return p.startDeadline > 0 && p.startIncarnation == inv.Incarnation && inv.Clock > p.startDeadline+clockMargin
 }
 
-// updateRun updates a run from its entry in an inventory.
-func (s *Scheduler) updateRun(p *run, r ActiveRun) {
-	p.confirmInDoubt = false
+// updateRun updates a run from its entry in an inventory. The poll was sent at the given time.
+func (s *Scheduler) updateRun(p *run, r ActiveRun, sentAt time.Time) {
+	p.confirmInDoubt, p.listedAt = false, sentAt
 	if p.phase == phaseStarting {
 		s.confirm(p)
 	}
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -321,7 +321,7 @@
 	switch f.Outcome {
 	case OutcomeDone:
 		if !g.step.LongRunning && !t.done {
-			s.completeTask(t)
+			s.completeTask(t, p)
 			return
 		}
 	case OutcomeFailed:
@@ -357,8 +357,8 @@
 	}
 }
 
-// completeTask marks a task, or all tasks of a gang step, as done and makes the steps ready that waited for it.
-func (s *Scheduler) completeTask(t *task) {
+// completeTask marks a task, or all tasks of a gang step, as done by a run, or nil, and makes the steps ready that waited for it.
+func (s *Scheduler) completeTask(t *task, p *run) {
 	g := t.group
 	if g.step.Gang {
 		for _, o := range g.tasks {
@@ -379,7 +379,7 @@
 	}
 	o := j.occurrences[g.occurrence]
 	if !o.allComplete() {
-		s.readyGroups(j, o)
+		s.readyGroupsAfter(p, o, j)
 		return
 	}
 	o.done = true
