Record in the roster how much of a long lease is left

Each takeover counted the long lease of a restarted, silent server anew, as the roster had no time of the restart.

The entry now says how much of the lease is left when it is taken for its write (long-lease-left), and is written again each second while there is one. Every write of a leader precedes the next leader's term, so that one counts the rest from its own start, with LeaderOverlap and a margin, and compares no clocks; it never waits longer than before. The recorded rest also covers commands that still earlier leaders may send to a restarted server whose inventory isn't known, and counts from that inventory where such a command may have come just before it. Entries without it, as of older daemons, mean the whole lease. While a server has a long lease that is one more write a second, in the usual batches.

--- a/internal/sched/inventory.go
+++ b/internal/sched/inventory.go
@@ -108,6 +108,9 @@
 		// A command for an incarnation before this one, with a deadline on that one's clock, may have granted the longest lease, also if
 		// it was carried out seconds late.
 		v.leaseBound = latest(v.leaseBound, bound)
+		if v.longLease {
+			v.formerIncarnationBound = latest(v.formerIncarnationBound, bound)
+		}
 	}
 	if named {
 		v.usualLeaseFrom = bound
--- a/internal/sched/long_lease.go
+++ b/internal/sched/long_lease.go
@@ -6,6 +6,10 @@
 	"time"
 )
 
+// longLeaseWriteInterval is the interval at which the rest of a long lease is recorded. The next leader waits up to that much longer
+// than needed.
+const longLeaseWriteInterval = time.Second
+
 // longLeaseTasks are the long-running tasks that may be in progress on a server under a lease of MaxRunLease. The roster names them,
 // so that only these wait for the end of that lease if the next leader finds the server silent.
 type longLeaseTasks struct {
@@ -82,12 +86,37 @@
 	}
 }
 
-// updateLongLease records that a server no longer has a long lease, once that has expired, and which tasks aren't in progress under
-// it any more.
+// longLeaseEnd returns when no run that was commanded for a former incarnation is in progress on this one any more.
+func (v *server) longLeaseEnd() time.Time {
+	if v.inventoryKnown {
+		return v.formerIncarnationBound
+	}
+	return latest(v.formerIncarnationBound, v.formerLeaderBound) // former leaders may still send such commands
+}
+
+// restoredLongLeaseBound returns the end of the long lease in a former leader's roster entry. The entry was taken before this leader
+// took over, so no clocks are compared.
+func (s *Scheduler) restoredLongLeaseBound(e RosterEntry) time.Time {
+	bound := s.longestFormerLeaseBound()
+	if e.LongLeaseLeft <= 0 {
+		return bound
+	}
+	if b := s.started.Add(s.options.LeaderOverlap + e.LongLeaseLeft + leaseMargin); b.Before(bound) {
+		return b
+	}
+	return bound
+}
+
+// updateLongLease records that a server no longer has a long lease, once that has expired, how long it still lasts, and which tasks
+// aren't in progress under it any more.
 func (s *Scheduler) updateLongLease(v *server) {
-	if v.longLease && s.now.After(v.formerIncarnationBound) {
+	switch {
+	case !v.longLease:
+	case s.now.After(v.longLeaseEnd()):
 		v.longLease, v.longLeaseTasks = false, longLeaseTasks{}
 		s.touchRoster(v)
+	case s.now.Sub(v.longLeaseTakenAt) >= longLeaseWriteInterval:
+		s.touchRoster(v)
 	}
 	if !v.usualLease && !v.longLease && !v.usualLeaseFrom.IsZero() && !s.now.Before(v.usualLeaseFrom) {
 		v.usualLease = true
--- a/internal/sched/roster.go
+++ b/internal/sched/roster.go
@@ -22,6 +22,9 @@
 	// LongLease reports that the server restarted recently, so that a command for its former incarnation may have given it a
 	// lease of MaxRunLease.
 	LongLease bool `json:"long-lease,omitempty"`
+	// LongLeaseLeft is how long that lease may still have lasted when the entry was taken for its write. It is 0 in entries of daemons
+	// before it: MaxRunLease.
+	LongLeaseLeft time.Duration `json:"long-lease-left,omitempty"`
 	// LongRunning reports that long-running tasks may be in progress there under such a lease: LongRunningTasks, or any if there are
 	// none, as daemons before that list didn't write it. Others needn't wait for that lease.
 	LongRunning      bool     `json:"long-running,omitempty"`
@@ -56,13 +59,19 @@
 func (s *Scheduler) TakeRosterChanges(limit int) []RosterChange {
 	var out []RosterChange
 	for _, v := range s.rosterDirty {
-		out = append(out, v.rosterEntry())
+		c := v.rosterEntry()
+		if v.longLease {
+			c.Entry.LongLeaseLeft = max(v.longLeaseEnd().Sub(s.now), leaseMargin)
+		}
+		out = append(out, c)
 	}
 	slices.SortFunc(out, func(a, b RosterChange) int { return cmp.Compare(a.Entry.Server.ID, b.Entry.Server.ID) })
 	out = out[:min(limit, len(out))]
 	for _, c := range out {
+		v := s.rosterDirty[c.Entry.Server.ID]
+		v.longLeaseTakenAt = s.now
 		if c.Entry.Cordoned {
-			s.rosterDirty[c.Entry.Server.ID].cordonMayBeRecorded = true // the write may take effect even if its reply is lost
+			v.cordonMayBeRecorded = true // the write may take effect even if its reply is lost
 		}
 	}
 	return out
@@ -114,7 +123,7 @@
 	v.history.registeredAt = time.Time{}
 	v.usualLease = e.UsualLease && !e.LongLease
 	if e.LongLease {
-		v.longLease, v.formerIncarnationBound = true, s.longestFormerLeaseBound()
+		v.longLease, v.formerIncarnationBound = true, s.restoredLongLeaseBound(e)
 		v.leaseBound = latest(v.leaseBound, v.formerIncarnationBound)
 		v.formerLeaderBound = latest(v.formerLeaderBound, v.formerIncarnationBound)
 		v.longLeaseTasks = restoredLongLeaseTasks(e)
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -84,6 +84,7 @@
 	longLease              bool      // recorded in the roster, see RosterEntry; false after formerIncarnationBound
 	usualLease             bool      // recorded in the roster, see RosterEntry
 	usualLeaseFrom         time.Time // when usualLease may be set; zero until the incarnation has answered a poll
+	longLeaseTakenAt       time.Time // when the roster entry with it was last taken for a write
 	longLeaseTasks         longLeaseTasks
 	incarnationClaimedAt   time.Time // when a registration named the incarnation; zero once the server itself has reported it
 	incarnationSeenAt      time.Time // when the latest poll was sent in whose reply the server named its incarnation
