--- a/internal/sched/inventory.go
+++ b/internal/sched/inventory.go
@@ -111,6 +111,9 @@
 		// A command for an incarnation before this one, with a deadline on that one's clock, may have granted the longest lease, also if
 		// it was carried out seconds late.
 		v.leaseBound = latest(v.leaseBound, bound)
+		if v.longLease {
+			v.formerIncarnationBound = latest(v.formerIncarnationBound, bound)
+		}
 	}
 	v.usualLeaseFrom = time.Time{}
 	if named {
@@ -143,7 +146,7 @@
 			p = s.adopt(v, r)
 		}
 		if p != nil {
-			s.updateRun(p, r)
+			s.updateRun(p, r, sentAt)
 		}
 	}
 	for _, p := range sortedRuns(v) {
@@ -166,9 +169,9 @@
 	return p.startDeadline > 0 && p.startIncarnation == inv.Incarnation && inv.Clock > p.startDeadline+clockMargin
 }
 
-// updateRun updates a run from its entry in an inventory.
-func (s *Scheduler) updateRun(p *run, r ActiveRun) {
-	p.confirmInDoubt = false
+// updateRun updates a run from its entry in an inventory. The poll was sent at the given time.
+func (s *Scheduler) updateRun(p *run, r ActiveRun, sentAt time.Time) {
+	p.confirmInDoubt, p.listedAt = false, sentAt
 	if p.phase == phaseStarting {
 		s.confirm(p)
 	}
