Revert "Start steps that no former leader can have started after a takeover"

By reading: the end of a run that this leader saw in progress shows that no former leader acted on that run, but one may have acted on an earlier run of the same task, whose end it learnt late from a server that it had given up, and may have started the next step before its progress was recorded. If that step's server is then silent, the next step would run twice. The rule sped up only the later steps of inherited jobs beside a silent server, so the wait of before stays.

--- a/internal/sched/adopt.go
+++ b/internal/sched/adopt.go
@@ -38,26 +38,6 @@
 	return p
 }
 
-// readyGroupsAfter is readyGroups after the end of a run, or nil.
-func (s *Scheduler) readyGroupsAfter(p *run, o *occurrence, j *job) {
-	for _, g := range s.readyGroups(j, o) {
-		g.unstarted = p != nil && s.endIsNews(p)
-	}
-}
-
-// endIsNews reports whether former leaders can't have acted on the end of a run: it was still in progress when they sent no more
-// commands. The members of a gang end together, and a speculative task may have ended in another run.
-func (s *Scheduler) endIsNews(p *run) bool {
-	inProgressAt := p.listedAt
-	if p.number > s.options.RunBase {
-		inProgressAt = latest(inProgressAt, p.startedAt)
-	}
-	return !inProgressAt.Before(s.started.Add(s.options.LeaderOverlap)) && !p.task.group.step.Gang && !p.task.group.step.Speculative
-}
-
-// mayBeInherited reports whether former leaders may have started tasks of a group.
-func (g *group) mayBeInherited() bool { return g.job.inherited && !g.step.Speculative && !g.unstarted }
-
 // keepNewest stops all runs of a task except the one with the highest number.
 func (s *Scheduler) keepNewest(t *task) {
 	for _, p := range slices.Clone(t.runs) {
--- a/internal/sched/explain.go
+++ b/internal/sched/explain.go
@@ -162,7 +162,7 @@
 		return WaitPredecessors
 	case !g.tracked:
 		return WaitUntracked
-	case g.mayBeInherited() && (s.hasUnknownInventory(r.queue.Service, g.step.LongRunning) ||
+	case g.job.inherited && !g.step.Speculative && (s.hasUnknownInventory(r.queue.Service, g.step.LongRunning) ||
 		s.hasUnknownInventory(g.job.spec.Queue.Service, g.step.LongRunning)):
 		return WaitUnknownInventory
 	case s.now.Before(g.noStartsBefore):
--- a/internal/sched/inventory.go
+++ b/internal/sched/inventory.go
@@ -146,7 +146,7 @@
 			p = s.adopt(v, r)
 		}
 		if p != nil {
-			s.updateRun(p, r, sentAt)
+			s.updateRun(p, r)
 		}
 	}
 	for _, p := range sortedRuns(v) {
@@ -169,9 +169,9 @@
 	return p.startDeadline > 0 && p.startIncarnation == inv.Incarnation && inv.Clock > p.startDeadline+clockMargin
 }
 
-// updateRun updates a run from its entry in an inventory. The poll was sent at the given time.
-func (s *Scheduler) updateRun(p *run, r ActiveRun, sentAt time.Time) {
-	p.confirmInDoubt, p.listedAt = false, sentAt
+// updateRun updates a run from its entry in an inventory.
+func (s *Scheduler) updateRun(p *run, r ActiveRun) {
+	p.confirmInDoubt = false
 	if p.phase == phaseStarting {
 		s.confirm(p)
 	}
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -52,7 +52,6 @@
 	failedRuns     []RunNumber // failed runs of the gang
 	ready          bool        // all steps before it are complete
 	readySince     time.Time
-	unstarted      bool // no former leader can have started its tasks, see endIsNews
 	advice         advice
 	noStartsBefore time.Time // pause after a refused start
 	isLargeVersion uint64    // fleetVersion for which isLarge was computed
@@ -96,7 +95,6 @@
 	startDeadline    time.Duration // of the last start, on the clock of startIncarnation; 0 if a former leader started the run
 	startIncarnation int64
 	startLeaseEnds   time.Time // when startDeadline is due
-	listedAt         time.Time // when the latest poll was sent whose reply listed the run as in progress
 	confirmInDoubt   bool      // a later incarnation of the server than the known one may have confirmed the start
 	stoppingSince    time.Time // when the first stop was sent
 	stopAnsweredAt   time.Time // when the stop was answered
@@ -236,21 +234,18 @@
 	}
 }
 
-// readyGroups marks the groups of an occurrence whose predecessors are complete as ready, and returns those that weren't before.
-func (s *Scheduler) readyGroups(j *job, o *occurrence) []*group {
-	var ready []*group
+// readyGroups marks the groups of an occurrence whose predecessors are complete as ready.
+func (s *Scheduler) readyGroups(j *job, o *occurrence) {
 	for _, g := range o.groups {
 		if g.ready || !o.predecessorsDone(g) {
 			continue
 		}
 		g.ready = true
 		g.readySince = s.now
-		ready = append(ready, g)
 		if !g.complete() || g.live() > 0 {
 			s.track(g)
 		}
 	}
-	return ready
 }
 
 func (s *Scheduler) track(g *group) {
--- a/internal/sched/placement.go
+++ b/internal/sched/placement.go
@@ -79,7 +79,7 @@
 	// The queue may have been sent to another service since the job was accepted.
 	blocked := p.blocked[unknownInventory{r.queue.Service, g.step.LongRunning}] ||
 		p.blocked[unknownInventory{g.job.spec.Queue.Service, g.step.LongRunning}]
-	if blocked && g.mayBeInherited() {
+	if blocked && g.job.inherited && !g.step.Speculative {
 		return
 	}
 	if p.now.Before(g.noStartsBefore) {
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -317,7 +317,7 @@
 	switch f.Outcome {
 	case OutcomeDone:
 		if !g.step.LongRunning && !t.done {
-			s.completeTask(t, p)
+			s.completeTask(t)
 			return
 		}
 	case OutcomeFailed:
@@ -353,8 +353,8 @@
 	}
 }
 
-// completeTask marks a task, or all tasks of a gang step, as done by a run, or nil, and makes the steps ready that waited for it.
-func (s *Scheduler) completeTask(t *task, p *run) {
+// completeTask marks a task, or all tasks of a gang step, as done and makes the steps ready that waited for it.
+func (s *Scheduler) completeTask(t *task) {
 	g := t.group
 	if g.step.Gang {
 		for _, o := range g.tasks {
@@ -375,7 +375,7 @@
 	}
 	o := j.occurrences[g.occurrence]
 	if !o.allComplete() {
-		s.readyGroupsAfter(p, o, j)
+		s.readyGroups(j, o)
 		return
 	}
 	o.done = true
