--- a/internal/sched/release_simulation_test.go
+++ b/internal/sched/release_simulation_test.go
@@ -142,7 +142,7 @@
 }
 
 // Guards against the same in seeds that failed. 5213, 5248: a lapsed task was started on servers that had just fallen silent, one after the
-// other. 6008: the lease of a draining server that answered no stops was renewed. 5352 is in KNOWN-RED.txt.
+// other. 6008: the lease of a draining server that answered no stops was renewed. 5352: see KNOWN-RED.txt.
 func TestRollingReleaseSeeds(t *testing.T) {
 	for _, seed := range []uint64{5213, 5248, 5352, 6008} {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { newRelease(t, seed).run() })
