Review case 2: two leaders while the regions have lost each other

A leader in the region without the store is confirmed by a peer that is cut off as well, and goes on; its successor starts its tasks again. All 12 tasks of a job run on two servers until the cut heals.

--- a/review/lib.sh
+++ b/review/lib.sh
@@ -63,6 +63,7 @@
 	cd "$root" || cannot_run "no repository"
 	ROSEMARYSPOKE_BOOT=$temporary/$name.toml target/rosemaryspoke serve >>"$temporary/$name.log" 2>&1 &
 	process[$name]=$!
+	world "/network?daemon=$name&pid=$!"
 	pids+=($!)
 	disown $!
 }
@@ -76,8 +77,8 @@
 		machineClass = "edge"
 		serves = ["edge"]
 		ip = "127.0.0.1"
-		zone = "sfax-a"
-		region = "sfax"
+		zone = "${zone:-sfax-a}"
+		region = "${region:-sfax}"
 		internalPorts = [$5,$(($5 + 1))]
 		seeds = []
 		bootstrap = true
@@ -88,6 +89,7 @@
 		advice = ""
 		[zones]
 		sfax-a = "sfax"
+		tunis-a = "tunis"
 		[listen]
 		front = "127.0.0.1:$2"
 		ready = "127.0.0.1:$3"
--- a/review/standin/control.go
+++ b/review/standin/control.go
@@ -34,7 +34,9 @@
 	go w.store.expire()
 	server := &http.Server{
 		Addr: storeAddress, Handler: w.store,
-		ConnContext: func(ctx context.Context, _ net.Conn) context.Context { return w.store.withChannel(ctx) },
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return net0.withCaller(w.store.withChannel(ctx), c)
+		},
 	}
 	go func() { fatal("store: %v", server.ListenAndServe()) }()
 	mux := http.NewServeMux()
@@ -42,6 +44,8 @@
 	mux.HandleFunc("/config", w.controlConfig)
 	mux.HandleFunc("/worker", w.controlWorker)
 	mux.HandleFunc("/leader", w.controlLeader)
+	mux.HandleFunc("/network", w.controlNetwork)
+	mux.HandleFunc("/entry", w.controlEntry)
 	fatal("control: %v", http.ListenAndServe(controlAddress, mux))
 }
 
@@ -107,6 +111,16 @@
 	}
 }
 
+// controlEntry writes an entry of the registry as another writer than a server.
+func (w *world) controlEntry(out http.ResponseWriter, r *http.Request) {
+	key, value := "servers/"+r.FormValue("id"), r.FormValue("value")
+	if !w.store.writeAsOutsider(key, []byte(value)) {
+		http.Error(out, "the store is down", http.StatusServiceUnavailable)
+		return
+	}
+	record("another writer: %s = %s", key, value)
+}
+
 // controlLeader prints the member that the system's leader record names, for scripts that stop the leader.
 func (w *world) controlLeader(out http.ResponseWriter, _ *http.Request) {
 	value := string(w.store.read("cell/leader"))
