--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,29 +1,40 @@
 #!/usr/bin/env bash
-# A server of 128 cores in the other region, 8 ms away. A caller submits a job of 2,500 small tasks and cancels it 0.3 s later.
-# With TROUBLE=0 the job has 100 tasks.
+# Two servers of 16 cores. Of 40 jobs two can never be done: five lasting tasks of 8 cores that work only together. The others have four
+# tasks of one core and one second each. With TROUBLE=0 the two don't come.
 source "$(dirname "$0")/../lib.sh"
 
-start_platform 1
+start_platform 2
 world "/config?version=3&attempts=3"
-world "/worker?do=start&id=i-1&address=${addresses[0]}&label=std&cpu=128000&mem=256000"
-world "/worker?do=link&id=i-1&ms=8"
+for n in 1 2; do
+	world "/worker?do=start&id=i-$n&address=${addresses[n - 1]}&label=std&cpu=16000&mem=32000"
+done
 for name in edge-1 edge-2 edge-3; do start_daemon "$name"; done
 for name in edge-1 edge-2 edge-3; do await_ready "$name"; done
 
-job=00000000000000a5
-count=${COUNT:-2500}
-if [ "${TROUBLE:-1}" = 0 ]; then count=100; fi
-"$standin" submit "${front[edge-1]}" /price/$job \
-	'{"spec":"cpu=50 mem=50 ms=4000","steps":[{"count":'$count',"cpu":50,"memMb":50,"estimateMs":4000}]}' || cannot_run "the job was not accepted"
-sleep 0.3
-"$standin" call DELETE "${front[edge-2]}" /price/$job >/dev/null
-sleep 12
+submit() { "$standin" submit "${front[edge-1]}" "/price/$1" "$2" || cannot_run "job $1 was not accepted"; }
+if [ "${TROUBLE:-1}" != 0 ]; then
+	for n in 1 2; do
+		submit 000000000000000$n '{"spec":"cpu=8000 mem=100 ms=600000","steps":[{"count":5,"cpu":8000,"memMb":100,"estimateMs":1000,"gang":true,"longRunning":true}]}'
+	done
+	sleep 3
+fi
+for n in $(seq 1003 1040); do
+	submit 000000000000$n '{"spec":"cpu=1000 mem=100 ms=1000","steps":[{"count":4,"cpu":1000,"memMb":100,"estimateMs":1000}]}'
+done
+note "the traffic ends"
 
-awk -v bound=3000 '
-	/ DELETE .* -> 200/ { cancelled = $1 }
-	/ start: task / { starts++; if (cancelled && $1 > cancelled + bound) { late++; last = $1 - cancelled } }
-	END { print late + 0 " of " starts + 0 " starts came later than " bound " ms after the ack of the cancelling" (late ? ", the last " last " ms after it" : ""); exit late > 0 }' "$RECORD" | tee "$temporary/verdict"
-broken=${PIPESTATUS[0]}
+# LOST: finish_s (14 s) after the end of the traffic, and for 3 s, a job has nothing running while a task's turn has come and there is
+# capacity for it twice over. Nothing else uses the two servers, so that all of their 32 cores are free once no task runs.
+sleep 14
+note "from here on, for 3 s"
+sleep 3
+for n in $(seq 1003 1040); do "$standin" call GET "${front[edge-2]}" /price/000000000000$n; done >"$temporary/states"
+awk '
+	/ -> 200 \{"state"/ { states[$NF]++ }
+	/ start: task / { starts++ }
+	/ end [0-9]+: task / { ends++ }
+	END { for (s in states) print states[s] " jobs: " s; print starts + 0 " starts and " ends + 0 " ends of tasks in all" }' "$RECORD" | tee "$temporary/verdict"
 while read -r line; do note "verdict: $line"; done <"$temporary/verdict"
-grep -q "DELETE .* -> 200" "$RECORD" || cannot_run "the job was not cancelled"
-exit "$broken"
+grep -q queued "$temporary/states" && ! grep -q " start: task" "$RECORD" && exit 1
+grep -qv completed "$temporary/states" && cannot_run "some jobs are neither completed nor without any start"
+exit 0
