--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -64,17 +65,23 @@
 	}
 }
 
+// Ports below those that the kernel gives to outgoing channels, so that a daemon that starts again finds its own free.
+const (
+	firstPort = 12000
+	lastPort  = 31000
+)
+
 // printFreePorts prints ports that were free a moment ago, each with the port after it.
 func printFreePorts(count string) {
 	n := 0
 	_, _ = fmt.Sscan(count, &n)
 	for found := 0; found < n; {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
-			fatal("listen: %v", err)
+			continue
 		}
 		defer func() { _ = l.Close() }()
-		port := l.Addr().(*net.TCPAddr).Port
 		next, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port+1))
 		if err != nil {
 			continue
