Conclude nothing from a run's absence while a server doesn't list all ends

Cause: a confirmed run that an inventory listed neither as running nor as ended counted as never run. The list of ends was taken for whole. The same conclusion stood in attach (inherited tasks), startExpired, clearUnknownOutcomes, the checks for stalled and slow runs, the evacuation of draining servers and the removal of idle servers.

Until all ends are listed, the server restarts or its leases expire, such runs are kept and hold their capacity, and inherited tasks of the service wait.

--- a/internal/sched/inventory.go
+++ b/internal/sched/inventory.go
@@ -56,13 +56,15 @@
 			s.handleEnd(v, f)
 		}
 	}
-	if len(v.unknownOutcomeTasks) > 0 {
+	v.endsHidden = inv.MoreFinished
+	if len(v.unknownOutcomeTasks) > 0 && !v.endsHidden {
 		s.clearUnknownOutcomes(v)
 	}
 	s.reconcile(v, inv, answered.at)
 	if !v.attached {
 		s.attach(v, inv)
 	}
+	v.noteHiddenEnds()
 	s.advanceRecorded(v)
 	delay := time.Duration(0)
 	if v.handledUpTo > before {
@@ -97,7 +99,8 @@
 
 // attach handles the first inventory of a server's incarnation. From now on the server rejects commands of former leaders.
 func (s *Scheduler) attach(v *server, inv Inventory) {
-	v.attached, v.inventoryKnown = true, true
+	v.attached = true
+	v.formerEndsHidden = !v.inventoryKnown
 	if b := latest(s.formerLeaseBound(s.now), v.formerIncarnationBound); b.Before(v.leaseBound) {
 		v.leaseBound = b
 	}
@@ -133,8 +136,15 @@
 	return !v.incarnationClaimedAt.IsZero() && sentAt.After(v.incarnationClaimedAt)
 }
 
-// reconcile adopts runs that only the server lists, and drops runs that it should list and doesn't. The poll was sent at the
-// given time.
+// noteHiddenEnds handles whether the latest inventory listed all ended runs. The inventory of an attached server is known once it did.
+func (v *server) noteHiddenEnds() {
+	if !v.endsHidden {
+		v.inventoryKnown, v.formerEndsHidden = true, false
+	}
+}
+
+// reconcile adopts runs that only the server lists, and drops runs that it should list and doesn't. While it has more ended runs than
+// it lists, a run that it doesn't list may be one of them, also with the outcome done, and is kept. The poll was sent at the given time.
 func (s *Scheduler) reconcile(v *server, inv Inventory, sentAt time.Time) {
 	listed := make(map[runKey]bool, len(inv.Running))
 	clear(v.unknownRuns)
@@ -153,7 +163,9 @@
 		if listed[runKey{p.task.id(), p.number}] {
 			continue
 		}
+		p.unlisted = inv.MoreFinished
 		switch {
+		case inv.MoreFinished:
 		case p.phase == phaseStopping && !p.stopAnsweredAt.IsZero() && p.stopAnsweredAt.Before(sentAt),
 			p.phase == phaseRunning && p.confirmedAt.Before(sentAt):
 			s.release(p, CauseNotListed)
@@ -171,7 +183,7 @@
 
 // updateRun updates a run from its entry in an inventory.
 func (s *Scheduler) updateRun(p *run, r ActiveRun) {
-	p.confirmInDoubt = false
+	p.confirmInDoubt, p.unlisted = false, false
 	if p.phase == phaseStarting {
 		s.confirm(p)
 	}
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -96,6 +96,7 @@
 	startIncarnation int64
 	startLeaseEnds   time.Time // when startDeadline is due
 	confirmInDoubt   bool      // a later incarnation of the server than the known one may have confirmed the start
+	unlisted         bool      // the latest inventory listed neither the run nor all ended ones, so it may have ended
 	stoppingSince    time.Time // when the first stop was sent
 	stopAnsweredAt   time.Time // when the stop was answered
 	progressPercent  int
--- a/internal/sched/restart.go
+++ b/internal/sched/restart.go
@@ -94,7 +94,7 @@
 	v.usualLease, v.usualLeaseFrom = false, time.Time{}
 	s.clearUnknownOutcomes(v)
 	s.touchRoster(v)
-	v.attached = false
+	v.attached, v.formerEndsHidden, v.endsHidden = false, false, false
 	v.unansweredPolls, v.polling = nil, false // their replies may be of the former incarnation
 	if s.options.RunBase > 0 {
 		v.formerLeaderBound = latest(v.formerLeaderBound, s.longestFormerLeaseBound())
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -173,7 +173,10 @@
 	Clock       time.Duration // the server's monotonic clock
 	Delay       time.Duration // how much longer than its wait the poll took
 	Running     []ActiveRun
-	Finished    []FinishedRun
+	Finished    []FinishedRun // those with the lowest numbers that aren't acknowledged
+	// MoreFinished reports that the server may have further ended runs, with higher numbers. A run that the inventory doesn't list
+	// may be one of them.
+	MoreFinished bool
 }
 
 // State is the state of a job as reported to callers.
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -56,16 +56,22 @@
 // server is a backend server with its runs and what is known of its health. Only the scheduler's lists and the runs on a server
 // point to it; whatever may outlive it names it by its id, as runs that are placed on a removed server are never given up.
 type server struct {
-	info           Server
-	attached       bool // it has accepted this leader's fencing token and reported its inventory
-	inventoryKnown bool // it was attached in this term, so all runs that a former leader started there are known
-	registered     bool
-	unregisteredAt time.Time // when the registration was removed
-	drainSince     time.Time
-	used           resource.Vector
-	expected       resource.MilliCPU // expected use by steps with an advisor call in flight that names the server
-	runs           map[runKey]*run
-	unknownRuns    map[runKey]bool // reported runs of unknown jobs, with unknown demand
+	info     Server
+	attached bool // it has accepted this leader's fencing token and reported its inventory
+	// inventoryKnown is set once the server has listed all its runs and all ended ones in this term, so that all runs that a former
+	// leader started there are known.
+	inventoryKnown bool
+	// formerEndsHidden is set while the server is attached and hasn't listed all ended runs in this term, so that any task may have
+	// ended there.
+	formerEndsHidden bool
+	endsHidden       bool // the latest inventory didn't list all ended runs
+	registered       bool
+	unregisteredAt   time.Time // when the registration was removed
+	drainSince       time.Time
+	used             resource.Vector
+	expected         resource.MilliCPU // expected use by steps with an advisor call in flight that names the server
+	runs             map[runKey]*run
+	unknownRuns      map[runKey]bool // reported runs of unknown jobs, with unknown demand
 
 	clock       time.Duration // the server's clock at some time from clockSentAt to clockAt
 	clockSentAt time.Time
@@ -316,7 +322,7 @@
 		if idle >= pollRetry {
 			s.poll(v, 0, 0)
 		}
-	case (len(v.runs) > 0 || !v.answersPromptly()) && idle >= fallbackPollInterval:
+	case (len(v.runs) > 0 || v.formerEndsHidden || !v.answersPromptly()) && idle >= fallbackPollInterval:
 		s.poll(v, 0, 0)
 	}
 	switch {
@@ -326,13 +332,13 @@
 	default:
 		s.markOutcomesUnknown(v)
 		s.loseAllRuns(v, CauseLeaseExpired)
-		v.attached = false
+		v.attached, v.formerEndsHidden = false, false
 	}
 	if v.info.Draining {
 		s.evacuate(v)
 	}
 	if !v.registered && s.now.Sub(v.unregisteredAt) > reregistrationGrace && len(v.runs) == 0 && !v.polling &&
-		(v.attached && len(v.unknownRuns) == 0 || s.now.After(v.leaseBound)) {
+		(v.attached && len(v.unknownRuns) == 0 && !v.formerEndsHidden || s.now.After(v.leaseBound)) {
 		s.remove(v, v.idleRemovalCause(), 0)
 		return
 	}
@@ -370,7 +376,7 @@
 	if longRunning {
 		bound = v.formerLongRunningBound
 	}
-	return !v.inventoryKnown && !v.cordoned && now.Before(bound)
+	return v.formerEndsHidden || !v.inventoryKnown && !v.cordoned && now.Before(bound)
 }
 
 // hasUnknownInventory reports whether mayHoldUnknownRuns holds for a server of the service.
--- a/internal/sched/supervise.go
+++ b/internal/sched/supervise.go
@@ -30,7 +30,7 @@
 			continue
 		}
 		p := t.runs[0]
-		if p.phase != phaseRunning || p.speedPercent < 100 || p.server.failures > 0 {
+		if p.phase != phaseRunning || p.unlisted || p.speedPercent < 100 || p.server.failures > 0 {
 			continue
 		}
 		if s.stalled(p) {
@@ -98,7 +98,7 @@
 		slowest  *run
 	)
 	for _, p := range members {
-		if p.phase != phaseRunning {
+		if p.phase != phaseRunning || p.unlisted {
 			return nil
 		}
 		complete = latest(complete, p.confirmedAt)
@@ -133,7 +133,7 @@
 func (s *Scheduler) evacuate(v *server) {
 	left := v.info.Remaining - s.now.Sub(v.drainSince)
 	for _, p := range sortedRuns(v) {
-		if p.phase != phaseRunning {
+		if p.phase != phaseRunning || p.unlisted {
 			continue
 		}
 		g := p.task.group
--- a/internal/standin/runhost/runhost.go
+++ b/internal/standin/runhost/runhost.go
@@ -18,6 +18,9 @@
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/resource"
 )
 
+// maxListedEnds is the number of finished runs that a host lists in a reply to a poll.
+const maxListedEnds = 500
+
 // MaxLease is the longest lease that a host grants.
 const MaxLease = 10 * time.Second
 
@@ -34,6 +37,7 @@
 	startCounts   map[sched.TaskID]int
 	violations    []string
 	countListed   bool          // see CountListedEnds
+	listedEnds    int           // see SetListedEnds
 	changed       chan struct{} // closed when the next run ends
 	traits        func(sched.TaskID) Traits
 	lastRunEnds   map[sched.TaskID]time.Time
@@ -73,10 +77,17 @@
 		prerequisites: func(sched.TaskID) []sched.TaskID { return nil },
 		traits:        func(sched.TaskID) Traits { return Traits{} },
 		lastRunEnds:   map[sched.TaskID]time.Time{}, gangs: map[gangKey]*gang{},
-		changed: make(chan struct{}),
+		changed: make(chan struct{}), listedEnds: maxListedEnds,
 	}
 }
 
+// SetListedEnds sets how many finished runs a host lists in a reply, those with the lowest numbers first.
+func (f *Fleet) SetListedEnds(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.listedEnds = n
+}
+
 // SetPrerequisites sets the function that returns the tasks which must have succeeded before a task may start.
 func (f *Fleet) SetPrerequisites(prerequisites func(sched.TaskID) []sched.TaskID) {
 	f.mu.Lock()
@@ -337,8 +348,12 @@
 			f.extendLease(h, command.Deadline)
 		}
 		if len(h.finished) > 0 || !now.Before(until) {
-			inv := sched.Inventory{Incarnation: h.info.Incarnation, Clock: h.clock(now), Finished: slices.Clone(h.finished)}
-			f.markListed(h, now)
+			listed := h.finished[:min(len(h.finished), f.listedEnds)]
+			inv := sched.Inventory{
+				Incarnation: h.info.Incarnation, Clock: h.clock(now), Finished: slices.Clone(listed),
+				MoreFinished: len(listed) == f.listedEnds,
+			}
+			f.markListed(h, listed, now)
 			for task, r := range h.runs {
 				inv.Running = append(inv.Running, sched.ActiveRun{Task: task, Run: r.number, Percent: r.progressPercent(now)})
 			}
--- a/internal/standin/runhost/success.go
+++ b/internal/standin/runhost/success.go
@@ -69,13 +69,13 @@
 	f.countListed = true
 }
 
-// markListed handles a reply that lists the finished runs of a host.
-func (f *Fleet) markListed(h *host, now time.Time) {
+// markListed handles a reply that lists finished runs of a host.
+func (f *Fleet) markListed(h *host, listed []sched.FinishedRun, now time.Time) {
 	f.excuseExpired(h, now)
 	if !f.countListed || now.Add(listedGrace).After(h.leaseEnd) {
 		return
 	}
-	for _, x := range h.finished {
+	for _, x := range listed {
 		for _, s := range f.successes[x.Task] {
 			s.acknowledged = s.acknowledged || s.host == h && s.finishedNumber == x.Number && !s.excused
 		}
