Let starts on a server wait for acknowledgements that are due

Cause: acknowledgements wait while any start on the server is unanswered, as the server may have restarted, and an acknowledgement for the former incarnation would drop ends of the new one. With a steady flow of starts one always is unanswered, so nothing was acknowledged and the server's list of ends filled.

Ruled out: acknowledging beside unanswered starts, which would bring that fault back.

Change: from 200 listed ends on, a server gets no starts while recorded ends aren't acknowledged. While nothing can be recorded, as in an outage of the store, starts go on.

--- a/internal/sched/hidden_ends_test.go
+++ b/internal/sched/hidden_ends_test.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -127,3 +128,51 @@
 		})
 	}
 }
+
+// Guards against ended runs that are never acknowledged under a steady flow of starts, so that the server's list of them fills. Found
+// by an independent review, with servers 8 ms away.
+func TestStartsWaitForDueAcknowledgements(t *testing.T) {
+	const tasks = 3 * maxEndsBeforeAcknowledgement
+	f := newFixture(t, nil)
+	f.addServer("s1", 4)
+	f.addJob("j", Step{Count: tasks, Demand: cores(1), Estimate: 20 * time.Millisecond})
+	var (
+		inFlight []StartCommand // answered at the next step, so that some start is always unanswered
+		running  []StartCommand
+		finished []FinishedRun
+		number   uint64
+		most     int
+	)
+	for range 20 * tasks {
+		f.now = f.now.Add(20 * time.Millisecond)
+		// Two of the four runs end in turns, and their successors' starts are on their way meanwhile.
+		for _, cmd := range running[:min(2, len(running))] {
+			number++
+			finished = append(finished, FinishedRun{Number: number, Task: cmd.Task, Run: cmd.Run, Outcome: OutcomeDone})
+		}
+		running = running[min(2, len(running)):]
+		if p, ok := f.polls["s1"]; ok {
+			for len(finished) > 0 && finished[0].Number <= p.Acknowledged {
+				finished = finished[1:]
+			}
+			most = max(most, len(finished))
+			var active []ActiveRun
+			for _, cmd := range running {
+				active = append(active, ActiveRun{Task: cmd.Task, Run: cmd.Run, Percent: 50})
+			}
+			f.answerPoll("s1", Inventory{Running: active, Finished: finished})
+			f.recordProgress()
+		}
+		for _, cmd := range inFlight {
+			f.s.Started(f.now, f.now, "s1", cmd.Task, cmd.Run, f.now.Sub(epochStart)+time.Hour)
+		}
+		running = append(running, inFlight...)
+		f.s.Tick(f.now)
+		f.collectCommands()
+		inFlight, f.starts = f.starts, nil
+	}
+	f.want("state", f.state("j"), StateCompleted)
+	if limit := 2 * maxEndsBeforeAcknowledgement; most > limit {
+		f.Error(fmt.Sprintf("%d unacknowledged ends, want at most %d", most, limit))
+	}
+}
--- a/internal/sched/inventory.go
+++ b/internal/sched/inventory.go
@@ -56,7 +56,7 @@
 			s.handleEnd(v, f)
 		}
 	}
-	v.endsHidden = inv.MoreFinished
+	v.listedEnds, v.endsHidden = len(inv.Finished), inv.MoreFinished
 	if len(v.unknownOutcomeTasks) > 0 && !v.endsHidden {
 		s.clearUnknownOutcomes(v)
 	}
--- a/internal/sched/restart.go
+++ b/internal/sched/restart.go
@@ -94,7 +94,7 @@
 	v.usualLease, v.usualLeaseFrom = false, time.Time{}
 	s.clearUnknownOutcomes(v)
 	s.touchRoster(v)
-	v.attached, v.formerEndsHidden, v.endsHidden = false, false, false
+	v.attached, v.formerEndsHidden, v.endsHidden, v.listedEnds = false, false, false, 0
 	v.unansweredPolls, v.polling = nil, false // their replies may be of the former incarnation
 	if s.options.RunBase > 0 {
 		v.formerLeaderBound = latest(v.formerLeaderBound, s.longestFormerLeaseBound())
@@ -153,3 +153,13 @@
 	}
 	return v.recordedUpTo
 }
+
+// maxEndsBeforeAcknowledgement is the number of ended runs in an inventory from which the server gets no starts while some of them are
+// recorded and not acknowledged. Acknowledgements wait for unanswered starts, so with a steady flow of starts none would be sent,
+// and from 500 ended runs on the server would not list all.
+const maxEndsBeforeAcknowledgement = 200
+
+// acknowledgementDue reports whether starts have to wait for the acknowledgement of ended runs.
+func (v *server) acknowledgementDue() bool {
+	return v.listedEnds >= maxEndsBeforeAcknowledgement && v.acknowledgedUpTo < v.recordedUpTo
+}
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -65,6 +65,7 @@
 	// ended there.
 	formerEndsHidden bool
 	endsHidden       bool // the latest inventory didn't list all ended runs
+	listedEnds       int  // ended runs in the latest inventory
 	registered       bool
 	unregisteredAt   time.Time // when the registration was removed
 	drainSince       time.Time
@@ -142,7 +143,7 @@
 // usable reports whether new runs may be placed on the server.
 func (v *server) usable(now time.Time) bool {
 	return v.attached && v.registered && !v.info.Draining && v.failures == 0 && v.answersPromptly() && !v.cordoned && !v.cordonMayBeRecorded &&
-		!now.Before(v.noStartsBefore) && (v.suspicions == 0 || v.finiteRuns == 0)
+		!now.Before(v.noStartsBefore) && (v.suspicions == 0 || v.finiteRuns == 0) && !v.acknowledgementDue()
 }
 
 // failedStart reports whether the server recently didn't confirm a start, although it may answer polls.
