Reserve servers only for groups that can use them, in bounded number and time

Cause: a group of large tasks without capacity got a server reserved in each pass, without a look at whether all members of the gang can run at once. A long-running gang is never past use and ranks first, so its reservation had no end, and reserveAllowed had no bound in number at all.

A gang has a reservation only while all members fit at once on the usable servers beside the long-running tasks there; at most half of a service's usable servers are reserved; a reservation ends after twice the expected wait (5 to 30 s) and pauses for as long. A gang that can't run no longer counts among the groups that a pass considers. Its job stays queued, as servers that it fits may come.

--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -56,6 +56,7 @@
 	noStartsBefore time.Time // pause after a refused start
 	isLargeVersion uint64    // fleetVersion for which isLarge was computed
 	isLarge        bool      // a task is large for some server of the service
+	reservation    groupReservation
 }
 
 // task is the runtime state of a task.
--- a/internal/sched/placement.go
+++ b/internal/sched/placement.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -12,12 +11,6 @@
 const (
 	// largeShare is the share of a server's capacity from which a task counts as large. Servers are reserved for large tasks.
 	largeShare = 0.4
-	// maxReserved bounds the groups of a service with a reserved server.
-	maxReserved = 2
-	// maxConsidered bounds the groups of a service that a pass considers for a reservation.
-	maxConsidered = 8
-	// neverFree is the expected time until a long-running task ends.
-	neverFree = time.Hour
 )
 
 // Schedule starts the tasks that fit, in the order of rank. It does nothing if nothing changed since the last call.
@@ -29,7 +22,7 @@
 	s.passNeeded = false
 	s.passes++
 	p := pass{
-		Scheduler: s, reserved: map[ServerID]bool{}, reservations: map[ServiceID]int{}, considered: map[ServiceID]int{},
+		Scheduler: s, reserved: map[ServerID]bool{}, reservations: map[ServiceID]*serviceReservations{},
 		blocked: map[unknownInventory]bool{}, inDoubt: s.underFormerLongLease(),
 	}
 	s.starvation.mostlyFree = map[ServiceID]bool{}
@@ -63,8 +56,7 @@
 type pass struct {
 	*Scheduler
 	reserved     map[ServerID]bool // servers reserved for groups of higher rank
-	reservations map[ServiceID]int
-	considered   map[ServiceID]int
+	reservations map[ServiceID]*serviceReservations
 	scratch      []*server
 	blocked      map[unknownInventory]bool // results of hasUnknownInventory
 	inDoubt      map[TaskID]bool           // see underFormerLongLease
@@ -108,6 +100,7 @@
 			return
 		}
 		p.start(t, v, p.nextRun(t), g.advice.ticket(v, p.now))
+		g.reservation = groupReservation{}
 	}
 }
 
@@ -159,6 +152,7 @@
 		number = max(number, p.nextRun(t))
 	}
 	g.gangRun = number
+	g.reservation = groupReservation{}
 	for i, t := range g.tasks {
 		p.start(t, where[i], number, g.advice.ticket(where[i], p.now))
 	}
@@ -238,102 +232,3 @@
 	}
 	return float64(part) / float64(whole)
 }
-
-// handleNoCapacity handles a group for which no server has capacity: it requests advice, has tasks admitted to a server with a long
-// lease, and reserves servers for large tasks.
-func (p *pass) handleNoCapacity(r *rankedGroup) {
-	if p.withheld != nil {
-		p.requestLongRunning(p.withheld, r.group, p.latestTask)
-	}
-	if r.queue.Advisor != nil {
-		p.adviceQueue = append(p.adviceQueue, *r)
-		p.reserveAllowed(r)
-	}
-	if r.rank.class == pastDeadline || r.rank.class == surplus || p.reservations[r.queue.Service] >= maxReserved ||
-		p.considered[r.queue.Service] >= maxConsidered {
-		return
-	}
-	p.considered[r.queue.Service]++
-	p.reserveServer(r)
-}
-
-// reserveAllowed reserves allowed servers with free capacity for large tasks while an advisor call is in flight.
-func (p *pass) reserveAllowed(r *rankedGroup) {
-	g := r.group
-	if !g.advice.inFlight {
-		return
-	}
-	if !p.isLargeInService(g, r.queue.Service) {
-		return
-	}
-	held := 0
-	for _, v := range p.services[r.queue.Service] {
-		if held >= g.missing() {
-			return
-		}
-		if g.advice.allowed[v.incarnationID()] && !p.reserved[v.info.ID] && v.usable(p.now) && large(g.step, v) &&
-			v.fits(g.step.Charge()) && g.allowsAnother(v, 0) {
-			p.reserved[v.info.ID] = true
-			held++
-		}
-	}
-}
-
-// reserveServer reserves the server that will have capacity for a large task first.
-func (p *pass) reserveServer(r *rankedGroup) {
-	g := r.group
-	if !p.isLargeInService(g, r.queue.Service) {
-		return
-	}
-	var (
-		best *server
-		wait time.Duration
-	)
-	for _, v := range p.services[r.queue.Service] {
-		if !v.usable(p.now) || p.reserved[v.info.ID] || !eligible(g.step, v) || !large(g.step, v) || !g.allowsAnother(v, 0) {
-			continue
-		}
-		if allowed, known := g.advice.allowed[v.incarnationID()]; r.queue.Advisor != nil && (!known || !allowed) {
-			continue
-		}
-		if w := p.untilFree(v, g.step.Charge()); w < neverFree && (best == nil || w < wait) {
-			best, wait = v, w
-		}
-	}
-	if best != nil {
-		p.reserved[best.info.ID] = true
-		p.reservations[r.queue.Service]++
-	}
-}
-
-// untilFree returns the expected time until a server has capacity for a charge.
-func (s *Scheduler) untilFree(v *server, charge resource.Vector) time.Duration {
-	used := v.used
-	left := make([]expectedRelease, 0, len(v.runs))
-	for _, p := range v.runs {
-		w := neverFree
-		switch {
-		case p.phase == phaseStopping:
-			w = s.options.MaxStopTime
-		case !p.task.group.step.LongRunning:
-			w = s.remaining(p)
-		}
-		left = append(left, expectedRelease{after: w, charge: p.task.charge()})
-	}
-	slices.SortFunc(left, func(a, b expectedRelease) int { return cmp.Compare(a.after, b.after) })
-	after := time.Duration(0)
-	for _, r := range left {
-		if used.Add(charge).Fits(v.info.Capacity) {
-			break
-		}
-		used = used.Sub(r.charge)
-		after = r.after
-	}
-	return after
-}
-
-// expectedRelease is capacity that a run is expected to free.
-type expectedRelease struct {
-	after  time.Duration
-	charge resource.Vector
-}
