Accept peers again after a failure, and end a daemon whose part has failed

Cause: the listener for peers ended at "too many open files", and its error ended the context of all that runs in the daemon but the HTTP servers. These don't heed the context, so the group never ended and the failure was never reported.

Change: Serve pauses 5 ms to 1 s after a failed accept and goes on; only a closed listener ends it. When a part of the daemon fails, the HTTP servers are closed, so that the process ends and is restarted.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -194,6 +194,11 @@
 	}
 	d.group.Go(func() error { return d.watcher.Run(ctx) })
 	d.group.Go(func() error { return d.coordinator.Run(ctx) })
+	context.AfterFunc(ctx, func() {
+		if !d.shuttingDown.Load() {
+			d.closeServers() // they don't end with the context, and the group waits for them
+		}
+	})
 	go func() {
 		if err := d.group.Wait(); err != nil && ctx.Err() != nil && !d.shuttingDown.Load() {
 			d.failed <- err
@@ -204,6 +209,13 @@
 	return nil
 }
 
+// closeServers closes the HTTP servers and their connections.
+func (d *Daemon) closeServers() {
+	for _, s := range []*http.Server{d.callerServer, d.operatorServer, d.readinessServer} {
+		_ = s.Close()
+	}
+}
+
 // ignoreServerClosed drops the error that reports a regular shutdown.
 func ignoreServerClosed(err error) error {
 	if errors.Is(err, http.ErrServerClosed) {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -35,6 +35,10 @@
 	handshakeTimeout = 2 * time.Second
 	// keepAliveInterval is the interval of TCP keep-alive probes, which close connections to a peer that is gone.
 	keepAliveInterval = 5 * time.Second
+	// minAcceptPause and maxAcceptPause bound the pause after a connection can't be accepted, for example because the process has no
+	// descriptor left. It doubles with each failure.
+	minAcceptPause = 5 * time.Millisecond
+	maxAcceptPause = time.Second
 	// userTimeout is how long sent data may stay unacknowledged before the kernel closes the connection. Without it an
 	// accepted connection that went silent holds its place for minutes once a reply was written to it.
 	userTimeout = 10 * time.Second
@@ -117,7 +121,7 @@
 	return n, nil
 }
 
-// Serve accepts connections until ctx ends, the node is closed or the listener fails. It closes the listener.
+// Serve accepts connections until ctx ends, the node is closed or the listener is closed. It closes the listener.
 func (n *Node) Serve(ctx context.Context, l net.Listener) error {
 	if n.lacksTLS(l.Addr().String()) {
 		_ = l.Close()
@@ -130,18 +134,24 @@
 	stopClosing := context.AfterFunc(ctx, func() { _ = l.Close() })
 	defer stopClosing()
 	defer l.Close()
+	pause := time.Duration(0)
 	for {
 		conn, err := l.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if errors.Is(err, net.ErrClosed) {
+			return fmt.Errorf("accept peer connection: %w", err)
+		}
 		if err != nil {
-			if ctx.Err() != nil {
-				return nil
-			}
-			var temporary net.Error
-			if errors.As(err, &temporary) && temporary.Timeout() {
-				continue
+			if pause == 0 {
+				n.config.Log.Error(err, "accept peer connection, retrying", "address", l.Addr().String())
 			}
-			return fmt.Errorf("accept peer connection: %w", err)
+			pause = min(max(2*pause, minAcceptPause), maxAcceptPause)
+			sleep(ctx, pause)
+			continue
 		}
+		pause = 0
 		if !n.goTracked(func() { n.serveConn(ctx, conn) }) {
 			_ = conn.Close()
 		}
@@ -211,3 +221,13 @@
 	ip := net.ParseIP(host)
 	return ip != nil && ip.IsLoopback()
 }
+
+// sleep waits for a duration or until the context ends.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
