Let no registration of another writer end a live server's runs

The live server's 16 runs were released and their tasks started elsewhere.

A 421 refutes the registration instead if the incarnation has answered elsewhere and never at that address; the server is polled where it answered.

--- a/internal/sched/incarnation_test.go
+++ b/internal/sched/incarnation_test.go
@@ -79,6 +79,34 @@
 	}
 }
 
+// Guards against a live server whose runs are released and started elsewhere because a registration under its id, written by another
+// writer, names the address of another server, which answers that it isn't meant.
+func TestRegistrationWithAnotherAddress(t *testing.T) {
+	for name, c := range map[string]struct {
+		incarnation int64
+		released    int
+	}{
+		"without an incarnation":  {0, 0},
+		"of the same incarnation": {1, 0},
+		"of a later incarnation":  {2, 1}, // the server has restarted elsewhere
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, nil)
+			f.addServer("s1", 16)
+			f.addJob("a", Step{Count: 1, Demand: cores(1)})
+			start := f.takeStarts()[0]
+			other := testServer("s1", 16)
+			other.Address, other.Incarnation = "s2:1", c.incarnation
+			f.s.Register(f.now, other)
+			f.collectCommands()
+			meant := other
+			meant.Incarnation = max(c.incarnation, 1)
+			f.s.ServerReplaced(f.now, meant)
+			f.want("runs released", boolToInt(f.s.findRun("s1", start.Task, start.Run) == nil), c.released)
+		})
+	}
+}
+
 // Guards against tasks that run twice: a server restarted a second time within the margin of its clock readings, confirmed a
 // start, and its registration then showed the restart, so the run counted as one that the restart had ended. Seed 5291 of the
 // property test.
--- a/internal/sched/inventory.go
+++ b/internal/sched/inventory.go
@@ -43,6 +43,7 @@
 	if !s.acceptIncarnation(v, inv.Incarnation, answered.at) {
 		return
 	}
+	v.answeredAddress = answered.address
 	if inv.Clock >= v.lowestClock(now) { // an older reading would shorten leases
 		v.setClock(inv.Clock, answered.at, now)
 	}
--- a/internal/sched/poll.go
+++ b/internal/sched/poll.go
@@ -26,9 +26,10 @@
 
 // sentPoll is a poll that may still be answered.
 type sentPoll struct {
-	serial uint64
-	at     time.Time
-	waits  bool // the server may delay its reply until a run ends
+	serial  uint64
+	at      time.Time
+	address string
+	waits   bool // the server may delay its reply until a run ends
 }
 
 // notePoll records a poll that is about to be sent.
@@ -130,7 +131,7 @@
 	v.polling = true
 	s.lastPollSerial++
 	v.pollSerial = s.lastPollSerial
-	v.notePoll(sentPoll{serial: v.pollSerial, at: s.now.Add(delay), waits: wait > 0})
+	v.notePoll(sentPoll{serial: v.pollSerial, at: s.now.Add(delay), address: v.info.Address, waits: wait > 0})
 	v.acknowledgedUpTo = v.acknowledgeable()
 	cmd := PollCommand{
 		Server: v.info, Acknowledged: v.acknowledgedUpTo, Wait: wait,
--- a/internal/sched/restart.go
+++ b/internal/sched/restart.go
@@ -102,7 +102,7 @@
 	}
 	v.suspicions, v.lastSlowJob, v.slowdown, v.recentRuns, v.recentFailures = 0, nil, 1, 0, 0
 	v.unrecordedEnds, v.handledUpTo, v.recordedUpTo, v.acknowledgedUpTo = nil, 0, 0, 0
-	v.grantedUntil = 0
+	v.grantedUntil, v.answeredAddress = 0, ""
 	v.firstClockAt = time.Time{}
 	v.unknownRuns = map[runKey]bool{}
 }
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -98,6 +98,7 @@
 	longLeaseTasks         longLeaseTasks
 	incarnationClaimedAt   time.Time // when a registration named the incarnation; zero once the server itself has reported it
 	incarnationSeenAt      time.Time // when the latest poll was sent in whose reply the server named its incarnation
+	answeredAddress        string    // at which the incarnation has answered; empty until then
 	disprovedIncarnation   int64     // named by a registration, but not by the server; 0 if there was none
 
 	polling         bool   // the latest poll has neither a reply nor failed
@@ -249,15 +250,25 @@
 }
 
 // ServerReplaced handles proof that another server responded at the address of the server that a call was meant for, so that the
-// incarnation which it was meant for has ended. It does nothing if the server has another address or incarnation since.
+// incarnation which it was meant for has ended. It does nothing if the server has another address or incarnation since. If only a
+// registration has named the address and the incarnation has answered at another one, the registration is refuted instead.
 func (s *Scheduler) ServerReplaced(now time.Time, meant Server) {
 	s.now = now
-	if v := s.servers[meant.ID]; v != nil && v.info.Address == meant.Address && v.info.Incarnation == meant.Incarnation {
-		held := len(v.runs)
-		s.loseAllRuns(v, CauseReplaced)
-		v.polling = false
-		s.remove(v, CauseReplaced, held)
+	v := s.servers[meant.ID]
+	if v == nil || v.info.Address != meant.Address || v.info.Incarnation != meant.Incarnation {
+		return
+	}
+	held := len(v.runs)
+	v.polling = false
+	if v.answeredAddress != "" && v.answeredAddress != meant.Address {
+		v.info.Address = v.answeredAddress
+		s.touchRoster(v)
+		s.decideServer(v, ServerDecision{Event: ServerAddressRefuted, Cause: CauseReplaced, Runs: held})
+		s.poll(v, 0, 0)
+		return
 	}
+	s.loseAllRuns(v, CauseReplaced)
+	s.remove(v, CauseReplaced, held)
 }
 
 // loseAllRuns releases all runs of a server, which are known to have ended.
--- a/internal/sched/server_decision.go
+++ b/internal/sched/server_decision.go
@@ -11,6 +11,8 @@
 	ServerRemoved   ServerEvent = "removed"
 	ServerReturned  ServerEvent = "returned"
 	ServerRestarted ServerEvent = "restarted" // under its id; the cause is CauseClockWentBack or CauseNewIncarnation
+	// ServerAddressRefuted is that another server responds at the address of a registration, while this one has answered elsewhere.
+	ServerAddressRefuted ServerEvent = "address-refuted"
 )
 
 // Causes of server events, besides those that also release runs.
