Hand over the leadership only while the store answers

Callers would see nothing start and all runs end with their leases: a leader whose term was younger than 2 s at the begin of a store outage handed over to a faster host in it, and nobody can take over without the store.

Cause: the check for a faster host used the last known members whatever their age.

Change: no handover while the store has been silent for a second. The read of the leader record after a new presence lease gets the timeout of the store's usual calls, as a slow store would never answer within 250 ms. The suspension of commands and its end have a log line each with the ages that decided them.

--- a/internal/coordinator/confirmation.go
+++ b/internal/coordinator/confirmation.go
@@ -60,7 +60,7 @@
 		if v.leader.Epoch > t.leader.Epoch {
 			return errDeposed
 		}
-		if m, ok := t.fasterPeer(&v); ok && t.coordinator.now().Sub(started) > minHandoverAge {
+		if m, ok := t.fasterPeer(&v); ok && t.coordinator.now().Sub(started) > minHandoverAge && !t.storeSilent() {
 			t.config.Log.Info("handing over to a faster host", "peer", string(m))
 			return errHandover
 		}
@@ -79,7 +79,7 @@
 func (t *term) confirmByPeers(ctx context.Context) error {
 	evidence := newPeerEvidence()
 	for ctx.Err() == nil {
-		if c := t.coordinator; c.now().Sub(c.LastStoreContact()) < storeSilence {
+		if !t.storeSilent() {
 			evidence = newPeerEvidence()
 		} else if t.queryPeers(ctx, &evidence) > t.leader.Epoch {
 			return errDeposed
@@ -89,6 +89,11 @@
 	return ctx.Err()
 }
 
+// storeSilent reports whether the store hasn't answered this daemon for storeSilence.
+func (t *term) storeSilent() bool {
+	return t.coordinator.now().Sub(t.coordinator.LastStoreContact()) >= storeSilence
+}
+
 // confirmByStore confirms this leader by the store's latest replies. A takeover needs the end of the leader's presence lease, so each
 // renewal rules it out until that lease can have ended.
 func (t *term) confirmByStore(ctx context.Context, v *cellState) error {
@@ -101,7 +106,7 @@
 	}
 	if revision != t.presenceRevision {
 		// The lease has ended and was created anew. The leader record shows whether another daemon took over in between.
-		getCtx, cancel := context.WithTimeout(ctx, confirmationInterval)
+		getCtx, cancel := context.WithTimeout(ctx, t.config.StoreTimeout.Timeout(minWriteTimeout, maxWriteTimeout))
 		defer cancel()
 		sentAt := t.coordinator.now()
 		item, err := t.config.Store.Get(getCtx, leaderKey)
@@ -242,8 +247,11 @@
 
 // confirm notes that no other daemon led at a time.
 func (t *term) confirm(at time.Time) {
-	if at.After(*t.confirmed.Load()) {
-		t.confirmed.Store(&at)
+	for {
+		latest := t.confirmed.Load()
+		if !at.After(*latest) || t.confirmed.CompareAndSwap(latest, &at) {
+			return
+		}
 	}
 }
 
@@ -252,10 +260,17 @@
 // logSuspension logs when commands stop because another daemon may lead, and when they resume.
 func (t *term) logSuspension() {
 	age := t.unconfirmedFor()
-	if suspended := age > isolationTimeout; suspended != t.suspended {
-		t.suspended = suspended
-		t.config.Log.Info("leadership confirmation changed", "epoch", uint64(t.leader.Epoch), "suspended", suspended, "age", age.String())
+	suspended := age > isolationTimeout
+	if suspended == t.suspended {
+		return
+	}
+	t.suspended = suspended
+	message := "commands resumed, no other daemon leads"
+	if suspended {
+		message = "commands suspended, another daemon may lead"
 	}
+	t.config.Log.Info(message, "epoch", uint64(t.leader.Epoch), "confirmation-age", age.String(),
+		"store-age", t.coordinator.now().Sub(t.coordinator.LastStoreContact()).String())
 }
 
 // confirmationPause is the pause between checks of awaitConfirmation.
--- a/internal/coordinator/isolated_leader_test.go
+++ b/internal/coordinator/isolated_leader_test.go
@@ -196,3 +196,21 @@
 	c.store.SetFault(nil)
 	c.store.PauseLeases(false)
 }
+
+// Guards against a cell without a leader for the rest of a store outage, because the leader hands over to a faster host in it.
+func TestLeaderDoesNotHandOverWithoutStore(t *testing.T) {
+	t.Parallel()
+	c := newCell(t, 2, time.Minute)
+	a := c.start("a", 500*time.Millisecond)
+	c.await("leader a", 4*time.Second, func() bool { return a.leader() == "a" })
+	faster := c.start("b", 0)
+	c.await("the view of b", 3*time.Second, func() bool { return faster.leader() == "a" })
+	c.mustSubmit(a, 1, 4)
+	c.await("starts", 3*time.Second, func() bool { n, _ := c.fleet.StartCounts(); return n == 4 })
+	c.store.SetFault(func(string, string) txstore.Fault { return txstore.Unavailable })
+	time.Sleep(6 * time.Second)
+	if n := c.fleet.RunningTasks(jobID(0)); n != 4 {
+		t.Errorf("%d of 4 tasks run in an outage of 6 s", n)
+	}
+	c.store.SetFault(nil)
+}
