--- a/internal/cell/settings.go
+++ b/internal/cell/settings.go
@@ -61,7 +61,7 @@
 	shutdownFraction = 0.3
 	// retentionFactor keeps ended jobs longer than the promised retention.
 	retentionFactor = 1.25
-	// leaderOverlap is how long a leader that reaches neither the store nor peers continues.
+	// leaderOverlap is how long a leader may continue after another daemon has taken over, see isolationTimeout in internal/coordinator.
 	leaderOverlap = 2 * time.Second
 	// pollWait is how long a backend server may delay its reply to a poll until a run ends. It is also the delay until an
 	// unresponsive server is noticed.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -148,7 +148,10 @@
 				n.config.Log.Error(err, "accept peer connection, retrying", "address", l.Addr().String())
 			}
 			pause = min(max(2*pause, minAcceptPause), maxAcceptPause)
-			sleep(ctx, pause)
+			select {
+			case <-ctx.Done():
+			case <-time.After(pause):
+			}
 			continue
 		}
 		pause = 0
@@ -221,13 +224,3 @@
 	ip := net.ParseIP(host)
 	return ip != nil && ip.IsLoopback()
 }
-
-// sleep waits for a duration or until the context ends.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/sched/hidden_ends_test.go
+++ b/internal/sched/hidden_ends_test.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -173,6 +172,6 @@
 	}
 	f.want("state", f.state("j"), StateCompleted)
 	if limit := 2 * maxEndsBeforeAcknowledgement; most > limit {
-		f.Error(fmt.Sprintf("%d unacknowledged ends, want at most %d", most, limit))
+		f.Errorf("%d unacknowledged ends, want at most %d", most, limit)
 	}
 }
--- a/internal/sched/stuck.go
+++ b/internal/sched/stuck.go
@@ -3,8 +3,9 @@
 import "time"
 
 const (
-	// maxCommandTime bounds the time from a command to the report of its outcome: the coordinator holds commands for up to 2.9 s
-	// before it ends the term of an unconfirmed leader, and the adapter ends the call after 450 ms.
+	// maxCommandTime is the time from a command to the report of its outcome that a start may take in the mean of its attempts: the
+	// adapter ends a call after 450 ms, and the coordinator holds the commands of an unconfirmed leader for up to 8.1 s in all before
+	// it ends the term.
 	maxCommandTime = 3500 * time.Millisecond
 	// maxStartTime is the time after which a start is confirmed, refused or given up.
 	maxStartTime = maxStartAttempts * maxCommandTime
