Bound only the time of a gang's reservations

A plain large task starts as soon as its reserved server has capacity, so a pause of its reservation only lets small tasks take that capacity first. The cap rises from half to three quarters of a service's usable servers. The tests of the bounds are unchanged and pass.

--- a/internal/sched/placement.go
+++ b/internal/sched/placement.go
@@ -100,7 +100,6 @@
 			return
 		}
 		p.start(t, v, p.nextRun(t), g.advice.ticket(v, p.now))
-		g.reservation = groupReservation{}
 	}
 }
 
--- a/internal/sched/reservation.go
+++ b/internal/sched/reservation.go
@@ -11,16 +11,16 @@
 const (
 	// maxReserved bounds the groups of a service with a reserved server.
 	maxReserved = 2
-	// maxReservedShare is the share of a service's usable servers that may be reserved, so that other tasks always have servers. A
-	// service with one server has that reserved for a limited time.
-	maxReservedShare = 0.5
+	// maxReservedShare is the share of a service's usable servers that may be reserved, so that other tasks always have servers. The
+	// only server of a service may be reserved.
+	maxReservedShare = 0.75
 	// maxConsidered bounds the groups of a service that a pass considers for a reservation.
 	maxConsidered = 8
 	// neverFree is the expected time until a long-running task ends.
 	neverFree = time.Hour
 	// reservationFactor times the expected time until the reserved server has capacity, within minReservationTime and
-	// maxReservationTime, is how long a group that can't start has a reservation. It has none for as long after it: the server would
-	// idle if the estimate is wrong or a gang's other members find no capacity.
+	// maxReservationTime, is how long a gang that can't start has a reservation. It has none for as long after it: the server would
+	// idle while the other members find no capacity. A group of single tasks starts one as soon as its server has capacity.
 	reservationFactor  = 2
 	minReservationTime = 5 * time.Second
 	maxReservationTime = 30 * time.Second
@@ -38,7 +38,7 @@
 	considered int // groups that were considered for a reservation
 }
 
-// groupReservation is the time of a group's reservations, and whether the gang fits.
+// groupReservation is the time of a gang's reservations, and whether the gang fits.
 type groupReservation struct {
 	begunAt     time.Time
 	latestAt    time.Time // latest pass with a reserved server
@@ -48,7 +48,7 @@
 	fits        bool      // see gangFits
 }
 
-// extend reports whether the group may go on having a reservation, or begin one of a server that has capacity after a time.
+// extend reports whether the gang may go on having a reservation, or begin one of a server that has capacity after a time.
 func (r *groupReservation) extend(now time.Time, wait time.Duration) bool {
 	switch {
 	case now.Before(r.pausedUntil):
@@ -173,7 +173,7 @@
 	}
 	n := p.reservationsOf(r.queue.Service)
 	held := 0
-	if !g.reservation.extend(p.now, 0) {
+	if g.step.Gang && !g.reservation.extend(p.now, 0) {
 		return
 	}
 	for _, v := range p.services[r.queue.Service] {
@@ -206,7 +206,7 @@
 			best, wait = v, w
 		}
 	}
-	if best != nil && g.reservation.extend(p.now, wait) {
+	if best != nil && (!g.step.Gang || g.reservation.extend(p.now, wait)) {
 		p.reserve(n, best)
 		n.groups++
 	}
