--- a/internal/coordinator/confirmation.go
+++ b/internal/coordinator/confirmation.go
@@ -100,29 +100,27 @@
 	if v.leaderRevision == t.revision {
 		t.confirm(v.confirmedAt)
 	}
+	now, ttl := t.coordinator.now(), t.config.PresenceTTL
 	revision, renewedAt, ok := t.coordinator.presence.lastRenewal()
-	if !ok {
+	if ok && revision == t.presenceRevision && now.Sub(renewedAt) < ttl {
+		t.confirm(renewedAt.Add(ttl - time.Duration(presenceDrift*float64(ttl))))
 		return nil
 	}
-	if revision != t.presenceRevision {
-		// The lease has ended and was created anew. The leader record shows whether another daemon took over in between.
-		getCtx, cancel := context.WithTimeout(ctx, t.config.StoreTimeout.Timeout(minWriteTimeout, maxWriteTimeout))
-		defer cancel()
-		sentAt := t.coordinator.now()
-		item, err := t.config.Store.Get(getCtx, leaderKey)
-		switch {
-		case err != nil:
-			t.config.Log.V(1).Info("leader record not read", "error", err.Error())
-			return nil
-		case item.Revision != t.revision:
-			return errDeposed
-		}
-		t.confirm(sentAt)
-		t.presenceRevision = revision
+	// The lease may have ended, or was created anew. The leader record shows whether another daemon has taken over since.
+	getCtx, cancel := context.WithTimeout(ctx, t.config.StoreTimeout.Timeout(minWriteTimeout, maxWriteTimeout))
+	defer cancel()
+	item, err := t.config.Store.Get(getCtx, leaderKey)
+	switch {
+	case err != nil:
+		t.config.Log.V(1).Info("leader record not read", "error", err.Error())
 		return nil
+	case item.Revision != t.revision:
+		return errDeposed
+	}
+	t.confirm(now)
+	if ok {
+		t.presenceRevision = revision
 	}
-	ttl := t.config.PresenceTTL
-	t.confirm(renewedAt.Add(ttl - time.Duration(presenceDrift*float64(ttl))))
 	return nil
 }
 
--- a/internal/coordinator/isolated_leader_test.go
+++ b/internal/coordinator/isolated_leader_test.go
@@ -214,3 +214,25 @@
 	}
 	c.store.SetFault(nil)
 }
+
+// Guards against a leader that sends no commands although the store answers it, because it refuses the leases of presence records and a
+// daemon that was lost can't deny to lead.
+func TestLeaderWithoutPresenceReadsLeaderRecord(t *testing.T) {
+	t.Parallel()
+	c := newIsolationCell(t, 300*time.Millisecond)
+	c.mustSubmit(c.a, 1, 100)
+	c.c.stop()
+	c.store.SetFault(func(call, _ string) txstore.Fault {
+		if call == "grant" || call == "renew" {
+			return txstore.Unavailable
+		}
+		return txstore.None
+	})
+	time.Sleep(5 * time.Second)
+	before, _ := c.fleet.StartCounts()
+	time.Sleep(time.Second)
+	if after, _ := c.fleet.StartCounts(); after < before+4 {
+		t.Errorf("%d starts in a second, want at least 4", after-before)
+	}
+	c.store.SetFault(nil)
+}
