Let the task of a takeover test end before the view that follows it

The task ran for a second and the test slept for a second from its start, so two timers were due at the same instant of the fake clock. The runtime runs such timers in any order. If the new view came first, the member attached before the task had ended, which is no fault.

--- a/internal/ownership/inventory_test.go
+++ b/internal/ownership/inventory_test.go
@@ -25,7 +25,7 @@
 			owner, other := twoMembers(c)
 			owner.expectStart("h", batchTask("t"), nil)
 			owner.kill()
-			time.Sleep(time.Second) // the task ends
+			time.Sleep(time.Second + time.Millisecond) // a millisecond past the task's end, as timers of one instant run in any order
 			count := completeAtResults(other)
 			c.publishView(other.id)
 			time.Sleep(settleTime)
