Log and count what the leader's scheduling costs

The log didn't tell which work takes it: the choice of servers, polls, starts or advisor calls.

Each second the leader now logs scheduling load: passes and their time, the servers that were examined one by one, starts, ends and polls. The same counts are in rosemaryspoke_term_events. No decision changes.

--- a/internal/coordinator/dump.go
+++ b/internal/coordinator/dump.go
@@ -48,23 +48,29 @@
 // loadInterval is the interval at which the leader logs the load of each service and checks for stuck runs.
 const loadInterval = time.Second
 
-// logLoad logs the use of advisor calls, stuck runs and, for each service, its capacity and the work that waits for it.
+// logLoad logs what the leader does, the use of advisor calls, stuck runs and, for each service, its capacity and the work that waits
+// for it.
 func (t *term) logLoad(ctx context.Context) error {
-	previousCalls := uint64(0)
+	var previous sched.Counts
 	for {
 		sleep(ctx, loadInterval)
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
 		t.mu.Lock()
-		loads, calls, busy := t.scheduler.Loads(), t.scheduler.Counts().Advice, t.advisorProxies.busy()
+		loads, counts, busy := t.scheduler.Loads(), t.scheduler.Counts(), t.advisorProxies.busy()
+		passTime := t.passTime
+		t.passTime = 0
 		replyDelay, startWindow := t.scheduler.CommonDelay()
 		stuck := t.scheduler.CheckRuns(t.coordinator.now())
 		t.mu.Unlock()
 		t.logStuckRuns(stuck)
-		t.config.Log.Info("advice load", "daemons", len(t.coordinator.peerAddresses())+1, "busy", busy, "calls", calls-previousCalls,
+		t.config.Log.Info("advice load", "daemons", len(t.coordinator.peerAddresses())+1, "busy", busy, "calls", counts.Advice-previous.Advice,
 			"reply-delay", replyDelay.String(), "start-window", startWindow)
-		previousCalls = calls
+		t.config.Log.Info("scheduling load", "passes", counts.Passes-previous.Passes, "pass-time", passTime.String(),
+			"servers-read", counts.ServersRead-previous.ServersRead, "starts", counts.Starts-previous.Starts,
+			"ends", counts.Ends-previous.Ends, "polls", counts.Polls-previous.Polls)
+		previous = counts
 		for _, l := range loads {
 			t.config.Log.Info("load", "service", string(l.Service), "servers", l.Servers, "usable", l.Usable, "cpu", percent(l.CPU),
 				"gpu", percent(l.GPU), "unusable", percent(l.UnusableShare), "running", l.Running, "waiting", l.Waiting, "steps", l.Steps,
@@ -102,6 +108,10 @@
 		"stops":    func(c sched.Counts) uint64 { return c.Stops },
 		"refusals": func(c sched.Counts) uint64 { return c.Refusals },
 		"advice":   func(c sched.Counts) uint64 { return c.Advice },
+		"passes":   func(c sched.Counts) uint64 { return c.Passes },
+		"polls":    func(c sched.Counts) uint64 { return c.Polls },
+
+		"servers-read": func(c sched.Counts) uint64 { return c.ServersRead },
 	}
 	for kind, read := range counts {
 		m.NewGauge(fmt.Sprintf("rosemaryspoke_term_events{kind=%q}", kind), c.schedulerGauge(func(s *sched.Scheduler) float64 {
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -56,6 +56,7 @@
 	mu        sync.Mutex
 	scheduler *sched.Scheduler
 	loaded    bool
+	passTime  time.Duration // taken by scheduling passes since the load was logged
 
 	ctx    context.Context
 	cancel context.CancelCauseFunc
@@ -211,6 +212,7 @@
 		commands := t.scheduler.TakeCommands()
 		congested := t.scheduler.Congested()
 		took := t.coordinator.now().Sub(started)
+		t.passTime += took
 		t.mu.Unlock()
 		t.dispatch(commands)
 		t.requestAdvice()
--- a/internal/sched/advice_servers.go
+++ b/internal/sched/advice_servers.go
@@ -159,6 +159,7 @@
 	share, places := s.grantShare(q.ID), 0.0
 	var ids []ServerID
 	for _, v := range s.byFree(q.Service) {
+		s.counts.ServersRead++
 		if v.removed || !v.usable(answered) || !eligible(g.step, v) || !g.allowsAnother(v, 0) {
 			continue
 		}
@@ -241,6 +242,7 @@
 func (s *Scheduler) allowedServers(g *group, q *Queue, at time.Time) iter.Seq[*server] {
 	return func(yield func(*server) bool) {
 		for _, id := range g.advice.positive {
+			s.counts.ServersRead++
 			v := s.servers[id.server]
 			if v == nil || v.incarnationID() != id || v.info.Service != q.Service || !v.usable(at) || !eligible(g.step, v) ||
 				!g.allowsAnother(v, 0) {
--- a/internal/sched/pick_server.go
+++ b/internal/sched/pick_server.go
@@ -17,6 +17,7 @@
 	)
 	rack := g.rackInUse(taken)
 	for _, v := range p.candidates(g, r.queue) {
+		p.counts.ServersRead++
 		if !v.usable(p.now) || p.reserved[v.info.ID] || !eligible(g.step, v) {
 			continue
 		}
--- a/internal/sched/placement.go
+++ b/internal/sched/placement.go
@@ -21,6 +21,7 @@
 	}
 	s.passNeeded = false
 	s.passes++
+	s.counts.Passes++
 	p := pass{
 		Scheduler: s, reserved: map[ServerID]bool{}, reservations: map[ServiceID]*serviceReservations{},
 		blocked: map[unknownInventory]bool{}, inDoubt: s.underFormerLongLease(),
--- a/internal/sched/poll.go
+++ b/internal/sched/poll.go
@@ -129,6 +129,7 @@
 // poll requests a server's inventory and renews its lease.
 func (s *Scheduler) poll(v *server, wait, delay time.Duration) {
 	v.polling = true
+	s.counts.Polls++
 	s.lastPollSerial++
 	v.pollSerial = s.lastPollSerial
 	v.notePoll(sentPoll{serial: v.pollSerial, at: s.now.Add(delay), address: v.info.Address, waits: wait > 0})
--- a/internal/sched/reservation.go
+++ b/internal/sched/reservation.go
@@ -131,6 +131,7 @@
 	g, n := r.group, 0
 	charge := g.step.Charge()
 	for _, v := range p.services[r.queue.Service] {
+		p.counts.ServersRead++
 		if !v.usable(p.now) || !eligible(g.step, v) {
 			continue
 		}
@@ -177,6 +178,7 @@
 		return
 	}
 	for _, v := range p.services[r.queue.Service] {
+		p.counts.ServersRead++
 		if held >= g.missing() || n.servers >= n.maxServers {
 			return
 		}
@@ -196,6 +198,7 @@
 		wait time.Duration
 	)
 	for _, v := range p.services[r.queue.Service] {
+		p.counts.ServersRead++
 		if !v.usable(p.now) || p.reserved[v.info.ID] || !eligible(g.step, v) || !large(g.step, v) || !g.allowsAnother(v, 0) {
 			continue
 		}
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -83,9 +83,11 @@
 }
 
 // Counts holds counters for metrics, counted since the takeover. Ends counts the reported ends of runs, Lapses the runs that
-// ended unreported because their lease expired or their server restarted or was replaced, and Advice the advisor calls.
+// ended unreported because their lease expired or their server restarted or was replaced, and Advice the advisor calls. ServersRead
+// is the number of servers that were examined one by one to find some for a group: it shows what the choice of servers costs.
 type Counts struct {
 	Starts, Ends, Failures, Lapses, Stops, Refusals, Advice uint64
+	Passes, Polls, ServersRead                              uint64
 }
 
 // team is the configuration and the usage of a team.
