Reserve servers for advised steps among those that their advisor allows

Cause of a part of it: in each pass, each waiting step of large tasks with an advisor call under way examined all servers of its service (792 for quoting) for those that its advisor allows, and up to eight more steps a pass did so to reserve one. With slower passes fewer tasks start, more steps wait, and passes get slower still.

Change: both choose among the servers that the advisor has allowed, which the group lists already. Steps without an advisor choose among all, at most eight in a pass, as before.

TestWaitingAdvisedStepsReadOnlyAllowedServers counts the servers that a pass examines, without a clock: 54,400 before with 60 steps whose calls are under way, and 2,200 with tickets for servers in use; now at most 0 and 1,200.

--- a/internal/sched/advice_load_test.go
+++ b/internal/sched/advice_load_test.go
@@ -140,3 +140,54 @@
 	request, _ = f.s.NextAdviceRequest(f.now, 0, 0)
 	f.want("servers named", len(request.Servers), 4)
 }
+
+// The load is steps of large tasks that wait for their advisor or for capacity, on 800 servers. Guards against reading all servers of
+// the service in each pass for each such step, to reserve some of the few that its advisor allows: on bensalem-quotes-large that
+// took half of the time of a pass, and tasks waited beside idle servers.
+func TestWaitingAdvisedStepsReadOnlyAllowedServers(t *testing.T) {
+	const steps, servers, granted = 60, 800, 10
+	for name, c := range map[string]struct {
+		answered bool
+		most     uint64 // servers read in a pass
+	}{
+		"calls under way":            {most: 0},
+		"tickets for servers in use": {answered: true, most: 2 * steps * granted},
+	} {
+		t.Run(name, func(t *testing.T) {
+			q := advisedQueue("quotes", "pool", 0, 2, time.Second, 10*time.Millisecond, 10*time.Second)
+			f := advisedFixture(t, servers, q)
+			if c.answered {
+				direct := testQueue()
+				direct.ID = "direct"
+				f.s.Configure(f.now, Config{Queues: map[ident.QueueID]Queue{"quotes": q, "direct": direct}})
+				f.s.AddJob(f.now, &Job{
+					ID: "running", Queue: direct, Accepted: f.now, Steps: []Step{{Count: servers, Demand: cores(12), Estimate: time.Minute}},
+				}, Progress{}, false)
+				f.collectCommands()
+				f.want("starts", len(f.takeStarts()), servers)
+			}
+			for i := range steps {
+				id := ident.JobID(fmt.Sprintf("j%03d", i))
+				f.s.AddJob(f.now, &Job{ID: id, Queue: q, Accepted: f.now, Steps: []Step{{Count: 20, Demand: cores(8)}}}, Progress{}, false)
+			}
+			f.s.Schedule(f.now)
+			for request, ok := f.s.NextAdviceRequest(f.now, 0, 0); ok; request, ok = f.s.NextAdviceRequest(f.now, 0, 0) {
+				if !c.answered {
+					continue
+				}
+				tickets := map[ServerID]Ticket{}
+				for _, id := range request.Servers[:granted] {
+					tickets[id] = "t"
+				}
+				f.s.AdviceReceived(f.now, request, tickets, f.now)
+			}
+			before := f.s.Counts()
+			f.s.passNeeded = true
+			f.s.Schedule(f.now)
+			after := f.s.Counts()
+			if read := after.ServersRead - before.ServersRead; read > c.most || after.Passes != before.Passes+1 {
+				t.Errorf("%d passes read %d servers, want one that reads at most %d", after.Passes-before.Passes, read, c.most)
+			}
+		})
+	}
+}
--- a/internal/sched/reservation.go
+++ b/internal/sched/reservation.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 	"time"
 
@@ -177,13 +178,11 @@
 	if g.step.Gang && !g.reservation.extend(p.now, 0) {
 		return
 	}
-	for _, v := range p.services[r.queue.Service] {
-		p.counts.ServersRead++
+	for v := range p.allowedServers(g, r.queue, p.now) {
 		if held >= g.missing() || n.servers >= n.maxServers {
 			return
 		}
-		if g.advice.allowed[v.incarnationID()] && !p.reserved[v.info.ID] && v.usable(p.now) && large(g.step, v) &&
-			v.fits(g.step.Charge()) && g.allowsAnother(v, 0) {
+		if !p.reserved[v.info.ID] && large(g.step, v) && v.fits(g.step.Charge()) {
 			p.reserve(n, v)
 			held++
 		}
@@ -197,12 +196,8 @@
 		best *server
 		wait time.Duration
 	)
-	for _, v := range p.services[r.queue.Service] {
-		p.counts.ServersRead++
-		if !v.usable(p.now) || p.reserved[v.info.ID] || !eligible(g.step, v) || !large(g.step, v) || !g.allowsAnother(v, 0) {
-			continue
-		}
-		if allowed, known := g.advice.allowed[v.incarnationID()]; r.queue.Advisor != nil && (!known || !allowed) {
+	for v := range p.startable(g, r.queue) {
+		if p.reserved[v.info.ID] || !large(g.step, v) {
 			continue
 		}
 		if w := p.untilFree(v, g.step.Charge()); w < neverFree && (best == nil || w < wait) {
@@ -215,6 +210,22 @@
 	}
 }
 
+// startable returns the servers that may run a further task of a group once they have capacity. With an advisor these are the few
+// that it allows: reading all servers of a large service for each waiting group took half of the time of a pass.
+func (p *pass) startable(g *group, q *Queue) iter.Seq[*server] {
+	if q.Advisor != nil {
+		return p.allowedServers(g, q, p.now)
+	}
+	return func(yield func(*server) bool) {
+		for _, v := range p.services[q.Service] {
+			p.counts.ServersRead++
+			if v.usable(p.now) && eligible(g.step, v) && g.allowsAnother(v, 0) && !yield(v) {
+				return
+			}
+		}
+	}
+}
+
 // untilFree returns the expected time until a server has capacity for a charge.
 func (s *Scheduler) untilFree(v *server, charge resource.Vector) time.Duration {
 	used := v.used
