Use goroutines again for the calls to servers and advisors

Cause of a part of it: each start, stop, poll and advisor call ran on a new goroutine, and encoding and sending it needs a deep stack.

Change: a term keeps up to 256 idle goroutines and runs the calls on them. A call never waits for one: with none idle a new one is started.

--- a/internal/coordinator/advice.go
+++ b/internal/coordinator/advice.go
@@ -131,7 +131,7 @@
 			continue
 		}
 		t.advisorProxies.callStarted(proxy.member)
-		go t.callAdvisor(proxy, request)
+		t.goroutines.run(t.ctx, func() { t.callAdvisor(proxy, request) })
 	}
 }
 
--- a/internal/coordinator/commands.go
+++ b/internal/coordinator/commands.go
@@ -12,13 +12,13 @@
 	for _, cmd := range commands {
 		switch cmd := cmd.(type) {
 		case sched.StartCommand:
-			go t.startRun(cmd)
+			t.goroutines.run(t.ctx, func() { t.startRun(cmd) })
 		case sched.StopCommand:
-			go t.stopRun(cmd)
+			t.goroutines.run(t.ctx, func() { t.stopRun(cmd) })
 		case sched.ThrottleCommand:
-			go t.throttleRun(cmd)
+			t.goroutines.run(t.ctx, func() { t.throttleRun(cmd) })
 		case sched.PollCommand:
-			go t.pollServer(cmd)
+			t.goroutines.run(t.ctx, func() { t.pollServer(cmd) })
 		}
 	}
 }
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -58,11 +58,13 @@
 	loaded    bool
 	passTime  time.Duration // taken by scheduling passes since the load was logged
 
-	ctx    context.Context
-	cancel context.CancelCauseFunc
-	wake   chan struct{}
-	flush  chan struct{}
-	done   chan struct{}
+	ctx        context.Context
+	cancel     context.CancelCauseFunc
+	goroutines *goroutines // for calls to servers and advisors
+
+	wake  chan struct{}
+	flush chan struct{}
+	done  chan struct{}
 	// unknownJobs is signalled when the scheduler has unknown jobs.
 	unknownJobs chan struct{}
 	// confirmed is the latest known time at which certainly no other daemon led; see awaitConfirmation.
@@ -96,7 +98,7 @@
 		scheduler: sched.New(options, c.now()),
 		wake:      make(chan struct{}, 1), flush: make(chan struct{}, 1), done: make(chan struct{}), unknownJobs: make(chan struct{}, 1),
 		advisorProxies: newAdvisorProxies(), progressRevisions: progressRevisions{byJob: map[ident.JobID]platform.Revision{}},
-		silences:   silences{byServer: map[sched.ServerID]silence{}},
+		goroutines: newGoroutines(), silences: silences{byServer: map[sched.ServerID]silence{}},
 		registered: map[sched.ServerID]sched.Server{}, unreadable: map[string]string{}, rosterRevisions: map[string]platform.Revision{},
 	}
 	t.confirmed.Store(&sentAt)
