Start no copies of tasks because an overloaded leader reads their ends late

Nearly all logged stops, 238 of 248, say that another copy is done.

Cause of a part of it: a speculative task gets a second run after 1.6 times its expected duration since the start was sent. An overloaded leader handles the answer to the start and the report of the end late, so more runs look slow. Copies were started even while no start could be sent for the leader's own sake, and each costs a start, a stop and often a poll.

Change: what all replies are late by, and the longer pause of polls, are added to that time, and no copy is started while as many starts are unanswered as may be.

--- a/internal/sched/common_delay_test.go
+++ b/internal/sched/common_delay_test.go
@@ -77,3 +77,33 @@
 	f.want("common delay", delay, 10*time.Millisecond)
 	f.want("window", window, maxStartWindow)
 }
+
+// The same load. Guards against second runs of speculative tasks that aren't slow: their ends are handled late, as everything is, and
+// each copy costs the leader two more commands.
+func TestOverloadStartsNoCopies(t *testing.T) {
+	const expected = 500 * time.Millisecond
+	for name, c := range map[string]struct {
+		common, elapsed time.Duration
+		windowFull      bool // as many starts are unanswered as may be
+		wantCopies      int
+	}{
+		"prompt replies, a slow run":       {common: 10 * time.Millisecond, elapsed: 2 * expected, wantCopies: 1},
+		"late replies":                     {common: 200 * time.Millisecond, elapsed: 2 * expected},
+		"late replies, a slow run":         {common: 200 * time.Millisecond, elapsed: 4 * expected, wantCopies: 1},
+		"no start may be sent, a slow run": {common: 10 * time.Millisecond, elapsed: 2 * expected, windowFull: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, nil)
+			f.addServer("s1", 16)
+			f.addServer("s2", 16)
+			f.addJob("j", Step{Count: 1, Demand: cores(1), Speculative: true, Estimate: expected})
+			f.want("starts", len(f.takeStarts()), 1)
+			if c.windowFull {
+				f.s.unansweredStarts = maxStartWindow
+			}
+			f.lateReplies(c.common, c.elapsed)
+			f.collectCommands()
+			f.want("copies", len(f.starts), c.wantCopies)
+		})
+	}
+}
--- a/internal/sched/supervise.go
+++ b/internal/sched/supervise.go
@@ -44,12 +44,18 @@
 		} else if !g.step.LongRunning && !g.step.Speculative && s.worthRestarting(p) {
 			t.avoidServer = p.server.info.ID
 			s.stop(p, "slow server")
-		} else if g.step.Speculative && s.now.Sub(p.startedAt) > scale(s.durations.expect(g.step), speculationFactor) {
+		} else if g.step.Speculative && s.now.Sub(p.startedAt) > s.speculationDelay(g.step) && !s.startWindowFull() {
 			s.startCopy(t, p)
 		}
 	}
 }
 
+// speculationDelay returns how long after its start a speculative task gets a second run. The answer to the start and the end of the
+// run are handled late by what all replies have in common, which doesn't make the run slow.
+func (s *Scheduler) speculationDelay(step *Step) time.Duration {
+	return scale(s.durations.expect(step), speculationFactor) + 2*s.delay.median + s.pollPauseNow() - pollPause
+}
+
 // stalled reports whether a run has made no progress for far longer than expected of its image.
 func (s *Scheduler) stalled(p *run) bool { return s.stalledSince(p, p.startedAt) }
 
