Ask for no tickets that expire before an overloaded leader can start their tasks

Cause of a part of it: while the leader limits its unanswered starts, steps with tickets wait until these expire, are asked about again and wait on. The calls take the processor time that the starts lack.

Change: while starts are limited, a pass counts the tasks that have a server and wait only for that. A step behind so many of them that they take half of the validity of a ticket to start, at the present window and delay, isn't asked about.

TestOverloadAsksForNoTicketsThatExpire: 100 calls for 100 steps before, at most 21 now, and without overload as before.

--- a/internal/sched/common_delay.go
+++ b/internal/sched/common_delay.go
@@ -74,5 +74,19 @@
 // noteCommandReply records the reply to a command that was sent at the given time.
 func (s *Scheduler) noteCommandReply(now, sent time.Time) { s.delay.add(now, now.Sub(sent)) }
 
+// maxDelayShare is the share of a ticket's validity within which its task has to start. The rest covers the advisor call, and errors
+// of the estimate.
+const maxDelayShare = 0.5
+
+// ticketsWouldExpire reports whether starts are limited and the delayed tasks of higher rank take so long to start that tickets for a
+// further group of a queue would expire unused.
+func (p *pass) ticketsWouldExpire(q *Queue) bool {
+	if !p.startWindowFull() {
+		return false
+	}
+	untilStart := time.Duration(float64(p.delay.median) * float64(p.delayedTasks) / float64(p.delay.window))
+	return untilStart > scale(q.Advisor.TicketValidity, maxDelayShare)
+}
+
 // startWindowFull reports whether no further start may be sent until one is answered.
 func (s *Scheduler) startWindowFull() bool { return s.unansweredStarts >= s.delay.window }
--- a/internal/sched/common_delay_test.go
+++ b/internal/sched/common_delay_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 )
 
 // lateReplies makes the replies to commands late for a time, as those of an overloaded leader.
@@ -107,3 +109,45 @@
 		})
 	}
 }
+
+// The same load, of advised steps. Guards against advisor calls for steps that can't start before their tickets expire: each was asked
+// about again and again, and the calls took the processor time that the starts were short of.
+func TestOverloadAsksForNoTicketsThatExpire(t *testing.T) {
+	const steps, width = 100, 20
+	for name, c := range map[string]struct {
+		common                time.Duration
+		wantAtLeast, wantMost int // calls
+	}{
+		// 64 starts are answered in 300 ms, so 213 tasks start within half of the tickets' validity.
+		"late replies":   {common: 300 * time.Millisecond, wantAtLeast: 213 / width, wantMost: 2 * 213 / width},
+		"prompt replies": {common: 10 * time.Millisecond, wantAtLeast: steps, wantMost: 2 * steps},
+	} {
+		t.Run(name, func(t *testing.T) {
+			q := advisedQueue("quotes", "pool", 0, 2, time.Second, 10*time.Millisecond, 2*time.Second)
+			f := advisedFixture(t, 200, q)
+			f.lateReplies(c.common, time.Second)
+			for i := range steps {
+				id := ident.JobID(fmt.Sprintf("j%03d", i))
+				f.s.AddJob(f.now, &Job{ID: id, Queue: q, Accepted: f.now, Steps: []Step{{Count: width, Demand: cores(1)}}}, Progress{}, false)
+			}
+			calls := 0
+			for range steps {
+				f.s.passNeeded = true
+				f.s.Schedule(f.now)
+				request, ok := f.s.NextAdviceRequest(f.now, 0, 0)
+				if !ok {
+					break
+				}
+				calls++
+				granted := map[ServerID]Ticket{}
+				for _, id := range request.Servers {
+					granted[id] = "t"
+				}
+				f.s.AdviceReceived(f.now, request, granted, f.now)
+			}
+			if calls < c.wantAtLeast || calls > c.wantMost {
+				t.Errorf("%d advisor calls, want %d to %d", calls, c.wantAtLeast, c.wantMost)
+			}
+		})
+	}
+}
--- a/internal/sched/placement.go
+++ b/internal/sched/placement.go
@@ -60,6 +60,7 @@
 	reservations map[ServiceID]*serviceReservations
 	scratch      []*server
 	blocked      map[unknownInventory]bool // results of hasUnknownInventory
+	delayedTasks int                       // tasks with a server that wait until a start may be sent
 	inDoubt      map[TaskID]bool           // see underFormerLongLease
 	withheld     *server                   // the best server for latestTask among those that don't admit it yet, or nil
 	latestTask   *task                     // the latest task that pickServer was called for
@@ -98,6 +99,7 @@
 			continue
 		}
 		if p.startWindowFull() {
+			p.delayedTasks += g.waiting
 			return
 		}
 		p.start(t, v, p.nextRun(t), g.advice.ticket(v, p.now))
@@ -144,7 +146,11 @@
 		}
 		taken[where[i]]++
 	}
-	if g.step.LongRunning && !p.allRespond(where, g.lostAt()) || p.startWindowFull() {
+	if g.step.LongRunning && !p.allRespond(where, g.lostAt()) {
+		return
+	}
+	if p.startWindowFull() {
+		p.delayedTasks += g.waiting
 		return
 	}
 	number := RunNumber(0)
--- a/internal/sched/reservation.go
+++ b/internal/sched/reservation.go
@@ -93,7 +93,9 @@
 		p.requestLongRunning(p.withheld, r.group, p.latestTask)
 	}
 	if r.queue.Advisor != nil {
-		p.adviceQueue = append(p.adviceQueue, *r)
+		if !p.ticketsWouldExpire(r.queue) {
+			p.adviceQueue = append(p.adviceQueue, *r)
+		}
 		p.reserveAllowed(r)
 	}
 	if r.rank.class == pastDeadline || r.rank.class == surplus {
