Let an overloaded leader pass over its queue as often as usual

Cause: two limits multiply. While replies are late, at most 64 to some hundred starts may be unanswered, and a pass sends no more than that. A pass was also followed by ten times its length without one, so there were 14 to 29 passes and about 2,000 starts a second, as many as came in. A leader beside it, which recovered, had 76 to 190 passes and up to 2,870 starts a second.

Change: a pass is followed by four times its length as without congestion. The larger bound of that pause, 120 ms, stays, so that long passes take at most a fifth of the time until they are longer than 30 ms, as before.

--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -26,10 +26,10 @@
 	passPauseFactor = 4
 	// maxPassPause bounds the pause, which delays the start of tasks.
 	maxPassPause = 40 * time.Millisecond
-	// congestedPassPauseFactor and maxCongestedPassPause apply while the leader can't handle replies in time. Passes would take
-	// the processor from the replies that free capacity for them.
-	congestedPassPauseFactor = 10
-	maxCongestedPassPause    = 120 * time.Millisecond
+	// maxCongestedPassPause is the bound while the leader can't handle replies in time: long passes would take the processor from the
+	// replies that free capacity for them. The factor stays the same, as the scheduler then limits the unanswered starts as well, and
+	// each pass sends at most what this limit admits. With few passes a second the two limits together kept a leader overloaded.
+	maxCongestedPassPause = 120 * time.Millisecond
 	// tickInterval is the interval at which leases and slow tasks are checked.
 	tickInterval = 100 * time.Millisecond
 	// minHandoverGain is by how much the election delay of a peer must be shorter for a leader to hand over to it.
@@ -224,10 +224,11 @@
 
 // passPause returns the pause after a scheduling pass of a duration.
 func passPause(took time.Duration, congested bool) time.Duration {
+	longest := maxPassPause
 	if congested {
-		return min(max(minPassPause, congestedPassPauseFactor*took), maxCongestedPassPause)
+		longest = maxCongestedPassPause
 	}
-	return min(max(minPassPause, passPauseFactor*took), maxPassPause)
+	return min(max(minPassPause, passPauseFactor*took), longest)
 }
 
 // tick advances the timers of the scheduler.
