Start a long-running task on a server that answers commands once a start had no answer

Callers saw a long-running task without a run for over 30 s although servers had room for it: 20 of 23 servers answered polls, but carried commands out 5 s late, and the scheduler tried one after the other for 2.1 s each.

Cause: an answered poll counted as a sign that a server would confirm a start.

Once a start of such a task had no answer, it prefers servers that have answered a command since. If there is none, up to 32 servers get a stop of the task's latest run, which has ended: a command without effect there but on that run. On a queue with an advisor, the next call names servers that answered. If none answers within 0.2 s, the choice is as before.

--- a/internal/sched/advice_servers.go
+++ b/internal/sched/advice_servers.go
@@ -119,10 +119,13 @@
 	return n
 }
 
-// selectServers selects the servers of a call: those known to be allowed that have capacity or soon will, else those without an
-// answer, else those that are allowed but didn't start tasks lately. Once the group has tickets, servers without an answer are selected
+// selectServers selects the servers of a call: for a task whose start had no answer those that answer commands, else those known to be
+// allowed that have capacity or soon will, else those without an answer, else those that are allowed but didn't start tasks lately. Once the group has tickets, servers without an answer are selected
 // only if they have free capacity.
 func (s *Scheduler) selectServers(g *group, q *Queue) []ServerID {
+	if ids := s.answeringServersToAsk(g, q); len(ids) > 0 {
+		return ids
+	}
 	missing := g.missing()
 	if g.step.Gang {
 		ids, places := s.gangServersToRenew(g, q, false)
--- a/internal/sched/pick_server.go
+++ b/internal/sched/pick_server.go
@@ -4,13 +4,14 @@
 const maxPolledAtOnce = 32
 
 // pickServer returns the server with the highest score for a task, or nil. A long-running task waits briefly for the answer of a
-// server that hasn't answered recently; once one doesn't come, it takes a server that has. It sets withheld and latestTask.
+// server that hasn't answered recently; once one doesn't come, it takes a server that has. If its latest start had no answer, it waits for a
+// server that answers commands. It sets withheld, latestTask and probing.
 func (p *pass) pickServer(r *rankedGroup, t *task, taken tentative) *server {
 	g := r.group
 	charge := g.step.Charge()
 	var (
 		best     choice
-		proven   choice // the best one of those that answered recently; only for long-running tasks
+		proven   choice // the best one of those that answered recently, and commands if needed; only for long-running tasks
 		unproven []*server
 		silent   bool   // one didn't answer promptly
 		withheld choice // the best one of those that don't admit the task yet
@@ -33,7 +34,7 @@
 		case !v.admitsLongRunning(t.id()):
 			withheld.add(v, x)
 			continue
-		case p.answeredSince(v, t.lostAt):
+		case t.unansweredAt.IsZero() && p.answeredSince(v, t.lostAt), v.answersCommands(t):
 			proven.add(v, x)
 		case p.overdue(v):
 			silent = true
@@ -43,7 +44,13 @@
 		}
 		best.add(v, x)
 	}
-	p.withheld, p.latestTask = withheld.server, t
+	p.withheld, p.latestTask, p.probing = withheld.server, t, false
+	if !t.unansweredAt.IsZero() && g.step.LongRunning {
+		if proven.server != nil {
+			return proven.server
+		}
+		p.probing = p.seekAnsweringServer(r, t, unproven)
+	}
 	if silent {
 		// Servers are often lost together, so idle ones are polled at once and not one after the other.
 		if proven.server != nil {
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -120,7 +120,7 @@
 	p.phase = phaseRunning
 	p.confirmedAt = s.now
 	p.progressAt = s.now
-	p.server.refusals, p.server.startFailedAt = 0, time.Time{}
+	p.server.refusals, p.server.startFailedAt, p.task.unansweredAt = 0, time.Time{}, time.Time{}
 	p.task.group.job.begin()
 }
 
@@ -128,6 +128,7 @@
 func (s *Scheduler) Started(now, sent time.Time, id ServerID, task TaskID, number RunNumber, clock time.Duration) {
 	s.now = now
 	s.noteCommandReply(now, sent)
+	s.noteCommandAnswer(id, sent)
 	p := s.findRun(id, task, number)
 	if p == nil {
 		return
@@ -158,6 +159,7 @@
 func (s *Scheduler) StartRefused(now, sent time.Time, id ServerID, task TaskID, number RunNumber, reason Refusal, clock time.Duration) {
 	s.now = now
 	s.noteCommandReply(now, sent)
+	s.noteCommandAnswer(id, sent)
 	s.counts.Refusals++
 	if reason == RefusedFenced {
 		s.deposed = true
@@ -220,7 +222,7 @@
 		return
 	}
 	v.failures++
-	v.startFailedAt = now
+	v.startFailedAt, p.task.unansweredAt = now, now
 	if !v.polling {
 		s.poll(v, 0, 0)
 	}
@@ -248,6 +250,7 @@
 // Stopped handles a server's reply to a stop that was sent at the given time.
 func (s *Scheduler) Stopped(now, sent time.Time, id ServerID, task TaskID, number RunNumber, clock time.Duration) {
 	s.now = now
+	s.noteCommandAnswer(id, sent)
 	p := s.findRun(id, task, number)
 	if p == nil {
 		return
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -122,6 +122,8 @@
 	refusals           int       // starts refused as unhealthy since the last confirmed one
 	startFailedAt      time.Time // when a start was last unanswered, or refused for the server's state, since the last confirmed one
 	noStartsBefore     time.Time // no starts before this time
+	commandAnsweredAt  time.Time // when the latest command with an answer was sent
+	commandProbedAt    time.Time // when the latest probe was sent, see probeCommands
 
 	cordoned            bool   // gets no starts, see RosterEntry
 	cordonMayBeRecorded bool   // the store may have the server recorded as cordoned
