Pause before a task whose start was refused as late or as an old run starts again

Callers of a task that every server refuses this way saw no run of it, also after the refusals had ended: it was started 3,000 times in a minute, and run numbers beyond 1,000 in a term are those of the next term.

Cause: such a refusal freed the task at once, without a pause of the task or its server.

--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -71,6 +71,8 @@
 	runs            []*run
 	lostAt          time.Time // when a run was last released without a reported end
 	avoidServer     ServerID  // server of the last failed, stalled or slow run
+	refusals        int       // refused starts since the last confirmed one, see pauseAfterRefusal
+	noStartsBefore  time.Time // no starts before this time
 	unansweredAt    time.Time // when a start was last given up without an answer; zero once a run is confirmed
 	probedAt        time.Time // when servers were last probed for the task, see probeCommands
 }
--- a/internal/sched/placement.go
+++ b/internal/sched/placement.go
@@ -85,7 +85,7 @@
 		return
 	}
 	for _, t := range g.tasks {
-		if !t.waiting() || t.attemptsMayBeExhausted(r.queue.MaxAttempts) || p.inDoubt[t.id()] {
+		if !t.waiting() || t.attemptsMayBeExhausted(r.queue.MaxAttempts) || p.mustWait(t) {
 			continue
 		}
 		if !p.withinLimit(g, 1) {
@@ -128,13 +128,16 @@
 		(limit.GPUs == 0 || used.GPUs <= limit.GPUs)
 }
 
+// mustWait reports whether a task must not start yet, wherever there is room for it.
+func (p *pass) mustWait(t *task) bool { return p.inDoubt[t.id()] || p.now.Before(t.noStartsBefore) }
+
 // tentative counts the tasks of a gang that are assigned to each server but not yet started.
 type tentative map[*server]int
 
 // placeGang starts all members of a gang, or none.
 func (p *pass) placeGang(r *rankedGroup) {
 	g := r.group
-	if !p.withinLimit(g, len(g.tasks)) || slices.ContainsFunc(g.tasks, func(t *task) bool { return p.inDoubt[t.id()] }) {
+	if !p.withinLimit(g, len(g.tasks)) || slices.ContainsFunc(g.tasks, p.mustWait) {
 		return
 	}
 	taken := tentative{}
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -120,7 +120,8 @@
 	p.phase = phaseRunning
 	p.confirmedAt = s.now
 	p.progressAt = s.now
-	p.server.refusals, p.server.startFailedAt, p.task.unansweredAt = 0, time.Time{}, time.Time{}
+	p.server.refusals, p.server.startFailedAt = 0, time.Time{}
+	p.task.refusals, p.task.unansweredAt = 0, time.Time{}
 	p.task.group.job.begin()
 }
 
@@ -154,45 +155,6 @@
 	return v.runs[runKey{task, number}]
 }
 
-// StartRefused handles a server's refusal of a start that was sent at the given time. A clock of 0 means that the reply had no
-// clock reading.
-func (s *Scheduler) StartRefused(now, sent time.Time, id ServerID, task TaskID, number RunNumber, reason Refusal, clock time.Duration) {
-	s.now = now
-	s.noteCommandReply(now, sent)
-	s.noteCommandAnswer(id, sent)
-	s.counts.Refusals++
-	if reason == RefusedFenced {
-		s.deposed = true
-		return
-	}
-	p := s.findRun(id, task, number)
-	if p == nil || p.phase != phaseStarting {
-		return
-	}
-	v, g := p.server, p.task.group
-	s.readClock(v, sent, clock, p)
-	switch reason {
-	case RefusedTicket:
-		g.advice.refuse(v, now)
-	case RefusedUnhealthy:
-		v.refusals++
-		v.startFailedAt = now
-		v.noStartsBefore = now.Add(min(unhealthyPause<<min(v.refusals-1, 4), maxUnhealthyPause))
-	case RefusedCapacity:
-		v.startFailedAt = now
-		v.noStartsBefore = now.Add(unhealthyPause)
-	case RefusedInvalid:
-		g.noStartsBefore = now.Add(time.Second)
-	case RefusedLeaseExpired, RefusedOldRun, RefusedFenced:
-	}
-	if reason == RefusedLeaseExpired && p.startAttempts < maxStartAttempts && v.usable(now) {
-		p.startLeaseEnds = now
-		s.sendStart(p)
-		return
-	}
-	s.abandonStart(p, "refused: "+string(reason))
-}
-
 // abandonStart releases a run whose start wasn't confirmed. If the start may still take effect, it is stopped first.
 func (s *Scheduler) abandonStart(p *run, reason string) {
 	if p.startUncertain {
