Wait for an isolated leader after a short term of its successor

Callers saw: tasks that run twice. A leader that lost the store sends commands for up to 2 s after a takeover. If the successor ends its term within that time for certain (handover, shutdown or restart of its process), the next one counted no overlap at all and started tasks elsewhere while the first leader still extended their leases.

Cause: newTerm set LeaderOverlap to 0 if the last leader had stopped, without regard to those before it.

Change: a leader that has led for LeaderOverlap records its epoch under cell/settled, on the condition of its own leader record. Only if the last leader ended for certain and had settled (or was the first one) does a takeover count no overlap. The record lasts over restarts of all daemons, so a recovery doesn't wait longer than before. It costs one write a term.

--- a/internal/coordinator/election.go
+++ b/internal/coordinator/election.go
@@ -132,7 +132,7 @@
 	}
 	c.config.Log.Info("took over", "epoch", uint64(record.Epoch), "former", string(v.leader.Member),
 		"view-age", c.now().Sub(v.confirmedAt).String())
-	m := newTerm(c, record, revision, sentAt, v.formerLeaderStopped())
+	m := newTerm(c, record, revision, sentAt, v.formerLeadersStopped())
 	if recorded {
 		m.presenceRevision = own.Revision
 	}
--- a/internal/coordinator/isolated_leader_test.go
+++ b/internal/coordinator/isolated_leader_test.go
@@ -143,6 +143,48 @@
 	c.await("end of the former leader's term", 3*time.Second, func() bool { return !c.a.coordinator.Dump("").Leading })
 }
 
+// Guards against tasks that run twice: a leader that took over from an isolated one handed over soon, and the next one didn't wait for
+// the commands of the isolated one.
+func TestSuccessorOfAShortTermWaitsForTheIsolatedLeader(t *testing.T) {
+	t.Parallel()
+	c := newIsolationCell(t, time.Minute)
+	c.submitLong(c.a)
+	c.c.stop()
+	c.cut.Store(true)
+	second := c.start("d", 0)
+	third := c.start("e", 0)
+	c.await("a takeover", 5*time.Second, func() bool { return second.leader() == "d" || third.leader() == "e" })
+	if third.leader() == "e" {
+		second, third = third, second
+	}
+	second.coordinator.Leave(context.Background())
+	c.await("the next takeover", 2*time.Second, func() bool { return third.leader() == third.member })
+	c.await("restart of the tasks by the successor", 20*time.Second, func() bool { n, _ := c.fleet.StartCounts(); return n == 8 })
+	for _, v := range c.fleet.Violations() {
+		t.Error(v)
+	}
+}
+
+// Guards against a wait for leaders that have stopped long ago after each end of a term, because no leader records that it has settled.
+func TestLeaderRecordsThatItHasSettled(t *testing.T) {
+	t.Parallel()
+	c := newCell(t, 1, taskTime)
+	first := c.start("a", 0)
+	c.await("leader a", 3*time.Second, func() bool { return first.leader() == "a" })
+	first.stop()
+	second := c.start("b", 0)
+	c.await("leader b", 4*time.Second, func() bool { return second.leader() == "b" })
+	settled := func() bool {
+		item, err := c.store.Get(t.Context(), "cell/settled")
+		return err == nil && string(item.Value) == `{"epoch":2}`
+	}
+	time.Sleep(1500 * time.Millisecond)
+	if settled() {
+		t.Error("settled 1.5 s after the takeover, while the former leader may still send commands")
+	}
+	c.await("the record", 3*time.Second, settled)
+}
+
 // forEachOutage plays a test with a store that is down, once with leases that expire meanwhile and once with leases that pause.
 func forEachOutage(t *testing.T, play func(t *testing.T, pauseLeases bool)) {
 	for name, pause := range map[string]bool{"leases expire": false, "leases pause": true} {
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -85,8 +86,8 @@
 	rosterRevisions map[string]platform.Revision
 }
 
-// newTerm returns a term whose leader record was sent to the store at a time. If the former leader has certainly stopped sending
-// commands, the term does not wait for it.
+// newTerm returns a term whose leader record was sent to the store at a time. If all former leaders have certainly stopped sending
+// commands, the term does not wait for them.
 func newTerm(c *Coordinator, l LeaderRecord, revision platform.Revision, sentAt time.Time, formerStopped bool) *term {
 	options := c.config.Scheduling
 	options.RunBase = sched.RunNumber(l.Epoch-1) * runsPerTerm
@@ -145,6 +146,7 @@
 	g.Go(func() error { return t.tick(ctx) })
 	g.Go(func() error { return t.recordProgress(ctx) })
 	g.Go(func() error { return t.recordRoster(ctx) })
+	g.Go(func() error { return t.recordSettled(ctx) })
 	g.Go(func() error { return t.watchServers(ctx, loaded.serversRevision) })
 	g.Go(func() error { return t.watchJobs(ctx, loaded.jobsRevision) })
 	g.Go(func() error { return t.loadUnknownJobs(ctx) })
@@ -247,6 +249,31 @@
 	return platform.Transaction{Preconditions: []platform.Precondition{{Key: leaderKey, Revision: t.revision}}}
 }
 
+// recordSettled records that all former leaders have stopped sending commands, once this one has led for that long. If this one ends
+// before, the next leader counts on all of them. The first leader has none before it.
+func (t *term) recordSettled(ctx context.Context) error {
+	if t.leader.Epoch <= 1 {
+		return nil
+	}
+	value, err := json.Marshal(settledRecord{t.leader.Epoch})
+	if err != nil {
+		return fmt.Errorf("encode the record of a settled leader: %w", err)
+	}
+	tx := t.fencedTransaction()
+	tx.Writes = []platform.Write{{Key: settledKey, Value: value}}
+	for sleep(ctx, t.config.Scheduling.LeaderOverlap); ctx.Err() == nil; sleep(ctx, writeRetryDelay) {
+		_, err := t.commit(ctx, tx)
+		if err == nil {
+			return nil
+		}
+		if errors.Is(err, platform.ErrConflict) {
+			return errDeposed
+		}
+		t.config.Log.V(1).Info("settled leader not recorded", "error", err.Error())
+	}
+	return ctx.Err()
+}
+
 // releaseLeadership marks the leader record as vacant, so that another daemon takes over without waiting for this daemon's
 // presence lease to expire.
 func (t *term) releaseLeadership(ctx context.Context) {
--- a/internal/coordinator/view.go
+++ b/internal/coordinator/view.go
@@ -19,6 +19,7 @@
 const (
 	cellPrefix     = "cell/"
 	leaderKey      = "cell/leader"
+	settledKey     = "cell/settled"
 	presencePrefix = "cell/alive/"
 	rosterPrefix   = "roster/"
 	jobPrefix      = "job/"
@@ -40,6 +41,12 @@
 	Vacant      bool           `json:"vacant,omitempty"` // the leader has stopped; any daemon may take over
 }
 
+// settledRecord is the store record of the latest leader that has led for sched.Options.LeaderOverlap, so that all leaders before it
+// have stopped sending commands.
+type settledRecord struct {
+	Epoch ident.Epoch `json:"epoch"`
+}
+
 // PresenceRecord is the store record of a running daemon. It is bound to a lease and disappears when the lease expires.
 type PresenceRecord struct {
 	Member        ident.MemberID   `json:"member"`
@@ -55,6 +62,7 @@
 type cellState struct {
 	leader         LeaderRecord
 	leaderRevision platform.Revision
+	settledEpoch   ident.Epoch // see settledRecord
 	members        map[ident.MemberID]PresenceRecord
 	departed       map[ident.MemberID]departure // daemons that lost their presence record, for departureMemory
 	confirmedAt    time.Time                    // when the latest successful store call was sent
@@ -68,11 +76,13 @@
 	return ok && a.Incarnation == s.leader.Incarnation && !s.leader.Vacant, a.revision
 }
 
-// formerLeaderStopped reports whether the process of the recorded leader has certainly ended its term: it marked the
-// record as vacant, or its host now runs another process. Otherwise it may be partitioned and continue for a while.
-func (s *cellState) formerLeaderStopped() bool {
+// formerLeadersStopped reports whether no former leader sends commands any more. The recorded one has certainly ended its term if it
+// marked the record as vacant, or its host now runs another process. Otherwise it may be partitioned and continue for a while, as may
+// those before it until it has settled.
+func (s *cellState) formerLeadersStopped() bool {
 	a, present := s.members[s.leader.Member]
-	return s.leader.Vacant || present && a.Incarnation != s.leader.Incarnation
+	ended := s.leader.Vacant || present && a.Incarnation != s.leader.Incarnation
+	return ended && (s.leader.Epoch <= 1 || s.settledEpoch == s.leader.Epoch)
 }
 
 // view keeps an up-to-date copy of the cell's records.
@@ -154,8 +164,9 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	next := cellState{
-		leader: v.state.leader, leaderRevision: v.state.leaderRevision, members: map[ident.MemberID]PresenceRecord{},
-		departed: map[ident.MemberID]departure{}, confirmedAt: sentAt, reachableSince: v.state.reachableSince,
+		leader: v.state.leader, leaderRevision: v.state.leaderRevision, settledEpoch: v.state.settledEpoch,
+		members: map[ident.MemberID]PresenceRecord{}, departed: map[ident.MemberID]departure{}, confirmedAt: sentAt,
+		reachableSince: v.state.reachableSince,
 	}
 	if next.reachableSince.IsZero() {
 		next.reachableSince = v.now()
@@ -194,7 +205,7 @@
 	}
 }
 
-// applyEvent applies a change of the leader record or of a presence record.
+// applyEvent applies a change of a record.
 func (s *cellState) applyEvent(e platform.Event) error {
 	if e.Key == leaderKey {
 		if e.Deleted {
@@ -210,6 +221,14 @@
 		s.leader, s.leaderRevision = l, e.Revision
 		return nil
 	}
+	if e.Key == settledKey {
+		var r settledRecord
+		if err := json.Unmarshal(e.Value, &r); err != nil && !e.Deleted {
+			return fmt.Errorf("decode %s: %w", e.Key, err)
+		}
+		s.settledEpoch = max(s.settledEpoch, r.Epoch)
+		return nil
+	}
 	name, ok := strings.CutPrefix(e.Key, presencePrefix)
 	if !ok {
 		return nil
