Name unrecorded ends in the roster entry of a cordoned server

Callers saw: a task that is started after it is done. A server that drains or falls silent is cordoned with the runs in progress there, and the next leader starts all other tasks elsewhere without waiting for that server. A run whose end the leader had handled, but not yet recorded as progress, was not among them: if the leader was lost before that write, as after a store outage in which progress couldn't be recorded, its task was started again, and the first end was acknowledged later.

Change: the entry also names ended runs whose progress isn't recorded. The next leader holds their tasks until the server lists the end or its leases have expired, as for runs in progress.

--- a/internal/sched/roster.go
+++ b/internal/sched/roster.go
@@ -17,8 +17,9 @@
 	Server Server `json:"server"`
 	// Cordoned reports that the server gets no starts, so that only Runs may be in progress there. Other tasks needn't wait
 	// for the server.
-	Cordoned bool      `json:"closed,omitempty"`
-	Runs     []HeldRun `json:"runs,omitempty"`
+	Cordoned bool `json:"closed,omitempty"`
+	// Runs also holds ended runs whose progress isn't recorded.
+	Runs []HeldRun `json:"runs,omitempty"`
 	// LongLease reports that the server restarted recently, so that a command for its former incarnation may have given it a
 	// lease of MaxRunLease.
 	LongLease bool `json:"long-lease,omitempty"`
@@ -59,7 +60,7 @@
 func (s *Scheduler) TakeRosterChanges(limit int) []RosterChange {
 	var out []RosterChange
 	for _, v := range s.rosterDirty {
-		c := v.rosterEntry()
+		c := s.rosterChange(v)
 		if v.longLease {
 			c.Entry.LongLeaseLeft = max(v.longLeaseEnd().Sub(s.now), leaseMargin)
 		}
@@ -77,7 +78,7 @@
 	return out
 }
 
-func (v *server) rosterEntry() RosterChange {
+func (s *Scheduler) rosterChange(v *server) RosterChange {
 	c := RosterChange{
 		Entry: RosterEntry{
 			Server: v.info, Cordoned: v.cordoned, LongLease: v.longLease, UsualLease: v.usualLease,
@@ -89,6 +90,11 @@
 		for _, p := range sortedRuns(v) {
 			c.Entry.Runs = append(c.Entry.Runs, HeldRun{Task: p.task.id(), Run: p.number})
 		}
+		for _, e := range v.unrecordedEnds {
+			if !s.isRecorded(e) {
+				c.Entry.Runs = append(c.Entry.Runs, HeldRun{Task: e.run.task, Run: e.run.run})
+			}
+		}
 	}
 	return c
 }
--- a/internal/sched/roster_test.go
+++ b/internal/sched/roster_test.go
@@ -73,7 +73,7 @@
 			f.addServer("s1", 16)
 			f.takeStarts()
 			failPolls(f, "s1")
-			e := f.s.servers["s1"].rosterEntry().Entry
+			e := f.s.rosterChange(f.s.servers["s1"]).Entry
 			next := takeOver(f, spec, e)
 			next.addServer("s2", 16)
 			starts := next.takeStarts()
@@ -96,7 +96,7 @@
 		"an unresponsive server that isn't cordoned makes all inherited tasks wait": func(f *fixture) {
 			spec := f.addJob(job, two)
 			f.addServer("s1", 16)
-			next := takeOver(f, spec, f.s.servers["s1"].rosterEntry().Entry)
+			next := takeOver(f, spec, f.s.rosterChange(f.s.servers["s1"]).Entry)
 			next.addServer("s2", 16)
 			f.want("starts", len(next.takeStarts()), 0)
 		},
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -274,7 +274,7 @@
 	s.counts.Ends++
 	if s.jobs[f.Task.Job] == nil {
 		s.unknownJobs[f.Task.Job] = true
-		v.unrecordedEnds = append(v.unrecordedEnds, unrecordedEnd{number: f.Number, job: f.Task.Job, held: &f})
+		v.unrecordedEnds = append(v.unrecordedEnds, unrecordedEnd{number: f.Number, run: runKey{f.Task, f.Run}, job: f.Task.Job, held: &f})
 		return
 	}
 	v.unrecordedEnds = append(v.unrecordedEnds, s.applyEnd(v, f))
@@ -308,7 +308,7 @@
 	if g.step.LongRunning || !g.complete() {
 		s.track(g)
 	}
-	return unrecordedEnd{number: f.Number, job: g.job.spec.ID, changes: g.job.changes}
+	return unrecordedEnd{number: f.Number, run: runKey{f.Task, f.Run}, job: g.job.spec.ID, changes: g.job.changes}
 }
 
 // applyOutcome updates a task of an unfinished job for the outcome of one of its runs.
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -48,6 +48,7 @@
 // unrecordedEnd is a reported end of a run that can be acknowledged once the job's progress is recorded.
 type unrecordedEnd struct {
 	number  uint64
+	run     runKey
 	job     ident.JobID
 	changes uint64
 	held    *FinishedRun // set while the job is unknown; the end is applied once the job is added
@@ -324,14 +325,17 @@
 	return slices.ContainsFunc(s.services[id], func(v *server) bool { return v.mayHoldUnknownRuns(s.now, longRunning) })
 }
 
+// isRecorded reports whether the store has the progress that an ended run made, so that the end can be acknowledged.
+func (s *Scheduler) isRecorded(e unrecordedEnd) bool {
+	j := s.jobs[e.job]
+	return e.held == nil && (j == nil || j.recordedChanges >= e.changes)
+}
+
 // advanceRecorded advances recordedUpTo to just before the first end that isn't recorded.
 func (s *Scheduler) advanceRecorded(v *server) {
 	n := 0
 	for _, e := range v.unrecordedEnds {
-		if e.held != nil {
-			break
-		}
-		if j := s.jobs[e.job]; j != nil && j.recordedChanges < e.changes {
+		if !s.isRecorded(e) {
 			break
 		}
 		v.recordedUpTo = max(v.recordedUpTo, e.number)
