Don't cordon a server that may hide ends of a former leader's runs

Callers saw (by a test only): a task that is started after it is done. If it drained before it had listed all in this term, its roster entry said that only the runs named there may be in progress, and the next leader started tasks again whose ends were still behind the list.

It gets no starts in any case.

Evidence: TestServerWithHiddenFormerEndsIsNotCordoned failed before (cordoned; the next leader started the task).

--- a/internal/sched/cordoned_ends_test.go
+++ b/internal/sched/cordoned_ends_test.go
@@ -49,3 +49,32 @@
 	f.want("starts", len(next.takeStarts()), 0)
 	f.want("state", next.state("j"), StateCompleted)
 }
+
+// Guards against a task that is started after its end as done: a draining server with more ended runs than it lists was cordoned before it
+// had listed all of a former leader, so that the next leader didn't wait for the others.
+func TestServerWithHiddenFormerEndsIsNotCordoned(t *testing.T) {
+	f := newFixture(t, func(o *Options) { o.RunBase = 1000 })
+	spec := &Job{ID: "j", Team: "blue", Queue: testQueue(), Steps: []Step{{Count: 2, Demand: cores(1)}}, Accepted: f.now}
+	f.s.AddJob(f.now, spec, Progress{}, true)
+	v := testServer("s1", 16)
+	v.Draining, v.Remaining = true, time.Minute
+	f.s.Register(f.now, v)
+	f.collectCommands()
+	ends := []FinishedRun{
+		{Number: 1, Task: TaskID{Job: "j"}, Run: 1, Outcome: OutcomeDone},
+		{Number: 2, Task: TaskID{Job: "j", Index: 1}, Run: 1, Outcome: OutcomeDone},
+	}
+	f.answerPoll("s1", Inventory{MoreFinished: true, Finished: ends[:1]})
+	f.advanceTime(100 * time.Millisecond)
+	entry := f.recordRoster()["s1"]
+	progress := f.recordProgress()[0].Progress
+	f.want("cordoned before all ends are listed", entry.Cordoned, false)
+
+	next := f.successor(spec, progress, entry)
+	next.addServer("s2", 16)
+	f.want("starts before the server lists its ends", len(next.takeStarts()), 0)
+
+	f.answerPoll("s1", Inventory{Finished: ends[1:]})
+	f.advanceTime(100 * time.Millisecond)
+	f.want("cordoned", f.recordRoster()["s1"].Cordoned, true)
+}
--- a/internal/sched/roster.go
+++ b/internal/sched/roster.go
@@ -151,10 +151,10 @@
 }
 
 // updateCordon cordons a draining or unresponsive server, and uncordons it once it is neither. A server whose runs aren't
-// known can't be cordoned.
+// known, or that may hide ends of runs of former leaders, can't be cordoned.
 func (s *Scheduler) updateCordon(v *server) {
 	open := v.attached && v.failures == 0 && !v.info.Draining
-	known := v.attached || s.now.After(v.leaseBound)
+	known := !v.formerEndsHidden && (v.attached || s.now.After(v.leaseBound))
 	switch {
 	case v.cordoned && open:
 		v.cordoned = false
