Name runs of unknown jobs in the roster entry of a cordoned server

Callers saw (by a test only): a task that runs twice after a takeover. A server listed a run of a job that the leader didn't know, as a former leader had accepted it after the takeover. If the server was cordoned then, its roster entry didn't name the run, also not after the job was found, so that the next leader started the task on another server.

Change: the entry names runs of unknown jobs too. The next leader holds their tasks if it knows the job.

Evidence: TestRunFoundOnACordonedServerIsRecorded failed before (1 start, want 0).

--- a/internal/sched/cordoned_ends_test.go
+++ b/internal/sched/cordoned_ends_test.go
@@ -78,3 +78,26 @@
 	f.advanceTime(100 * time.Millisecond)
 	f.want("cordoned", f.recordRoster()["s1"].Cordoned, true)
 }
+
+// Guards against a task that runs twice after a takeover: the job of a run on a cordoned server was found after the server's roster entry was
+// written, and the run wasn't added to it.
+func TestRunFoundOnACordonedServerIsRecorded(t *testing.T) {
+	f := newFixture(t, func(o *Options) { o.RunBase = 1000 })
+	v := testServer("s1", 16)
+	v.Draining, v.Remaining = true, time.Minute
+	f.s.Register(f.now, v)
+	f.collectCommands()
+	f.answerPoll("s1", Inventory{Running: []ActiveRun{{Task: TaskID{Job: "j"}, Run: 1}}})
+	f.advanceTime(100 * time.Millisecond)
+	entry := f.recordRoster()["s1"]
+	f.want("cordoned", entry.Cordoned, true)
+	spec := &Job{ID: "j", Team: "blue", Queue: testQueue(), Steps: []Step{{Count: 1, Demand: cores(1)}}, Accepted: f.now}
+	f.s.AddJob(f.now, spec, Progress{}, true)
+	if e, written := f.recordRoster()["s1"]; written {
+		entry = e
+	}
+
+	next := f.successor(spec, Progress{}, entry)
+	next.addServer("s2", 16)
+	f.want("starts while the run may be in progress", len(next.takeStarts()), 0)
+}
--- a/internal/sched/roster.go
+++ b/internal/sched/roster.go
@@ -18,7 +18,7 @@
 	// Cordoned reports that the server gets no starts, so that only Runs may be in progress there. Other tasks needn't wait
 	// for the server.
 	Cordoned bool `json:"closed,omitempty"`
-	// Runs also holds ended runs whose progress isn't recorded.
+	// Runs also holds runs of unknown jobs and ended runs whose progress isn't recorded.
 	Runs []HeldRun `json:"runs,omitempty"`
 	// LongLease reports that the server restarted recently, so that a command for its former incarnation may have given it a
 	// lease of MaxRunLease.
@@ -90,6 +90,9 @@
 		for _, p := range sortedRuns(v) {
 			c.Entry.Runs = append(c.Entry.Runs, HeldRun{Task: p.task.id(), Run: p.number})
 		}
+		for _, key := range sortedKeys(v.unknownRuns) {
+			c.Entry.Runs = append(c.Entry.Runs, HeldRun{Task: key.task, Run: key.run})
+		}
 		for _, e := range v.unrecordedEnds {
 			if !s.isRecorded(e) {
 				c.Entry.Runs = append(c.Entry.Runs, HeldRun{Task: e.run.task, Run: e.run.run})
--- a/internal/sched/unknown_job.go
+++ b/internal/sched/unknown_job.go
@@ -49,15 +49,15 @@
 // adoptUnknownRuns adopts the listed runs of a job on a server, so that their tasks don't start elsewhere until the stops that
 // were sent for them have taken effect.
 func (s *Scheduler) adoptUnknownRuns(v *server, id ident.JobID) {
-	var keys []runKey
-	for key := range v.unknownRuns {
+	for _, key := range sortedKeys(v.unknownRuns) {
 		if key.task.Job == id {
-			keys = append(keys, key)
+			delete(v.unknownRuns, key)
+			s.adopt(v, ActiveRun{Task: key.task, Run: key.run})
 		}
 	}
-	slices.SortFunc(keys, func(a, b runKey) int { return compareTasks(a.task, b.task, a.run, b.run) })
-	for _, key := range keys {
-		delete(v.unknownRuns, key)
-		s.adopt(v, ActiveRun{Task: key.task, Run: key.run})
-	}
+}
+
+// sortedKeys returns the keys of runs in a fixed order.
+func sortedKeys(runs map[runKey]bool) []runKey {
+	return slices.SortedFunc(maps.Keys(runs), func(a, b runKey) int { return compareTasks(a.task, b.task, a.run, b.run) })
 }
