Log tasks that have been without a run for 10 s, with the reason

Nothing in the log told why: the reasons were only in the state dump, for a job that somebody names in time, and only runs that are stuck were logged.

Once a second the leader now looks for tasks without a run for over 10 s since their turn came or their last run ended, also in steps that no pass considers, and logs their steps with age, failed runs, reason, rank and the states of the servers. At most five steps a second, those never logged first, each again after 10 s; a gauge counts all such tasks. Two reasons were missing: the limit of unanswered starts, and advice that isn't asked for while its tickets would expire.

--- a/internal/coordinator/diagnostics.go
+++ b/internal/coordinator/diagnostics.go
@@ -26,3 +26,18 @@
 			"failures", r.Failures, "poll-age", r.PollAge, "lease-ends-in", r.LeaseEndsIn)
 	}
 }
+
+// maxLoggedServers bounds the servers that a line names.
+const maxLoggedServers = 5
+
+// logWaitingSteps logs steps with a task that has had no run for long, with the reason.
+func (t *term) logWaitingSteps(waiting []sched.WaitingStep) {
+	for i := range waiting {
+		w := &waiting[i]
+		t.config.Log.Info("task waits long", "job", string(w.Job), "occurrence", w.Occurrence, "step", w.Step, "index", w.Index,
+			"age", w.Age.String(), "reason", string(w.Reason), "job-age", w.JobAge.String(), "last-run", uint64(w.LastRun),
+			"failed-runs", w.FailedRuns, "tasks", w.Tasks, "done", w.Done, "running", len(w.Running), "waiting", w.Waiting, "rank", w.Rank,
+			"allowed-servers", w.Allowed, "servers", w.Servers, "held-back-by", w.HeldBackBy[:min(len(w.HeldBackBy), maxLoggedServers)],
+			"advice-in-flight", w.AdviceInFlight, "advice-age", w.AdviceAge)
+	}
+}
--- a/internal/coordinator/diagnostics_test.go
+++ b/internal/coordinator/diagnostics_test.go
@@ -119,3 +119,36 @@
 		}
 	})
 }
+
+// Guards against a waiting task that neither the log nor the metrics show (issue 40).
+func TestLongWaitingTasksAreLoggedAndCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, lines := newLoggedTerm(t)
+		m.loaded = true
+		m.coordinator.term = m
+		m.coordinator.config.Metrics = metrics.NewSet()
+		m.coordinator.view = newView(nil, m.config.Log)
+		m.coordinator.presence = newPresence(Config{}, "i1")
+		m.coordinator.registerGauges()
+		job := &sched.Job{
+			ID: "j", Queue: sched.Queue{ID: "q", Service: "pool", MaxAttempts: 3}, Accepted: time.Now(),
+			Steps: []sched.Step{{Count: 7, Demand: resource.Vector{CPU: resource.Cores(1)}}},
+		}
+		m.update(func(now time.Time, s *sched.Scheduler) { s.AddJob(now, job, sched.Progress{}, false) })
+		go func() { _ = m.logLoad(t.Context()) }()
+		time.Sleep(9 * time.Second)
+		if n := lines.count("task waits long"); n != 0 {
+			t.Errorf("%d lines after 9 s", n)
+		}
+		time.Sleep(5 * time.Second)
+		const want = `"task waits long" "job"="j" "occurrence"=0 "step"=0 "index"=0 "age"="11s" "reason"="no-room"`
+		if n := lines.count(want); n != 1 {
+			t.Errorf("%d lines with %s after 14 s, log %q", n, want, lines.lines)
+		}
+		var text strings.Builder
+		m.coordinator.config.Metrics.WritePrometheus(&text)
+		if want := "rosemaryspoke_long_waiting_tasks 7\n"; !strings.Contains(text.String(), want) {
+			t.Errorf("no %q in %s", want, text.String())
+		}
+	})
+}
--- a/internal/coordinator/dump.go
+++ b/internal/coordinator/dump.go
@@ -48,8 +48,8 @@
 // loadInterval is the interval at which the leader logs the load of each service and checks for stuck runs.
 const loadInterval = time.Second
 
-// logLoad logs what the leader does, the use of advisor calls, stuck runs and, for each service, its capacity and the work that waits
-// for it.
+// logLoad logs what the leader does, the use of advisor calls, stuck runs, steps that have waited long and, for each service, its
+// capacity and the work that waits for it.
 func (t *term) logLoad(ctx context.Context) error {
 	var previous sched.Counts
 	for {
@@ -62,9 +62,10 @@
 		passTime := t.passTime
 		t.passTime = 0
 		replyDelay, startWindow := t.scheduler.CommonDelay()
-		stuck := t.scheduler.CheckRuns(t.coordinator.now())
+		stuck, waiting := t.scheduler.CheckRuns(t.coordinator.now()), t.scheduler.CheckWaiting(t.coordinator.now())
 		t.mu.Unlock()
 		t.logStuckRuns(stuck)
+		t.logWaitingSteps(waiting)
 		t.config.Log.Info("advice load", "daemons", len(t.coordinator.peerAddresses())+1, "busy", busy, "calls", counts.Advice-previous.Advice,
 			"reply-delay", replyDelay.String(), "start-window", startWindow)
 		t.config.Log.Info("scheduling load", "passes", counts.Passes-previous.Passes, "pass-time", passTime.String(),
@@ -123,6 +124,7 @@
 			return float64(s.StuckRuns(kind))
 		}))
 	}
+	m.NewGauge("rosemaryspoke_long_waiting_tasks", c.schedulerGauge(func(s *sched.Scheduler) float64 { return float64(s.LongWaitingTasks()) }))
 }
 
 // schedulerGauge returns a gauge that reads the scheduler, and is 0 unless this daemon leads.
--- a/internal/sched/advice.go
+++ b/internal/sched/advice.go
@@ -70,6 +70,8 @@
 	inFlight  bool
 	lastCall  time.Time // start of the last call
 	nextCall  time.Time // no call before this time
+	// deferredAt is the latest pass that queued no call, as the tickets would have expired before the starts.
+	deferredAt time.Time
 	// answeredAt is the number of scheduling passes at the last answer. No further call is due until a pass has used that answer.
 	answeredAt uint64
 	// tooLong is the duration of a call that was longer than its proxy makes, at tooLongAt.
--- a/internal/sched/explain.go
+++ b/internal/sched/explain.go
@@ -49,10 +49,12 @@
 	WaitGangRuns         WaitReason = "former-gang"           // runs of the gang have to end first
 	WaitLastAttempt      WaitReason = "last-attempt-in-doubt" // an unresponsive server may have seen the last attempt fail
 	WaitTeamLimit        WaitReason = "team-limit"
-	WaitAdvice           WaitReason = "no-advice" // no server has a valid ticket
-	WaitRoom             WaitReason = "no-room"   // see StepExplanation.Servers
-	WaitReserved         WaitReason = "reserved"  // the servers with room are reserved for steps of a higher rank
-	WaitPass             WaitReason = "next-pass" // nothing holds it back
+	WaitAdvice           WaitReason = "no-advice"       // no server has a valid ticket
+	WaitAdviceDeferred   WaitReason = "advice-deferred" // the same, and tickets would expire before the starts, see ticketsWouldExpire
+	WaitRoom             WaitReason = "no-room"         // see StepExplanation.Servers
+	WaitReserved         WaitReason = "reserved"        // the servers with room are reserved for steps of a higher rank
+	WaitStartWindow      WaitReason = "start-window"    // too many starts are unanswered
+	WaitPass             WaitReason = "next-pass"       // nothing holds it back
 )
 
 // ServerStatus is what keeps a server from running a task of a step.
@@ -112,31 +114,43 @@
 			cmp.Compare(boolToInt(a.Phase == phaseRunning.String()), boolToInt(b.Phase == phaseRunning.String())))
 	})
 	row.Runs = row.Runs[:min(len(row.Runs), maxExplainedRuns)]
-	q := g.job.queue
-	r := s.rankOf(g, q)
-	row.Rank = r.class.String() + ", slack " + r.slack.Round(time.Millisecond).String()
+	r := s.ranked(g)
+	row.Rank = r.rank.class.String() + ", slack " + r.rank.slack.Round(time.Millisecond).String()
 	if !g.job.state.Terminal() && g.waiting > 0 {
-		s.explainWaiting(&row, &rankedGroup{group: g, queue: q, rank: r})
+		s.explainWaiting(&row, &r)
 	}
 	return row
 }
 
+// ranked returns a group with its present rank.
+func (s *Scheduler) ranked(g *group) rankedGroup {
+	return rankedGroup{group: g, queue: g.job.queue, rank: s.rankOf(g, g.job.queue)}
+}
+
+// waitReasons returns a function that tells why a waiting task of a group isn't started.
+func (s *Scheduler) waitReasons(r *rankedGroup) func(*task) WaitReason {
+	held, unplaced, inDoubt := s.heldReason(r), s.unplacedReason(r), s.underFormerLongLease()
+	return func(t *task) WaitReason {
+		switch {
+		case held != "":
+			return held
+		case inDoubt[t.id()]:
+			return WaitUnknownInventory
+		case !r.group.step.Gang && t.attemptsMayBeExhausted(r.queue.MaxAttempts):
+			return WaitLastAttempt
+		}
+		return unplaced
+	}
+}
+
 // explainWaiting adds why the waiting tasks of a group aren't started.
 func (s *Scheduler) explainWaiting(row *StepExplanation, r *rankedGroup) {
 	g := r.group
 	row.Waiting, row.Servers = map[WaitReason]int{}, map[ServerStatus]int{}
-	held, unplaced, inDoubt := s.heldReason(r), s.unplacedReason(r), s.underFormerLongLease()
+	held, reason := s.heldReason(r), s.waitReasons(r)
 	for _, t := range g.tasks {
-		switch {
-		case !t.waiting():
-		case held != "":
-			row.Waiting[held]++
-		case inDoubt[t.id()]:
-			row.Waiting[WaitUnknownInventory]++
-		case !g.step.Gang && t.attemptsMayBeExhausted(r.queue.MaxAttempts):
-			row.Waiting[WaitLastAttempt]++
-		default:
-			row.Waiting[unplaced]++
+		if t.waiting() {
+			row.Waiting[reason(t)]++
 		}
 	}
 	inGroup := func(t *task) bool { return t.group == g }
@@ -154,6 +168,10 @@
 	row.AdviceInFlight, row.AdviceAge = g.advice.inFlight, age(s.now, g.advice.lastCall)
 }
 
+// adviceDeferredMemory is how long after a pass that deferred the advice of a group this counts as the reason why it waits. It exceeds the
+// longest pause between passes.
+const adviceDeferredMemory = 500 * time.Millisecond
+
 // heldReason returns why no task of a group may start, or "". With unplacedReason it makes the checks of pass.place.
 func (s *Scheduler) heldReason(r *rankedGroup) WaitReason {
 	g := r.group
@@ -186,6 +204,9 @@
 		return WaitTeamLimit
 	}
 	if r.queue.Advisor != nil && len(p.candidates(g, r.queue)) == 0 {
+		if s.now.Sub(g.advice.deferredAt) < adviceDeferredMemory {
+			return WaitAdviceDeferred
+		}
 		return WaitAdvice
 	}
 	taken := tentative{}
@@ -196,6 +217,9 @@
 		}
 		taken[v]++
 	}
+	if s.startWindowFull() {
+		return WaitStartWindow
+	}
 	if s.passNeeded {
 		return WaitPass
 	}
--- a/internal/sched/explain_test.go
+++ b/internal/sched/explain_test.go
@@ -163,6 +163,27 @@
 			},
 			waiting: waiting{WaitRoom: 1}, servers: servers{ServerUnsuitable: 1},
 		},
+		"too many unanswered starts": {
+			happen: func(f *fixture) {
+				f.addServer("s1", 16)
+				f.s.delay.window = 0
+				f.addJob("a", one)
+			},
+			waiting: waiting{WaitStartWindow: 1}, servers: servers{ServerFree: 1},
+		},
+		"no advice while tickets would expire": {
+			happen: func(f *fixture) {
+				f.addServer("s1", 16)
+				f.s.Configure(f.now, Config{Queues: map[ident.QueueID]Queue{"quotes": testQueue(), "advised": advised}})
+				f.s.delay.window, f.s.delay.median = 0, time.Second
+				f.addJob("b", Step{Count: 3, Demand: cores(1)})
+				q := advised
+				q.ID, q.Priority = "advised", 1
+				f.s.AddJob(f.now, &Job{ID: "a", Queue: q, Steps: []Step{one}, Accepted: f.now}, Progress{}, false)
+				f.collectCommands()
+			},
+			waiting: waiting{WaitAdviceDeferred: 1}, servers: servers{ServerNoTicket: 1},
+		},
 		"the next pass": {
 			happen: func(f *fixture) {
 				f.addJob("a", one)
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -54,6 +54,7 @@
 	readySince     time.Time
 	advice         advice
 	noStartsBefore time.Time // pause after a refused start
+	waitReportedAt time.Time // when CheckWaiting last returned the group
 	isLargeVersion uint64    // fleetVersion for which isLarge was computed
 	isLarge        bool      // a task is large for some server of the service
 	reservation    groupReservation
@@ -70,6 +71,7 @@
 	checkpoint      Checkpoint
 	runs            []*run
 	lostAt          time.Time // when a run was last released without a reported end
+	waitingSince    time.Time // when the last run ended or was released; zero without one
 	avoidServer     ServerID  // server of the last failed, stalled or slow run
 }
 
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -68,6 +68,7 @@
 	t.group.running--
 	if t.waiting() {
 		t.group.waiting++
+		t.waitingSince = s.now
 	}
 	s.passNeeded = true
 }
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -77,6 +77,7 @@
 	droppedDecisions int
 	serverLog        serverLog
 	stuckRuns        stuckRuns
+	waitCheck        waitCheck
 	delay            commonDelay
 	unansweredStarts int // starts without an answer, on all servers
 	counts           Counts
