Make calls to servers cost the leader fewer allocations

Cause: each call to a server or the store went through an http.Client, which copies the headers for redirects that these interfaces don't have, built and parsed a URL, combined two connection traces by reflection, and decoded the reply of a command by reflection.

--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -11,6 +12,9 @@
 	"time"
 )
 
+// ErrNotConnected marks the error of a call that failed before it had a connection, so that the remote side can't have seen it.
+var ErrNotConnected = errors.New("no connection")
+
 // handOverTime is the age from which a connection without a call counts as idle. A younger one may be about to get its first call,
 // which would be lost.
 const handOverTime = 100 * time.Millisecond
@@ -58,28 +62,40 @@
 	return t
 }
 
-// RoundTrip implements http.RoundTripper.
+// RoundTrip implements http.RoundTripper. The error of a call without a connection wraps ErrNotConnected.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	var used *connection
-	var sentAt time.Time
-	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
-		GotConn: func(i httptrace.GotConnInfo) {
-			used, sentAt = trackedConn(i.Conn), time.Now()
-			used.use(1)
-		},
-		PutIdleConn: func(err error) {
-			if err == nil {
-				used.use(-1)
-			}
-		},
-	})
+	c := &call{}
+	c.trace = httptrace.ClientTrace{GotConn: c.gotConn, PutIdleConn: c.putIdleConn}
+	ctx := httptrace.WithClientTrace(r.Context(), &c.trace)
 	response, err := t.pool.RoundTrip(r.WithContext(ctx))
-	if err != nil && used != nil && !errors.Is(context.Cause(ctx), context.Canceled) {
-		t.CloseIdleSince(used.address, sentAt)
+	if err != nil && c.used != nil && !errors.Is(context.Cause(ctx), context.Canceled) {
+		t.CloseIdleSince(c.used.address, c.sentAt)
+	}
+	if err != nil && !c.connected {
+		return nil, fmt.Errorf("%w: %w", ErrNotConnected, err)
 	}
 	return response, err
 }
 
+// call is what RoundTrip learns of the connection of a call.
+type call struct {
+	trace     httptrace.ClientTrace
+	connected bool
+	used      *connection // nil if it isn't tracked
+	sentAt    time.Time
+}
+
+func (c *call) gotConn(i httptrace.GotConnInfo) {
+	c.connected, c.used, c.sentAt = true, trackedConn(i.Conn), time.Now()
+	c.used.use(1)
+}
+
+func (c *call) putIdleConn(err error) {
+	if err == nil {
+		c.used.use(-1)
+	}
+}
+
 // trackedConn returns the connection that New's dial function made, or nil.
 func trackedConn(conn net.Conn) *connection {
 	if secured, ok := conn.(interface{ NetConn() net.Conn }); ok {
