Keep the order of the daemons that call the advisor

Now the order is made when a daemon joins or leaves, changes its address, fails or answers again. The view keeps the addresses.

--- a/internal/coordinator/advice.go
+++ b/internal/coordinator/advice.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -53,6 +54,12 @@
 	inFlight     map[ident.MemberID]int       // number of calls; members without one are absent
 	backoffUntil map[ident.MemberID]time.Time // end of the backoff after a failure
 	failures     map[ident.MemberID]int       // consecutive failed calls
+
+	// order holds all proxies in the order in which they are used. It is kept until a daemon or a failure comes or goes, as it is read
+	// after each call and each scheduling pass.
+	order []advisorProxy
+	peers map[ident.MemberID]string // that the order was made for
+	free  []advisorProxy            // result of available, whose memory is used again
 }
 
 func newAdvisorProxies() advisorProxies {
@@ -72,9 +79,13 @@
 		delete(p.inFlight, m)
 	}
 	if !failed {
+		if p.failures[m] > 0 {
+			p.order = nil
+		}
 		delete(p.failures, m)
 		return 0
 	}
+	p.order = nil
 	p.failures[m]++
 	p.backoffUntil[m] = now.Add(min(proxyBackoff<<min(p.failures[m]-1, maxProxyDoublings), maxProxyBackoff))
 	return p.failures[m]
@@ -88,13 +99,30 @@
 	return inFlight == 0 || inFlight == 1 && proxy.preference == shortCallsOnly
 }
 
-// available returns the proxies that accept one more call. Those that prefer long calls come first; this daemon comes last,
-// as the leader has more other work. After it come those whose latest call failed, as each further call through an unreachable daemon
-// delays a step by the call's timeout.
+// available returns the proxies that accept one more call, until its next call. Those that prefer long calls come first; this daemon
+// comes last, as the leader has more other work. After it come those whose latest call failed, as each further call through an
+// unreachable daemon delays a step by the call's timeout.
 func (p *advisorProxies) available(now time.Time, self ident.MemberID, peers map[ident.MemberID]string) []advisorProxy {
+	if p.order == nil || !maps.Equal(p.peers, peers) {
+		p.peers = peers
+		p.reorder(self)
+	}
+	p.free = p.free[:0]
+	for _, proxy := range p.order {
+		if p.acceptsCall(proxy) && !now.Before(p.backoffUntil[proxy.member]) {
+			p.free = append(p.free, proxy)
+		}
+	}
+	return p.free
+}
+
+// reorder makes the order of this daemon and its peers.
+func (p *advisorProxies) reorder(self ident.MemberID) {
 	all := []advisorProxy{{member: self}}
-	for m, a := range peers {
-		all = append(all, advisorProxy{member: m, address: a})
+	for m, a := range p.peers {
+		if m != self {
+			all = append(all, advisorProxy{member: m, address: a})
+		}
 	}
 	slices.SortFunc(all, func(a, b advisorProxy) int {
 		if (a.address == "") != (b.address == "") {
@@ -109,14 +137,12 @@
 		}
 	}
 	slices.SortStableFunc(all, func(a, b advisorProxy) int { return cmp.Compare(p.failures[a.member], p.failures[b.member]) })
-	return slices.DeleteFunc(all, func(proxy advisorProxy) bool {
-		return !p.acceptsCall(proxy) || now.Before(p.backoffUntil[proxy.member])
-	})
+	p.order = all
 }
 
 // requestAdvice starts advisor calls through the available proxies.
 func (t *term) requestAdvice() {
-	peers := t.coordinator.peerAddresses()
+	peers := t.coordinator.view.get().addresses
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.coordinator.now()
--- a/internal/coordinator/view.go
+++ b/internal/coordinator/view.go
@@ -56,6 +56,7 @@
 	leader         LeaderRecord
 	leaderRevision platform.Revision
 	members        map[ident.MemberID]PresenceRecord
+	addresses      map[ident.MemberID]string    // of the members
 	departed       map[ident.MemberID]departure // daemons that lost their presence record, for departureMemory
 	confirmedAt    time.Time                    // when the latest successful store call was sent
 	reachableSince time.Time                    // first response after the last failed call; zero after a failure
@@ -172,6 +173,10 @@
 		}
 	}
 	next.noteDepartures(&v.state, v.now())
+	next.addresses = make(map[ident.MemberID]string, len(next.members))
+	for m, a := range next.members {
+		next.addresses[m] = a.Address
+	}
 	v.state = next
 	select {
 	case v.changed <- struct{}{}:
