Look for servers that answer commands only when a task is placed

The state dump and the new log of waiting tasks call pickServer to explain why a task has no run; since that could send stops to servers as probes. Cause: the search was part of pickServer.

Measured: TestLapsedRunIsReplacedInTime, TestRefusedStartsPause and the tests of explanations pass.

--- a/internal/sched/command_probe.go
+++ b/internal/sched/command_probe.go
@@ -22,9 +22,13 @@
 	return !t.unansweredAt.IsZero() && !v.commandAnsweredAt.Before(latest(t.unansweredAt, t.lostAt))
 }
 
-// seekAnsweringServer looks for a server that answers commands, as the latest start of a task had no answer and none of the unproven
-// candidates has answered one since. It reports whether one may still show, or may get a ticket.
-func (p *pass) seekAnsweringServer(r *rankedGroup, t *task, unproven []*server) bool {
+// awaitsCommandAnswer reports whether a task, whose latest start had no answer, should wait with its start on the server that was just picked
+// for it: that one has answered no command since, but another one may, or may get a ticket. It looks for such a server.
+func (p *pass) awaitsCommandAnswer(r *rankedGroup, t *task, picked *server) bool {
+	if t.unansweredAt.IsZero() || picked.answersCommands(t) {
+		return false
+	}
+	unproven := p.unproven
 	if r.queue.Advisor != nil {
 		if len(p.answeringServers(r.group, r.queue, t)) > 0 {
 			p.adviceQueue = append(p.adviceQueue, *r)
--- a/internal/sched/pick_server.go
+++ b/internal/sched/pick_server.go
@@ -4,8 +4,8 @@
 const maxPolledAtOnce = 32
 
 // pickServer returns the server with the highest score for a task, or nil. A long-running task waits briefly for the answer of a
-// server that hasn't answered recently; once one doesn't come, it takes a server that has. If its latest start had no answer, it waits for a
-// server that answers commands. It sets withheld, latestTask and probing.
+// server that hasn't answered recently; once one doesn't come, it takes a server that has. If its latest start had no answer, a
+// server that has answered a command since comes first. It sets withheld, latestTask and unproven.
 func (p *pass) pickServer(r *rankedGroup, t *task, taken tentative) *server {
 	g := r.group
 	charge := g.step.Charge()
@@ -44,12 +44,9 @@
 		}
 		best.add(v, x)
 	}
-	p.withheld, p.latestTask, p.probing = withheld.server, t, false
-	if !t.unansweredAt.IsZero() && g.step.LongRunning {
-		if proven.server != nil {
-			return proven.server
-		}
-		p.probing = p.seekAnsweringServer(r, t, unproven)
+	p.withheld, p.latestTask, p.unproven = withheld.server, t, unproven
+	if !t.unansweredAt.IsZero() && proven.server != nil {
+		return proven.server
 	}
 	if silent {
 		// Servers are often lost together, so idle ones are polled at once and not one after the other.
--- a/internal/sched/placement.go
+++ b/internal/sched/placement.go
@@ -64,7 +64,7 @@
 	inDoubt      map[TaskID]bool           // see underFormerLongLease
 	withheld     *server                   // the best server for latestTask among those that don't admit it yet, or nil
 	latestTask   *task                     // the latest task that pickServer was called for
-	probing      bool                      // answers to probes for latestTask may still come
+	unproven     []*server                 // those that latestTask would have to wait for, if it is long-running
 	uncounted    *uncountedRuns            // nil until uncountedDemand is called
 }
 
@@ -96,7 +96,7 @@
 			p.handleNoCapacity(r)
 			return
 		}
-		if g.step.LongRunning && (p.probing || !p.responds(v, t.lostAt)) {
+		if g.step.LongRunning && (p.awaitsCommandAnswer(r, t, v) || !p.responds(v, t.lostAt)) {
 			continue
 		}
 		if p.startWindowFull() {
@@ -142,17 +142,17 @@
 	}
 	taken := tentative{}
 	where := make([]*server, len(g.tasks))
-	probing := false
+	awaiting := false
 	for i, t := range g.tasks {
 		where[i] = p.pickServer(r, t, taken)
 		if where[i] == nil {
 			p.handleNoCapacity(r)
 			return
 		}
-		probing = probing || p.probing
+		awaiting = g.step.LongRunning && p.awaitsCommandAnswer(r, t, where[i]) || awaiting
 		taken[where[i]]++
 	}
-	if g.step.LongRunning && (probing || !p.allRespond(where, g.lostAt())) {
+	if g.step.LongRunning && (awaiting || !p.allRespond(where, g.lostAt())) {
 		return
 	}
 	if p.startWindowFull() {
