Let simulated servers have clocks that run fast or slow

The lease of a simulated server was counted by the test's clock, so that tests of leases beside clocks that drift apart weren't possible.

--- a/internal/standin/runhost/lifecycle.go
+++ b/internal/standin/runhost/lifecycle.go
@@ -17,10 +17,17 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.hosts[v.ID] = &host{
-		info: v, bootedAt: bootedAt, runs: map[sched.TaskID]*run{}, tombstones: map[sched.TaskID]sched.RunNumber{},
+		info: v, bootedAt: bootedAt, clockRate: 1, runs: map[sched.TaskID]*run{}, tombstones: map[sched.TaskID]sched.RunNumber{},
 	}
 }
 
+// SetClockRate sets how many seconds the clock of a host counts in a second. It is called before the host is used.
+func (f *Fleet) SetClockRate(id sched.ServerID, rate float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hosts[id].clockRate = rate
+}
+
 // Crash makes a host lose its runs, tombstones, lease and fencing token, and returns the host with its new incarnation.
 func (f *Fleet) Crash(id sched.ServerID) sched.Server {
 	f.mu.Lock()
--- a/internal/standin/runhost/runhost.go
+++ b/internal/standin/runhost/runhost.go
@@ -49,6 +49,7 @@
 type host struct {
 	info         sched.Server
 	bootedAt     time.Time // of the current incarnation; the host's clock counts from it
+	clockRate    float64   // seconds of the host's clock in a second
 	fence        sched.FencingToken
 	leaseEnd     time.Time
 	runs         map[sched.TaskID]*run
@@ -178,7 +179,14 @@
 }
 
 // clock returns the reading of the host's clock, which counts from its boot.
-func (h *host) clock(now time.Time) time.Duration { return now.Sub(h.bootedAt) }
+func (h *host) clock(now time.Time) time.Duration {
+	return time.Duration(float64(now.Sub(h.bootedAt)) * h.clockRate)
+}
+
+// timeOf returns when the host's clock has a reading.
+func (h *host) timeOf(clock time.Duration) time.Time {
+	return h.bootedAt.Add(time.Duration(float64(clock) / h.clockRate))
+}
 
 // endDueRuns ends the runs that completed or whose lease expired.
 func (f *Fleet) endDueRuns(h *host, now time.Time) {
@@ -232,7 +240,7 @@
 // extendLease sets the lease to end when the host's clock reaches the deadline, if that is later, and at most MaxLease from
 // now.
 func (f *Fleet) extendLease(h *host, deadline time.Duration) {
-	end := h.bootedAt.Add(deadline)
+	end := h.timeOf(deadline)
 	if latest := time.Now().Add(MaxLease); end.After(latest) {
 		end = latest
 	}
