Bound the lease of a start on an idle server with a slow clock

Callers saw (by a test only): tasks that may run twice after a takeover. A server without runs isn't polled, so a start there computed the end of its lease from a clock reading of any age, as if the server's clock ran exactly. It may be 2 % slow, so the lease was longer by 2 % of that age, up to the longest one that servers accept. The leader that sent the start counted that; the next one counts on 4 s and may start the task elsewhere while it runs under such a lease on a server that it can't reach.

Change: the end of a lease is computed from the lowest value that the server's clock can have, so that it is never longer than RunLease there. A server without runs is polled each 30 s, so that a start grants at least 3.4 s on an exact clock; the poll after its confirmation extends that.

Evidence: TestLeaseOnAnIdleServerWithASlowClock failed before for a slow clock (4.2 s after 10 s without runs, 5.2 s after 60 s, 16 s after 10 minutes).

--- a/internal/sched/lease_test.go
+++ b/internal/sched/lease_test.go
@@ -29,6 +29,39 @@
 	}
 }
 
+// Guards against tasks that run twice after a takeover: the lease of a start was computed from a clock reading of minutes ago, so that on
+// a server with a slow clock it lasted longer than the next leader counts on.
+func TestLeaseOnAnIdleServerWithASlowClock(t *testing.T) {
+	for _, idle := range []time.Duration{time.Second, 10 * time.Second, time.Minute, 10 * time.Minute, 5 * time.Hour} {
+		for name, drift := range map[string]float64{"exact clock": 0, "slow clock": clockDrift} {
+			t.Run(idle.String()+", "+name, func(t *testing.T) {
+				f := newFixture(t, nil)
+				clock := func() time.Duration { return time.Hour + scale(f.now.Sub(epochStart), 1-drift) }
+				answer := func() {
+					if poll, ok := f.polls["s1"]; ok {
+						delete(f.polls, "s1")
+						f.s.Polled(f.now, "s1", poll.Serial, Inventory{Incarnation: 1, Clock: clock()})
+						f.collectCommands()
+					}
+				}
+				f.s.Register(f.now, testServer("s1", 16))
+				f.collectCommands()
+				answer()
+				for f.now.Sub(epochStart) < idle {
+					f.advanceTime(100 * time.Millisecond)
+					answer()
+				}
+				f.addJob("j", Step{Count: 1, Demand: cores(1)})
+				f.want("starts", len(f.starts), 1)
+				lease := f.starts[0].Deadline - clock()
+				if lease > f.s.options.MaxFormerLease || lease < startLease {
+					t.Errorf("lease of %s, want %s to %s", lease, startLease, f.s.options.MaxFormerLease)
+				}
+			})
+		}
+	}
+}
+
 // Guards against tasks that run twice after a takeover: a command that the former leader had sent to the former incarnation of
 // a server, with a deadline on that one's clock, gave the new incarnation a lease of the maximum length. Seed 1305 of the
 // property test.
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -24,6 +24,9 @@
 	// fallbackPollInterval is the interval of polls while ended runs wait to be recorded; it keeps leases alive during store
 	// outages.
 	fallbackPollInterval = 600 * time.Millisecond
+	// idlePollInterval is the interval of polls of a server without runs. The lease of a start is shorter by clockDrift of the age of the
+	// latest clock reading.
+	idlePollInterval = 30 * time.Second
 	// pollRetry is the pause between polls of a server that doesn't answer.
 	pollRetry = 300 * time.Millisecond
 	// reregistrationGrace is how long a server without a registration is kept, as it may register again after a store outage.
@@ -154,12 +157,10 @@
 }
 
 // deadline returns the end of a lease that a command grants after a delay, on the server's clock, and extends the server's
-// leaseBound to cover it.
+// leaseBound to cover it. The lease isn't longer on a server with a slow clock, as the next leader counts on Options.MaxFormerLease.
 func (s *Scheduler) deadline(v *server, delay, lease time.Duration) time.Duration {
-	age := s.now.Sub(v.clockAt) + delay
-	longest := scale(lease, 1+clockDrift) + scale(age, clockDrift) + leaseMargin
-	v.leaseBound = latest(v.leaseBound, s.now.Add(delay+longest))
-	end := v.clock + age + lease
+	v.leaseBound = latest(v.leaseBound, s.now.Add(delay+scale(lease, 1+clockDrift)+leaseMargin))
+	end := v.lowestClock(s.now.Add(delay)) + lease
 	v.grantedUntil = max(v.grantedUntil, end)
 	return end
 }
@@ -265,6 +266,8 @@
 		}
 	case (len(v.runs) > 0 || v.formerEndsHidden || !v.answersPromptly()) && idle >= fallbackPollInterval:
 		s.poll(v, 0, 0)
+	case idle >= idlePollInterval && v.registered:
+		s.poll(v, 0, 0)
 	}
 	switch {
 	case v.failures == 0 || !s.now.After(v.leaseBound):
