Cut off whole data centres in the fault soak

The new profile data-centre-cuts spreads daemons and servers over three data centres of two regions. Each data centre has proxies of its own to the store and to each daemon and server, and a view of the store with their addresses, so that a cut separates exactly the sides. Registrations in a cut data centre lapse and come back. The plans of the other profiles stay as they are.

--- a/internal/command/soak.go
+++ b/internal/command/soak.go
@@ -32,8 +32,10 @@
 		Args: noArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			var err error
-			if o.Binary, err = os.Executable(); err != nil {
-				return fmt.Errorf("find the path of this program: %w", err)
+			if o.Binary == "" {
+				if o.Binary, err = os.Executable(); err != nil {
+					return fmt.Errorf("find the path of this program: %w", err)
+				}
 			}
 			if o.Dir == "" {
 				if o.Dir, err = os.MkdirTemp("", "rosemaryspoke-soak"); err != nil {
@@ -73,6 +75,7 @@
 	f.IntVar(&o.Daemons, "daemons", 3, "daemons")
 	f.IntVar(&o.Servers, "servers", 6, "backend servers")
 	f.IntVar(&o.Callers, "callers", 6, "callers")
+	f.StringVar(&o.Binary, "binary", "", "program under test, as one of another version; empty means this one")
 	f.StringVar(&o.Dir, "dir", "", "directory for settings and logs; empty creates one")
 	f.StringVar(&report, "report", "", "file for a report with a time line of each seed, as HTML")
 	return c
--- a/internal/soak/cell.go
+++ b/internal/soak/cell.go
@@ -40,7 +40,7 @@
 // processes.
 type cell struct {
 	store        *txstore.Store
-	storeHTTP    *standin.StoreServer
+	storeServers []*standin.StoreServer
 	fleet        *runhost.Fleet
 	profile      Profile
 	slots        []*slot
@@ -49,7 +49,7 @@
 	daemons      []*process
 	httpServers  []*http.Server
 	addresses    *addressBlock // of the daemons
-	translation  *translatingStore
+	network      *network      // with ProfileDataCentreCuts
 
 	randomMu sync.Mutex // the store's faults take it under the store's lock, so no call to the store may be made under it
 	random   *rand.Rand
@@ -67,8 +67,6 @@
 		store:   txstore.New(time.Now), random: rand.New(rand.NewPCG(seed, 5)), revokedKeys: map[string]time.Time{},
 		keys: map[string][]string{multiKeyTeam: {"blue-0", "blue-1", "blue-2", "blue-3"}, limitedTeam: {limitedTeam + "-0"}},
 	}
-	c.translation = &translatingStore{Store: c.store, addresses: map[string]string{}}
-	c.storeHTTP = standin.NewStoreServer(c.translation)
 	c.fleet = runhost.New(taskDuration, func(sched.TaskID) resource.Vector { return taskDemand })
 	c.fleet.SetAdvisor(advisorTiming, advisorAllows)
 	if err := c.start(o, dir, seed); err != nil {
@@ -82,10 +80,6 @@
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return fmt.Errorf("create directory: %w", err)
 	}
-	storeAddress, err := c.listen(c.storeHTTP.Handler())
-	if err != nil {
-		return err
-	}
 	if err := c.addServers(o.Servers); err != nil {
 		return err
 	}
@@ -97,11 +91,12 @@
 		return err
 	}
 	c.addresses = addresses
-	if err := c.addPeerProxies(o.Daemons); err != nil {
+	storeAddress, err := c.connect(o.Daemons)
+	if err != nil {
 		return err
 	}
 	for i := range o.Daemons {
-		storeProxy, err := newProxy(storeAddress)
+		storeProxy, err := newProxy(storeAddress(i))
 		if err != nil {
 			return fmt.Errorf("start a proxy from daemon d%d to the store: %w", i, err)
 		}
@@ -114,6 +109,7 @@
 			Member: ident.MemberID(fmt.Sprintf("d%d", i)), IP: addresses.ip(i),
 			StoreAddress: storeProxy.address(), AdvisorAddress: advisorAddress, FirstInternalPort: addresses.port, Grace: gracePeriod, MaxRunLease: runhost.MaxLease,
 			StopTimeout: 200 * time.Millisecond, Revocation: revocationBound,
+			DataCentre: dataCentreName(c.daemonDataCentre(i)), Region: regionName(c.daemonDataCentre(i)),
 		})
 		if err != nil {
 			return err
@@ -123,22 +119,48 @@
 	return nil
 }
 
-// addPeerProxies puts a proxy before the peer address of each daemon. The other profiles go without: a daemon that is down refuses
-// connections, and its proxy accepts and closes them.
-func (c *cell) addPeerProxies(daemons int) error {
+// connect starts the proxies between daemons and the store as the profile needs them, and returns the address of the store for each
+// daemon.
+func (c *cell) connect(daemons int) (storeAddress func(daemon int) string, err error) {
+	if c.profile == ProfileDataCentreCuts {
+		if err := c.addNetwork(daemons); err != nil {
+			return nil, err
+		}
+		return func(daemon int) string { return c.network.dataCentres[dataCentreOf(daemon)].store.address() }, nil
+	}
+	proxies, err := c.addPeerProxies(daemons)
+	if err != nil {
+		return nil, err
+	}
+	address, err := c.addStore(proxies)
+	return func(int) string { return address }, err
+}
+
+// addPeerProxies puts a proxy before the peer address of each daemon and returns their addresses. The other profiles go without: a
+// daemon that is down refuses connections, and its proxy accepts and closes them.
+func (c *cell) addPeerProxies(daemons int) (proxies map[string]string, err error) {
 	if c.profile != ProfileSilentLinks {
-		return nil
+		return nil, nil
 	}
+	proxies = map[string]string{}
 	for i := range daemons {
 		own := net.JoinHostPort(c.addresses.ip(i), strconv.Itoa(c.addresses.port))
 		p, err := newProxy(own)
 		if err != nil {
-			return fmt.Errorf("start a proxy to daemon d%d: %w", i, err)
+			return nil, fmt.Errorf("start a proxy to daemon d%d: %w", i, err)
 		}
 		c.peerProxies = append(c.peerProxies, p)
-		c.translation.addresses[own] = p.address()
+		proxies[own] = p.address()
 	}
-	return nil
+	return proxies, nil
+}
+
+// daemonDataCentre returns the data centre of a daemon. Only with ProfileDataCentreCuts there are several.
+func (c *cell) daemonDataCentre(daemon int) int {
+	if c.profile == ProfileDataCentreCuts {
+		return dataCentreOf(daemon)
+	}
+	return 0
 }
 
 // taskDuration returns the duration of a task. It depends only on the task's id, so that every run takes the same time.
@@ -224,6 +246,7 @@
 	for _, p := range append(c.storeProxies, c.peerProxies...) {
 		p.close()
 	}
+	c.network.close()
 	for _, s := range c.slots {
 		s.currentProxy().close()
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"syscall"
+	"time"
 
 	"github.com/rosemaryspoke/rosemaryspoke/internal/standin/txstore"
 )
@@ -42,8 +43,8 @@
 			return []txstore.Fault{txstore.LoseReply, txstore.None, txstore.None}[c.randomInt(3)]
 		})
 	case storeSlow:
-		c.storeHTTP.SetDelay(slowStoreDelay)
-		return func() { c.storeHTTP.SetDelay(0) }
+		c.setStoreDelay(slowStoreDelay)
+		return func() { c.setStoreDelay(0) }
 	case storeCompact:
 		c.store.Compact()
 	case storeCut:
@@ -57,6 +58,14 @@
 	case peerSilent, peerSilentTo, peerSilentFrom, storeLinkSilent, storeSilentTo, storeSilentFrom,
 		serverLinkSilent, serverSilentTo, serverSilentFrom, serversSilent, allSilent, mostSilent:
 		c.startSilence(f)
+	case leaderCentreCut:
+		return c.cutDataCentre(c.leaderDataCentre(), modeBlockAll)
+	case leaderCentreHeld:
+		return c.cutDataCentre(c.leaderDataCentre(), modeHold)
+	case centreCut:
+		return c.cutDataCentre(f.Target%dataCentreCount, modeBlockAll)
+	case centreHeld:
+		return c.cutDataCentre(f.Target%dataCentreCount, modeHold)
 	case revokeKey:
 		c.logError(c.revokeNextKey())
 	default:
@@ -78,6 +87,13 @@
 	return c.random.IntN(n)
 }
 
+// setStoreDelay delays the handling of all calls to the store.
+func (c *cell) setStoreDelay(d time.Duration) {
+	for _, s := range c.storeServers {
+		s.SetDelay(d)
+	}
+}
+
 // setStoreFault applies a fault to all calls to the store and returns the function that ends it.
 func (c *cell) setStoreFault(f func() txstore.Fault) func() {
 	c.store.SetFault(func(string, string) txstore.Fault { return f() })
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -62,6 +62,14 @@
 	mostSilent       fault = "most-links-silent"   // silentShare of all connections
 )
 
+// Faults of ProfileDataCentreCuts: a data centre loses the store and all others, while its daemons and servers reach each other.
+const (
+	leaderCentreCut  fault = "leader-centre-cut"  // of the leader; what was under way is lost
+	leaderCentreHeld fault = "leader-centre-held" // the same, but what was under way arrives at the end
+	centreCut        fault = "centre-cut"         // of any data centre; what was under way is lost
+	centreHeld       fault = "centre-held"        // the same, but what was under way arrives at the end
+)
+
 // plannedFault is a fault with its start, counted from the start of the plan, and its duration.
 type plannedFault struct {
 	At, Duration time.Duration
@@ -83,10 +91,12 @@
 	ProfileServerLoss Profile = "server-loss" // servers end in all ways, with advised, all-at-once and long-running jobs
 	// ProfileSilentLinks has open connections that go silent while servers and daemons end, with the jobs of ProfileServerLoss.
 	ProfileSilentLinks Profile = "silent-links"
+	// ProfileDataCentreCuts cuts off one data centre after the other, with the jobs of ProfileServerLoss.
+	ProfileDataCentreCuts Profile = "data-centre-cuts"
 )
 
 // Profiles are all profiles; the first is the default.
-var Profiles = []Profile{ProfileMixed, ProfileServerLoss, ProfileSilentLinks}
+var Profiles = []Profile{ProfileMixed, ProfileServerLoss, ProfileSilentLinks, ProfileDataCentreCuts}
 
 // faultWeight is the relative frequency of a fault.
 type faultWeight struct {
@@ -97,9 +107,10 @@
 
 // faultWeights are the faults of each profile. A change of those of a profile changes the plans of all of its seeds.
 var faultWeights = map[Profile][]faultWeight{
-	ProfileMixed:       mixedFaults,
-	ProfileServerLoss:  serverLossFaults,
-	ProfileSilentLinks: silentLinkFaults,
+	ProfileMixed:          mixedFaults,
+	ProfileServerLoss:     serverLossFaults,
+	ProfileSilentLinks:    silentLinkFaults,
+	ProfileDataCentreCuts: besideCutsFaults,
 }
 
 var mixedFaults = []faultWeight{
@@ -179,6 +190,28 @@
 	{fault: mostSilent, weight: 3},
 }
 
+// besideCutsFaults overlap the series of cuts.
+var besideCutsFaults = []faultWeight{
+	{fault: kill, weight: 4},
+	{fault: terminate, weight: 3},
+	{fault: freeze, weight: 4},
+	{fault: killAll, weight: 1},
+	{fault: storeDown, weight: 2},
+	{fault: storeLossy, weight: 1},
+	{fault: storeSlow, weight: 1},
+	{fault: storeCompact, weight: 1},
+	{fault: storeCut, weight: 2},
+	{fault: storeOneWay, weight: 1},
+	{fault: serverSilent, weight: 2},
+	{fault: serverOneWay, weight: 1},
+	{fault: serverDelay, weight: 1},
+	{fault: serverDrain, weight: 2},
+	{fault: revokeKey, weight: 1},
+	{fault: registrationLost, weight: 1},
+	{fault: serverReplaced, weight: 3},
+	{fault: serverReborn, weight: 3},
+}
+
 const (
 	minFaultDuration = 200 * time.Millisecond
 	maxFaultDuration = 4 * time.Second
@@ -186,19 +219,34 @@
 	briefCrash = 800 * time.Millisecond
 )
 
-// faultsPerSecond is the mean rate at which faults start. They last about two seconds, so several overlap.
-const faultsPerSecond = 1.5
+const (
+	// faultsPerSecond is the mean rate at which faults start. They last about two seconds, so several overlap.
+	faultsPerSecond = 1.5
+	// besideCutsPerSecond is that rate for the faults beside a series of cuts.
+	besideCutsPerSecond = 0.3
+)
+
+// A series of cuts: a cut lasts from minCut to maxCut, and the next one starts from maxCutOverlap before its end to maxCutGap after it.
+const (
+	minCut        = 3 * time.Second
+	maxCut        = 12 * time.Second
+	maxCutOverlap = 4 * time.Second
+	maxCutGap     = 8 * time.Second
+)
 
 // newPlan returns the fault plan of a seed, ordered by start. It depends only on its arguments.
 func newPlan(profile Profile, seed uint64, duration time.Duration, daemons, servers int) []plannedFault {
 	weights := faultWeights[profile]
 	rng := rand.New(rand.NewPCG(seed, 77))
-	total := 0
+	rate, total := faultsPerSecond, 0
 	for _, w := range weights {
 		total += w.weight
 	}
 	var plan []plannedFault
-	for at := 500 * time.Millisecond; at < duration; at += time.Duration(rng.ExpFloat64() / faultsPerSecond * float64(time.Second)) {
+	if profile == ProfileDataCentreCuts {
+		plan, rate = newCuts(rng, duration), besideCutsPerSecond
+	}
+	for at := 500 * time.Millisecond; at < duration; at += time.Duration(rng.ExpFloat64() / rate * float64(time.Second)) {
 		n := rng.IntN(total)
 		for _, w := range weights {
 			if n -= w.weight; n >= 0 {
@@ -216,3 +264,27 @@
 	slices.SortStableFunc(plan, func(a, b plannedFault) int { return int(a.At - b.At) })
 	return plan
 }
+
+// newCuts returns a series of cuts of one data centre after the other, first and then half of the times that of the leader.
+func newCuts(rng *rand.Rand, duration time.Duration) []plannedFault {
+	var plan []plannedFault
+	target := rng.IntN(dataCentreCount)
+	for at := time.Second; at < duration; {
+		cut := plannedFault{At: at, Duration: minCut + time.Duration(rng.Int64N(int64(maxCut-minCut))), Target: target}
+		ofLeader, held := len(plan) == 0 || rng.IntN(2) == 0, rng.IntN(2) == 0
+		switch {
+		case ofLeader && held:
+			cut.Fault = leaderCentreHeld
+		case ofLeader:
+			cut.Fault = leaderCentreCut
+		case held:
+			cut.Fault = centreHeld
+		default:
+			cut.Fault = centreCut
+		}
+		plan = append(plan, cut)
+		target++
+		at += cut.Duration - maxCutOverlap + time.Duration(rng.Int64N(int64(maxCutOverlap+maxCutGap)))
+	}
+	return plan
+}
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"maps"
 	"net"
 	"sync"
 	"time"
@@ -14,6 +15,7 @@
 	modeDelay             // requests to the server are delayed by requestDelay
 	modeBlockAll          // no bytes pass in either direction; connections stay open
 	modeBlockReplies      // no bytes pass from the server; connections stay open
+	modeHold              // like modeBlockAll, but the bytes of connections that were open before arrive at the end
 	modeReset             // open and new connections are closed
 )
 
@@ -35,6 +37,7 @@
 	silent  map[net.Conn]bool     // connections to whose remote side nothing is delivered any more
 	orphans map[net.Conn]bool     // connections of callers to a server that lost power
 	dark    bool                  // no server is up behind the orphans
+	held    map[net.Conn]bool     // connections that were open when modeHold began
 }
 
 func newProxy(target string) (*proxy, error) {
@@ -60,14 +63,25 @@
 	p.reset()
 }
 
-// setMode changes the mode. The end of a block closes the connections, so the blocked bytes are lost.
+// setMode changes the mode. The end of a block closes the connections, so the blocked bytes are lost, except those that modeHold
+// holds back.
 func (p *proxy) setMode(m mode) {
 	p.mu.Lock()
 	previous := p.mode
 	p.mode = m
+	if m == modeHold {
+		p.held = maps.Clone(p.conns)
+	}
+	kept := p.held
+	if m != modeHold {
+		p.held = nil
+	}
 	p.mu.Unlock()
-	if m == modeReset || previous == modeBlockAll || previous == modeBlockReplies {
+	switch {
+	case m == modeReset || previous == modeBlockAll || previous == modeBlockReplies:
 		p.reset()
+	case previous == modeHold:
+		p.resetExcept(kept)
 	}
 }
 
@@ -78,11 +92,14 @@
 }
 
 // reset closes all connections with a TCP reset, except silent ones, to which it can't be delivered.
-func (p *proxy) reset() {
+func (p *proxy) reset() { p.resetExcept(nil) }
+
+// resetExcept is like reset for the connections that aren't in the set.
+func (p *proxy) resetExcept(kept map[net.Conn]bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
-		if p.silent[c] {
+		if p.silent[c] || kept[c] {
 			continue
 		}
 		if t, ok := c.(*net.TCPConn); ok {
@@ -202,5 +219,5 @@
 // blocked reports whether the mode blocks a direction.
 func (p *proxy) blocked(fromServer bool) bool {
 	m := p.currentMode()
-	return m == modeBlockAll || m == modeBlockReplies && fromServer
+	return m == modeBlockAll || m == modeHold || m == modeBlockReplies && fromServer
 }
--- a/internal/soak/serverfaults.go
+++ b/internal/soak/serverfaults.go
@@ -35,9 +35,9 @@
 	case serverCrash:
 		crashed := c.fleet.Crash(v.ID)
 		s.currentProxy().reset() // a crash closes the server's connections
-		return func() { c.logError(c.register(crashed)) }
+		return func() { c.logError(c.register(s, crashed)) }
 	case serverDrain:
-		c.drain(v, minDrainTime)
+		c.drain(s, v, minDrainTime)
 		return func() { c.registerIfUp(s, v.ID) }
 	case registrationLost:
 		c.unregister(v.ID)
@@ -72,11 +72,11 @@
 	case serviceCrash:
 		return c.crashServers(c.slots)
 	case rackCrash:
-		return c.crashServers(c.slotsWhere(func(o *slot) bool { return o.rack() == s.rack() }))
+		return c.crashServers(c.slotsWhere(func(o *slot) bool { return o.rack == s.rack }))
 	case dataCentreCrash:
-		return c.crashServers(c.slotsWhere(func(o *slot) bool { return o.dataCentre() == s.dataCentre() }))
+		return c.crashServers(c.slotsWhere(func(o *slot) bool { return o.dataCentre == s.dataCentre }))
 	case reclaim:
-		return c.reclaimServers(c.slotsWhere(func(o *slot) bool { return o.dataCentre() == s.dataCentre() }))
+		return c.reclaimServers(c.slotsWhere(func(o *slot) bool { return o.dataCentre == s.dataCentre }))
 	case ordersLate:
 		return c.delayOrders()
 	case registrationsLapse:
@@ -86,9 +86,9 @@
 }
 
 // drain writes the registration of a server that leaves after the given time.
-func (c *cell) drain(v sched.Server, remaining time.Duration) {
+func (c *cell) drain(s *slot, v sched.Server, remaining time.Duration) {
 	v.Draining, v.Remaining = true, remaining
-	c.logError(c.register(v))
+	c.logError(c.register(s, v))
 }
 
 func (c *cell) slotsWhere(match func(*slot) bool) []*slot {
@@ -122,7 +122,7 @@
 	for _, s := range slots {
 		if v, up := s.server(); up {
 			noticed[s] = v.ID
-			c.drain(v, reclaimNotice)
+			c.drain(s, v, reclaimNotice)
 		}
 	}
 	time.Sleep(reclaimNotice)
--- a/internal/soak/silence.go
+++ b/internal/soak/silence.go
@@ -1,13 +1,6 @@
 package soak
 
-import (
-	"bytes"
-	"context"
-	"net"
-
-	store "github.com/rosemaryspoke/rosemaryspoke/internal/platform"
-	"github.com/rosemaryspoke/rosemaryspoke/internal/standin/txstore"
-)
+import "net"
 
 // silentShare is the share of the open connections that mostSilent silences.
 const silentShare = 0.7
@@ -83,20 +76,3 @@
 		p.silence(way, selects)
 	}
 }
-
-// translatingStore is the store as daemons see it whose peers reach them through proxies: it replaces the peer address in what a
-// daemon writes, as a network that translates addresses would need it.
-type translatingStore struct {
-	*txstore.Store
-	addresses map[string]string // address of the proxy by peer address
-}
-
-// Transact replaces the addresses in the written values.
-func (s *translatingStore) Transact(ctx context.Context, t store.Transaction) (store.Revision, error) {
-	for i := range t.Writes {
-		for own, proxied := range s.addresses {
-			t.Writes[i].Value = bytes.ReplaceAll(t.Writes[i].Value, []byte(`"`+own+`"`), []byte(`"`+proxied+`"`))
-		}
-	}
-	return s.Store.Transact(ctx, t)
-}
--- a/internal/soak/silence_test.go
+++ b/internal/soak/silence_test.go
@@ -191,7 +191,7 @@
 
 // Guards against daemons that reach each other without the proxies, so that no fault of their connections acts.
 func TestPeerAddressIsThatOfTheProxy(t *testing.T) {
-	s := &translatingStore{Store: txstore.New(time.Now), addresses: map[string]string{"127.1.1.1:20000": "127.0.0.1:4000"}}
+	s := newTranslatingStore(txstore.New(time.Now), map[string]string{"127.1.1.1:20000": "127.0.0.1:4000"})
 	if _, err := s.Transact(context.Background(), store.Transaction{Writes: []store.Write{
 		{Key: "a", Value: []byte(`{"address":"127.1.1.1:20000","n":1}`)}, {Key: "b", Value: []byte(`{"address":"127.1.1.1:200001"}`)},
 	}}); err != nil {
--- a/internal/soak/slot.go
+++ b/internal/soak/slot.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/rosemaryspoke/rosemaryspoke/internal/sched"
-	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/resource"
 	"github.com/rosemaryspoke/rosemaryspoke/platform/standin"
 )
@@ -24,8 +23,10 @@
 
 // slot is a host's place in the fleet, where one backend server at a time runs.
 type slot struct {
-	index  int
-	target string // address behind the proxy
+	index      int
+	rack       int
+	dataCentre int
+	target     string // address behind the proxy
 
 	mu      sync.Mutex
 	proxy   *proxy
@@ -48,8 +49,15 @@
 	return s.proxy
 }
 
-func (s *slot) rack() int       { return s.index / serversPerRack }
-func (s *slot) dataCentre() int { return s.rack() / racksPerDataCentre }
+// place returns the rack and the data centre of a slot.
+func (p Profile) place(index int) (rack, dataCentre int) {
+	if p == ProfileDataCentreCuts {
+		dataCentre = dataCentreOf(index)
+		return index/(serversPerRack*dataCentreCount)*dataCentreCount + dataCentre, dataCentre
+	}
+	rack = index / serversPerRack
+	return rack, rack / racksPerDataCentre
+}
 
 // addServers starts and registers backend servers, each behind a proxy.
 func (c *cell) addServers(count int) error {
@@ -59,9 +67,10 @@
 			Labels: []string{"a", "r1"}, Capacity: resource.Vector{CPU: resource.Cores(serverCores), Memory: 4096},
 		}
 		s := &slot{index: i, backend: standin.NewBackend(c.fleet.Client(), v.ID), up: true, lives: 1}
+		s.rack, s.dataCentre = c.profile.place(i)
 		if c.profile != ProfileMixed {
-			v.DataCentre = ident.DataCentre(fmt.Sprintf("z%d", s.dataCentre()))
-			v.Labels = []string{"a", fmt.Sprintf("r%d", s.rack())}
+			v.DataCentre = dataCentreName(s.dataCentre)
+			v.Labels = []string{"a", fmt.Sprintf("r%d", s.rack)}
 			v.Capacity.CPU = resource.Cores(scarceCores)
 		}
 		var err error
@@ -75,15 +84,18 @@
 		s.info = v
 		c.fleet.Add(v)
 		c.slots = append(c.slots, s)
-		if err := c.register(v); err != nil {
+		if err := c.register(s, v); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// register writes the registration of a backend server to the store.
-func (c *cell) register(v sched.Server) error {
+// register writes the registration of a backend server to the store, unless the server doesn't reach it.
+func (c *cell) register(s *slot, v sched.Server) error {
+	if c.network.isCut(s.dataCentre) {
+		return nil
+	}
 	raw, err := standin.EncodeRegistration(v)
 	if err != nil {
 		return fmt.Errorf("encode the registration of %s: %w", v.ID, err)
@@ -99,7 +111,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.up && s.info.ID == id {
-		c.logError(c.register(s.info))
+		c.logError(c.register(s, s.info))
 	}
 }
 
@@ -168,7 +180,7 @@
 	c.fleet.Boot(v)
 	s.backend.SetServer(v.ID)
 	s.proxy.serverIsBack()
-	c.logError(c.register(v))
+	c.logError(c.register(s, v))
 }
 
 // restartServer makes the server of a slot crash and start again under its id. Its registration isn't updated.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -120,7 +120,7 @@
 func (w *workload) clearFaults() {
 	c := w.cell
 	c.store.SetFault(nil)
-	c.storeHTTP.SetDelay(0)
+	c.setStoreDelay(0)
 	for _, p := range c.storeProxies {
 		p.setMode(modeForward)
 	}
--- a/internal/standin/txstore/txstore.go
+++ b/internal/standin/txstore/txstore.go
@@ -108,6 +108,14 @@
 	s.remove(key)
 }
 
+// Peek returns the item of a key and whether there is one, past the faults and the call counts.
+func (s *Store) Peek(key string) (platform.Item, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.keys[key]
+	return e.item, ok
+}
+
 func (s *Store) put(key string, value []byte, id platform.LeaseID) {
 	it := platform.Item{Key: key, Value: value, Revision: s.revision}
 	s.keys[key] = entry{it, id}
