Start nothing on a server before it is in the roster

Callers saw (by a test only): a task that runs twice. A new server got starts before the leader had written it to the roster. If the leader was lost before that write, and the server's registration lapsed too, as in a store outage, the next leader didn't know the server and started its tasks elsewhere. The same held for a server that registered at another address.

Change: a server is usable once the store has it in the roster with its present address. New servers are written at once instead of after up to 50 ms, and before other changes, so that the first start waits for one write of 15 servers. Servers that a former leader recorded aren't held back. A server that registers just before an outage of the store gets no starts until the store is back.

TestStuckRunsAreLoggedAndCounted has no writer of the roster and now reports that write itself; the fixtures of internal/sched count servers as recorded, but for the new tests.

Evidence: TestServerGetsNoStartsBeforeItIsInTheRoster failed before (started on a server that the next leader didn't know).

--- a/internal/coordinator/diagnostics_test.go
+++ b/internal/coordinator/diagnostics_test.go
@@ -101,7 +101,10 @@
 			ID: "j", Queue: sched.Queue{ID: "q", Service: "pool", MaxAttempts: 3}, Accepted: time.Now(),
 			Steps: []sched.Step{{Count: 1, Demand: resource.Vector{CPU: resource.Cores(1)}}},
 		}
-		m.update(func(now time.Time, s *sched.Scheduler) { s.Register(now, v) })
+		m.update(func(now time.Time, s *sched.Scheduler) {
+			s.Register(now, v)
+			s.RosterWritten(now, s.TakeRosterChanges(1))
+		})
 		time.Sleep(time.Second)
 		m.update(func(now time.Time, s *sched.Scheduler) {
 			s.AddJob(now, job, sched.Progress{}, false)
--- a/internal/coordinator/roster.go
+++ b/internal/coordinator/roster.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// rosterInterval is the interval at which changes of the roster are recorded.
+	// rosterInterval is the interval at which changes of the roster are recorded. New servers, which await them, are recorded at once.
 	rosterInterval = 50 * time.Millisecond
 	// rosterEntriesPerWrite is the number of servers that fit a transaction: beside the precondition on the leader record
 	// each server takes a precondition and a write or delete.
@@ -21,10 +21,14 @@
 // recordRoster records changes of the roster, the durable list of servers on which runs may be in progress, until the
 // context ends. It makes one transaction at a time.
 func (t *term) recordRoster(ctx context.Context) error {
+	timer := time.NewTicker(rosterInterval)
+	defer timer.Stop()
 	for {
-		sleep(ctx, rosterInterval)
-		if ctx.Err() != nil {
+		select {
+		case <-ctx.Done():
 			return ctx.Err()
+		case <-t.rosterWake:
+		case <-timer.C:
 		}
 		for t.writeRoster(ctx) {
 		}
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -66,6 +66,8 @@
 	wake  chan struct{}
 	flush chan struct{}
 	done  chan struct{}
+	// rosterWake is signalled when a server awaits the roster.
+	rosterWake chan struct{}
 	// unknownJobs is signalled when the scheduler has unknown jobs.
 	unknownJobs chan struct{}
 	// confirmed is the latest known time at which certainly no other daemon led; see awaitConfirmation.
@@ -98,6 +100,7 @@
 		coordinator: c, config: c.config, leader: l, revision: revision, fence: sched.FencingToken(l.Epoch),
 		scheduler: sched.New(options, c.now()),
 		wake:      make(chan struct{}, 1), flush: make(chan struct{}, 1), done: make(chan struct{}), unknownJobs: make(chan struct{}, 1),
+		rosterWake:     make(chan struct{}, 1),
 		advisorProxies: newAdvisorProxies(), progressRevisions: progressRevisions{byJob: map[ident.JobID]platform.Revision{}},
 		goroutines: newGoroutines(), silences: silences{byServer: map[sched.ServerID]silence{}},
 		registered: map[sched.ServerID]sched.Server{}, unreadable: map[string]string{}, rosterRevisions: map[string]platform.Revision{},
@@ -174,6 +177,7 @@
 	serverDecisions, droppedOnServers := t.scheduler.TakeServerDecisions()
 	some, terminal := t.scheduler.HasProgressUpdates()
 	unknown := t.scheduler.HasUnknownJobs()
+	urgentRoster := t.scheduler.HasUrgentRosterChanges()
 	t.mu.Unlock()
 	t.logDecisions(decisions, dropped)
 	t.logServerDecisions(serverDecisions, droppedOnServers)
@@ -189,6 +193,9 @@
 	if unknown {
 		notify(t.unknownJobs)
 	}
+	if urgentRoster {
+		notify(t.rosterWake)
+	}
 }
 
 // notify sends a signal unless one is pending.
--- a/internal/sched/bench_test.go
+++ b/internal/sched/bench_test.go
@@ -17,6 +17,7 @@
 	s.Configure(epochStart, Config{Queues: map[ident.QueueID]Queue{"quotes": q}})
 	for i := range 350 {
 		s.Register(epochStart, testServer(ServerID(fmt.Sprintf("s%03d", i)), 16))
+		recordServers(s)
 	}
 	for _, cmd := range s.TakeCommands() {
 		if poll, ok := cmd.(PollCommand); ok {
--- a/internal/sched/explain.go
+++ b/internal/sched/explain.go
@@ -66,6 +66,7 @@
 	ServerUnresponsive ServerStatus = "unresponsive"
 	ServerSlowReplies  ServerStatus = "slow-replies"
 	ServerCordoned     ServerStatus = "cordoned"
+	ServerUnrecorded   ServerStatus = "not-in-roster"
 	ServerPaused       ServerStatus = "paused" // after a refused start or in quarantine
 	ServerSuspected    ServerStatus = "suspected"
 	ServerUnusable     ServerStatus = "unusable"
@@ -239,6 +240,8 @@
 		return ServerSlowReplies
 	case v.cordoned || v.cordonMayBeRecorded:
 		return ServerCordoned
+	case v.awaitsRoster():
+		return ServerUnrecorded
 	case now.Before(v.noStartsBefore):
 		return ServerPaused
 	case v.suspicions > 0:
--- a/internal/sched/explain_test.go
+++ b/internal/sched/explain_test.go
@@ -169,6 +169,7 @@
 				f.s.Register(f.now, testServer("s1", 16))
 				poll := f.s.TakeCommands()[0].(PollCommand)
 				f.s.Polled(f.now, "s1", poll.Serial, Inventory{Incarnation: 1, Clock: time.Hour})
+				recordServers(f.s)
 			},
 			waiting: waiting{WaitPass: 1}, servers: servers{ServerFree: 1},
 		},
--- a/internal/sched/fixture_test.go
+++ b/internal/sched/fixture_test.go
@@ -20,6 +20,7 @@
 	adviceRequests []AdviceRequest
 	throttles      []ThrottleCommand
 	endNumbers     map[ServerID]uint64
+	rosterDelayed  bool // servers are recorded in the roster only by recordRoster
 }
 
 var epochStart = time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
@@ -45,8 +46,18 @@
 	return Queue{ID: "quotes", Service: "pool", MaxAttempts: 3, Stretch: 2, Target: time.Second}
 }
 
+// recordServers makes all servers count as recorded in the roster.
+func recordServers(s *Scheduler) {
+	for _, v := range s.servers {
+		v.rosterAddress = v.info.Address
+	}
+}
+
 // collectCommands runs a scheduling pass and collects the advisor calls and the commands.
 func (f *fixture) collectCommands() {
+	if !f.rosterDelayed {
+		recordServers(f.s)
+	}
 	f.s.Schedule(f.now)
 	for request, ok := f.s.NextAdviceRequest(f.now, 0, 0); ok; request, ok = f.s.NextAdviceRequest(f.now, 0, 0) {
 		f.adviceRequests = append(f.adviceRequests, request)
--- a/internal/sched/load_test.go
+++ b/internal/sched/load_test.go
@@ -104,6 +104,7 @@
 	for _, v := range servers {
 		p.servers[v.ID] = &simulatedServer{runs: map[runKey]time.Time{}}
 		p.s.Register(p.now, v)
+		recordServers(p.s)
 	}
 	p.every(passInterval, func() {
 		p.s.Schedule(p.now)
--- a/internal/sched/roster.go
+++ b/internal/sched/roster.go
@@ -45,19 +45,29 @@
 type RosterChange struct {
 	Entry   RosterEntry
 	Removed bool
+	urgent  bool // the server awaits the roster
 	change  uint64
 }
 
 // touchRoster marks the roster record of a server as outdated.
 func (s *Scheduler) touchRoster(v *server) {
+	s.rosterUrgent = s.rosterUrgent || v.awaitsRoster()
 	s.lastRosterChange++ // not counted for each server, as an id may return after its server was removed
 	v.rosterChange = s.lastRosterChange
 	s.rosterDirty[v.info.ID] = v
 }
 
+// awaitsRoster reports whether the server gets no starts before it is recorded with its present address. Without an entry, the next
+// leader doesn't wait for the runs there once the registration has lapsed.
+func (v *server) awaitsRoster() bool { return !v.removed && v.rosterAddress != v.info.Address }
+
+// HasUrgentRosterChanges reports whether servers that await the roster were added since the latest call of TakeRosterChanges.
+func (s *Scheduler) HasUrgentRosterChanges() bool { return s.rosterUrgent }
+
 // TakeRosterChanges returns up to limit changes of the roster. They are returned again unless RosterWritten is called for them.
 // Only one batch may be in flight at a time.
 func (s *Scheduler) TakeRosterChanges(limit int) []RosterChange {
+	s.rosterUrgent = false
 	var out []RosterChange
 	for _, v := range s.rosterDirty {
 		c := s.rosterChange(v)
@@ -66,7 +76,9 @@
 		}
 		out = append(out, c)
 	}
-	slices.SortFunc(out, func(a, b RosterChange) int { return cmp.Compare(a.Entry.Server.ID, b.Entry.Server.ID) })
+	slices.SortFunc(out, func(a, b RosterChange) int {
+		return cmp.Or(cmp.Compare(boolToInt(b.urgent), boolToInt(a.urgent)), cmp.Compare(a.Entry.Server.ID, b.Entry.Server.ID))
+	})
 	out = out[:min(limit, len(out))]
 	for _, c := range out {
 		v := s.rosterDirty[c.Entry.Server.ID]
@@ -84,7 +96,7 @@
 			Server: v.info, Cordoned: v.cordoned, LongLease: v.longLease, UsualLease: v.usualLease,
 			LongRunning: v.longLeaseTasks.any(), LongRunningTasks: v.longLeaseTasks.list(),
 		},
-		Removed: v.removed, change: v.rosterChange,
+		Removed: v.removed, urgent: v.awaitsRoster(), change: v.rosterChange,
 	}
 	if v.cordoned {
 		for _, p := range sortedRuns(v) {
@@ -112,6 +124,10 @@
 			continue
 		}
 		v.cordonMayBeRecorded = c.Entry.Cordoned
+		v.rosterAddress = ""
+		if !c.Removed {
+			v.rosterAddress = c.Entry.Server.Address
+		}
 		v.longLeaseTasks.noteRecorded(c.Entry)
 		if v.rosterChange == c.change && v.removed == c.Removed {
 			delete(s.rosterDirty, id)
@@ -130,6 +146,7 @@
 	delete(s.rosterDirty, e.Server.ID)
 	v := s.servers[e.Server.ID]
 	v.history.registeredAt = time.Time{}
+	v.rosterAddress = e.Server.Address
 	v.usualLease = e.UsualLease && !e.LongLease
 	if e.LongLease {
 		v.longLease, v.formerIncarnationBound = true, s.restoredLongLeaseBound(e)
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -57,6 +57,7 @@
 	durations    durations
 	fleetVersion uint64               // incremented when the set of servers or their capacity changes
 	rosterDirty  map[ServerID]*server // servers whose roster record is outdated
+	rosterUrgent bool                 // see HasUrgentRosterChanges
 
 	lastRosterChange uint64
 
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -129,6 +129,7 @@
 
 	cordoned            bool   // gets no starts, see RosterEntry
 	cordonMayBeRecorded bool   // the store may have the server recorded as cordoned
+	rosterAddress       string // in the server's entry of the roster that the store has for certain; empty without one
 	removed             bool   // removed from Scheduler.servers
 	rosterChange        uint64 // version of the server's roster record
 	history             serverHistory
@@ -147,7 +148,7 @@
 
 // usable reports whether new runs may be placed on the server.
 func (v *server) usable(now time.Time) bool {
-	return v.attached && v.registered && !v.info.Draining && v.failures == 0 && v.answersPromptly() && !v.cordoned && !v.cordonMayBeRecorded &&
+	return v.attached && v.registered && !v.info.Draining && v.failures == 0 && v.answersPromptly() && !v.cordoned && !v.cordonMayBeRecorded && !v.awaitsRoster() &&
 		!now.Before(v.noStartsBefore) && (v.suspicions == 0 || v.finiteRuns == 0) && !v.acknowledgementDue()
 }
 
@@ -220,9 +221,7 @@
 		s.services[info.Service] = append(s.services[info.Service], v)
 	}
 	info.Incarnation = max(info.Incarnation, v.info.Incarnation)
-	if info.Address != v.info.Address || info.Service != v.info.Service {
-		s.touchRoster(v)
-	}
+	sameEntry := info.Address == v.info.Address && info.Service == v.info.Service
 	if info.Draining && !v.info.Draining {
 		v.drainSince = now
 	}
@@ -230,6 +229,9 @@
 		s.fleetVersion++
 	}
 	v.info = info
+	if !sameEntry {
+		s.touchRoster(v)
+	}
 	s.noteRegistration(v)
 	v.registered = true
 	v.unregisteredAt = time.Time{}
--- a/internal/sched/stuck_test.go
+++ b/internal/sched/stuck_test.go
@@ -146,6 +146,7 @@
 	s := New(Options{RunLease: 4 * time.Second, MaxRunLease: 10 * time.Second}, epochStart)
 	for n := range 6300 {
 		s.Register(epochStart, testServer(ServerID(fmt.Sprint("s", n)), 16))
+		recordServers(s)
 	}
 	for n := range 26000 {
 		add := func(id string, tasks int) {
