Ask about no server whose room other advisor calls will take

Cause: a step that has tickets and finds none of their servers free asks its advisor about further ones with room. It left out the room that steps with a call in flight will take only for the order, so in a burst all waiting steps asked about the same few servers, all but one in vain, and asked again after the next end of a run. Each choice read all servers of the service. An advisor call costs the leader about as much as a start, so the overload fed itself.

Now such a step asks only about servers with room besides those claims, and stops reading where the sorted servers have too little. The first call of a step and the renewal of tickets are as before.

--- a/internal/sched/advice_servers.go
+++ b/internal/sched/advice_servers.go
@@ -26,7 +26,7 @@
 }
 
 // byFree returns the servers of a service, those with the most processor time free at the last pass first.
-func (s *Scheduler) byFree(id ServiceID) []*server {
+func (s *Scheduler) byFree(id ServiceID) *freeOrder {
 	o := s.freeOrders[id]
 	if o == nil {
 		o = &freeOrder{}
@@ -34,7 +34,7 @@
 	}
 	all := s.services[id]
 	if o.servers != nil && o.pass == s.passes && o.fleet == s.fleetVersion && len(o.servers) == len(all) {
-		return o.servers
+		return o
 	}
 	o.pass, o.fleet = s.passes, s.fleetVersion
 	o.keys = o.keys[:0]
@@ -51,7 +51,7 @@
 	for _, k := range o.keys {
 		o.servers = append(o.servers, all[k.index])
 	}
-	return o.servers
+	return o
 }
 
 // unclaimed returns the free processor time of a server less what steps with an advisor call in flight will take.
@@ -152,13 +152,20 @@
 // until the answer arrives.
 const placesWanted = 1.5
 
-// freshServers selects servers without an answer: as many as are expected to have room for the missing tasks.
+// freshServers selects servers without an answer: as many as are expected to have room for the missing tasks. Beyond maxServersPerCall,
+// and for a step that has tickets, it selects only servers with room besides what steps with a call in flight will take: in a burst
+// all waiting steps would otherwise ask about the few servers with room, again and again, and all but one of them in vain.
 func (s *Scheduler) freshServers(g *group, q *Queue, missing int) []ServerID {
 	a, charge := &g.advice, g.step.Charge()
 	answered := s.now.Add(q.Advisor.CallTime(1))
 	share, places := s.grantShare(q.ID), 0.0
 	var ids []ServerID
-	for _, v := range s.byFree(q.Service) {
+	order := s.byFree(q.Service)
+	for i, v := range order.servers {
+		onlyWithRoom := len(a.grants) > 0 || len(ids) >= maxServersPerCall
+		if onlyWithRoom && max(order.keys[i].free, 0) < charge.CPU {
+			break // the servers after it have less
+		}
 		s.counts.ServersRead++
 		if v.removed || !v.usable(answered) || !eligible(g.step, v) || !g.allowsAnother(v, 0) {
 			continue
@@ -167,7 +174,7 @@
 			continue
 		}
 		room := g.places(v, charge, missing)
-		if room == 0 && (len(a.grants) > 0 || len(ids) >= maxServersPerCall) {
+		if onlyWithRoom && (room == 0 || max(v.unclaimed(), 0) < charge.CPU) {
 			continue
 		}
 		ids = append(ids, v.info.ID)
