Play data centres that lose the store and each other in turn

In the record, the data centres lose the store one after the other, for about 12 s each. Tests cut single daemons or all of them off the store, never a data centre whose daemons and servers go on reaching each other.

The test has three data centres with their own daemons and servers, and cuts off that of the leader, then that of its successor. Packets are lost or arrive after the cut, registrations of the servers expire, and clocks are 2 % apart.

--- a/internal/coordinator/cell_test.go
+++ b/internal/coordinator/cell_test.go
@@ -47,8 +47,10 @@
 	serverClient coordinator.ServerClient
 	// onLeading is called at the start and the end of terms; it may be nil.
 	onLeading func(leading bool)
-	// region of the daemons that are started next
-	region ident.Region
+	// region, peerDial and clock are those of the daemons that are started next; peerDial and clock may be nil.
+	region   ident.Region
+	peerDial func(ctx context.Context, network, address string) (net.Conn, error)
+	clock    func() time.Time
 
 	mu      sync.Mutex
 	daemons map[ident.MemberID]*daemon
@@ -57,6 +59,7 @@
 // daemon is a daemon of a testCell.
 type daemon struct {
 	member      ident.MemberID
+	address     string // for peers
 	coordinator *coordinator.Coordinator
 	gateway     *entry.Gateway
 	configured  func() bool // whether it has read the configuration
@@ -66,13 +69,15 @@
 
 // newCell returns a cell without daemons. Each task takes the given time.
 func newCell(t *testing.T, hosts int, work time.Duration) *testCell {
+	return newCellOfTasks(t, hosts, func(sched.TaskID) time.Duration { return work })
+}
+
+// newCellOfTasks returns a cell without daemons. A function returns the duration of each task.
+func newCellOfTasks(t *testing.T, hosts int, duration func(sched.TaskID) time.Duration) *testCell {
 	c := &testCell{t: t, store: txstore.New(time.Now), daemons: map[ident.MemberID]*daemon{}}
-	c.fleet = runhost.New(func(sched.TaskID) time.Duration { return work }, func(sched.TaskID) resource.Vector { return taskDemand })
+	c.fleet = runhost.New(duration, func(sched.TaskID) resource.Vector { return taskDemand })
 	for i := range hosts {
-		v := sched.Server{
-			ID: sched.ServerID(fmt.Sprintf("s%d", i)), Incarnation: 1, Address: fmt.Sprintf("s%d:1", i), Service: "pool",
-			Capacity: resource.Vector{CPU: resource.Cores(4), Memory: 1000},
-		}
+		v := testServer(i)
 		c.fleet.Add(v)
 		c.register(v)
 	}
@@ -81,6 +86,14 @@
 	return c
 }
 
+// testServer returns a server of a new cell.
+func testServer(i int) sched.Server {
+	return sched.Server{
+		ID: sched.ServerID(fmt.Sprintf("s%d", i)), Incarnation: 1, Address: fmt.Sprintf("s%d:1", i), Service: "pool",
+		Capacity: resource.Vector{CPU: resource.Cores(4), Memory: 1000},
+	}
+}
+
 // register writes the registration of a server to the store.
 func (c *testCell) register(v sched.Server) {
 	c.t.Helper()
@@ -124,6 +137,7 @@
 	node, err := peer.New(peer.Config{
 		Self:    func() wire.Sender { return wire.Sender{Member: name} },
 		Address: func(ident.MemberID) (string, bool) { return "", false },
+		Dial:    c.peerDial,
 		Log:     logr.Discard(),
 	})
 	if err != nil {
@@ -137,16 +151,19 @@
 		Member: name, Region: c.region, Address: l.Addr().String(), ElectionDelay: electionDelay, Store: s, Policy: watcher, Peer: node,
 		Registry: coordinator.Registry{Prefix: "servers/", Decode: decodeServer}, ServerClient: c.serverClient,
 		Scheduling: bounds.SchedulingOptions(), PresenceTTL: 800 * time.Millisecond, OnLeading: c.onLeading,
-		Log: testr.NewWithOptions(c.t, testr.Options{}).WithName(string(name)),
+		Log: testr.NewWithOptions(c.t, testr.Options{LogTimestamp: true}).WithName(string(name)),
 	})
 	if err != nil {
 		c.t.Fatal(err)
 	}
+	if c.clock != nil {
+		coord.SetClock(c.clock)
+	}
 	var group sync.WaitGroup
 	group.Go(func() { _ = watcher.Run(ctx) })
 	group.Go(func() { _ = node.Serve(ctx, l) })
 	group.Go(func() { _ = coord.Run(ctx) })
-	d := &daemon{member: name, coordinator: coord, gateway: entry.New(entry.Config{
+	d := &daemon{member: name, address: l.Addr().String(), coordinator: coord, gateway: entry.New(entry.Config{
 		Store: s, Policy: watcher, Coordinator: coord, MaxConfigurationAge: 4 * time.Second, FailClosed: true, Log: logr.Discard(),
 		Metrics: metrics.NewSet(),
 	})}
