Leave a share of a limited leader's starts to steps that have waited longest

Cause of such waits: while replies come late in common, the scheduler limits the unanswered starts, and steps of higher rank take all of them for as long as the overload lasts. A retry has the rank of its job: behind all newer steps of a higher priority or with less slack, and last once it is past use. Advisor calls leave a share to starved steps, starts didn't, and since a step in the queue's rear isn't even advised, so that the advisors' share couldn't reach it.

Change: a twentieth of the starts, as of the advisors' time, goes one task at a time to the steps that have waited longest for a start, once that is over 3 s, in services that are mostly free; advice isn't deferred for the next eight of them. Nothing changes without a limit on unanswered starts. Gangs are left out: one would use up the share for long.

--- a/internal/sched/advice.go
+++ b/internal/sched/advice.go
@@ -44,11 +44,12 @@
 	return incarnationID{server: v.info.ID, incarnation: v.info.Incarnation}
 }
 
-// starvation limits the advisor calls for starved steps.
+// starvation limits the advisor calls and the starts for starved steps.
 type starvation struct {
 	budget     time.Duration      // advisor time that starved steps may still use
 	freeBudget time.Duration      // the same for steps of mostly free services
 	mostlyFree map[ServiceID]bool // services with most of their capacity free at the last pass
+	starts     float64            // starts that steps without one for long may still have, see placeStarved
 	noneUntil  time.Time          // no step of the queue for advice is starved before this time
 	pass       uint64             // scheduling pass that filled that queue
 }
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -52,6 +52,7 @@
 	failedRuns     []RunNumber // failed runs of the gang
 	ready          bool        // all steps before it are complete
 	readySince     time.Time
+	lastStart      time.Time // when a task was last started
 	advice         advice
 	noStartsBefore time.Time // pause after a refused start
 	waitReportedAt time.Time // when CheckWaiting last returned the group
--- a/internal/sched/placement.go
+++ b/internal/sched/placement.go
@@ -35,6 +35,7 @@
 	}
 	groups := s.rankedGroups()
 	s.adviceQueue = s.adviceQueue[:0]
+	p.placeStarved(groups)
 	for i := range groups {
 		p.place(&groups[i])
 	}
@@ -65,45 +66,59 @@
 	withheld     *server                   // the best server for latestTask among those that don't admit it yet, or nil
 	latestTask   *task                     // the latest task that pickServer was called for
 	uncounted    *uncountedRuns            // nil until uncountedDemand is called
+	starved      map[*group]bool           // the groups that placeStarved has chosen
 }
 
 // place starts as many tasks of a group as possible.
 func (p *pass) place(r *rankedGroup) {
+	switch {
+	case p.held(r):
+	case r.group.step.Gang:
+		p.placeGang(r)
+	default:
+		if p.placeTasks(r, len(r.group.tasks)) {
+			p.handleNoCapacity(r)
+		}
+	}
+}
+
+// held reports whether no task of a group may start for now, wherever there is room.
+func (p *pass) held(r *rankedGroup) bool {
 	g := r.group
 	// The queue may have been sent to another service since the job was accepted.
 	blocked := p.blocked[unknownInventory{r.queue.Service, g.step.LongRunning}] ||
 		p.blocked[unknownInventory{g.job.spec.Queue.Service, g.step.LongRunning}]
-	if blocked && g.job.inherited && !g.step.Speculative {
-		return
-	}
-	if p.now.Before(g.noStartsBefore) {
-		return
-	}
-	if g.step.Gang {
-		p.placeGang(r)
-		return
-	}
+	return blocked && g.job.inherited && !g.step.Speculative || p.now.Before(g.noStartsBefore)
+}
+
+// placeTasks starts up to limit tasks of a group that is no gang. It reports whether no server has capacity for a further one.
+func (p *pass) placeTasks(r *rankedGroup, limit int) (full bool) {
+	g := r.group
 	for _, t := range g.tasks {
+		if limit <= 0 {
+			return false
+		}
 		if !t.waiting() || t.attemptsMayBeExhausted(r.queue.MaxAttempts) || p.inDoubt[t.id()] {
 			continue
 		}
 		if !p.withinLimit(g, 1) {
-			return
+			return false
 		}
 		v := p.pickServer(r, t, nil)
 		if v == nil {
-			p.handleNoCapacity(r)
-			return
+			return true
 		}
 		if g.step.LongRunning && !p.responds(v, t.lostAt) {
 			continue
 		}
 		if p.startWindowFull() {
 			p.delayedTasks += g.waiting
-			return
+			return false
 		}
 		p.start(t, v, p.nextRun(t), g.advice.ticket(v, p.now))
+		limit--
 	}
+	return false
 }
 
 // attemptsMayBeExhausted reports whether the task has no attempt left if all its runs with an unknown outcome failed.
--- a/internal/sched/reservation.go
+++ b/internal/sched/reservation.go
@@ -93,7 +93,7 @@
 		p.requestLongRunning(p.withheld, r.group, p.latestTask)
 	}
 	if r.queue.Advisor != nil {
-		if p.ticketsWouldExpire(r.queue) {
+		if p.ticketsWouldExpire(r.queue) && !p.starved[r.group] {
 			r.group.advice.deferredAt = p.now
 		} else {
 			p.adviceQueue = append(p.adviceQueue, *r)
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -96,6 +96,8 @@
 // start creates a run and sends its start.
 func (s *Scheduler) start(t *task, v *server, number RunNumber, ticket Ticket) {
 	p := &run{task: t, number: number, server: v, ticket: ticket, phase: phaseStarting, startedAt: s.now, speedPercent: 100}
+	t.group.lastStart = s.now
+	s.starvation.earnStart()
 	s.attachRun(p)
 	s.sendStart(p)
 }
--- /dev/null
+++ b/internal/sched/starved_starts.go
@@ -0,0 +1,57 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// starvedStartShare is the share of the starts of an overloaded leader that goes to the steps which have waited longest for one.
+	starvedStartShare = 0.05
+	// maxStarvedStarts bounds the starts that accumulate for them.
+	maxStarvedStarts = 8
+	// maxStarvedSteps bounds the steps that are next for these starts and get advice in time for them.
+	maxStarvedSteps = 8
+)
+
+// earnStart adds the share of a start that goes to starved steps.
+func (s *starvation) earnStart() { s.starts = min(s.starts+starvedStartShare, maxStarvedStarts) }
+
+// placeStarved starts single tasks of the steps that have waited longest for a start, of services that are mostly free. While the
+// unanswered starts are limited, steps of higher rank could otherwise take them all for as long as the overload lasts, and a task that
+// failed in a nearly finished step would wait with them. Gangs are left out, as one would use up the share for long.
+func (p *pass) placeStarved(groups []rankedGroup) {
+	if p.delay.window == maxStartWindow {
+		return
+	}
+	var starved []*rankedGroup
+	for i := range groups {
+		if r := &groups[i]; p.isStarvedForStart(r) {
+			starved = append(starved, r)
+		}
+	}
+	slices.SortStableFunc(starved, func(a, b *rankedGroup) int {
+		return cmp.Compare(a.group.awaitingStartSince().UnixNano(), b.group.awaitingStartSince().UnixNano())
+	})
+	starved = starved[:min(len(starved), maxStarvedSteps)]
+	p.starved = make(map[*group]bool, len(starved))
+	for _, r := range starved {
+		p.starved[r.group] = true
+		if p.starvation.starts < 1 || p.startWindowFull() {
+			continue
+		}
+		before := p.counts.Starts
+		p.placeTasks(r, 1)
+		p.starvation.starts -= float64(p.counts.Starts - before)
+	}
+}
+
+// isStarvedForStart reports whether a group has waited for a start for longer than starvedAfter although its service is mostly free.
+func (p *pass) isStarvedForStart(r *rankedGroup) bool {
+	g := r.group
+	return g.ready && !g.step.Gang && p.starvation.mostlyFree[r.queue.Service] && p.now.Sub(g.awaitingStartSince()) >= starvedAfter && !p.held(r)
+}
+
+// awaitingStartSince returns the time since which a group has waited for a start.
+func (g *group) awaitingStartSince() time.Time { return latest(g.readySince, g.lastStart) }
