Start a lost task again only once no later leader can have learned its end

A leader that is cut off took a restart of a server (another server at its address, a new incarnation, a clock that went back) for the loss of its runs and started them again at once. A later leader may have read and acknowledged an end as done there before the restart.

A task whose run was released without a reported end now waits until it is certain that no other daemon led at that time. While the store answers that is so at once; a leader without the store, confirmed by all daemons, waits up to a second.

TestLeaseEndNeedsProofThatNoLaterLeaderRenewedIt confirmed the leader for a fixed time, before the release that follows; it confirms it continuously now.

--- a/internal/sched/explain.go
+++ b/internal/sched/explain.go
@@ -54,6 +54,7 @@
 	WaitRoom             WaitReason = "no-room"         // see StepExplanation.Servers
 	WaitReserved         WaitReason = "reserved"        // the servers with room are reserved for steps of a higher rank
 	WaitStartWindow      WaitReason = "start-window"    // too many starts are unanswered
+	WaitConfirmation     WaitReason = "confirmation"    // another daemon may lead and know the end of the run that was lost
 	WaitCommandAnswer    WaitReason = "command-answer"  // its latest start had no answer, and a server that answers commands is sought
 	WaitPass             WaitReason = "next-pass"       // nothing holds it back
 )
@@ -140,6 +141,8 @@
 			return WaitUnknownInventory
 		case s.now.Before(t.noStartsBefore):
 			return WaitPaused
+		case s.lossInDoubt(t):
+			return WaitConfirmation
 		case !r.group.step.Gang && t.attemptsMayBeExhausted(r.queue.MaxAttempts):
 			return WaitLastAttempt
 		case unplaced == WaitPass && !t.unansweredAt.IsZero():
--- a/internal/sched/later_leader_test.go
+++ b/internal/sched/later_leader_test.go
@@ -31,9 +31,15 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			ledUntil := epochStart
-			f := newFixture(t, func(o *Options) {
-				o.RunBase, o.MaxRunLease, o.LedUntil = 1000, 10*time.Second, func() time.Time { return ledUntil }
+			var f *fixture
+			confirmed := false
+			f = newFixture(t, func(o *Options) {
+				o.RunBase, o.MaxRunLease, o.LedUntil = 1000, 10*time.Second, func() time.Time {
+					if confirmed {
+						return f.now
+					}
+					return epochStart
+				}
 			})
 			prepare(f)
 			const longestLease = 15 * time.Second
@@ -43,7 +49,7 @@
 			}
 			f.want("starts without proof", len(f.starts), 0)
 			f.want("silent server removed", f.s.servers["s1"] == nil, false)
-			ledUntil = f.now
+			confirmed = true
 			for range 5 {
 				f.advanceTime(300 * time.Millisecond)
 				f.answerPolls("s2")
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -182,6 +182,12 @@
 	return s.now.After(bound) && (s.options.LedUntil == nil || !s.options.LedUntil().Before(bound))
 }
 
+// lossInDoubt reports whether a later leader may have learned the end of a task's run before this one took that run for lost, as after a
+// restart of its server.
+func (s *Scheduler) lossInDoubt(t *task) bool {
+	return !t.lostAt.IsZero() && s.options.LedUntil != nil && s.options.LedUntil().Before(t.lostAt)
+}
+
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
