Deny to lead only if neither the view nor an own term shows a takeover

Cause: a leader that has lost the store goes on if all other daemons say that they don't lead. A daemon that had just taken over answered by its view of the cell, which shows the takeover only with the next reply to a watch, up to three seconds later if that reply is lost. So the former leader went on beside it.

A daemon's answer names the epoch of its own term, if that is higher.

TestSuccessorWithLateViewDoesNotConfirmFormerLeader failed before (four tasks on two servers) and passes.

--- a/internal/coordinator/confirmation.go
+++ b/internal/coordinator/confirmation.go
@@ -195,10 +195,10 @@
 	}
 )
 
-// answerEpoch handles a query of a peer.
+// answerEpoch handles a query of a peer. The view of a daemon that leads may not show this yet.
 func (c *Coordinator) answerEpoch(_ context.Context, r epochRequest) (epochReply, error) {
 	v := c.view.get()
-	reply := epochReply{Epoch: v.leader.Epoch}
+	reply := epochReply{Epoch: max(v.leader.Epoch, c.ownEpoch())}
 	if r.NewerThan == 0 {
 		return reply, nil // an older daemon, which doesn't use the rest
 	}
@@ -213,6 +213,16 @@
 	return reply, nil
 }
 
+// ownEpoch returns the epoch of this daemon's term, or 0 without one.
+func (c *Coordinator) ownEpoch() ident.Epoch {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.term == nil {
+		return 0
+	}
+	return c.term.leader.Epoch
+}
+
 // queryEpochs asks daemons for the epoch of the latest leader record that they know, and returns the replies.
 func (c *Coordinator) queryEpochs(
 	ctx context.Context, peers map[ident.MemberID]string, newest platform.Revision,
