Hold inherited tasks until no later leader can have read a server that was lost

The replacement or restart of a server of unknown inventory ended the wait for it at once, although a later leader may have acknowledged an end there before.

Inherited tasks now wait until it is certain that no other daemon led when such a server was lost, as lost tasks of this leader do.

TestReplacedServerOfFormerLeaderNeedsProofThatNoLaterLeaderReadItsEnds failed before (one start instead of none) and passes.

--- a/internal/sched/later_leader_restart_test.go
+++ b/internal/sched/later_leader_restart_test.go
@@ -48,3 +48,26 @@
 		})
 	}
 }
+
+// Guards against inherited tasks that start after they are done: a leader that is cut off took the replacement of a server for the end of
+// all runs there, while a later leader had acknowledged an end as done there before.
+func TestReplacedServerOfFormerLeaderNeedsProofThatNoLaterLeaderReadItsEnds(t *testing.T) {
+	ledUntil := epochStart
+	f := newFixture(t, func(o *Options) { o.RunBase, o.LedUntil = 1000, func() time.Time { return ledUntil } })
+	f.s.RestoreServer(f.now, RosterEntry{Server: testServer("s1", 16)})
+	f.s.AddJob(f.now, &Job{ID: "a", Team: "blue", Queue: testQueue(), Accepted: f.now, Steps: []Step{{Count: 1, Demand: cores(1)}}}, Progress{}, true)
+	f.addServer("s2", 16)
+	f.advanceTime(time.Second)
+	f.s.ServerReplaced(f.now, testServer("s1", 16))
+	for range 5 {
+		f.advanceTime(100 * time.Millisecond)
+		f.answerPolls("s2")
+	}
+	f.want("starts without proof", len(f.starts), 0)
+	ledUntil = f.now
+	for range 10 {
+		f.advanceTime(100 * time.Millisecond)
+		f.answerPolls("s2")
+	}
+	f.want("starts with proof", len(f.starts), 1)
+}
--- a/internal/sched/restart.go
+++ b/internal/sched/restart.go
@@ -87,6 +87,7 @@
 // resetIncarnation resets all state of a server's former incarnation except its runs. Commands for that incarnation, with a
 // deadline on its clock, may have given the new one a lease of MaxRunLease.
 func (s *Scheduler) resetIncarnation(v *server) {
+	s.noteUnknownRunsLost(v)
 	v.formerIncarnationBound = s.now.Add(scale(s.options.MaxRunLease, 1+clockDrift) + leaseMargin)
 	v.leaseBound = latest(v.leaseBound, v.formerIncarnationBound)
 	v.longLease, v.longLeaseTasks = true, v.longRunningTasks()
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -56,10 +56,11 @@
 	grantShares   map[ident.QueueID]float64 // share of the servers that a queue's advisor allows, learned from its answers
 	passes        uint64                    // number of scheduling passes
 
-	durations    durations
-	fleetVersion uint64               // incremented when the set of servers or their capacity changes
-	rosterDirty  map[ServerID]*server // servers whose roster record is outdated
-	rosterUrgent bool                 // see HasUrgentRosterChanges
+	durations         durations
+	fleetVersion      uint64               // incremented when the set of servers or their capacity changes
+	rosterDirty       map[ServerID]*server // servers whose roster record is outdated
+	unknownRunsLostAt time.Time            // see noteUnknownRunsLost
+	rosterUrgent      bool                 // see HasUrgentRosterChanges
 
 	lastRosterChange uint64
 
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -179,13 +179,25 @@
 // leaseEnded reports whether a lease whose end is bounded by a time is over for certain. A later leader may have renewed it, unless it took
 // over after that time, so this leader's clock alone doesn't tell.
 func (s *Scheduler) leaseEnded(bound time.Time) bool {
-	return s.now.After(bound) && (s.options.LedUntil == nil || !s.options.LedUntil().Before(bound))
+	return s.now.After(bound) && !s.mayHaveSuccessor(bound)
 }
 
 // lossInDoubt reports whether a later leader may have learned the end of a task's run before this one took that run for lost, as after a
-// restart of its server.
+// restart of its server. A former leader may have started an inherited task on any server that was lost with an unknown inventory.
 func (s *Scheduler) lossInDoubt(t *task) bool {
-	return !t.lostAt.IsZero() && s.options.LedUntil != nil && s.options.LedUntil().Before(t.lostAt)
+	return s.mayHaveSuccessor(t.lostAt) || t.group.job.inherited && s.mayHaveSuccessor(s.unknownRunsLostAt)
+}
+
+// mayHaveSuccessor reports whether a later leader may have taken over before a time; it is false for the zero time.
+func (s *Scheduler) mayHaveSuccessor(at time.Time) bool {
+	return !at.IsZero() && s.options.LedUntil != nil && s.options.LedUntil().Before(at)
+}
+
+// noteUnknownRunsLost notes that a server has ended or restarted, with all runs of former leaders that it hasn't listed.
+func (s *Scheduler) noteUnknownRunsLost(v *server) {
+	if s.options.RunBase > 0 && !v.inventoryKnown {
+		s.unknownRunsLostAt = s.now
+	}
 }
 
 func latest(a, b time.Time) time.Time {
--- a/internal/sched/server_loss.go
+++ b/internal/sched/server_loss.go
@@ -23,6 +23,7 @@
 		s.poll(v, 0, 0)
 		return
 	}
+	s.noteUnknownRunsLost(v)
 	s.loseAllRuns(v, CauseReplaced)
 	s.remove(v, CauseReplaced, held)
 }
