Take a repeated submission for a job that a former leader may have started

Cause: a submission of a job that is recorded already is reported to the leader as a new one. If the record came after the takeover and a former leader, not yet suspended, had started the job, its successor didn't wait for the servers whose inventory it doesn't know. It needs a report more than 2 s after the takeover that comes before the watch of jobs shows the record, as after a lost reply to it.

The report says now that the job was recorded before, and the job counts as inherited, like those that the watch finds.

TestRepeatedSubmissionWaitsForRunsOfFormerLeader failed before (a task on two servers) and passes.

--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -34,6 +34,8 @@
 type (
 	submitRequest struct {
 		Job *sched.Job `json:"job"`
+		// RecordedBefore reports that the job was recorded at an unknown time, so that a former leader may have started it.
+		RecordedBefore bool `json:"recorded-before,omitempty"`
 	}
 	jobRequest struct {
 		ID ident.JobID `json:"id"`
@@ -70,7 +72,7 @@
 func (c *Coordinator) registerHandlers() {
 	n := c.config.Peer
 	peer.Handle(n, methodSubmit, func(_ context.Context, r submitRequest) (leaderReply, error) {
-		return leaderReply{c.submit(r.Job)}, nil
+		return leaderReply{c.submit(r)}, nil
 	})
 	peer.Handle(n, methodCancel, func(_ context.Context, r jobRequest) (leaderReply, error) {
 		return leaderReply{c.cancel(r.ID)}, nil
@@ -100,12 +102,12 @@
 	return t
 }
 
-func (c *Coordinator) submit(j *sched.Job) bool {
+func (c *Coordinator) submit(r submitRequest) bool {
 	t := c.loadedTerm()
-	if t == nil || j == nil {
+	if t == nil || r.Job == nil {
 		return false
 	}
-	t.update(func(now time.Time, s *sched.Scheduler) { s.AddJob(now, j, sched.Progress{}, false) })
+	t.update(func(now time.Time, s *sched.Scheduler) { s.AddJob(now, r.Job, sched.Progress{}, r.RecordedBefore) })
 	return true
 }
 
@@ -162,12 +164,14 @@
 	return resp, nil
 }
 
-// ReportJob tells the leader of a recorded job. If the report is lost, the leader finds the job in the store later.
-func (c *Coordinator) ReportJob(ctx context.Context, j *sched.Job) {
-	if c.submit(j) {
+// ReportJob tells the leader of a job that was recorded just now or, if recordedBefore is set, some time ago. If the report is lost, the
+// leader finds the job in the store later.
+func (c *Coordinator) ReportJob(ctx context.Context, j *sched.Job, recordedBefore bool) {
+	request := submitRequest{j, recordedBefore}
+	if c.submit(request) {
 		return
 	}
-	r, err := callLeader[submitRequest, leaderReply](ctx, c, reportTimeout, methodSubmit, submitRequest{j})
+	r, err := callLeader[submitRequest, leaderReply](ctx, c, reportTimeout, methodSubmit, request)
 	if err != nil || !r.Leading {
 		c.config.Log.Info("job not reported to the leader, which will find it in the store", "job", string(j.ID),
 			"error", describeOutcome(err))
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -207,7 +207,7 @@
 		var conflict *platform.ConflictError
 		switch {
 		case err == nil:
-			go g.reportJob(ctx, job)
+			go g.reportJob(ctx, job, false)
 			return Response{Kind: Accepted}
 		case errors.As(err, &conflict):
 			return g.duplicateSubmission(ctx, job, conflict)
@@ -242,8 +242,8 @@
 }
 
 // reportJob tells the leader of a job, even if the caller's request has ended.
-func (g *Gateway) reportJob(ctx context.Context, job *sched.Job) {
-	g.config.Coordinator.ReportJob(context.WithoutCancel(ctx), job)
+func (g *Gateway) reportJob(ctx context.Context, job *sched.Job, recordedBefore bool) {
+	g.config.Coordinator.ReportJob(context.WithoutCancel(ctx), job, recordedBefore)
 }
 
 // duplicateSubmission returns the response to a submission whose id is already recorded.
@@ -257,7 +257,7 @@
 			return Response{Kind: Invalid, Reason: "id: in use by another job"}
 		}
 		if recorded.Ended == nil {
-			go g.reportJob(ctx, &recorded)
+			go g.reportJob(ctx, &recorded, true)
 		}
 	}
 	return Response{Kind: Accepted, Reason: "recorded before"}
