Give starved steps their share of starts also in services that only look half full

The bound is now three quarters, from which room is short.

The new case of TestStarvedStepsTakeTheirShareOfStarts ('servers that look two thirds full') failed before with a share of 0.

--- a/internal/sched/advice.go
+++ b/internal/sched/advice.go
@@ -46,12 +46,12 @@
 
 // starvation limits the advisor calls and the starts for starved steps.
 type starvation struct {
-	budget     time.Duration      // advisor time that starved steps may still use
-	freeBudget time.Duration      // the same for steps of mostly free services
-	mostlyFree map[ServiceID]bool // services with most of their capacity free at the last pass
-	starts     float64            // starts that steps without one for long may still have, see placeStarved
-	noneUntil  time.Time          // no step of the queue for advice is starved before this time
-	pass       uint64             // scheduling pass that filled that queue
+	budget     time.Duration         // advisor time that starved steps may still use
+	freeBudget time.Duration         // the same for steps of mostly free services
+	usedShare  map[ServiceID]float64 // of each service at the last pass
+	starts     float64               // starts that steps without one for long may still have, see placeStarved
+	noneUntil  time.Time             // no step of the queue for advice is starved before this time
+	pass       uint64                // scheduling pass that filled that queue
 }
 
 // grant is a ticket for an incarnation of a server. It names the server instead of pointing to it, as it may outlive the server.
@@ -131,7 +131,7 @@
 func (s *Scheduler) NextAdviceRequest(now time.Time, moreThan, atMost time.Duration) (AdviceRequest, bool) {
 	s.now = now
 	s.findStarved()
-	onFreeService := func(r *rankedGroup) bool { return s.starvation.mostlyFree[r.queue.Service] }
+	onFreeService := func(r *rankedGroup) bool { return s.starvation.usedShare[r.queue.Service] < mostlyFreeShare }
 	if request, ok := s.starvedRequest(&s.starvation.freeBudget, onFreeService, moreThan, atMost); ok {
 		return request, true
 	}
@@ -204,15 +204,22 @@
 	return oldest
 }
 
-// isMostlyFree reports whether less than half of the capacity of a service's usable servers is in use.
-func (s *Scheduler) isMostlyFree(id ServiceID) bool {
+// mostlyFreeShare is the share of a service's capacity in use below which it counts as mostly free.
+const mostlyFreeShare = 0.5
+
+// usedShare returns the share of the capacity of a service's usable servers that is in use, of the resource that is used most, or 1 if
+// it has none.
+func (s *Scheduler) usedShare(id ServiceID) float64 {
 	var used, whole resource.Vector
 	for _, v := range s.services[id] {
 		if v.usable(s.now) {
 			used, whole = used.Add(v.used), whole.Add(v.info.Capacity)
 		}
 	}
-	return 2*used.CPU < whole.CPU && 2*used.Memory < whole.Memory && 2*used.GPUs <= whole.GPUs
+	if whole.CPU == 0 {
+		return 1
+	}
+	return max(share(int64(used.CPU), int64(whole.CPU)), share(int64(used.Memory), int64(whole.Memory)), share(int64(used.GPUs), int64(whole.GPUs)))
 }
 
 // awaitingAdviceSince returns the time since which a group has waited for an advisor call.
--- a/internal/sched/placement.go
+++ b/internal/sched/placement.go
@@ -26,12 +26,12 @@
 		Scheduler: s, reserved: map[ServerID]bool{}, reservations: map[ServiceID]*serviceReservations{},
 		blocked: map[unknownInventory]bool{}, inDoubt: s.underFormerLongLease(),
 	}
-	s.starvation.mostlyFree = map[ServiceID]bool{}
+	s.starvation.usedShare = map[ServiceID]float64{}
 	for id := range s.services {
 		for _, longRunning := range []bool{false, true} {
 			p.blocked[unknownInventory{id, longRunning}] = s.hasUnknownInventory(id, longRunning)
 		}
-		s.starvation.mostlyFree[id] = s.isMostlyFree(id)
+		s.starvation.usedShare[id] = s.usedShare(id)
 	}
 	groups := s.rankedGroups()
 	s.adviceQueue = s.adviceQueue[:0]
--- a/internal/sched/starved_starts.go
+++ b/internal/sched/starved_starts.go
@@ -13,12 +13,15 @@
 	maxStarvedStarts = 8
 	// maxStarvedSteps bounds the steps that are next for these starts and get advice in time for them.
 	maxStarvedSteps = 8
+	// starvedStartUse is the share of a service's capacity in use from which its starved steps get no share of the starts, as room is short
+	// then. An overloaded leader reads the ends of runs late, so that a service which is half in use may look like it.
+	starvedStartUse = 0.75
 )
 
 // earnStart adds the share of a start that goes to starved steps.
 func (s *starvation) earnStart() { s.starts = min(s.starts+starvedStartShare, maxStarvedStarts) }
 
-// placeStarved starts single tasks of the steps that have waited longest for a start, of services that are mostly free. While the
+// placeStarved starts single tasks of the steps that have waited longest for a start, of services with room. While the
 // unanswered starts are limited, steps of higher rank could otherwise take them all for as long as the overload lasts, and a task that
 // failed in a nearly finished step would wait with them. Gangs are left out, as one would use up the share for long.
 func (p *pass) placeStarved(groups []rankedGroup) {
@@ -47,10 +50,10 @@
 	}
 }
 
-// isStarvedForStart reports whether a group has waited for a start for longer than starvedAfter although its service is mostly free.
+// isStarvedForStart reports whether a group has waited for a start for longer than starvedAfter although its service has room.
 func (p *pass) isStarvedForStart(r *rankedGroup) bool {
 	g := r.group
-	return g.ready && !g.step.Gang && p.starvation.mostlyFree[r.queue.Service] && p.now.Sub(g.awaitingStartSince()) >= starvedAfter && !p.held(r)
+	return g.ready && !g.step.Gang && p.starvation.usedShare[r.queue.Service] < starvedStartUse && p.now.Sub(g.awaitingStartSince()) >= starvedAfter && !p.held(r)
 }
 
 // awaitingStartSince returns the time since which a group has waited for a start.
--- a/internal/sched/starved_starts_test.go
+++ b/internal/sched/starved_starts_test.go
@@ -48,11 +48,16 @@
 func TestStarvedStepsTakeTheirShareOfStarts(t *testing.T) {
 	const passes, width = 100, 64
 	for name, c := range map[string]struct {
+		running  int           // tasks that run all the time, of 1,600
 		interval time.Duration // between passes
 		atLeast  float64       // share of the starts
 		most     float64
 	}{
-		"steps that wait long":           {interval: 100 * time.Millisecond, atLeast: 0.9 * starvedStartShare, most: 1.1 * starvedStartShare},
+		"steps that wait long": {interval: 100 * time.Millisecond, atLeast: 0.9 * starvedStartShare, most: 1.1 * starvedStartShare},
+		"servers that look two thirds full": {
+			running: 1060, interval: 100 * time.Millisecond, atLeast: 0.9 * starvedStartShare, most: 1.1 * starvedStartShare,
+		},
+		"servers that are nearly full":   {running: 1300, interval: 100 * time.Millisecond},
 		"steps that haven't waited long": {},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -66,6 +71,9 @@
 			add := func(id ident.JobID, q Queue, width int) {
 				f.s.AddJob(f.now, &Job{ID: id, Queue: q, Steps: []Step{{Count: width, Demand: cores(1)}}, Accepted: f.now}, Progress{}, false)
 			}
+			add("running", urgent, c.running)
+			f.collectCommands()
+			f.takeStarts()
 			f.s.delay.window = width
 			for i := range 100 {
 				add(ident.JobID(fmt.Sprintf("old-%d", i)), old, 20)
