Look only at servers with ends to record once progress is written

Cause: after each record of progress the leader went through all 1,100 servers to find those whose ends may be acknowledged.

Now the scheduler lists the servers with ends that wait for a record.

--- a/internal/sched/record.go
+++ b/internal/sched/record.go
@@ -110,9 +110,13 @@
 			s.toWrite.add(j)
 		}
 	}
-	for _, v := range s.sortedServers() {
-		s.advanceRecorded(v)
-	}
+	s.endsToRecord = slices.DeleteFunc(s.endsToRecord, func(v *server) bool {
+		if !v.removed {
+			s.advanceRecorded(v)
+		}
+		v.endsToRecord = !v.removed && len(v.unrecordedEnds) > 0
+		return !v.endsToRecord
+	})
 }
 
 // ProgressWriteFailed reports that the progress couldn't be written and has to be taken again.
--- a/internal/sched/record_test.go
+++ b/internal/sched/record_test.go
@@ -2,13 +2,14 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 )
 
 // checkProgressQueue reports a difference between the jobs that wait for a write and those with unrecorded progress and no write in
-// flight.
+// flight, and servers whose ends would never be acknowledged.
 func checkProgressQueue(t *testing.T, s *Scheduler) {
 	t.Helper()
 	some, ended := 0, 0
@@ -22,6 +23,11 @@
 		}
 		ended += boolToInt(j.state.Terminal())
 	}
+	for id, v := range s.servers {
+		if listed := slices.Contains(s.endsToRecord, v); listed != v.endsToRecord || len(v.unrecordedEnds) > 0 && !listed {
+			t.Errorf("%s with %d ends to record is listed: %v, counts as listed: %v", id, len(v.unrecordedEnds), listed, v.endsToRecord)
+		}
+	}
 	if len(s.toWrite.jobs) != some || s.toWrite.ended != ended {
 		t.Errorf("%d jobs with %d ends wait for a write, want %d and %d", len(s.toWrite.jobs), s.toWrite.ended, some, ended)
 	}
@@ -73,3 +79,45 @@
 		s.HasProgressUpdates()
 	}
 }
+
+// Guards against ends that are never acknowledged, since the progress that they belong to was recorded after others.
+func TestEndsAreAcknowledgedOnceRecorded(t *testing.T) {
+	f := newFixture(t, nil)
+	for n := range 3 {
+		f.addServer(ServerID(fmt.Sprintf("s%d", n)), 1)
+		f.addJob(ident.JobID(fmt.Sprintf("j%d", n)), Step{Count: 1, Demand: cores(1)})
+	}
+	for _, start := range f.takeStarts() {
+		f.endRun(start, OutcomeDone)
+	}
+	updates := f.s.TakeProgressUpdates(10)
+	f.want("updates", len(updates), 3)
+	acknowledged := func() []uint64 {
+		checkProgressQueue(t, f.s)
+		out := []uint64{}
+		for _, v := range f.s.sortedServers() {
+			out = append(out, v.recordedUpTo)
+		}
+		slices.Sort(out)
+		return out
+	}
+	f.want("recorded before a write", acknowledged(), []uint64{0, 0, 0})
+	f.s.ProgressWritten(f.now, updates[:1])
+	f.want("recorded after the first write", acknowledged(), []uint64{0, 0, 1})
+	f.s.ProgressWriteFailed(updates[1:])
+	f.want("recorded after a failed write", acknowledged(), []uint64{0, 0, 1})
+	f.s.ProgressWritten(f.now, f.s.TakeProgressUpdates(10))
+	f.want("recorded after its repetition", acknowledged(), []uint64{1, 1, 1})
+	f.want("servers with ends to record", len(f.s.endsToRecord), 0)
+}
+
+// BenchmarkProgressWritten measures a record of progress, of which there are hundreds a second, on a large site without further ends.
+func BenchmarkProgressWritten(b *testing.B) {
+	s := New(Options{}, epochStart)
+	for n := range 1100 {
+		s.Register(epochStart, testServer(ServerID(fmt.Sprintf("s%04d", n)), 16))
+	}
+	for b.Loop() {
+		s.ProgressWritten(epochStart, nil)
+	}
+}
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -272,6 +272,10 @@
 // handleEnd handles an ended run in a server's inventory.
 func (s *Scheduler) handleEnd(v *server, f FinishedRun) {
 	s.counts.Ends++
+	if !v.endsToRecord {
+		v.endsToRecord = true
+		s.endsToRecord = append(s.endsToRecord, v)
+	}
 	if s.jobs[f.Task.Job] == nil {
 		s.unknownJobs[f.Task.Job] = true
 		v.unrecordedEnds = append(v.unrecordedEnds, unrecordedEnd{number: f.Number, job: f.Task.Job, held: &f})
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -69,6 +69,7 @@
 	pending        pendingCounts
 	dirtyJobs      map[ident.JobID]*job // jobs with unrecorded progress
 	toWrite        writeQueue           // those of them without a write in flight
+	endsToRecord   []*server            // servers that have had unrecorded ends since the last record, in the order of the first
 	unknownJobs    map[ident.JobID]bool // jobs that aren't known, but have a run or an end that a server listed
 	endedJobs      []*job               // jobs in a terminal state, in the order in which they ended
 	passNeeded     bool                 // something changed since the last scheduling pass
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -112,6 +112,7 @@
 	unknownOutcomeTasks []*task // tasks of runs that ended here with an unknown outcome
 
 	unrecordedEnds   []unrecordedEnd
+	endsToRecord     bool   // listed in Scheduler.endsToRecord
 	handledUpTo      uint64 // highest number of an ended run that was handled
 	recordedUpTo     uint64 // highest number that may be acknowledged: no end up to it waits to be recorded
 	acknowledgedUpTo uint64
