Format details of starts and ends only for a log that shows them

Cause: the values of log lines at level 1 (starts, stops, ends, advisor calls) were converted and boxed for each of 2,000 starts and ends a second, though the log shows level 0 only.

--- a/internal/coordinator/advice.go
+++ b/internal/coordinator/advice.go
@@ -182,8 +182,10 @@
 	if t.ctx.Err() != nil {
 		return
 	}
-	t.config.Log.V(1).Info("advice", "job", string(request.Job), "step", request.Step, "named", len(request.Servers),
-		"granted", len(tickets), "by", string(proxy.member), "took", t.coordinator.now().Sub(sentAt).String(), "outcome", describeOutcome(err))
+	if detail := t.config.Log.V(1); detail.Enabled() {
+		detail.Info("advice", "job", string(request.Job), "step", request.Step, "named", len(request.Servers),
+			"granted", len(tickets), "by", string(proxy.member), "took", t.coordinator.now().Sub(sentAt).String(), "outcome", describeOutcome(err))
+	}
 	failures := 0
 	t.update(func(now time.Time, s *sched.Scheduler) {
 		failures = t.advisorProxies.callEnded(proxy.member, now, err != nil)
--- a/internal/coordinator/commands.go
+++ b/internal/coordinator/commands.go
@@ -34,8 +34,10 @@
 		return
 	}
 	id := cmd.Server.ID
-	t.config.Log.V(1).Info("start", "job", string(cmd.Task.Job), "step", cmd.Task.Step, "index", cmd.Task.Index,
-		"run", uint64(cmd.Run), "server", string(id), "try", cmd.Attempt, "waited", cmd.JobAge.String(), "outcome", describeOutcome(err))
+	if detail := t.config.Log.V(1); detail.Enabled() {
+		detail.Info("start", "job", string(cmd.Task.Job), "step", cmd.Task.Step, "index", cmd.Task.Index,
+			"run", uint64(cmd.Run), "server", string(id), "try", cmd.Attempt, "waited", cmd.JobAge.String(), "outcome", describeOutcome(err))
+	}
 	var refused *RefusedError
 	t.update(func(now time.Time, s *sched.Scheduler) {
 		switch {
@@ -70,8 +72,10 @@
 	if t.ctx.Err() != nil {
 		return
 	}
-	t.config.Log.V(1).Info("stop", "job", string(cmd.Task.Job), "step", cmd.Task.Step, "index", cmd.Task.Index,
-		"run", uint64(cmd.Run), "server", string(cmd.Server.ID), "reason", cmd.Reason, "outcome", describeOutcome(err))
+	if detail := t.config.Log.V(1); detail.Enabled() {
+		detail.Info("stop", "job", string(cmd.Task.Job), "step", cmd.Task.Step, "index", cmd.Task.Index,
+			"run", uint64(cmd.Run), "server", string(cmd.Server.ID), "reason", cmd.Reason, "outcome", describeOutcome(err))
+	}
 	var refused *RefusedError
 	t.update(func(now time.Time, s *sched.Scheduler) {
 		switch {
--- a/internal/coordinator/poll.go
+++ b/internal/coordinator/poll.go
@@ -54,9 +54,13 @@
 		}
 		return
 	}
+	detail := t.config.Log.V(1)
+	if !detail.Enabled() {
+		return
+	}
 	for _, f := range inv.Finished {
 		if f.Number > cmd.Acknowledged {
-			t.config.Log.V(1).Info("run ended", "job", string(f.Task.Job), "step", f.Task.Step, "index", f.Task.Index,
+			detail.Info("run ended", "job", string(f.Task.Job), "step", f.Task.Step, "index", f.Task.Index,
 				"run", uint64(f.Run), "server", string(id), "end", string(f.Outcome))
 		}
 	}
