Read all servers in a pass only where a waiting step asks for it

Cause: each of 120 to 190 passes a second went through all 1,100 servers to learn which services are mostly free, which only starved steps ask for, and twice to learn which have an unknown inventory, which only inherited jobs ask for.

Evidence: TestPassReadsServersOnlyIfNeeded failed before.

--- a/internal/sched/advice.go
+++ b/internal/sched/advice.go
@@ -48,7 +48,7 @@
 type starvation struct {
 	budget     time.Duration      // advisor time that starved steps may still use
 	freeBudget time.Duration      // the same for steps of mostly free services
-	mostlyFree map[ServiceID]bool // services with most of their capacity free at the last pass
+	mostlyFree map[ServiceID]bool // results of isMostlyFree since the last pass
 	noneUntil  time.Time          // no step of the queue for advice is starved before this time
 	pass       uint64             // scheduling pass that filled that queue
 }
@@ -128,7 +128,7 @@
 func (s *Scheduler) NextAdviceRequest(now time.Time, moreThan, atMost time.Duration) (AdviceRequest, bool) {
 	s.now = now
 	s.findStarved()
-	onFreeService := func(r *rankedGroup) bool { return s.starvation.mostlyFree[r.queue.Service] }
+	onFreeService := func(r *rankedGroup) bool { return s.isMostlyFree(r.queue.Service) }
 	if request, ok := s.starvedRequest(&s.starvation.freeBudget, onFreeService, moreThan, atMost); ok {
 		return request, true
 	}
@@ -201,15 +201,21 @@
 	return oldest
 }
 
-// isMostlyFree reports whether less than half of the capacity of a service's usable servers is in use.
+// isMostlyFree reports whether less than half of the capacity of a service's usable servers is in use. It is computed once a pass and
+// only if a step is starved, as it reads all servers.
 func (s *Scheduler) isMostlyFree(id ServiceID) bool {
+	if free, known := s.starvation.mostlyFree[id]; known {
+		return free
+	}
 	var used, whole resource.Vector
 	for _, v := range s.services[id] {
 		if v.usable(s.now) {
 			used, whole = used.Add(v.used), whole.Add(v.info.Capacity)
 		}
 	}
-	return 2*used.CPU < whole.CPU && 2*used.Memory < whole.Memory && 2*used.GPUs <= whole.GPUs
+	free := 2*used.CPU < whole.CPU && 2*used.Memory < whole.Memory && 2*used.GPUs <= whole.GPUs
+	s.starvation.mostlyFree[id] = free
+	return free
 }
 
 // awaitingAdviceSince returns the time since which a group has waited for an advisor call.
--- a/internal/sched/large_site_test.go
+++ b/internal/sched/large_site_test.go
@@ -105,3 +105,36 @@
 		t.Errorf("%d servers read for %d waiting steps, want at most a tenth of all for each", n, steps)
 	}
 }
+
+// Guards against a leader that reads all servers in each of 200 passes a second, to know of services that no waiting step asks for.
+func TestPassReadsServersOnlyIfNeeded(t *testing.T) {
+	f := newFixture(t, nil)
+	f.s.Configure(f.now, Config{Queues: map[ident.QueueID]Queue{"quotes": starvingQueue()}})
+	f.addServer("s1", 1)
+	f.want("services read for starved steps before one waits", len(f.s.starvation.mostlyFree), 0)
+	f.s.AddJob(f.now, &Job{ID: "j", Queue: starvingQueue(), Steps: []Step{{Count: 1, Demand: cores(1)}}, Accepted: f.now}, Progress{}, false)
+	f.s.Schedule(f.now)
+	f.want("services read for starved steps while one waits", len(f.s.starvation.mostlyFree), 0)
+	f.s.starvation.freeBudget = time.Second
+	f.now = f.now.Add(starvedAfter)
+	f.s.Tick(f.now)
+	f.collectCommands()
+	f.want("services read for starved steps once one is starved", len(f.s.starvation.mostlyFree), 1)
+}
+
+func starvingQueue() Queue {
+	q := testQueue()
+	q.Advisor = &Advisor{BaseTime: 16 * time.Millisecond, TicketValidity: 2 * time.Second}
+	return q
+}
+
+// BenchmarkPassWithoutQueue measures what a pass costs on Bensalem's large site while no task waits.
+func BenchmarkPassWithoutQueue(b *testing.B) {
+	kinds, servers := bensalemLarge()
+	p := newLoadSimulation(1, 1, kinds, servers)
+	p.run(time.Second)
+	for b.Loop() {
+		p.s.passNeeded = true
+		p.s.Schedule(p.now)
+	}
+}
--- a/internal/sched/placement.go
+++ b/internal/sched/placement.go
@@ -26,13 +26,7 @@
 		Scheduler: s, reserved: map[ServerID]bool{}, reservations: map[ServiceID]*serviceReservations{},
 		blocked: map[unknownInventory]bool{}, inDoubt: s.underFormerLongLease(),
 	}
-	s.starvation.mostlyFree = map[ServiceID]bool{}
-	for id := range s.services {
-		for _, longRunning := range []bool{false, true} {
-			p.blocked[unknownInventory{id, longRunning}] = s.hasUnknownInventory(id, longRunning)
-		}
-		s.starvation.mostlyFree[id] = s.isMostlyFree(id)
-	}
+	clear(s.starvation.mostlyFree)
 	groups := s.rankedGroups()
 	s.adviceQueue = s.adviceQueue[:0]
 	for i := range groups {
@@ -53,6 +47,16 @@
 	longRunning bool
 }
 
+// isBlocked returns the result of hasUnknownInventory, which it computes once a pass and only if it is needed, as that reads all servers.
+func (p *pass) isBlocked(u unknownInventory) bool {
+	blocked, known := p.blocked[u]
+	if !known {
+		blocked = p.hasUnknownInventory(u.service, u.longRunning)
+		p.blocked[u] = blocked
+	}
+	return blocked
+}
+
 // pass is the state of one scheduling pass over the ranked groups.
 type pass struct {
 	*Scheduler
@@ -71,9 +75,8 @@
 func (p *pass) place(r *rankedGroup) {
 	g := r.group
 	// The queue may have been sent to another service since the job was accepted.
-	blocked := p.blocked[unknownInventory{r.queue.Service, g.step.LongRunning}] ||
-		p.blocked[unknownInventory{g.job.spec.Queue.Service, g.step.LongRunning}]
-	if blocked && g.job.inherited && !g.step.Speculative {
+	if g.job.inherited && !g.step.Speculative && (p.isBlocked(unknownInventory{r.queue.Service, g.step.LongRunning}) ||
+		p.isBlocked(unknownInventory{g.job.spec.Queue.Service, g.step.LongRunning})) {
 		return
 	}
 	if p.now.Before(g.noStartsBefore) {
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -108,7 +108,7 @@
 		servers: map[ServerID]*server{}, services: map[ServiceID][]*server{},
 		freeOrders: map[ServiceID]*freeOrder{}, grantShares: map[ident.QueueID]float64{},
 		delay: commonDelay{window: maxStartWindow}, durations: newDurations(), dirtyJobs: map[ident.JobID]*job{}, unknownJobs: map[ident.JobID]bool{}, rosterDirty: map[ServerID]*server{},
-		toWrite: writeQueue{jobs: map[ident.JobID]*job{}},
+		toWrite: writeQueue{jobs: map[ident.JobID]*job{}}, starvation: starvation{mostlyFree: map[ServiceID]bool{}},
 	}
 }
 
