--- a/internal/sched/advice.go
+++ b/internal/sched/advice.go
@@ -48,15 +48,17 @@
 type starvation struct {
 	budget     time.Duration         // advisor time that starved steps may still use
 	freeBudget time.Duration         // the same for steps of mostly free services
-	usedShare  map[ServiceID]float64 // of each service at the last pass
+	usedShare  map[ServiceID]float64 // results of usedShare since the last pass
 	starts     float64               // starts that steps without one for long may still have, see placeStarved
 	noneUntil  time.Time             // no step of the queue for advice is starved before this time
 	pass       uint64                // scheduling pass that filled that queue
 }
 
-// grant is a ticket for an incarnation of a server. It names the server instead of pointing to it, as it may outlive the server.
+// grant is a ticket for an incarnation of a server. It names the server as well, since it may outlive the server and be valid for one
+// that is added again.
 type grant struct {
 	holder    incarnationID
+	server    *server // that held it when it was granted
 	ticket    Ticket
 	expiresAt time.Time
 }
@@ -83,13 +85,27 @@
 // ticket returns the valid ticket for a server, or "".
 func (a *advice) ticket(v *server, now time.Time) Ticket {
 	for i := range a.grants {
-		if g := &a.grants[i]; g.holder == v.incarnationID() && now.Before(g.expiresAt) {
+		g := &a.grants[i]
+		if (g.server == v || g.server.removed) && g.holder == v.incarnationID() && now.Before(g.expiresAt) {
 			return g.ticket
 		}
 	}
 	return ""
 }
 
+// serverOf returns the server that holds a ticket now, or nil. It looks the server up by its name only if it was removed meanwhile:
+// passes over a queue ask for it thousands of times.
+func (s *Scheduler) serverOf(g *grant) *server {
+	v := g.server
+	if v.removed {
+		v = s.servers[g.holder.server]
+	}
+	if v == nil || v.info.Incarnation != g.holder.incarnation {
+		return nil
+	}
+	return v
+}
+
 // refusedTicket is a server's refusal of a ticket that wasn't known to have expired.
 type refusedTicket struct {
 	holder incarnationID
@@ -120,7 +136,7 @@
 // grant adds a ticket for a server, replacing an earlier one.
 func (a *advice) grant(v *server, ticket Ticket, until time.Time) {
 	a.forget(v.info.ID)
-	a.grants = append(a.grants, grant{v.incarnationID(), ticket, until})
+	a.grants = append(a.grants, grant{holder: v.incarnationID(), server: v, ticket: ticket, expiresAt: until})
 	a.expiresAt = until
 }
 
@@ -131,7 +147,7 @@
 func (s *Scheduler) NextAdviceRequest(now time.Time, moreThan, atMost time.Duration) (AdviceRequest, bool) {
 	s.now = now
 	s.findStarved()
-	onFreeService := func(r *rankedGroup) bool { return s.starvation.usedShare[r.queue.Service] < mostlyFreeShare }
+	onFreeService := func(r *rankedGroup) bool { return s.usedShare(r.queue.Service) < mostlyFreeShare }
 	if request, ok := s.starvedRequest(&s.starvation.freeBudget, onFreeService, moreThan, atMost); ok {
 		return request, true
 	}
@@ -208,18 +224,23 @@
 const mostlyFreeShare = 0.5
 
 // usedShare returns the share of the capacity of a service's usable servers that is in use, of the resource that is used most, or 1 if
-// it has none.
+// it has none. It is computed once a pass and only if a step is starved, as it reads all servers.
 func (s *Scheduler) usedShare(id ServiceID) float64 {
+	if used, known := s.starvation.usedShare[id]; known {
+		return used
+	}
 	var used, whole resource.Vector
 	for _, v := range s.services[id] {
 		if v.usable(s.now) {
 			used, whole = used.Add(v.used), whole.Add(v.info.Capacity)
 		}
 	}
-	if whole.CPU == 0 {
-		return 1
+	most := 1.0
+	if whole.CPU > 0 {
+		most = max(share(int64(used.CPU), int64(whole.CPU)), share(int64(used.Memory), int64(whole.Memory)), share(int64(used.GPUs), int64(whole.GPUs)))
 	}
-	return max(share(int64(used.CPU), int64(whole.CPU)), share(int64(used.Memory), int64(whole.Memory)), share(int64(used.GPUs), int64(whole.GPUs)))
+	s.starvation.usedShare[id] = most
+	return most
 }
 
 // awaitingAdviceSince returns the time since which a group has waited for an advisor call.
--- a/internal/sched/starved_starts.go
+++ b/internal/sched/starved_starts.go
@@ -53,7 +53,7 @@
 // isStarvedForStart reports whether a group has waited for a start for longer than starvedAfter although its service has room.
 func (p *pass) isStarvedForStart(r *rankedGroup) bool {
 	g := r.group
-	return g.ready && !g.step.Gang && p.starvation.usedShare[r.queue.Service] < starvedStartUse && p.now.Sub(g.awaitingStartSince()) >= starvedAfter && !p.held(r)
+	return g.ready && !g.step.Gang && p.now.Sub(g.awaitingStartSince()) >= starvedAfter && p.usedShare(r.queue.Service) < starvedStartUse && !p.held(r)
 }
 
 // awaitingStartSince returns the time since which a group has waited for a start.
