Test renewed leases also for missing registrations and team limits

The regression test of leases that a later leader may have renewed didn't cover servers whose registration is missing, which are removed then, and the usage of a former leader's runs in a team's limit. All five cases fail without leaseEnded's second condition and pass with it.

--- a/internal/sched/later_leader_test.go
+++ b/internal/sched/later_leader_test.go
@@ -29,6 +29,19 @@
 			f.s.AddJob(f.now, &Job{ID: "a", Team: "blue", Queue: testQueue(), Accepted: f.now, Steps: []Step{step}}, Progress{}, true)
 			f.addServer("s2", 16)
 		},
+		"former leader's run on a server whose registration is missing": func(f *fixture) {
+			f.s.Register(f.now, testServer("s1", 16))
+			f.s.Unregister(f.now, "s1")
+			f.s.AddJob(f.now, &Job{ID: "a", Team: "blue", Queue: testQueue(), Accepted: f.now, Steps: []Step{{Count: 1, Demand: cores(1)}}}, Progress{}, true)
+			f.addServer("s2", 16)
+		},
+		"usage of a former leader's runs in a team's limit": func(f *fixture) {
+			limitFixture{f}.limit(1)
+			f.s.RestoreServer(f.now, RosterEntry{Server: testServer("s1", 16)})
+			f.addServer("s2", 16)
+			f.advanceTime(2100 * time.Millisecond) // a job that is accepted after the overlap isn't inherited
+			f.addJob("a", Step{Count: 1, Demand: cores(1)})
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var f *fixture
@@ -45,6 +58,7 @@
 			const longestLease = 15 * time.Second
 			for range int(longestLease / time.Second) {
 				f.advanceTime(time.Second)
+				f.failPolls("s1")
 				f.answerPolls("s2")
 			}
 			f.want("starts without proof", len(f.starts), 0)
@@ -52,6 +66,7 @@
 			confirmed = true
 			for range 5 {
 				f.advanceTime(300 * time.Millisecond)
+				f.failPolls("s1")
 				f.answerPolls("s2")
 			}
 			f.want("starts with proof", len(f.starts), 1)
@@ -65,3 +80,12 @@
 		f.answerPoll(id, Inventory{Running: f.running(id, TaskID{}, 0)})
 	}
 }
+
+// failPolls reports the pending poll of a server, if there is one, as failed.
+func (f *fixture) failPolls(id ServerID) {
+	if poll, pending := f.polls[id]; pending {
+		delete(f.polls, id)
+		f.s.PollFailed(f.now, id, poll.Serial)
+		f.collectCommands()
+	}
+}
--- a/internal/soak/network_test.go
+++ b/internal/soak/network_test.go
@@ -44,7 +44,7 @@
 }
 
 // Guards against regression seeds of data-centre-cuts that no longer play the faults by which they failed. Seeds 6 and 8 take too long
-// for every test run; TestLeasesExpireOnlyUnderAConfirmedLeader has their cause.
+// for every test run; TestLeaseEndNeedsProofThatNoLaterLeaderRenewedIt has their cause.
 func TestPlansOfDataCentreCutsProfile(t *testing.T) {
 	short := Options{Profile: ProfileDataCentreCuts, FaultDuration: serverLossDuration, Daemons: cutDaemons, Servers: 6}
 	checkPlanOf(t, short, 1, 0x4f780ba19fbfdea4)
