--- a/internal/sched/advice.go
+++ b/internal/sched/advice.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/rosemaryspoke/rosemaryspoke/pkg/resource"
 )
 
 const (
@@ -220,29 +218,6 @@
 	return oldest
 }
 
-// mostlyFreeShare is the share of a service's capacity in use below which it counts as mostly free.
-const mostlyFreeShare = 0.5
-
-// usedShare returns the share of the capacity of a service's usable servers that is in use, of the resource that is used most, or 1 if
-// it has none. It is computed once a pass and only if a step is starved, as it reads all servers.
-func (s *Scheduler) usedShare(id ServiceID) float64 {
-	if used, known := s.starvation.usedShare[id]; known {
-		return used
-	}
-	var used, whole resource.Vector
-	for _, v := range s.services[id] {
-		if v.usable(s.now) {
-			used, whole = used.Add(v.used), whole.Add(v.info.Capacity)
-		}
-	}
-	most := 1.0
-	if whole.CPU > 0 {
-		most = max(share(int64(used.CPU), int64(whole.CPU)), share(int64(used.Memory), int64(whole.Memory)), share(int64(used.GPUs), int64(whole.GPUs)))
-	}
-	s.starvation.usedShare[id] = most
-	return most
-}
-
 // awaitingAdviceSince returns the time since which a group has waited for an advisor call.
 func (g *group) awaitingAdviceSince() time.Time { return latest(g.readySince, g.advice.lastCall) }
 
--- a/internal/sched/large_site_test.go
+++ b/internal/sched/large_site_test.go
@@ -111,15 +111,15 @@
 	f := newFixture(t, nil)
 	f.s.Configure(f.now, Config{Queues: map[ident.QueueID]Queue{"quotes": starvingQueue()}})
 	f.addServer("s1", 1)
-	f.want("services read for starved steps before one waits", len(f.s.starvation.mostlyFree), 0)
+	f.want("services read for starved steps before one waits", len(f.s.starvation.usedShare), 0)
 	f.s.AddJob(f.now, &Job{ID: "j", Queue: starvingQueue(), Steps: []Step{{Count: 1, Demand: cores(1)}}, Accepted: f.now}, Progress{}, false)
 	f.s.Schedule(f.now)
-	f.want("services read for starved steps while one waits", len(f.s.starvation.mostlyFree), 0)
+	f.want("services read for starved steps while one waits", len(f.s.starvation.usedShare), 0)
 	f.s.starvation.freeBudget = time.Second
 	f.now = f.now.Add(starvedAfter)
 	f.s.Tick(f.now)
 	f.collectCommands()
-	f.want("services read for starved steps once one is starved", len(f.s.starvation.mostlyFree), 1)
+	f.want("services read for starved steps once one is starved", len(f.s.starvation.usedShare), 1)
 }
 
 func starvingQueue() Queue {
