Let a daemon name the epoch of its latest term also after that has ended

Found by the review, by reading: a daemon whose view is late answered with the old epoch again as soon as its own term had ended, so that the former leader could go on beside the lease that this term had granted. The latest own epoch is kept now.

The tests of internal/coordinator pass.

--- a/internal/coordinator/confirmation.go
+++ b/internal/coordinator/confirmation.go
@@ -213,14 +213,11 @@
 	return reply, nil
 }
 
-// ownEpoch returns the epoch of this daemon's term, or 0 without one.
+// ownEpoch returns the epoch of this daemon's latest term, or 0 without one.
 func (c *Coordinator) ownEpoch() ident.Epoch {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.term == nil {
-		return 0
-	}
-	return c.term.leader.Epoch
+	return c.latestEpoch
 }
 
 // queryEpochs asks daemons for the epoch of the latest leader record that they know, and returns the replies.
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -98,6 +98,8 @@
 	mu      sync.Mutex
 	term    *term // nil unless this daemon leads; it may still be loading
 	leaving bool
+	// latestEpoch is that of the latest term. The view may not show it yet when the term has ended.
+	latestEpoch ident.Epoch
 }
 
 // New checks the configuration and returns a coordinator whose handlers for peers are registered.
--- a/internal/coordinator/election.go
+++ b/internal/coordinator/election.go
@@ -142,7 +142,7 @@
 // runTerm runs a term until it ends.
 func (c *Coordinator) runTerm(ctx context.Context, t *term) {
 	c.mu.Lock()
-	c.term = t
+	c.term, c.latestEpoch = t, t.leader.Epoch
 	c.mu.Unlock()
 	reason := t.run(ctx)
 	c.mu.Lock()
