Simulate leaders that go on after a takeover

The random faults of internal/sched replaced a leader that stops at once, and the clocks of the simulated servers ran exactly. So they couldn't show what a leader grants while it is cut off from the store, or which leases outlast the wait of its successors.

TestRandomIsolatedLeaders cuts some servers off with the leader, which goes on there for up to 1.94 s after another one has taken over. Terms may be short, cuts follow each other, jobs may be reported to the former leader first, and server clocks are up to 2 % slow.

The longer lease on an idle server with a slow clock doesn't show here, as servers are idle for too short.

--- a/internal/sched/faulty_server_test.go
+++ b/internal/sched/faulty_server_test.go
@@ -18,6 +18,7 @@
 	finished    []FinishedRun
 	lastEnd     uint64
 	silentUntil time.Time
+	slow        float64 // fraction by which its clock is slow
 }
 
 type faultyServerRun struct {
@@ -90,14 +91,16 @@
 	w.losses.endGang(key, outcome)
 }
 
-func (w *faultSimulation) clock(v *faultyServer) time.Duration { return w.now.Sub(v.started) }
+func (w *faultSimulation) clock(v *faultyServer) time.Duration {
+	return scale(w.now.Sub(v.started), 1-v.slow)
+}
 
 // maxRunLease is the longest lease that a server grants.
 const maxRunLease = 8 * time.Second
 
 func (w *faultSimulation) extendLease(v *faultyServer, deadline time.Duration) {
-	end := v.started.Add(deadline)
-	if limit := w.now.Add(maxRunLease); end.After(limit) {
+	end := v.started.Add(scale(deadline, 1/(1-v.slow)))
+	if limit := w.now.Add(scale(maxRunLease, 1/(1-v.slow))); end.After(limit) {
 		end = limit
 	}
 	if deadline > 0 && end.After(v.lease) {
@@ -107,6 +110,9 @@
 }
 
 func (w *faultSimulation) start(fence FencingToken, cmd StartCommand, sent sendTime) func() {
+	if !w.isolation.reaches(w, fence, cmd.Server.ID) {
+		return nil
+	}
 	v, elsewhere := w.reach(cmd.Server, func() {
 		w.s.StartUnanswered(w.leaderNow(), cmd.Server.ID, cmd.Task, cmd.Run, false)
 	})
@@ -201,6 +207,9 @@
 }
 
 func (w *faultSimulation) stop(fence FencingToken, cmd StopCommand, sent sendTime) func() {
+	if !w.isolation.reaches(w, fence, cmd.Server.ID) {
+		return nil
+	}
 	v, elsewhere := w.reach(cmd.Server, nil)
 	if v == nil {
 		return elsewhere
@@ -219,6 +228,9 @@
 }
 
 func (w *faultSimulation) poll(fence FencingToken, cmd PollCommand, sent sendTime) func() {
+	if !w.isolation.reaches(w, fence, cmd.Server.ID) {
+		return nil
+	}
 	v, elsewhere := w.reach(cmd.Server, func() { w.s.PollFailed(w.leaderNow(), cmd.Server.ID, cmd.Serial) })
 	if v == nil {
 		return elsewhere
--- a/internal/sched/leader_freeze_test.go
+++ b/internal/sched/leader_freeze_test.go
@@ -51,7 +51,9 @@
 	var deliver func()
 	deliver = func() {
 		switch {
-		case w.s != s || f == nil:
+		case f == nil:
+		case w.s != s:
+			w.isolation.as(w, s, f)
 		case w.freeze.frozen(w):
 			w.after(w.freeze.until.Sub(w.now)+time.Duration(w.freeze.random.IntN(30))*time.Millisecond, deliver)
 		default:
--- a/internal/sched/property_test.go
+++ b/internal/sched/property_test.go
@@ -36,9 +36,15 @@
 	}
 	w.s.Schedule(w.leaderNow())
 	w.losses.requestAdvice()
-	if !w.losses.storeIsDown() {
+	if !w.losses.storeIsDown() && !w.isolation.cutsLeader(w) {
 		w.writeStore()
 	}
+	w.sendCommands()
+	w.isolation.step(w)
+}
+
+// sendCommands delivers the commands of the present leader.
+func (w *faultSimulation) sendCommands() {
 	fence, sent := w.epoch, sendTime{w.now, w.leaderNow()}
 	for _, cmd := range w.s.TakeCommands() {
 		switch cmd := cmd.(type) {
@@ -127,7 +133,7 @@
 			steps = append(steps, Step{Count: 2, Demand: cores(2), After: []int{0}})
 		}
 		w.specs[id] = &Job{ID: id, Team: "blue", Queue: testQueue(), Steps: steps, Accepted: w.now}
-		w.s.AddJob(w.leaderNow(), w.specs[id], Progress{}, false)
+		w.isolation.addJob(w, w.specs[id])
 	case n < 51 && !v.info.Draining:
 		v.info.Draining = true
 		w.s.Register(w.leaderNow(), v.info)
@@ -146,7 +152,7 @@
 		w.after(time.Duration(w.random.IntN(2000))*time.Millisecond, func() {
 			w.toLeader(func() { w.s.Register(w.leaderNow(), v.info) })
 		})
-	case n < 54 && w.now.Sub(w.tookOverAt) > 3*time.Second:
+	case n < 54 && w.isolation.random == nil && w.now.Sub(w.tookOverAt) > 3*time.Second:
 		w.takeOver()
 	}
 }
--- a/internal/sched/simulation_test.go
+++ b/internal/sched/simulation_test.go
@@ -35,6 +35,7 @@
 	cancelled       []ident.JobID
 	losses          *serverLosses // nil if servers keep their ids and addresses
 	lateInventories lateInventories
+	isolation       isolation
 }
 
 // delayedCall is a call or a reply that arrives later.
@@ -80,7 +81,7 @@
 	w.freeze.end()
 	w.s = New(Options{
 		RunBase: RunNumber(w.epoch-1) * 1000, RunLease: 4 * time.Second, MaxFormerLease: 4 * time.Second, MaxRunLease: maxRunLease,
-		LeaderOverlap: w.lateInventories.leaderOverlap(), PollWait: 400 * time.Millisecond, MaxStopTime: 50 * time.Millisecond, Retention: time.Hour,
+		LeaderOverlap: w.leaderOverlap(), PollWait: 400 * time.Millisecond, MaxStopTime: 50 * time.Millisecond, Retention: time.Hour,
 	}, w.leaderNow())
 	w.s.Configure(w.leaderNow(), w.config())
 	for i := range len(w.specs) {
