--- a/internal/coordinator/data_centre_cut_test.go
+++ b/internal/coordinator/data_centre_cut_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"hash/fnv"
 	"math"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -45,11 +46,12 @@
 	jobCount int
 }
 
-// newCutCell returns a cell with daemons in each data centre. Clocks of daemons and of servers are 2 % apart.
-func newCutCell(t *testing.T, sites []site) *cutCell {
+// newCutCell returns a cell with daemons in each data centre. Clocks of daemons and of servers are 2 % apart. A function returns the
+// duration of each task.
+func newCutCell(t *testing.T, sites []site, duration func(sched.TaskID) time.Duration) *cutCell {
 	t.Helper()
 	c := &cutCell{
-		testCell: newCellOfTasks(t, serversPerDataCentre*len(sites), durationOf), network: newCutNetwork(),
+		testCell: newCellOfTasks(t, serversPerDataCentre*len(sites), duration), network: newCutNetwork(),
 		sites: map[ident.MemberID]ident.DataCentre{}, servers: map[ident.DataCentre][]sched.Server{}, tasks: map[ident.JobID][]int{},
 	}
 	c.fleet.SetPrerequisites(c.prerequisites)
@@ -62,6 +64,7 @@
 			c.servers[s.dataCentre] = append(c.servers[s.dataCentre], server)
 			c.fleet.SetClockRate(server.ID, rate)
 		}
+		serverSites[spareServer(sites, s.dataCentre).ID] = s.dataCentre
 	}
 	siteOf := func(id sched.ServerID) ident.DataCentre { return serverSites[id] }
 	for _, s := range sites {
@@ -83,6 +86,12 @@
 	return c
 }
 
+// spareServer returns a server in a data centre that isn't part of a new cell.
+func spareServer(sites []site, dc ident.DataCentre) sched.Server {
+	i := slices.IndexFunc(sites, func(s site) bool { return s.dataCentre == dc })
+	return testServer(serversPerDataCentre*len(sites) + i)
+}
+
 // durationOf returns a duration between shortestTask and longestTask that depends on the task's id; short ones are frequent.
 func durationOf(task sched.TaskID) time.Duration {
 	h := fnv.New32a()
@@ -231,7 +240,7 @@
 // servers inside each of them go on reaching each other.
 func TestTasksRunOnceWhileDataCentresAreCutOffInTurn(t *testing.T) {
 	t.Parallel()
-	c := newCutCell(t, []site{{"duluth-a", 3}, {"toledo-a", 3}, {"cleveland-b", 2}})
+	c := newCutCell(t, []site{{"duluth-a", 3}, {"toledo-a", 3}, {"cleveland-b", 2}}, durationOf)
 	c.playCuts(2, 9*time.Second, 3*time.Second)
 	c.awaitAccepted(30 * time.Second)
 	for _, v := range c.fleet.Violations() {
