Don't send a poll that waited for a confirmation after a restart

Callers saw (by a test only): a task that is started after its end. While a leader can't rule out that another one leads, as in a cut from the store, its polls wait for a confirmation, for up to 10 s. If the server restarted meanwhile, such a poll still carried the acknowledgement and the deadline for the former incarnation: the new one dropped ends that it hadn't reported, and got a long lease. Polls in their pause were dropped already.

Change: after the wait, a poll whose server has shown a restart isn't sent and counts as failed.

Evidence: TestUnconfirmedPollIsNotSentAfterARestart failed before (two polls, one for the former incarnation).

--- a/internal/coordinator/poll.go
+++ b/internal/coordinator/poll.go
@@ -23,6 +23,10 @@
 	if cmd.Delay > 0 && !t.isPollCurrent(id, cmd.Serial) {
 		return
 	}
+	if t.isPollOutdated(cmd) {
+		t.update(func(now time.Time, s *sched.Scheduler) { s.PollFailed(now, id, cmd.Serial) })
+		return
+	}
 	overdue := time.AfterFunc(cmd.Timeout, func() { t.pollFailed(cmd, "no reply within "+cmd.Timeout.String()) })
 	sentAt := t.coordinator.now()
 	ctx, cancel := context.WithTimeout(t.ctx, cmd.EndsAfter)
@@ -69,6 +73,13 @@
 	return t.scheduler.IsPollCurrent(id, serial)
 }
 
+// isPollOutdated reports whether the server has restarted while the poll waited for the leader's confirmation.
+func (t *term) isPollOutdated(cmd sched.PollCommand) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.scheduler.IsPollOutdated(cmd)
+}
+
 // pollFailed reports a poll without a reply in time to the scheduler.
 func (t *term) pollFailed(cmd sched.PollCommand, reason string) {
 	if t.ctx.Err() != nil {
--- a/internal/coordinator/unconfirmed_test.go
+++ b/internal/coordinator/unconfirmed_test.go
@@ -60,3 +60,27 @@
 		})
 	}
 }
+
+// Guards against a task that is started after its end: a poll waited for the confirmation of its leader while the server restarted, and its
+// acknowledgement made the new incarnation drop ends that it hadn't reported.
+func TestUnconfirmedPollIsNotSentAfterARestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, _ := newLoggedTerm(t)
+		var sent []sched.PollCommand
+		m.config.ServerClient.Poll = func(_ context.Context, _ sched.FencingToken, cmd sched.PollCommand) (sched.Inventory, error) {
+			sent = append(sent, cmd)
+			return sched.Inventory{Incarnation: cmd.Server.Incarnation, Clock: time.Hour}, nil
+		}
+		v := sched.Server{ID: "s1", Incarnation: 1, Address: "s1:1", Service: "pool"}
+		time.Sleep(isolationTimeout + time.Millisecond)
+		m.update(func(now time.Time, s *sched.Scheduler) { s.Register(now, v) })
+		time.Sleep(100 * time.Millisecond)
+		v.Incarnation = 2
+		m.update(func(now time.Time, s *sched.Scheduler) { s.Register(now, v) })
+		m.confirm(time.Now())
+		time.Sleep(time.Second)
+		if len(sent) != 1 || sent[0].Server.Incarnation != 2 {
+			t.Errorf("polls sent: %+v, want one for the new incarnation", sent)
+		}
+	})
+}
--- a/internal/sched/restart.go
+++ b/internal/sched/restart.go
@@ -84,6 +84,13 @@
 	}
 }
 
+// IsPollOutdated reports whether the server has shown a restart since a poll was requested, so that its acknowledgement and its deadline
+// are meant for a former incarnation.
+func (s *Scheduler) IsPollOutdated(cmd PollCommand) bool {
+	v := s.servers[cmd.Server.ID]
+	return v != nil && (v.info.Incarnation != cmd.Server.Incarnation || v.incarnationUnknown && v.pollSerial != cmd.Serial)
+}
+
 // resetIncarnation resets all state of a server's former incarnation except its runs. Commands for that incarnation, with a
 // deadline on its clock, may have given the new one a lease of MaxRunLease.
 func (s *Scheduler) resetIncarnation(v *server) {
