--- a/internal/sched/advice.go
+++ b/internal/sched/advice.go
@@ -52,8 +52,8 @@
 	pass       uint64                // scheduling pass that filled that queue
 }
 
-// grant is a ticket for an incarnation of a server. It names the server as well, since it may outlive the server and be valid for one
-// that is added again.
+// grant is a ticket for an incarnation of a server. It also names the server, as it may outlive it and be valid for one that is added
+// again.
 type grant struct {
 	holder    incarnationID
 	server    *server // that held it when it was granted
--- a/internal/sched/command_probe.go
+++ b/internal/sched/command_probe.go
@@ -22,8 +22,8 @@
 	return !t.unansweredAt.IsZero() && !v.commandAnsweredAt.Before(latest(t.unansweredAt, t.lostAt))
 }
 
-// awaitsCommandAnswer reports whether a task, whose latest start had no answer, should wait with its start on the server that was just picked
-// for it: that one has answered no command since, but another one may, or may get a ticket. It looks for such a server.
+// awaitsCommandAnswer reports whether a task whose latest start had no answer should wait instead of starting on the server that was just
+// picked for it: that one has answered no command since, but another one may, or may get a ticket. It looks for such a server.
 func (p *pass) awaitsCommandAnswer(r *rankedGroup, t *task, picked *server) bool {
 	if t.unansweredAt.IsZero() || picked.answersCommands(t) {
 		return false
--- a/internal/sched/placement.go
+++ b/internal/sched/placement.go
@@ -98,7 +98,7 @@
 	return p.now.Before(g.noStartsBefore)
 }
 
-// placeTasks starts up to limit tasks of a group that is no gang. It reports whether no server has capacity for a further one.
+// placeTasks starts up to limit tasks of a group that isn't a gang. It reports whether no server has capacity for a further one.
 func (p *pass) placeTasks(r *rankedGroup, limit int) (full bool) {
 	g := r.group
 	for _, t := range g.tasks {
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -151,8 +151,9 @@
 
 // usable reports whether new runs may be placed on the server.
 func (v *server) usable(now time.Time) bool {
-	return v.attached && v.registered && !v.info.Draining && v.failures == 0 && v.answersPromptly() && !v.cordoned && !v.cordonMayBeRecorded && !v.awaitsRoster() &&
-		!now.Before(v.noStartsBefore) && (v.suspicions == 0 || v.finiteRuns == 0) && !v.acknowledgementDue()
+	return v.attached && v.registered && !v.info.Draining && v.failures == 0 && v.answersPromptly() &&
+		!v.cordoned && !v.cordonMayBeRecorded && !v.awaitsRoster() && !now.Before(v.noStartsBefore) &&
+		(v.suspicions == 0 || v.finiteRuns == 0) && !v.acknowledgementDue()
 }
 
 // failedStart reports whether the server recently didn't confirm a start, although it may answer polls.
