Guard the list of polls in a test against concurrent calls

TestUnconfirmedPollIsNotSentAfterARestart collected polls of several goroutines without a lock, which the race detector reports. The checks are the same.

--- a/internal/coordinator/unconfirmed_test.go
+++ b/internal/coordinator/unconfirmed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -66,8 +67,13 @@
 func TestUnconfirmedPollIsNotSentAfterARestart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m, _ := newLoggedTerm(t)
-		var sent []sched.PollCommand
+		var (
+			mu   sync.Mutex
+			sent []sched.PollCommand
+		)
 		m.config.ServerClient.Poll = func(_ context.Context, _ sched.FencingToken, cmd sched.PollCommand) (sched.Inventory, error) {
+			mu.Lock()
+			defer mu.Unlock()
 			sent = append(sent, cmd)
 			return sched.Inventory{Incarnation: cmd.Server.Incarnation, Clock: time.Hour}, nil
 		}
@@ -79,6 +85,8 @@
 		m.update(func(now time.Time, s *sched.Scheduler) { s.Register(now, v) })
 		m.confirm(time.Now())
 		time.Sleep(time.Second)
+		mu.Lock()
+		defer mu.Unlock()
 		if len(sent) != 1 || sent[0].Server.Incarnation != 2 {
 			t.Errorf("polls sent: %+v, want one for the new incarnation", sent)
 		}
