Run the long simulations of the scheduler in parallel

Nine simulations that share nothing run in parallel now, as other packages' tests do. No check is changed.

--- a/internal/sched/burst_test.go
+++ b/internal/sched/burst_test.go
@@ -49,6 +49,7 @@
 // A burst of all kinds of jobs exceeds the capacity of the servers, with one advisor call at a time for each daemon.
 // Guards against large jobs that are on time less than half as often as all jobs of their kind.
 func TestLargeJobsUnderBurst(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(3) {
 		kinds, servers := bensalem()
 		p := newLoadSimulation(seed, 6, kinds, servers)
--- a/internal/sched/isolated_leader_test.go
+++ b/internal/sched/isolated_leader_test.go
@@ -132,6 +132,7 @@
 // Guards against tasks that run twice, and the other violations that TestRandomFaults checks, when leaders are cut off from the store
 // together with servers and go on after a takeover, also several times in a row.
 func TestRandomIsolatedLeaders(t *testing.T) {
+	t.Parallel()
 	const seeds = 40
 	for seed := range uint64(seeds) {
 		w := newIsolationSimulation(t, seed)
--- a/internal/sched/leader_freeze_test.go
+++ b/internal/sched/leader_freeze_test.go
@@ -66,6 +66,7 @@
 // Guards against tasks that run twice, and the other violations that TestRandomFaults checks, when the leader stands still and
 // reads replies late.
 func TestRandomFaultsAndFreezes(t *testing.T) {
+	t.Parallel()
 	const seeds = 30
 	for seed := range uint64(seeds) {
 		w := newFaultSimulation(t, seed)
--- a/internal/sched/property_test.go
+++ b/internal/sched/property_test.go
@@ -184,6 +184,7 @@
 // Checks the invariants of the scheduler under random sequences of faults: server capacity, one run of a task at a time,
 // order of steps, attempts, team limit, and no start after an end.
 func TestRandomFaults(t *testing.T) {
+	t.Parallel()
 	const seeds = 60
 	// Seeds that failed. 1305: a command for a former incarnation had given a server a longer lease before a takeover.
 	// 547, 20667: a start was in flight when an end was reported after its server's lease had expired.
--- a/internal/sched/release_simulation_test.go
+++ b/internal/sched/release_simulation_test.go
@@ -133,6 +133,7 @@
 // Guards against a long-running task without a run for over 9 s during a rolling release, while the leader can't reach some of the
 // servers, their answers are late or the store is down, and against tasks that run twice then.
 func TestRollingReleaseKeepsLongRunningTasks(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(8) {
 		newRelease(t, seed).run()
 		if t.Failed() {
@@ -144,6 +145,7 @@
 // Guards against the same in seeds that failed. 5213, 5248: a lapsed task was started on servers that had just fallen silent, one after the
 // other. 6008: the lease of a draining server that answered no stops was renewed. 5352: see KNOWN-RED.txt.
 func TestRollingReleaseSeeds(t *testing.T) {
+	t.Parallel()
 	for _, seed := range []uint64{5213, 5248, 5352, 6008} {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { newRelease(t, seed).run() })
 	}
--- a/internal/sched/server_losses_liveness_test.go
+++ b/internal/sched/server_losses_liveness_test.go
@@ -128,6 +128,7 @@
 // Guards against tasks that are never started after servers were lost in any way that a platform knows, and against the
 // violations that TestRandomFaults checks.
 func TestRandomServerLosses(t *testing.T) {
+	t.Parallel()
 	const seeds = 24
 	for seed := range uint64(seeds) {
 		l := newServerLosses(emptyFaultSimulation(t, seed))
@@ -143,6 +144,7 @@
 // advisor's answer about a removed server was kept when that one returned under its id. 50699, against a task that runs again after its
 // end: a poll that was sent for the former incarnation acknowledged it.
 func TestServerLossSeeds(t *testing.T) {
+	t.Parallel()
 	for _, seed := range []uint64{220, 489, 710, 905, 972, 1137, 1329, 1777, 1851, 1927, 2103, 2506, 2944, 3524, 50699, 60153, 61290} {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			newServerLosses(emptyFaultSimulation(t, seed)).run()
--- a/internal/sched/uncounted_simulation_test.go
+++ b/internal/sched/uncounted_simulation_test.go
@@ -60,6 +60,7 @@
 // Guards against a team above its limit, and the other violations that TestRandomFaults checks, when jobs are accepted after a
 // takeover while the inventories of some servers aren't known. Found by the soak, seed 2.
 func TestRandomFaultsAndLateInventories(t *testing.T) {
+	t.Parallel()
 	const seeds = 12
 	for seed := range uint64(seeds) {
 		w := newFaultSimulation(t, seed)
