--- a/internal/sched/health_test.go
+++ b/internal/sched/health_test.go
@@ -114,6 +114,7 @@
 // Under the usual load, a tenth of the servers is seven times slower, as on glwfse-spoke scale-1. Guards against late jobs:
 // of many tasks, nearly every job has one on a slow server.
 func TestSlowServersUnderLoad(t *testing.T) {
+	t.Parallel()
 	kinds, servers := sampleExchange(0.3)
 	p := newLoadSimulation(1, 12, kinds, servers)
 	p.t = t
--- a/internal/sched/lapsed_run_test.go
+++ b/internal/sched/lapsed_run_test.go
@@ -46,6 +46,7 @@
 // Guards against a long-running task without a run for over 9 s, while servers with room for it answer: its server falls silent, and
 // the scheduler tries one server after the other that can't take it.
 func TestLapsedRunIsReplacedInTime(t *testing.T) {
+	t.Parallel()
 	for name, begin := range map[string]func(*lapsedRun){
 		"no other fault":               func(*lapsedRun) {},
 		"preferred servers silent too": func(r *lapsedRun) { r.silencePreferred(forever) },
--- a/internal/sched/lease_test.go
+++ b/internal/sched/lease_test.go
@@ -32,6 +32,7 @@
 // Guards against tasks that run twice after a takeover: the lease of a start was computed from a clock reading of minutes ago, so that on
 // a server with a slow clock it lasted longer than the next leader counts on.
 func TestLeaseOnAnIdleServerWithASlowClock(t *testing.T) {
+	t.Parallel()
 	for _, idle := range []time.Duration{time.Second, 10 * time.Second, time.Minute, 10 * time.Minute, 5 * time.Hour} {
 		for name, drift := range map[string]float64{"exact clock": 0, "slow clock": clockDrift} {
 			t.Run(idle.String()+", "+name, func(t *testing.T) {
--- a/internal/sched/refused_start_test.go
+++ b/internal/sched/refused_start_test.go
@@ -8,6 +8,7 @@
 // Guards against thousands of starts of a task that every server refuses, which would use up the run numbers of the term, so that the next
 // leader repeats them; and against a pause that outlasts the refusals.
 func TestRefusedStartsPause(t *testing.T) {
+	t.Parallel()
 	for _, reason := range []Refusal{RefusedOldRun, RefusedLeaseExpired} {
 		for name, longRunning := range map[string]bool{"finite": false, "long-running": true} {
 			t.Run(string(reason)+", "+name, func(t *testing.T) {
--- a/internal/sched/starved_starts_test.go
+++ b/internal/sched/starved_starts_test.go
@@ -11,6 +11,7 @@
 // The load takes more of the leader than there is for 30 s. Guards against jobs with nothing running while most servers are free: a task
 // that failed in a step of 72 had no second run for 20 s, as steps of higher rank took all starts and no advice was asked for (issue 40).
 func TestOverloadLeavesNoJobWithoutStarts(t *testing.T) {
+	t.Parallel()
 	const arrivals = 30 * time.Second
 	kinds, servers := quoting()
 	p := newOverload(t, 0, 48, kinds, servers)
@@ -46,6 +47,7 @@
 
 // Guards against starved steps that take more of an overloaded leader's starts than their share, or less.
 func TestStarvedStepsTakeTheirShareOfStarts(t *testing.T) {
+	t.Parallel()
 	const passes, width = 100, 64
 	for name, c := range map[string]struct {
 		running  int           // tasks that run all the time, of 800
