Move the clock that counts suspensions to a package of its own

The coordinator needs the same clock for the bounds of commands that other daemons send. No change of behaviour; the tests of internal/policy pass.

--- a/internal/policy/follow_test.go
+++ b/internal/policy/follow_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/rosemaryspoke/rosemaryspoke/internal/platform"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/standin/txstore"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/uptime"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 )
 
@@ -73,7 +74,7 @@
 	}
 	c.events.Add(int32(len(events)))
 	if len(events) > 0 {
-		for end := uptime() + time.Duration(c.transfer.Load()); uptime() < end; sleep(ctx, 50*time.Millisecond) {
+		for end := uptime.Now() + time.Duration(c.transfer.Load()); uptime.Now() < end; sleep(ctx, 50*time.Millisecond) {
 			platform.ReportProgress(ctx, 1<<20)
 		}
 	}
@@ -288,7 +289,7 @@
 // the version that the source has.
 func pullOnce(t *testing.T, request, reply func(), source state) *Watcher {
 	t.Helper()
-	s := &Watcher{uptime: uptime, state: source, changed: make(chan struct{})}
+	s := &Watcher{uptime: uptime.Now, state: source, changed: make(chan struct{})}
 	w := NewWatcher(nil, testKey, decodeVersion, logr.Discard())
 	w.FollowPeers(Peers{Pull: func(ctx context.Context, _ string, r PullRequest) (PullReply, error) {
 		request()
@@ -321,7 +322,7 @@
 		"both delayed, as by two suspended daemons": {pause, pause, 3 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
-			confirmedAt := uptime() - c.age
+			confirmedAt := uptime.Now() - c.age
 			source := state{policy: &Policy{Version: 7}, encoded: encoded, revision: 5, confirmedAt: confirmedAt, direct: true}
 			w := pullOnce(t, c.request, c.reply, source)
 			s, _ := w.get()
@@ -338,7 +339,7 @@
 // Guards against a version or a confirmation that a daemon takes from a source with an older version.
 func TestPulledVersionNeverGoesBack(t *testing.T) {
 	w := NewWatcher(nil, testKey, decodeVersion, logr.Discard())
-	confirmedAt := uptime() - time.Second
+	confirmedAt := uptime.Now() - time.Second
 	w.state = state{policy: &Policy{Version: 9}, revision: 50, confirmedAt: confirmedAt}
 	reply := PullReply{Version: 7, Revision: 40, Direct: true, Size: 1, Chunk: []byte("7")}
 	w.FollowPeers(Peers{Pull: func(context.Context, string, PullRequest) (PullReply, error) { return reply, nil }})
@@ -372,7 +373,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		source.put(p, encoded, func(s *state) { s.confirm(uptime(), 5) })
+		source.put(p, encoded, func(s *state) { s.confirm(uptime.Now(), 5) })
 	}
 	set("4")
 	calls := 0
--- a/internal/policy/policy_test.go
+++ b/internal/policy/policy_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/rosemaryspoke/rosemaryspoke/internal/sched"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/standin/txstore"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/uptime"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 )
 
@@ -125,7 +126,7 @@
 		t.Fatalf("not fresh after a read: %v", err)
 	}
 	const suspension = 5 * time.Second
-	w.uptime = func() time.Duration { return uptime() + suspension }
+	w.uptime = func() time.Duration { return uptime.Now() + suspension }
 	if c := w.Current(); c.Fresh(time.Now(), suspension) {
 		t.Errorf("confirmed %s ago after a suspension of %s", time.Since(c.ConfirmedAt), suspension)
 	}
--- a/internal/policy/watcher.go
+++ b/internal/policy/watcher.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/rosemaryspoke/rosemaryspoke/internal/platform"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/uptime"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 )
 
@@ -59,7 +60,7 @@
 
 // NewWatcher returns a watcher of the configuration under a key.
 func NewWatcher(s platform.TransactionalStore, key string, decode func([]byte) (*Policy, error), log logr.Logger) *Watcher {
-	return &Watcher{store: s, key: key, decode: decode, log: log, uptime: uptime, changed: make(chan struct{})}
+	return &Watcher{store: s, key: key, decode: decode, log: log, uptime: uptime.Now, changed: make(chan struct{})}
 }
 
 // Current returns the newest known policy and its last confirmation.
