Let daemons in the servers' data centres make the leader's calls to servers

Cause: the leader sent each start and read each end itself, about 5,000 calls a second, so its one processor bounded the fleet, and what it read late made servers look full. Evidence: on TestLeaderOfManyServersLeavesTheirCallsToOtherDaemons fails, the leader makes 1,049 calls for 720 starts. Change: above 400 servers, commands go in batches (CBOR) to one daemon for each 256 servers of a data centre, with one to spare, which makes the calls and returns outcomes in batches. Decisions, fences, deadlines and acknowledgement stay with the leader. A batch carries the time until which the leader certainly leads, as a reading of the proxy's clock, which also counts suspensions; nothing is sent after it. Proxies refuse former leaders and commands for an earlier incarnation, and judge overdue polls themselves. A proxy that fails shows nothing about servers: its calls are made again.

--- a/internal/coordinator/cell_test.go
+++ b/internal/coordinator/cell_test.go
@@ -47,10 +47,13 @@
 	serverClient coordinator.ServerClient
 	// onLeading is called at the start and the end of terms; it may be nil.
 	onLeading func(leading bool)
-	// region, peerDial and clock are those of the daemons that are started next; peerDial and clock may be nil.
-	region   ident.Region
-	peerDial func(ctx context.Context, network, address string) (net.Conn, error)
-	clock    func() time.Time
+	// region, dataCentre, peerDial and clock are those of the daemons that are started next; peerDial and clock may be nil.
+	region     ident.Region
+	dataCentre ident.DataCentre
+	peerDial   func(ctx context.Context, network, address string) (net.Conn, error)
+	clock      func() time.Time
+	// maxDirectServers is that of the daemons' configuration. With more servers than that the leader calls none itself.
+	maxDirectServers int
 
 	mu      sync.Mutex
 	daemons map[ident.MemberID]*daemon
@@ -74,7 +77,7 @@
 
 // newCellOfTasks returns a cell without daemons. A function returns the duration of each task.
 func newCellOfTasks(t *testing.T, hosts int, duration func(sched.TaskID) time.Duration) *testCell {
-	c := &testCell{t: t, store: txstore.New(time.Now), daemons: map[ident.MemberID]*daemon{}}
+	c := &testCell{t: t, store: txstore.New(time.Now), daemons: map[ident.MemberID]*daemon{}, maxDirectServers: 100}
 	c.fleet = runhost.New(duration, func(sched.TaskID) resource.Vector { return taskDemand })
 	for i := range hosts {
 		v := testServer(i)
@@ -148,10 +151,11 @@
 		GracePeriod: 5 * time.Second, MinStoreLease: 800 * time.Millisecond,
 	}
 	coord, err := coordinator.New(coordinator.Config{
-		Member: name, Region: c.region, Address: l.Addr().String(), ElectionDelay: electionDelay, Store: s, Policy: watcher, Peer: node,
+		Member: name, DataCentre: c.dataCentre, Region: c.region, Address: l.Addr().String(), ElectionDelay: electionDelay, Store: s, Policy: watcher, Peer: node,
 		Registry: coordinator.Registry{Prefix: "servers/", Decode: decodeServer}, ServerClient: c.serverClient,
 		Scheduling: bounds.SchedulingOptions(), PresenceTTL: 800 * time.Millisecond, OnLeading: c.onLeading,
-		Log: testr.NewWithOptions(c.t, testr.Options{LogTimestamp: true}).WithName(string(name)),
+		MaxDirectServers: c.maxDirectServers,
+		Log:              testr.NewWithOptions(c.t, testr.Options{LogTimestamp: true}).WithName(string(name)),
 	})
 	if err != nil {
 		c.t.Fatal(err)
--- a/internal/coordinator/commands.go
+++ b/internal/coordinator/commands.go
@@ -9,17 +9,43 @@
 
 // dispatch sends commands to the servers without waiting; the outcomes return to the scheduler as events.
 func (t *term) dispatch(commands []sched.Command) {
+	now := t.coordinator.now()
 	for _, cmd := range commands {
-		switch cmd := cmd.(type) {
-		case sched.StartCommand:
-			t.goroutines.run(t.ctx, func() { t.startRun(cmd) })
-		case sched.StopCommand:
-			t.goroutines.run(t.ctx, func() { t.stopRun(cmd) })
-		case sched.ThrottleCommand:
-			t.goroutines.run(t.ctx, func() { t.throttleRun(cmd) })
-		case sched.PollCommand:
-			t.goroutines.run(t.ctx, func() { t.pollServer(cmd) })
+		if p := t.proxies.forServer(commandServer(cmd), now); p != nil && p.add(cmd, now) {
+			t.proxies.proxied.Add(1)
+			continue
 		}
+		t.call(cmd)
+	}
+}
+
+// commandServer returns the server of a command.
+func commandServer(cmd sched.Command) *sched.Server {
+	switch cmd := cmd.(type) {
+	case sched.StartCommand:
+		return &cmd.Server
+	case sched.StopCommand:
+		return &cmd.Server
+	case sched.ThrottleCommand:
+		return &cmd.Server
+	case sched.PollCommand:
+		return &cmd.Server
+	}
+	return &sched.Server{}
+}
+
+// call sends a command to its server from this daemon.
+func (t *term) call(cmd sched.Command) {
+	t.proxies.direct.Add(1)
+	switch cmd := cmd.(type) {
+	case sched.StartCommand:
+		t.goroutines.run(t.ctx, func() { t.startRun(cmd) })
+	case sched.StopCommand:
+		t.goroutines.run(t.ctx, func() { t.stopRun(cmd) })
+	case sched.ThrottleCommand:
+		t.goroutines.run(t.ctx, func() { t.throttleRun(cmd) })
+	case sched.PollCommand:
+		t.goroutines.run(t.ctx, func() { t.pollServer(cmd) })
 	}
 }
 
@@ -33,25 +59,34 @@
 	if t.ctx.Err() != nil {
 		return
 	}
-	id := cmd.Server.ID
+	t.logStart(&cmd, err)
+	t.update(func(now time.Time, s *sched.Scheduler) { applyStart(now, s, &cmd, sent, clock, err) })
+}
+
+// logStart logs the outcome of a start.
+func (t *term) logStart(cmd *sched.StartCommand, err error) {
 	if detail := t.config.Log.V(1); detail.Enabled() {
 		detail.Info("start", "job", string(cmd.Task.Job), "step", cmd.Task.Step, "index", cmd.Task.Index,
-			"run", uint64(cmd.Run), "server", string(id), "try", cmd.Attempt, "waited", cmd.JobAge.String(), "outcome", describeOutcome(err))
+			"run", uint64(cmd.Run), "server", string(cmd.Server.ID), "try", cmd.Attempt, "waited", cmd.JobAge.String(),
+			"outcome", describeOutcome(err))
 	}
+}
+
+// applyStart passes the outcome of a start to the scheduler.
+func applyStart(now time.Time, s *sched.Scheduler, cmd *sched.StartCommand, sent time.Time, clock time.Duration, err error) {
+	id := cmd.Server.ID
 	var refused *RefusedError
-	t.update(func(now time.Time, s *sched.Scheduler) {
-		switch {
-		case err == nil:
-			s.Started(now, sent, id, cmd.Task, cmd.Run, clock)
-		case errors.Is(err, ErrInstanceMismatch):
-			s.ServerReplaced(now, cmd.Server)
-			s.StartUnanswered(now, id, cmd.Task, cmd.Run, false) // ends the start if the server has registered elsewhere
-		case errors.As(err, &refused):
-			s.StartRefused(now, sent, id, cmd.Task, cmd.Run, refused.Reason, refused.Clock)
-		default:
-			s.StartUnanswered(now, id, cmd.Task, cmd.Run, !errors.Is(err, ErrNotSent))
-		}
-	})
+	switch {
+	case err == nil:
+		s.Started(now, sent, id, cmd.Task, cmd.Run, clock)
+	case errors.Is(err, ErrInstanceMismatch):
+		s.ServerReplaced(now, cmd.Server)
+		s.StartUnanswered(now, id, cmd.Task, cmd.Run, false) // ends the start if the server has registered elsewhere
+	case errors.As(err, &refused):
+		s.StartRefused(now, sent, id, cmd.Task, cmd.Run, refused.Reason, refused.Clock)
+	default:
+		s.StartUnanswered(now, id, cmd.Task, cmd.Run, !errors.Is(err, ErrNotSent))
+	}
 }
 
 // describeOutcome describes the result of a call in the log.
@@ -72,22 +107,29 @@
 	if t.ctx.Err() != nil {
 		return
 	}
+	t.logStop(&cmd, err)
+	t.update(func(now time.Time, s *sched.Scheduler) { applyStop(now, s, &cmd, sent, clock, err) })
+}
+
+// logStop logs the outcome of a stop.
+func (t *term) logStop(cmd *sched.StopCommand, err error) {
 	if detail := t.config.Log.V(1); detail.Enabled() {
 		detail.Info("stop", "job", string(cmd.Task.Job), "step", cmd.Task.Step, "index", cmd.Task.Index,
 			"run", uint64(cmd.Run), "server", string(cmd.Server.ID), "reason", cmd.Reason, "outcome", describeOutcome(err))
 	}
+}
+
+// applyStop passes the outcome of a stop to the scheduler, which repeats it without an answer.
+func applyStop(now time.Time, s *sched.Scheduler, cmd *sched.StopCommand, sent time.Time, clock time.Duration, err error) {
 	var refused *RefusedError
-	t.update(func(now time.Time, s *sched.Scheduler) {
-		switch {
-		case err == nil:
-			s.Stopped(now, sent, cmd.Server.ID, cmd.Task, cmd.Run, clock)
-		case errors.Is(err, ErrInstanceMismatch):
-			s.ServerReplaced(now, cmd.Server)
-		case errors.As(err, &refused) && refused.Reason == sched.RefusedFenced:
-			s.StopRefused(now)
-		}
-		// Without a response the scheduler repeats the stop.
-	})
+	switch {
+	case err == nil:
+		s.Stopped(now, sent, cmd.Server.ID, cmd.Task, cmd.Run, clock)
+	case errors.Is(err, ErrInstanceMismatch):
+		s.ServerReplaced(now, cmd.Server)
+	case errors.As(err, &refused) && refused.Reason == sched.RefusedFenced:
+		s.StopRefused(now)
+	}
 }
 
 // logDecisions logs why tasks may start again: runs that were released without a reported end, and ends of such runs that
@@ -117,9 +159,19 @@
 	if err == nil || t.ctx.Err() != nil {
 		return
 	}
+	t.logThrottle(&cmd, err)
+	t.update(func(now time.Time, s *sched.Scheduler) { applyThrottle(now, s, &cmd, err) })
+}
+
+// logThrottle logs that a run wasn't throttled.
+func (t *term) logThrottle(cmd *sched.ThrottleCommand, err error) {
 	t.config.Log.Info("run not throttled", "job", string(cmd.Task.Job), "server", string(cmd.Server.ID), "percent", cmd.Percent,
 		"error", err.Error())
+}
+
+// applyThrottle passes the failure of a throttle command to the scheduler.
+func applyThrottle(now time.Time, s *sched.Scheduler, cmd *sched.ThrottleCommand, err error) {
 	if refused := (*RefusedError)(nil); !errors.As(err, &refused) {
-		t.update(func(now time.Time, s *sched.Scheduler) { s.ThrottleUnanswered(now, cmd.Server.ID, cmd.Task, cmd.Run) })
+		s.ThrottleUnanswered(now, cmd.Server.ID, cmd.Task, cmd.Run)
 	}
 }
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -18,6 +18,7 @@
 	"github.com/rosemaryspoke/rosemaryspoke/internal/platform"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/policy"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/sched"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/uptime"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 )
 
@@ -79,7 +80,10 @@
 	Policy        *policy.Watcher
 	Peer          *peer.Node
 	Scheduling    sched.Options // RunBase is set for each term; LeaderOverlap may be set to 0
-	PresenceTTL   time.Duration // time to live of this daemon's presence lease
+	// MaxDirectServers is the number of servers up to which a leader makes all calls to them itself. Calls to a larger fleet go
+	// through daemons of the servers' data centres.
+	MaxDirectServers int
+	PresenceTTL      time.Duration // time to live of this daemon's presence lease
 	// OnLeading is called at the start and at the end of each term of this daemon; it may be nil.
 	OnLeading func(leading bool)
 	Log       logr.Logger
@@ -92,8 +96,10 @@
 	config      Config
 	incarnation string
 	now         func() time.Time
+	uptime      func() time.Duration // clock that also counts suspensions of the host
 	view        *view
 	presence    *presence
+	sessions    callerSessions
 
 	mu      sync.Mutex
 	term    *term // nil unless this daemon leads; it may still be loading
@@ -113,11 +119,12 @@
 	if c.Metrics == nil {
 		c.Metrics = metrics.NewSet()
 	}
-	coordinator := &Coordinator{config: c, incarnation: ident.Random("i"), now: time.Now}
+	coordinator := &Coordinator{config: c, incarnation: ident.Random("i"), now: time.Now, uptime: uptime.Now}
 	coordinator.view = newView(c.Store, c.Log)
 	coordinator.presence = newPresence(c, coordinator.incarnation)
 	coordinator.registerHandlers()
 	coordinator.registerRelayHandlers()
+	coordinator.registerProxyHandler()
 	coordinator.shareConfiguration()
 	coordinator.registerGauges()
 	c.Policy.OnChange(func(p *policy.Policy) {
@@ -130,6 +137,7 @@
 
 // Run keeps the presence record and the view of the cell and takes part in elections until the context ends.
 func (c *Coordinator) Run(ctx context.Context) error {
+	defer c.sessions.end()
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return c.presence.run(ctx) })
 	g.Go(func() error { return c.view.run(ctx) })
--- a/internal/coordinator/data_centre_cut_test.go
+++ b/internal/coordinator/data_centre_cut_test.go
@@ -48,18 +48,23 @@
 
 // newCutCell returns a cell with daemons in each data centre. Clocks of daemons and of servers are 2 % apart. A function returns the
 // duration of each task.
-func newCutCell(t *testing.T, sites []site, duration func(sched.TaskID) time.Duration) *cutCell {
+func newCutCell(t *testing.T, sites []site, duration func(sched.TaskID) time.Duration, changes ...func(*testCell)) *cutCell {
 	t.Helper()
 	c := &cutCell{
 		testCell: newCellOfTasks(t, serversPerDataCentre*len(sites), duration), network: newCutNetwork(),
 		sites: map[ident.MemberID]ident.DataCentre{}, servers: map[ident.DataCentre][]sched.Server{}, tasks: map[ident.JobID][]int{},
 	}
+	for _, change := range changes {
+		change(c.testCell)
+	}
 	c.fleet.SetPrerequisites(c.prerequisites)
 	client, clockRates := c.serverClient, [serversPerDataCentre]float64{0.99, 1.01}
 	serverSites := map[sched.ServerID]ident.DataCentre{}
 	for i, s := range sites {
 		for k, rate := range clockRates {
 			server := testServer(serversPerDataCentre*i + k)
+			server.DataCentre = s.dataCentre
+			c.register(server)
 			serverSites[server.ID] = s.dataCentre
 			c.servers[s.dataCentre] = append(c.servers[s.dataCentre], server)
 			c.fleet.SetClockRate(server.ID, rate)
@@ -73,7 +78,7 @@
 			c.clock = func() time.Time { return base.Add(time.Duration(float64(time.Since(base)) * rate)) }
 			c.peerDial = c.network.dialFrom(s.dataCentre)
 			c.serverClient = c.logged(member, c.network.serverClient(client, s.dataCentre, siteOf))
-			c.sites[member] = s.dataCentre
+			c.sites[member], c.dataCentre = s.dataCentre, s.dataCentre
 			d := c.startWithStore(distantStore{c.store, c.network, s.dataCentre}, member, 50*time.Millisecond)
 			c.network.addDaemon(d.address, s.dataCentre)
 		}
--- a/internal/coordinator/dump.go
+++ b/internal/coordinator/dump.go
@@ -52,6 +52,7 @@
 // capacity and the work that waits for it.
 func (t *term) logLoad(ctx context.Context) error {
 	var previous sched.Counts
+	var previousCalls callCounts
 	for {
 		sleep(ctx, loadInterval)
 		if ctx.Err() != nil {
@@ -72,6 +73,11 @@
 			"servers-read", counts.ServersRead-previous.ServersRead, "starts", counts.Starts-previous.Starts,
 			"ends", counts.Ends-previous.Ends, "polls", counts.Polls-previous.Polls)
 		previous = counts
+		calls := t.proxies.counts()
+		ready, pending := t.proxies.state(t.coordinator.now())
+		t.config.Log.Info("server calls", "direct", calls.direct-previousCalls.direct, "proxied", calls.proxied-previousCalls.proxied,
+			"exchanges", calls.exchanges-previousCalls.exchanges, "failures", calls.failures-previousCalls.failures, "proxies", ready, "pending", pending)
+		previousCalls = calls
 		for _, l := range loads {
 			t.config.Log.Info("load", "service", string(l.Service), "servers", l.Servers, "usable", l.Usable, "cpu", percent(l.CPU),
 				"gpu", percent(l.GPU), "unusable", percent(l.UnusableShare), "running", l.Running, "waiting", l.Waiting, "steps", l.Steps,
@@ -119,6 +125,20 @@
 			return float64(read(s.Counts()))
 		}))
 	}
+	for kind, read := range map[string]func(callCounts) uint64{
+		"direct":    func(n callCounts) uint64 { return n.direct },
+		"proxied":   func(n callCounts) uint64 { return n.proxied },
+		"exchanges": func(n callCounts) uint64 { return n.exchanges },
+		"failures":  func(n callCounts) uint64 { return n.failures },
+	} {
+		m.NewGauge(fmt.Sprintf("rosemaryspoke_term_server_calls{kind=%q}", kind), func() float64 {
+			t := c.loadedTerm()
+			if t == nil {
+				return 0
+			}
+			return float64(read(t.proxies.counts()))
+		})
+	}
 	for _, kind := range sched.StuckKinds {
 		m.NewGauge(fmt.Sprintf("rosemaryspoke_stuck_runs{kind=%q}", string(kind)), c.schedulerGauge(func(s *sched.Scheduler) float64 {
 			return float64(s.StuckRuns(kind))
--- a/internal/coordinator/load.go
+++ b/internal/coordinator/load.go
@@ -203,7 +203,7 @@
 				delete(t.unreadable, e.Key)
 				t.unregister(now, s, id)
 				if known && !t.usesAddress(old.Address) {
-					t.config.ServerClient.CloseConnections(old.Address) // a later call opens them again
+					t.closeConnections(old.Address) // a later call opens them again
 				}
 				continue
 			}
--- a/internal/coordinator/poll.go
+++ b/internal/coordinator/poll.go
@@ -37,27 +37,37 @@
 	if t.ctx.Err() != nil {
 		return
 	}
+	failedInTime := t.logPoll(&cmd, &inv, err, inTime)
+	if err != nil && !failedInTime && !endsPoll(err) {
+		return
+	}
+	t.update(func(now time.Time, s *sched.Scheduler) { applyPoll(now, s, &cmd, inv, err) })
+}
+
+// endsPoll reports whether an error is an answer, which counts also after the poll's timeout.
+func endsPoll(err error) bool {
 	var refused *RefusedError
+	return errors.Is(err, ErrInstanceMismatch) || errors.As(err, &refused) && refused.Reason == sched.RefusedFenced
+}
+
+// logPoll logs the outcome of a poll, and reports whether it failed in time, so that the failure isn't known yet.
+func (t *term) logPoll(cmd *sched.PollCommand, inv *sched.Inventory, err error, inTime bool) bool {
+	id := cmd.Server.ID
 	switch {
 	case err == nil:
 		t.logAnswered(id)
-		t.update(func(now time.Time, s *sched.Scheduler) { s.Polled(now, id, cmd.Serial, inv) })
+		t.logEnds(cmd, inv)
 	case errors.Is(err, ErrInstanceMismatch):
 		t.config.Log.Info("another server responds", "server", string(id), "address", cmd.Server.Address)
-		t.update(func(now time.Time, s *sched.Scheduler) {
-			s.ServerReplaced(now, cmd.Server)
-			s.PollFailed(now, id, cmd.Serial) // ends the poll if the server has registered elsewhere
-		})
-		return
-	case errors.As(err, &refused) && refused.Reason == sched.RefusedFenced:
-		t.update(func(now time.Time, s *sched.Scheduler) { s.StopRefused(now) })
-		return
-	default:
-		if inTime {
-			t.pollFailed(cmd, err.Error())
-		}
-		return
+	case inTime && !endsPoll(err):
+		t.logPollFailed(id, err.Error())
+		return true
 	}
+	return false
+}
+
+// logEnds logs the ended runs that the reply to a poll lists.
+func (t *term) logEnds(cmd *sched.PollCommand, inv *sched.Inventory) {
 	detail := t.config.Log.V(1)
 	if !detail.Enabled() {
 		return
@@ -65,11 +75,28 @@
 	for _, f := range inv.Finished {
 		if f.Number > cmd.Acknowledged {
 			detail.Info("run ended", "job", string(f.Task.Job), "step", f.Task.Step, "index", f.Task.Index,
-				"run", uint64(f.Run), "server", string(id), "end", string(f.Outcome))
+				"run", uint64(f.Run), "server", string(cmd.Server.ID), "end", string(f.Outcome))
 		}
 	}
 }
 
+// applyPoll passes the outcome of a poll to the scheduler.
+func applyPoll(now time.Time, s *sched.Scheduler, cmd *sched.PollCommand, inv sched.Inventory, err error) {
+	id := cmd.Server.ID
+	var refused *RefusedError
+	switch {
+	case err == nil:
+		s.Polled(now, id, cmd.Serial, inv)
+	case errors.Is(err, ErrInstanceMismatch):
+		s.ServerReplaced(now, cmd.Server)
+		s.PollFailed(now, id, cmd.Serial) // ends the poll if the server has registered elsewhere
+	case errors.As(err, &refused) && refused.Reason == sched.RefusedFenced:
+		s.StopRefused(now)
+	default:
+		s.PollFailed(now, id, cmd.Serial)
+	}
+}
+
 // isPollCurrent reports whether a poll is still to be sent.
 func (t *term) isPollCurrent(id sched.ServerID, serial uint64) bool {
 	t.mu.Lock()
@@ -89,12 +116,17 @@
 	if t.ctx.Err() != nil {
 		return
 	}
-	if t.silences.failed(cmd.Server.ID, t.coordinator.now()) {
-		t.config.Log.Info("server poll failed", "server", string(cmd.Server.ID), "error", reason)
-	}
+	t.logPollFailed(cmd.Server.ID, reason)
 	t.update(func(now time.Time, s *sched.Scheduler) { s.PollFailed(now, cmd.Server.ID, cmd.Serial) })
 }
 
+// logPollFailed logs the first failed poll since a server's last reply.
+func (t *term) logPollFailed(id sched.ServerID, reason string) {
+	if t.silences.failed(id, t.coordinator.now()) {
+		t.config.Log.Info("server poll failed", "server", string(id), "error", reason)
+	}
+}
+
 // logAnswered logs the first reply of a server after failed polls.
 func (t *term) logAnswered(id sched.ServerID) {
 	if f, failed := t.silences.answered(id); failed {
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -77,6 +77,8 @@
 	presenceRevision platform.Revision
 	suspended        bool // no commands are sent, see awaitConfirmation
 
+	proxies           *serverProxies
+	proxySerial       atomic.Uint64 // numbers the commands that proxies carry out
 	advisorProxies    advisorProxies
 	progressRevisions progressRevisions
 	silences          silences
@@ -101,7 +103,7 @@
 		wake: make(chan struct{}, 1), flush: make(chan struct{}, 1), done: make(chan struct{}), unknownJobs: make(chan struct{}, 1),
 		rosterWake:     make(chan struct{}, 1),
 		advisorProxies: newAdvisorProxies(), progressRevisions: progressRevisions{byJob: map[ident.JobID]platform.Revision{}},
-		goroutines: newGoroutines(), silences: silences{byServer: map[sched.ServerID]silence{}},
+		proxies: newServerProxies(), goroutines: newGoroutines(), silences: silences{byServer: map[sched.ServerID]silence{}},
 		registered: map[sched.ServerID]sched.Server{}, unreadable: map[string]string{}, rosterRevisions: map[string]platform.Revision{},
 	}
 	t.confirmed.Store(&sentAt)
@@ -243,11 +245,16 @@
 
 // tick advances the timers of the scheduler.
 func (t *term) tick(ctx context.Context) error {
+	var chosenAt time.Time
 	for {
 		sleep(ctx, tickInterval)
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
+		if now := t.coordinator.now(); now.Sub(chosenAt) >= proxyRefreshInterval {
+			chosenAt = now
+			t.chooseProxies()
+		}
 		t.update(func(now time.Time, s *sched.Scheduler) { s.Tick(now) })
 	}
 }
