Decide the same on every processor where a duration is out of range

TestExplainTellsWhyTasksWait failed there, "no advice while tickets would expire: got map[no-advice:1], want map[advice-deferred:1]". The scheduler asked an advisor for tickets that expire before the start.

Cause: ticketsWouldExpire divided by the window of starts and converted the quotient to a duration. With a window of 0 it is infinite, and Go leaves the conversion of a number out of range to the implementation: arm64 gives the nearest integer, x86-64 the smallest. scale has the same fault: callers set estimates, and a learned ratio or a queue's stretch may make a product that no duration can hold.

The inputs of the old test are unchanged.

--- a/internal/sched/common_delay.go
+++ b/internal/sched/common_delay.go
@@ -84,8 +84,9 @@
 	if !p.startWindowFull() {
 		return false
 	}
-	untilStart := time.Duration(float64(p.delay.median) * float64(p.delayedTasks) / float64(p.delay.window))
-	return untilStart > scale(q.Advisor.TicketValidity, maxDelayShare)
+	// The start is sent after delayedTasks/window replies. Both sides are multiplied by the window, which may be 0.
+	untilStart := float64(p.delay.median) * float64(p.delayedTasks)
+	return untilStart > maxDelayShare*float64(q.Advisor.TicketValidity)*float64(p.delay.window)
 }
 
 // startWindowFull reports whether no further start may be sent until one is answered.
--- a/internal/sched/common_delay_test.go
+++ b/internal/sched/common_delay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -151,3 +152,33 @@
 		})
 	}
 }
+
+// Guards against a decision that depends on the processor: the time until a start was converted to a duration, also where no duration
+// can hold it. x86-64 made the smallest of it, so that an advisor was asked for tickets that expire, arm64 the largest (issue 44).
+func TestTicketsWouldExpire(t *testing.T) {
+	for name, c := range map[string]struct {
+		median       time.Duration
+		delayedTasks int
+		window       int
+		validity     time.Duration
+		want         bool
+	}{
+		"soon enough":             {median: time.Second, delayedTasks: 100, window: 100, validity: 2 * time.Second},
+		"too late":                {median: time.Second, delayedTasks: 101, window: 100, validity: 2 * time.Second, want: true},
+		"zero divisor":            {median: time.Second, delayedTasks: 1, validity: 2 * time.Second, want: true},
+		"zero divided by zero":    {median: time.Second, validity: 2 * time.Second},
+		"zero divisor, no delay":  {delayedTasks: 1, validity: 2 * time.Second},
+		"too large":               {median: time.Second, delayedTasks: math.MaxInt, window: 1, validity: 2 * time.Second, want: true},
+		"too large on both sides": {median: time.Second, delayedTasks: math.MaxInt, window: math.MaxInt, validity: math.MaxInt64},
+		"negative delay":          {median: -time.Second, delayedTasks: math.MaxInt, window: 1, validity: 2 * time.Second},
+		"negative, zero divisor":  {median: -time.Second, delayedTasks: 1, validity: 2 * time.Second},
+		"negative validity":       {median: time.Second, delayedTasks: 1, window: 100, validity: -time.Second, want: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, nil)
+			f.s.delay.median, f.s.delay.window, f.s.unansweredStarts = c.median, c.window, c.window
+			p := &pass{Scheduler: f.s, delayedTasks: c.delayedTasks}
+			f.want("expire", p.ticketsWouldExpire(&Queue{Advisor: &Advisor{TicketValidity: c.validity}}), c.want)
+		})
+	}
+}
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/rosemaryspoke/rosemaryspoke/internal/convert"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/resource"
 )
@@ -209,7 +210,7 @@
 	return b
 }
 
-func scale(d time.Duration, x float64) time.Duration { return time.Duration(float64(d) * x) }
+func scale(d time.Duration, x float64) time.Duration { return convert.Scale(d, x) }
 
 // addServer adds a server unless it is known, and returns it.
 func (s *Scheduler) addServer(info Server, cause Cause) *server {
