Bound the election delay before its conversion to a duration

What callers would see: a host with hardly any processor time or bandwidth leads instead of strong ones. It wasn't seen in an installation.

Cause: ElectionDelay divides by the cores and the bandwidth of the settings file and converts the quotient before it takes the minimum with the longest delay. Where no duration can hold the quotient, x86-64 makes the smallest duration of it, so the delay was negative. The periods derived from very long bounds are of the same class: the retention.

Evidence, on with the new tests: TestElectionDelayTooLarge fails in emulated x86-64 (qemu-user, without the race detector) for a zero divisor, hardly any cores, hardly any bandwidth and an infinite quotient (-2562047h), and passes on arm64. TestPeriodsOfLongBounds fails on both, on arm64 only because periods above 2^60 ns, about 36 years, are bounded now; the retention was negative on x86-64.

Change: both use internal/convert, which replaces the package's own scale.

Measured: internal/cell passes on arm64 with the race detector, the new tests also in emulated x86-64.

--- a/internal/cell/settings.go
+++ b/internal/cell/settings.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/rosemaryspoke/rosemaryspoke/internal/convert"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/sched"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 )
@@ -80,18 +81,17 @@
 	if s.LinkMbps > 0 {
 		delay += float64(bandwidthDelay) / s.LinkMbps
 	}
-	return min(time.Duration(delay), maxElectionDelay)
+	return min(convert.Duration(delay), maxElectionDelay)
 }
 
 // Derive computes the periods from the bounds.
 func (b Bounds) Derive() Periods {
-	scale := func(d time.Duration, x float64) time.Duration { return time.Duration(float64(d) * x) }
 	return Periods{
-		Freshness:       scale(b.MaxRevocationDelay, freshnessFraction),
+		Freshness:       convert.Scale(b.MaxRevocationDelay, freshnessFraction),
 		PresenceTTL:     max(presenceTTL, b.MinStoreLease),
-		RunLease:        min(runLease, scale(b.MaxRunLease, runLeaseFraction)),
-		Drain:           min(readinessDetection, scale(b.GracePeriod, drainFraction)),
-		ShutdownTimeout: scale(b.GracePeriod, shutdownFraction),
+		RunLease:        min(runLease, convert.Scale(b.MaxRunLease, runLeaseFraction)),
+		Drain:           min(readinessDetection, convert.Scale(b.GracePeriod, drainFraction)),
+		ShutdownTimeout: convert.Scale(b.GracePeriod, shutdownFraction),
 	}
 }
 
@@ -102,6 +102,6 @@
 		RunLease: p.RunLease, MaxFormerLease: p.RunLease, MaxRunLease: b.MaxRunLease,
 		LeaderOverlap: leaderOverlap, PollWait: min(pollWait, p.RunLease/3),
 		MaxStopTime: b.MaxStopTime, EarlyStart: b.MaxEarlyStart / 2,
-		Retention: time.Duration(float64(b.Retention) * retentionFactor),
+		Retention: convert.Scale(b.Retention, retentionFactor),
 	}
 }
--- a/internal/cell/settings_test.go
+++ b/internal/cell/settings_test.go
@@ -1,8 +1,11 @@
 package cell
 
 import (
+	"math"
 	"testing"
 	"time"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/convert"
 )
 
 // TestDerivedPeriodsKeepTheirMargins guards against periods that fit only one installation: each must keep its margin
@@ -62,3 +65,48 @@
 		})
 	}
 }
+
+// Guards against an election delay that depends on the processor, because no duration can hold it: that of a host with hardly any
+// processor time was negative on x86-64, so that the host led instead of strong ones.
+func TestElectionDelayTooLarge(t *testing.T) {
+	for name, c := range map[string]struct {
+		settings Settings
+		want     time.Duration
+	}{
+		"usual":                  {settings: Settings{Cores: 1, LinkMbps: 200}, want: 50 * time.Millisecond},
+		"zero divisor":           {settings: Settings{LinkMbps: 200}, want: maxElectionDelay},
+		"hardly any cores":       {settings: Settings{Cores: 1e-300, LinkMbps: 200}, want: maxElectionDelay},
+		"hardly any bandwidth":   {settings: Settings{Cores: 1, LinkMbps: 1e-300}, want: maxElectionDelay},
+		"infinite delay":         {settings: Settings{Cores: math.SmallestNonzeroFloat64, LinkMbps: 200}, want: maxElectionDelay},
+		"infinite cores":         {settings: Settings{Cores: math.Inf(1), LinkMbps: 200}, want: 10 * time.Millisecond},
+		"no limit of the link":   {settings: Settings{Cores: 1}, want: coreDelay},
+		"negative limit of link": {settings: Settings{Cores: 1, LinkMbps: -1}, want: coreDelay},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if d := c.settings.ElectionDelay(); d != c.want {
+				t.Errorf("got %s, want %s", d, c.want)
+			}
+		})
+	}
+}
+
+// Guards against periods that depend on the processor, because no duration can hold the product of a bound and its factor.
+func TestPeriodsOfLongBounds(t *testing.T) {
+	b := Bounds{
+		GracePeriod: math.MaxInt64, MaxRevocationDelay: math.MaxInt64, MaxRunLease: math.MaxInt64, Retention: math.MaxInt64,
+	}
+	p, o := b.Derive(), b.SchedulingOptions()
+	for name, c := range map[string]struct{ got, want time.Duration }{
+		"freshness":        {p.Freshness, convert.MaxDuration},
+		"run lease":        {p.RunLease, runLease},
+		"drain":            {p.Drain, readinessDetection},
+		"shutdown timeout": {p.ShutdownTimeout, convert.MaxDuration},
+		"retention":        {o.Retention, convert.MaxDuration},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if c.got != c.want {
+				t.Errorf("got %s, want %s", c.got, c.want)
+			}
+		})
+	}
+}
