Bound the numbers of command-line flags before their conversion

Evidence, on with the new tests: TestScheduleOfRareArrivals doesn't end with a zero divisor, on arm64 and in emulated x86-64 (qemu-user, without the race detector), stopped after 6 s; TestInvalidScale fails for NaN on both.

Change: the time between arrivals and the time of a cancellation are bounded by internal/convert, NaN is no scale, and cores that no amount can hold are refused with the name of the flag.

--- a/internal/command/job.go
+++ b/internal/command/job.go
@@ -11,6 +11,7 @@
 	"github.com/spf13/pflag"
 	"golang.org/x/term"
 
+	"github.com/rosemaryspoke/rosemaryspoke/internal/convert"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/client"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
@@ -60,8 +61,12 @@
 func (s *specFlags) toSpec(c *cobra.Command) (api.Spec, error) {
 	spec := s.spec
 	spec.Team, spec.Queue, spec.Request = ident.TeamID(s.team), ident.QueueID(s.queue), ident.RequestID(s.requestID)
+	milliCPU := s.cores * 1000
+	if !convert.FitsInt64(milliCPU) {
+		return spec, usageError{fmt.Errorf("--cores: %g is out of range", s.cores)}
+	}
 	spec.Demand = resource.Vector{
-		CPU: resource.MilliCPU(s.cores * 1000), Memory: resource.Megabytes(s.memoryMB), GPUs: resource.Count(s.gpus),
+		CPU: resource.MilliCPU(milliCPU), Memory: resource.Megabytes(s.memoryMB), GPUs: resource.Count(s.gpus),
 	}
 	spec.RunTime, spec.Deadline = api.Millis(s.runTime.Milliseconds()), api.Millis(s.deadline.Milliseconds())
 	spec.Payload = []byte(s.payload)
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"os"
 	"path/filepath"
 	"time"
@@ -70,7 +71,7 @@
 	if c.Duration <= 0 || c.Duration > MaxDuration {
 		return Report{}, fmt.Errorf("duration %s is out of range: must be positive and at most %s", c.Duration, MaxDuration)
 	}
-	if c.Scale <= 0 || c.Scale > MaxScale {
+	if math.IsNaN(c.Scale) || c.Scale <= 0 || c.Scale > MaxScale {
 		return Report{}, fmt.Errorf("scale %g is out of range: must be positive and at most %g", c.Scale, MaxScale)
 	}
 	path := filepath.Join(c.BundleDir, c.Deployment+".yaml")
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -117,6 +117,38 @@
 	}
 }
 
+// Guards against arrivals before the start, or that never end, because no duration can hold the time between two.
+func TestScheduleOfRareArrivals(t *testing.T) {
+	const duration = 10 * time.Second
+	for name, scale := range map[string]float64{
+		"a small scale": 1e-3, "zero divisor": 0, "infinite": math.SmallestNonzeroFloat64, "too large": 1e-300,
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, d := range Deployments() {
+				for _, a := range d.Schedule(7, duration, scale) {
+					if a.At < 0 || a.At >= duration {
+						t.Errorf("arrival of %s at %s", a.Spec.Request, a.At)
+					}
+				}
+			}
+		})
+	}
+}
+
+// Guards against a scale that passes the check as it isn't comparable.
+func TestInvalidScale(t *testing.T) {
+	for name, scale := range map[string]float64{
+		"zero": 0, "negative": -1, "too large": 1e300, "infinite": math.Inf(1), "negative infinite": math.Inf(-1), "NaN": math.NaN(),
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := Run(t.Context(), Config{Deployment: "bensalem", BundleDir: t.TempDir(), Duration: time.Second, Scale: scale})
+			if err == nil || !strings.Contains(err.Error(), "scale") {
+				t.Errorf("got %v, want an error that names the scale", err)
+			}
+		})
+	}
+}
+
 // Guards against quantiles in a unit other than milliseconds, and against a duration above the range being dropped.
 func TestQuantiles(t *testing.T) {
 	h := newHistogram()
--- a/internal/load/wave.go
+++ b/internal/load/wave.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/rosemaryspoke/rosemaryspoke/internal/bundle"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/convert"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/demo"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/platform"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/standin/cell"
@@ -241,7 +242,7 @@
 	startTime := time.Now()
 	for i := len(jobs) - 1; i >= 0; i-- {
 		if w.config.Rate > 0 {
-			sleep(ctx, time.Until(startTime.Add(time.Duration(float64(len(jobs)-1-i)/w.config.Rate*float64(time.Second)))))
+			sleep(ctx, time.Until(startTime.Add(convert.Duration(float64(len(jobs)-1-i)/w.config.Rate*float64(time.Second)))))
 		}
 		group.Go(func() error {
 			from := time.Now()
--- a/internal/load/workload.go
+++ b/internal/load/workload.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/rosemaryspoke/rosemaryspoke/internal/convert"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/demo"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/standin/cell"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
@@ -209,7 +210,7 @@
 		}
 		at := time.Duration(w.startFraction * float64(duration))
 		for n := 0; ; n++ {
-			at += time.Duration(r.ExpFloat64() / (w.rate * scale) * float64(time.Second))
+			at += convert.Duration(r.ExpFloat64() / (w.rate * scale) * float64(time.Second))
 			if at >= duration {
 				break
 			}
