Wait for replies that are late in common before a run is given up

Cause: subtracts what all replies have in common from a server's delay, so that a leader's own delay doesn't make servers look slow. The same figure told mayReportLate that the server answers promptly, so no reply under way was waited for when the lease was over. A common delay may change how much the leader starts, not what counts as proof of an end. Change: mayReportLate uses the delay of the latest reply until this leader handled it.

--- a/internal/sched/poll.go
+++ b/internal/sched/poll.go
@@ -29,7 +29,7 @@
 	serial  uint64
 	at      time.Time
 	address string
-	waits   bool // the server may delay its reply until a run ends
+	wait    time.Duration // how long the server may delay its reply until a run ends
 }
 
 // notePoll records a poll that is about to be sent.
@@ -59,10 +59,10 @@
 	return p, true
 }
 
-// mayReportLate reports whether a server whose replies are late may still answer a poll that reached it during its lease, with
+// mayReportLate reports whether a server whose replies are late, for whatever reason, may still answer a poll that reached it during its lease, with
 // the ends of runs. Servers that answered promptly before they fell silent aren't waited for.
 func (v *server) mayReportLate(now time.Time) bool {
-	if v.answersPromptly() {
+	if v.wholeReplyDelay <= maxStartReplyDelay {
 		return false
 	}
 	return slices.ContainsFunc(v.unansweredPolls, func(p sentPoll) bool {
@@ -97,7 +97,7 @@
 // latestPollWaits reports whether the latest poll is unanswered and doesn't have to be answered at once.
 func (v *server) latestPollWaits() bool {
 	n := len(v.unansweredPolls)
-	return n > 0 && v.unansweredPolls[n-1].waits
+	return n > 0 && v.unansweredPolls[n-1].wait > 0
 }
 
 // responds reports whether a server has answered recently and since a time. If it hasn't, it is polled, also beside a poll that waits
@@ -132,7 +132,7 @@
 	s.counts.Polls++
 	s.lastPollSerial++
 	v.pollSerial = s.lastPollSerial
-	v.notePoll(sentPoll{serial: v.pollSerial, at: s.now.Add(delay), address: v.info.Address, waits: wait > 0})
+	v.notePoll(sentPoll{serial: v.pollSerial, at: s.now.Add(delay), address: v.info.Address, wait: wait})
 	v.acknowledgedUpTo = v.acknowledgeable()
 	cmd := PollCommand{
 		Server: v.info, Acknowledged: v.acknowledgedUpTo, Wait: wait,
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -110,6 +110,7 @@
 	unansweredPolls []sentPoll
 	replyDelay      time.Duration // recent delay of replies to polls, see noteReplyDelay
 	lastReplyDelay  time.Duration // of the latest reply
+	wholeReplyDelay time.Duration // of the latest reply until this leader handled it; what all replies have in common is part of it
 	polledAt        time.Time
 	failures        int // consecutive failed calls, including unanswered starts
 
