--- a/internal/coordinator/commands.go
+++ b/internal/coordinator/commands.go
@@ -143,7 +143,9 @@
 		t.config.Log.Info(message, "job", string(d.Task.Job), "occurrence", d.Task.Occurrence, "step", d.Task.Step, "index", d.Task.Index,
 			"run", uint64(d.Run), "server", string(d.Server), "cause", string(d.Cause), "phase", d.Phase, "end", string(d.Outcome),
 			"number", d.Number, "failures", d.Failures, "poll-age", d.PollAge.String(), "clock", d.Clock.String(),
-			"clock-age", d.ClockAge.String(), "granted-until", d.GrantedUntil.String())
+			"clock-age", d.ClockAge.String(), "granted-until", d.GrantedUntil.String(),
+			"reply-delay", d.ReplyDelay.String(), "common-delay", d.CommonDelay.String(), "lead-age", d.LeadAge.String(),
+			"epoch", uint64(t.leader.Epoch))
 	}
 	if dropped > 0 {
 		t.config.Log.Info("decisions not logged", "count", dropped)
--- a/internal/coordinator/dump.go
+++ b/internal/coordinator/dump.go
@@ -63,12 +63,13 @@
 		passTime := t.passTime
 		t.passTime = 0
 		replyDelay, startWindow := t.scheduler.CommonDelay()
+		longestReply := t.scheduler.LongestReplyDelay()
 		stuck, waiting := t.scheduler.CheckRuns(t.coordinator.now()), t.scheduler.CheckWaiting(t.coordinator.now())
 		t.mu.Unlock()
 		t.logStuckRuns(stuck)
 		t.logWaitingSteps(waiting)
 		t.config.Log.Info("advice load", "daemons", len(t.coordinator.peerAddresses())+1, "busy", busy, "calls", counts.Advice-previous.Advice,
-			"reply-delay", replyDelay.String(), "start-window", startWindow)
+			"reply-delay", replyDelay.String(), "longest-reply", longestReply.String(), "start-window", startWindow)
 		t.config.Log.Info("scheduling load", "passes", counts.Passes-previous.Passes, "pass-time", passTime.String(),
 			"servers-read", counts.ServersRead-previous.ServersRead, "starts", counts.Starts-previous.Starts,
 			"ends", counts.Ends-previous.Ends, "polls", counts.Polls-previous.Polls)
--- a/internal/sched/common_delay.go
+++ b/internal/sched/common_delay.go
@@ -30,6 +30,7 @@
 	samples [delaySamples]delaySample
 	next    int
 	median  time.Duration
+	longest time.Duration // of the delays since it was last read; unlike the median it isn't bounded
 	window  int // starts that may be unanswered at once
 }
 
@@ -41,6 +42,7 @@
 
 // add records the delay of a reply.
 func (c *commonDelay) add(now time.Time, delay time.Duration) {
+	c.longest = max(c.longest, delay)
 	c.samples[c.next] = delaySample{now, delay}
 	c.next = (c.next + 1) % delaySamples
 }
@@ -68,6 +70,13 @@
 // CommonDelay returns by how much the replies of all servers are late, and how many starts may be unanswered at once.
 func (s *Scheduler) CommonDelay() (time.Duration, int) { return s.delay.median, s.delay.window }
 
+// LongestReplyDelay returns the longest delay of a reply to a command since its last call.
+func (s *Scheduler) LongestReplyDelay() time.Duration {
+	longest := s.delay.longest
+	s.delay.longest = 0
+	return longest
+}
+
 // Congested reports whether the leader handles replies so late that it should do less at once.
 func (s *Scheduler) Congested() bool { return s.delay.median > usualDelay }
 
--- a/internal/sched/decision.go
+++ b/internal/sched/decision.go
@@ -31,6 +31,9 @@
 	Clock        time.Duration // the server's clock at the last reading
 	ClockAge     time.Duration // time since that reading
 	GrantedUntil time.Duration // end of the longest lease that was granted, on the server's clock
+	ReplyDelay   time.Duration // of the server's latest reply until this leader handled it
+	CommonDelay  time.Duration // by how much the replies of all servers are late
+	LeadAge      time.Duration // time since the latest moment at which certainly no other daemon led
 }
 
 // maxDecisions bounds the decisions kept until TakeDecisions is called; further ones are counted only.
@@ -51,6 +54,10 @@
 	}
 	d.Server, d.Failures, d.PollAge = v.info.ID, v.failures, s.now.Sub(v.polledAt)
 	d.Clock, d.ClockAge, d.GrantedUntil = v.clock, s.now.Sub(v.clockAt), v.grantedUntil
+	d.ReplyDelay, d.CommonDelay = v.wholeReplyDelay, s.delay.median
+	if s.options.LedUntil != nil {
+		d.LeadAge = s.now.Sub(s.options.LedUntil())
+	}
 	s.decisions = append(s.decisions, d)
 }
 
