Send no call to a server that has waited for a connection until the leader is unconfirmed

Cause: the permission is checked before the wait, not at the sending. Change: the context of a call to a server carries the permission, which the platform's client checks when it has a slot and again when the connection takes the request's body; without its body no server carries out a call.

--- a/internal/coordinator/confirmation.go
+++ b/internal/coordinator/confirmation.go
@@ -285,8 +285,19 @@
 // reports whether the context still lasts. Another daemon may lead then, and a server that it doesn't reach or that has restarted would
 // carry out the command.
 func (t *term) awaitConfirmation(ctx context.Context) bool {
-	for ctx.Err() == nil && t.unconfirmedFor() > isolationTimeout {
+	for ctx.Err() == nil && !t.mayCommand() {
 		sleep(ctx, confirmationPause)
 	}
 	return ctx.Err() == nil
 }
+
+// mayCommand reports whether this leader is confirmed, so that commands may be sent.
+func (t *term) mayCommand() bool { return t.unconfirmedFor() <= isolationTimeout }
+
+// serverContext returns the context for calls to servers. One that has waited for a connection is sent only while the leader is confirmed.
+func (t *term) serverContext() context.Context {
+	if t.serverCtx == nil {
+		return t.ctx
+	}
+	return t.serverCtx
+}
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -60,6 +60,7 @@
 	passTime  time.Duration // taken by scheduling passes since the load was logged
 
 	ctx        context.Context
+	serverCtx  context.Context // for calls to servers, see serverContext
 	cancel     context.CancelCauseFunc
 	goroutines *goroutines // for calls to servers and advisors
 
@@ -135,6 +136,7 @@
 	defer cancel(nil)
 	t.mu.Lock()
 	t.ctx, t.cancel = ctx, cancel
+	t.serverCtx = WithSendCheck(ctx, t.mayCommand)
 	t.mu.Unlock()
 	if t.config.OnLeading != nil {
 		t.config.OnLeading(true)
