--- a/internal/coordinator/commands.go
+++ b/internal/coordinator/commands.go
@@ -11,7 +11,8 @@
 func (t *term) dispatch(commands []sched.Command) {
 	now := t.coordinator.now()
 	for _, cmd := range commands {
-		if p := t.proxies.forServer(commandServer(cmd), now); p != nil && p.add(cmd, now) {
+		p, second := t.proxies.route(cmd, now)
+		if p != nil && p.add(cmd, second, now) {
 			t.proxies.proxied.Add(1)
 			continue
 		}
@@ -55,10 +56,13 @@
 		return
 	}
 	sent := t.coordinator.now()
-	clock, err := t.config.ServerClient.Start(t.ctx, t.fence, cmd)
+	clock, err := t.config.ServerClient.Start(t.serverContext(), t.fence, cmd)
 	if t.ctx.Err() != nil {
 		return
 	}
+	if err == nil {
+		t.proxies.noteAnswer(cmd, true, t.coordinator.now())
+	}
 	t.logStart(&cmd, err)
 	t.update(func(now time.Time, s *sched.Scheduler) { applyStart(now, s, &cmd, sent, clock, err) })
 }
@@ -103,7 +107,7 @@
 		return
 	}
 	sent := t.coordinator.now()
-	clock, err := t.config.ServerClient.Stop(t.ctx, t.fence, cmd)
+	clock, err := t.config.ServerClient.Stop(t.serverContext(), t.fence, cmd)
 	if t.ctx.Err() != nil {
 		return
 	}
@@ -157,7 +161,7 @@
 	if !t.awaitConfirmation(t.ctx) {
 		return
 	}
-	_, err := t.config.ServerClient.Throttle(t.ctx, t.fence, cmd)
+	_, err := t.config.ServerClient.Throttle(t.serverContext(), t.fence, cmd)
 	if err == nil || t.ctx.Err() != nil {
 		return
 	}
--- a/internal/coordinator/poll.go
+++ b/internal/coordinator/poll.go
@@ -29,7 +29,7 @@
 	}
 	overdue := time.AfterFunc(cmd.Timeout, func() { t.pollFailed(cmd, "no reply within "+cmd.Timeout.String()) })
 	sentAt := t.coordinator.now()
-	ctx, cancel := context.WithTimeout(t.ctx, cmd.EndsAfter)
+	ctx, cancel := context.WithTimeout(t.serverContext(), cmd.EndsAfter)
 	defer cancel()
 	inv, err := t.config.ServerClient.Poll(ctx, t.fence, cmd)
 	inv.Delay = t.coordinator.now().Sub(sentAt) - cmd.Wait
@@ -37,6 +37,9 @@
 	if t.ctx.Err() != nil {
 		return
 	}
+	if err == nil {
+		t.proxies.noteAnswer(cmd, true, t.coordinator.now())
+	}
 	failedInTime := t.logPoll(&cmd, &inv, err, inTime)
 	if err != nil && !failedInTime && !endsPoll(err) {
 		return
--- a/internal/coordinator/server_proxies.go
+++ b/internal/coordinator/server_proxies.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -17,6 +18,8 @@
 	serversPerProxy = 256
 	// proxyRefreshInterval is the interval at which the proxies are chosen anew.
 	proxyRefreshInterval = 500 * time.Millisecond
+	// detourTime is how long calls to a server take the second way to it, after an answer by that way to a repeated call.
+	detourTime = 10 * time.Second
 )
 
 // serverProxies are the daemons that make a leader's calls to servers. Each is in the data centre of its servers. One process can't make
@@ -25,6 +28,9 @@
 	mu     sync.Mutex
 	groups map[ident.DataCentre]proxyGroup
 	all    map[string]*serverProxy // by incarnation
+	// detours holds until when the calls to a server take the second way to it.
+	detours  map[sched.ServerID]time.Time
+	sessions atomic.Uint64 // number of the latest session with a proxy
 
 	direct, proxied, exchanges, failures atomic.Uint64 // see callCounts
 }
@@ -60,24 +66,59 @@
 }
 
 func newServerProxies() *serverProxies {
-	return &serverProxies{groups: map[ident.DataCentre]proxyGroup{}, all: map[string]*serverProxy{}}
+	return &serverProxies{groups: map[ident.DataCentre]proxyGroup{}, all: map[string]*serverProxy{}, detours: map[sched.ServerID]time.Time{}}
 }
 
-// forServer returns the proxy for the calls to a server, or nil if the leader makes them itself.
-func (s *serverProxies) forServer(v *sched.Server, now time.Time) *serverProxy {
+// isRepeated reports whether a server didn't answer the former call of a command's kind, so that the way to it may be what fails.
+func isRepeated(command sched.Command) bool {
+	switch c := command.(type) {
+	case sched.StartCommand:
+		return c.Attempt > 1
+	case sched.PollCommand:
+		return c.Overdue
+	}
+	return false
+}
+
+// route returns the proxy for a command, or nil if the leader makes the call itself, and whether this is the second way to its server. A
+// repeated command takes the other way than the one before: a proxy may be the only daemon that doesn't reach a server.
+func (s *serverProxies) route(command sched.Command, now time.Time) (p *serverProxy, second bool) {
+	v := commandServer(command)
 	s.mu.Lock()
 	g := s.groups[v.DataCentre]
+	detour := now.Before(s.detours[v.ID])
 	s.mu.Unlock()
 	if len(g.primary) == 0 {
-		return nil
+		return nil, false
 	}
-	if p := g.preferred(v.ID); p.isReady(now) {
-		return p
+	spare := g.spare
+	if spare != nil && !spare.isReady(now) {
+		spare = nil
 	}
-	if g.spare != nil && g.spare.isReady(now) {
-		return g.spare
+	preferred := g.preferred(v.ID)
+	switch {
+	case !preferred.isReady(now):
+		return spare, false
+	case detour != isRepeated(command):
+		return spare, true
+	}
+	return preferred, false
+}
+
+// noteAnswer notes by which way a server has answered a repeated command. Calls to it take this way from then on, the second one for
+// detourTime.
+func (s *serverProxies) noteAnswer(command sched.Command, second bool, now time.Time) {
+	if !isRepeated(command) {
+		return
+	}
+	id := commandServer(command).ID
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if second {
+		s.detours[id] = now.Add(detourTime)
+	} else {
+		delete(s.detours, id)
 	}
-	return nil
 }
 
 // preferred returns the primary proxy of a server by rendezvous hashing, so that few servers change theirs when one comes or goes.
@@ -94,6 +135,13 @@
 	return slices.MaxFunc(g.primary, func(a, b *serverProxy) int { return cmp.Compare(weight(a), weight(b)) })
 }
 
+// forgetDetours removes the detours that are over.
+func (s *serverProxies) forgetDetours(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	maps.DeleteFunc(s.detours, func(_ sched.ServerID, until time.Time) bool { return !now.Before(until) })
+}
+
 // choose chooses the daemons with the shortest election delay in each data centre, as they have the most processor time, and returns
 // the proxies that are new and those whose daemon has gone.
 func (s *serverProxies) choose(
@@ -120,7 +168,7 @@
 		for _, r := range daemons[:min(wanted+1, len(daemons))] {
 			p := s.all[r.Incarnation]
 			if p == nil {
-				p = newServerProxy(r)
+				p = newServerProxy(r, &s.sessions)
 				s.all[r.Incarnation] = p
 				added = append(added, p)
 			}
@@ -181,9 +229,10 @@
 	if total <= t.config.MaxDirectServers {
 		servers = nil
 	}
+	t.proxies.forgetDetours(t.coordinator.now())
 	added, gone := t.proxies.choose(t.config.Member, t.coordinator.view.get().members, servers)
 	for _, p := range gone {
-		t.proxyFailed(p, "its daemon has left the cell")
+		t.proxyFailed(p, p.currentSession(), "its daemon has left the cell")
 	}
 	for _, p := range added {
 		go t.runProxy(t.ctx, p)
--- a/internal/coordinator/server_proxy.go
+++ b/internal/coordinator/server_proxy.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rosemaryspoke/rosemaryspoke/internal/peer"
@@ -26,6 +27,8 @@
 	maxProxySilence = 500 * time.Millisecond
 	// maxProxyLag bounds how long after its hand-over a command is still sent to its server.
 	maxProxyLag = 500 * time.Millisecond
+	// commandBytes is an estimate of the size of an encoded command without its payload.
+	commandBytes = 200
 	// outcomeTimeout bounds the time for an outcome beyond the time that the call itself may take.
 	outcomeTimeout = 2 * time.Second
 	// clockDrift is how much slower a proxy's clock may run than this daemon's, as a fraction.
@@ -43,13 +46,15 @@
 	incarnation string
 	address     string
 	dataCentre  ident.DataCentre
-	wake        chan struct{} // signalled when a command comes
+	wake        chan struct{}  // signalled when a command comes
+	sessions    *atomic.Uint64 // number of the term's latest session
 
 	mu       sync.Mutex
 	chosen   bool
-	session  uint64 // replies of a former session, before a failure, are ignored
-	failures int    // without a long session in between
-	openedAt time.Time
+	session  uint64    // replies of a former session, before a failure, are ignored
+	failures int       // without a long session in between
+	openedAt time.Time // zero until a reply has come in this session
+	delays   replyDelays
 	clock    time.Duration  // reading of the daemon's clock, which it had at clockAt or before
 	clockAt  time.Time      // zero until a reply has come in this session
 	queue    []*proxiedCall // not handed over yet
@@ -59,19 +64,21 @@
 	silence  time.Duration
 	pausedTo time.Time // not used before
 	checked  time.Time
+	running  time.Duration // how long this daemon has looked after the proxy, without its own pauses
 }
 
 // proxiedCall is a command that a proxy carries out.
 type proxiedCall struct {
 	command sched.Command
-	due     time.Time // when it is to be sent, or was
-	endsAt  time.Time // without an outcome until then the proxy has failed
-	overdue bool      // a poll that counts as failed
+	due     time.Time     // when it is to be sent, or was
+	endsAt  time.Duration // of serverProxy.running; without an outcome until then the proxy has failed
+	overdue bool          // a poll that counts as failed
+	second  bool          // made through the second way to the server, see serverProxies.route
 }
 
-func newServerProxy(r PresenceRecord) *serverProxy {
+func newServerProxy(r PresenceRecord, sessions *atomic.Uint64) *serverProxy {
 	return &serverProxy{
-		member: r.Member, incarnation: r.Incarnation, address: r.Address, dataCentre: r.DataCentre, wake: make(chan struct{}, 1),
+		sessions: sessions, session: sessions.Add(1), member: r.Member, incarnation: r.Incarnation, address: r.Address, dataCentre: r.DataCentre, wake: make(chan struct{}, 1),
 		pending: map[uint64]*proxiedCall{},
 	}
 }
@@ -94,8 +101,8 @@
 }
 
 // add queues a command. It reports false if the proxy takes none.
-func (p *serverProxy) add(command sched.Command, now time.Time) bool {
-	call := &proxiedCall{command: command, due: now}
+func (p *serverProxy) add(command sched.Command, second bool, now time.Time) bool {
+	call := &proxiedCall{command: command, due: now, second: second}
 	if poll, ok := command.(sched.PollCommand); ok {
 		call.due = now.Add(poll.Delay)
 	}
@@ -118,18 +125,22 @@
 	}
 }
 
-// takeDue removes the queued calls that are due.
+// takeDue removes the queued calls that are due, as far as they fit a message.
 func (p *serverProxy) takeDue(now time.Time) []*proxiedCall {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var due []*proxiedCall
-	later := p.queue[:0]
+	later, size := p.queue[:0], 0
 	for _, c := range p.queue {
-		if c.due.After(now) {
+		if c.due.After(now) || size > maxMessageBytes {
 			later = append(later, c)
-		} else {
-			due = append(due, c)
+			continue
 		}
+		if start, ok := c.command.(sched.StartCommand); ok {
+			size += len(start.Payload)
+		}
+		size += commandBytes
+		due = append(due, c)
 	}
 	clear(p.queue[len(later):])
 	p.queue = later
@@ -141,7 +152,7 @@
 func (p *serverProxy) handOver(t *term, calls []*proxiedCall, now time.Time) (exchangeRequest, uint64, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := exchangeRequest{Epoch: t.leader.Epoch, Leader: t.coordinator.incarnation}
+	r := exchangeRequest{Epoch: t.leader.Epoch, Leader: t.coordinator.incarnation, Session: p.session}
 	opening := p.clockAt.IsZero()
 	if opening && (p.inFlight > 0 || !p.chosen) || !opening && len(calls) == 0 && p.inFlight >= minExchanges && len(p.unused) == 0 {
 		return r, 0, false
@@ -153,7 +164,7 @@
 	var e batchEncoder
 	for _, c := range calls {
 		serial := t.proxySerial.Add(1)
-		c.endsAt = now.Add(callTime(c.command) + outcomeTimeout)
+		c.endsAt = p.running + callTime(c.command) + outcomeTimeout
 		p.pending[serial] = c
 		e.add(serial, c.command)
 	}
@@ -188,20 +199,27 @@
 	return 0
 }
 
-// check returns why the proxy has failed, or nothing. Silence counts only while this daemon runs: after a freeze or under load, replies
-// may have arrived that it hasn't read yet.
+// check returns why the proxy has failed, or nothing. Time counts only while this daemon runs: after a freeze or under load, replies may
+// have arrived that it hasn't read yet.
 func (p *serverProxy) check(now time.Time, commonDelay time.Duration) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.checked.IsZero() && p.inFlight > 0 {
-		p.silence += min(now.Sub(p.checked), 2*idleProxyInterval)
+	if !p.checked.IsZero() {
+		passed := min(now.Sub(p.checked), 2*idleProxyInterval)
+		p.running += passed
+		if p.inFlight > 0 {
+			p.silence += passed
+		}
 	}
 	p.checked = now
 	if p.silence > maxProxySilence+2*commonDelay {
 		return "no reply for " + p.silence.String()
 	}
+	if delay := p.delays.median(now); delay > maxProxyDelay+2*commonDelay {
+		return "replies through it are late by " + delay.String()
+	}
 	for _, c := range p.pending {
-		if now.After(c.endsAt.Add(2 * commonDelay)) {
+		if p.running > c.endsAt+2*commonDelay {
 			return "no outcome of a call since " + now.Sub(c.due).String()
 		}
 	}
@@ -225,13 +243,16 @@
 }
 
 // take returns the call of an outcome, or nil if it has one already.
-func (p *serverProxy) take(o *proxiedOutcome) *proxiedCall {
+func (p *serverProxy) take(o *proxiedOutcome, now time.Time) *proxiedCall {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c := p.pending[o.Serial]
 	if c == nil {
 		return nil
 	}
+	if delay, ok := c.delay(o, now); ok {
+		p.delays.add(now, delay)
+	}
 	if o.Kind == pollOverdue {
 		c.overdue = true
 		return c
@@ -240,10 +261,14 @@
 	return c
 }
 
-// fail ends the session and returns the calls that were handed over without an outcome and those that weren't handed over.
-func (p *serverProxy) fail(now time.Time) (inDoubt []*proxiedCall, queued []sched.Command, pause time.Duration) {
+// fail ends a session and returns the calls that were handed over without an outcome and those that weren't handed over. It reports false
+// if the session is over.
+func (p *serverProxy) fail(session uint64, now time.Time) (inDoubt []*proxiedCall, queued []sched.Command, pause time.Duration, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if session != p.session {
+		return nil, nil, 0, false
+	}
 	for _, c := range p.pending {
 		inDoubt = append(inDoubt, c)
 	}
@@ -251,15 +276,16 @@
 		queued = append(queued, c.command)
 	}
 	clear(p.pending)
-	p.queue, p.unused, p.inFlight, p.silence, p.clockAt = nil, nil, 0, 0, time.Time{}
+	p.queue, p.unused, p.inFlight, p.silence, p.clockAt, p.delays = nil, nil, 0, 0, time.Time{}, replyDelays{}
 	if !p.openedAt.IsZero() && now.Sub(p.openedAt) > proxyFailureMemory {
 		p.failures = 0
 	}
 	pause = min(proxyPause<<min(p.failures, maxProxyDoublings), maxProxyPause)
 	p.failures++
-	p.session++
+	p.openedAt = time.Time{}
+	p.session = p.sessions.Add(1)
 	p.pausedTo = now.Add(pause)
-	return inDoubt, queued, pause
+	return inDoubt, queued, pause, true
 }
 
 // isPaused reports whether the proxy isn't used after a failure.
@@ -283,9 +309,9 @@
 	return peer.CallAddress[exchangeRequest, exchangeReply](ctx, t.config.Peer, p.address, methodExchange, r)
 }
 
-// isSession reports whether a session lasts.
-func (p *serverProxy) isSession(session uint64) bool {
+// currentSession returns the number of the session.
+func (p *serverProxy) currentSession() uint64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.session == session
+	return p.session
 }
--- a/internal/coordinator/server_proxy_calls.go
+++ b/internal/coordinator/server_proxy_calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/rosemaryspoke/rosemaryspoke/internal/sched"
@@ -11,8 +12,9 @@
 func (t *term) runProxy(ctx context.Context, p *serverProxy) {
 	for ctx.Err() == nil {
 		now := t.coordinator.now()
+		session := p.currentSession()
 		if reason := p.check(now, t.commonDelay()); reason != "" {
-			t.proxyFailed(p, reason)
+			t.proxyFailed(p, session, reason)
 		}
 		calls, chosen := p.load()
 		switch {
@@ -20,8 +22,7 @@
 			if t.proxies.drop(p) {
 				return
 			}
-		case p.isPaused(now):
-		case calls == 0 || t.unconfirmedFor() <= isolationTimeout: // see awaitConfirmation
+		case !p.isPaused(now):
 			t.handOver(p, now)
 		}
 		if calls > 0 {
@@ -51,9 +52,12 @@
 	return delay
 }
 
-// handOver hands the due commands of a proxy over to it.
+// handOver hands the due commands of a proxy over to it. While this leader is unconfirmed, see awaitConfirmation, it only fetches outcomes.
 func (t *term) handOver(p *serverProxy, now time.Time) {
-	calls := t.dropOutdated(p.takeDue(now))
+	var calls []*proxiedCall
+	if t.mayCommand() {
+		calls = t.dropOutdated(p.takeDue(now))
+	}
 	r, session, ok := p.handOver(t, calls, now)
 	if !ok || r.Proxy == "" {
 		for _, c := range calls { // the proxy has failed meanwhile
@@ -108,13 +112,13 @@
 	}
 	switch {
 	case err != nil:
-		t.sessionFailed(p, session, err.Error())
+		t.proxyFailed(p, session, err.Error())
 		return
 	case reply.Epoch > t.leader.Epoch:
 		t.cancel(errDeposed)
 		return
 	case reply.Proxy != p.incarnation:
-		t.sessionFailed(p, session, "another process answers: "+reply.Proxy)
+		t.proxyFailed(p, session, "another process answers: "+reply.Proxy)
 		return
 	}
 	opened, ok := p.answered(session, reply.Clock, now)
@@ -135,9 +139,14 @@
 	t.update(func(now time.Time, s *sched.Scheduler) {
 		for i := range outcomes {
 			o := &outcomes[i]
-			if c := p.take(o); c != nil {
-				t.applyOutcome(now, s, c, o)
+			c := p.take(o, now)
+			if c == nil {
+				continue
+			}
+			if o.Kind == callAnswered {
+				t.proxies.noteAnswer(c.command, c.second, now)
 			}
+			t.applyOutcome(now, s, c, o)
 		}
 	})
 }
@@ -170,6 +179,9 @@
 		s.PollInterrupted(now, cmd.Server.ID, cmd.Serial)
 		return
 	}
+	if err == nil && o.Reply == nil {
+		err = fmt.Errorf("%w: the reply has no inventory", ErrNoResponse)
+	}
 	inv := o.inventory()
 	inTime := !c.overdue || o.Kind == pollOverdue
 	if failed := t.logPoll(cmd, &inv, err, inTime); err == nil || failed || endsPoll(err) {
@@ -177,22 +189,15 @@
 	}
 }
 
-// sessionFailed is proxyFailed unless the session is over.
-func (t *term) sessionFailed(p *serverProxy, session uint64, reason string) {
-	if p.isSession(session) {
-		t.proxyFailed(p, reason)
-	}
-}
-
-// proxyFailed ends the session of a proxy. That it doesn't reply shows nothing about the servers: calls without an outcome are made again by
+// proxyFailed ends a session of a proxy. That it doesn't reply shows nothing about the servers: calls without an outcome are made again by
 // this daemon or another one, as calls that may still be carried out.
-func (t *term) proxyFailed(p *serverProxy, reason string) {
+func (t *term) proxyFailed(p *serverProxy, session uint64, reason string) {
 	now := t.coordinator.now()
-	inDoubt, queued, pause := p.fail(now)
-	t.proxies.failures.Add(1)
-	if t.ctx.Err() != nil {
+	inDoubt, queued, pause, ok := p.fail(session, now)
+	if !ok || t.ctx.Err() != nil {
 		return
 	}
+	t.proxies.failures.Add(1)
 	t.config.Log.Info("server proxy failed", "proxy", string(p.member), "data-centre", string(p.dataCentre), "reason", reason,
 		"calls-in-doubt", len(inDoubt), "calls-not-sent", len(queued), "pause", pause.String())
 	for _, cmd := range queued {
--- a/internal/coordinator/server_proxy_messages.go
+++ b/internal/coordinator/server_proxy_messages.go
@@ -18,6 +18,8 @@
 	exchangeRequest struct {
 		Epoch  ident.Epoch `json:"epoch"` // of the leader's term
 		Leader string      `json:"leader"`
+		// Session numbers the leader's sessions with its proxies. A later one ends the calls and exchanges of an earlier one.
+		Session uint64 `json:"session"`
 		// Proxy is the incarnation of the daemon that the commands are meant for; empty if there are none.
 		Proxy string `json:"proxy,omitempty"`
 		// SendUntil is a reading of that incarnation's clock. None of the commands is sent to a server after it.
@@ -34,6 +36,15 @@
 	}
 )
 
+// decoding accepts any text, as one invalid payload or error message must not make all others of its message unreadable.
+var decoding = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return mode
+}()
+
 // commandKind tells the commands of a batch apart.
 type commandKind uint8
 
@@ -156,7 +167,7 @@
 	if len(b) == 0 {
 		return batch, nil
 	}
-	if err := cbor.Unmarshal(b, &batch); err != nil {
+	if err := decoding.Unmarshal(b, &batch); err != nil {
 		return commandBatch{}, fmt.Errorf("decode commands: %w", err)
 	}
 	for _, c := range batch.Commands {
@@ -309,8 +320,8 @@
 	return fmt.Errorf("%w: %s", ErrNoResponse, o.Error)
 }
 
-// encodeOutcomes encodes outcomes.
-func encodeOutcomes(outcomes []proxiedOutcome) ([]byte, error) {
+// encodeOutcomes encodes outcomes that are encoded one by one.
+func encodeOutcomes(outcomes []cbor.RawMessage) ([]byte, error) {
 	if len(outcomes) == 0 {
 		return nil, nil
 	}
@@ -327,7 +338,7 @@
 		return nil, nil
 	}
 	var outcomes []proxiedOutcome
-	if err := cbor.Unmarshal(b, &outcomes); err != nil {
+	if err := decoding.Unmarshal(b, &outcomes); err != nil {
 		return nil, fmt.Errorf("decode outcomes: %w", err)
 	}
 	return outcomes, nil
--- a/internal/coordinator/server_proxy_test.go
+++ b/internal/coordinator/server_proxy_test.go
@@ -126,3 +126,38 @@
 		})
 	}
 }
+
+// Guards against servers that count as lost as long as their proxy can't reach them, although it answers the leader and the leader or
+// another daemon would reach them.
+func TestServersBeyondTheReachOfTheirProxyAreUsed(t *testing.T) {
+	t.Parallel()
+	const jobs, tasksPerJob = 10, 4
+	c := newCell(t, 10, taskTime)
+	c.maxDirectServers = 0
+	all := c.serverClient
+	a := c.start("a", 0)
+	c.await("leader a", 5*time.Second, func() bool { return a.leader() == "a" && a.configured() })
+	c.serverClient = coordinator.ServerClient{
+		Start: func(context.Context, sched.FencingToken, sched.StartCommand) (time.Duration, error) {
+			time.Sleep(450 * time.Millisecond)
+			return 0, coordinator.ErrNotSent
+		},
+		Stop: func(context.Context, sched.FencingToken, sched.StopCommand) (time.Duration, error) {
+			time.Sleep(450 * time.Millisecond)
+			return 0, coordinator.ErrNotSent
+		},
+		Throttle: all.Throttle,
+		Poll: func(ctx context.Context, _ sched.FencingToken, _ sched.PollCommand) (sched.Inventory, error) {
+			<-ctx.Done()
+			return sched.Inventory{}, coordinator.ErrNotSent
+		},
+		CloseConnections: all.CloseConnections, Advise: all.Advise,
+	}
+	b := c.start("b", time.Second)
+	c.serverClient = all
+	c.start("c", 1200*time.Millisecond)
+	c.await("the view of b", 5*time.Second, func() bool { return b.leader() == "a" && b.configured() })
+	time.Sleep(2 * time.Second) // b and c get ready; b is preferred
+	c.mustSubmit(a, jobs, tasksPerJob)
+	c.awaitCompleted(a, jobs, 15*time.Second)
+}
--- a/internal/sched/common_delay.go
+++ b/internal/sched/common_delay.go
@@ -31,7 +31,7 @@
 	next    int
 	median  time.Duration
 	longest time.Duration // of the delays since it was last read; unlike the median it isn't bounded
-	window  int // starts that may be unanswered at once
+	window  int           // starts that may be unanswered at once
 }
 
 // delaySample is the delay of a reply.
