Make the number of servers that a leader calls itself a setting

Nothing changes without it: the default is 400, as before.

Cause: the number was a constant of internal/cell, so that only installations of more than 400 servers, which no test of whole processes starts, used the calls through other daemons.

A negative value stops the process with exit code 2 and the names of flag and variable. The adapter doesn't know the setting; the command puts it into the cell's settings.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -36,8 +36,6 @@
 	// maxStoreSilence is the time without a response from the store after which a daemon isn't ready; other daemons may
 	// still reach the store.
 	maxStoreSilence = 1500 * time.Millisecond
-	// maxDirectServers is the number of servers that a leader calls itself. Calls to 350 servers take at most 0.35 cores.
-	maxDirectServers = 400
 	// headerTimeout is the time limit for reading a request's header.
 	headerTimeout = 5 * time.Second
 	// idleTimeout is the time after which an idle connection of a caller is closed.
@@ -116,7 +114,7 @@
 		ElectionDelay: d.settings.ElectionDelay(), Store: d.adapter.Store, StoreTimeout: d.storeTimeout,
 		Registry: d.adapter.Registry, ServerClient: d.adapter.ServerClient,
 		Policy: watcher, Peer: n, Scheduling: d.settings.Bounds.SchedulingOptions(), PresenceTTL: d.periods.PresenceTTL,
-		MaxDirectServers: maxDirectServers, OnLeading: newGCTuner(), Log: d.log.WithName("coordinator"), Metrics: set,
+		MaxDirectServers: d.settings.MaxDirectServers, OnLeading: newGCTuner(), Log: d.log.WithName("coordinator"), Metrics: set,
 	})
 }
 
--- a/internal/cell/settings.go
+++ b/internal/cell/settings.go
@@ -20,6 +20,8 @@
 	LinkMbps        float64 // bandwidth of the host's link, megabits per second
 	MemoryBytes     int64
 	Bounds          Bounds
+	// MaxDirectServers is the number of servers up to which a leader makes all calls to them itself.
+	MaxDirectServers int
 }
 
 // Bounds are the limits that an installation sets; periods are derived from them.
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -105,6 +105,10 @@
 		"unknown subcommand":        {[]string{"bundle", "nothing"}, ExitUsage, "nothing"},
 		"invalid output format":     {[]string{"version", "--output", "xml"}, ExitUsage, "table or json"},
 		"missing setting":           {[]string{"serve"}, ExitUsage, "--member"},
+		"invalid setting on a platform": {
+			[]string{"serve", "--boot", invalidBundle, "--max-direct-servers", "-1"},
+			ExitUsage, `--max-direct-servers (ROSEMARYSPOKE_MAX_DIRECT_SERVERS): value "-1" is not allowed: at least 0`,
+		},
 		"custom authority, caller port": {
 			[]string{"job", "get", "job-1", "--address", tlsServer.URL, "--authority", authority},
 			ExitUnknown, "down",
--- a/internal/command/platform.go
+++ b/internal/command/platform.go
@@ -17,6 +17,9 @@
 
 // runOnPlatform runs a daemon with the settings file that the platform provides, until SIGTERM or SIGINT.
 func runOnPlatform(c *cobra.Command, s settings.Serve) error {
+	if err := s.CheckOnPlatform(); err != nil {
+		return err
+	}
 	// Signal handlers are registered first: the platform may send SIGHUP for changed settings at any time, which would
 	// otherwise end the process.
 	signals := make(chan os.Signal, 4)
@@ -26,6 +29,7 @@
 	if err != nil {
 		return err
 	}
+	boot.Cell.MaxDirectServers = s.MaxDirectServers
 	out := asynclog.New(c.OutOrStdout())
 	defer out.Close()
 	log := funcr.NewJSON(out.WriteLine, funcr.Options{Verbosity: s.LogLevel, LogTimestamp: true})
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -30,6 +30,14 @@
 	return nil
 }
 
+// CheckOnPlatform returns an error for the first invalid setting of those that apply with PlatformSettingsFile, or nil.
+func (s *Serve) CheckOnPlatform() error {
+	if s.MaxDirectServers < 0 {
+		return &Error{"max-direct-servers", fmt.Sprint(s.MaxDirectServers), "at least 0"}
+	}
+	return nil
+}
+
 func (s *Serve) checkIdentity() error {
 	for _, f := range []struct{ name, value string }{
 		{"member", string(s.Member)}, {"region", string(s.Region)}, {"data-centre", string(s.DataCentre)},
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -119,6 +119,32 @@
 	}
 }
 
+// Guards against another number of servers that the leader calls itself than is asked for, and against refusing to let it call none.
+func TestMaxDirectServers(t *testing.T) {
+	for name, c := range map[string]struct {
+		args  []string
+		want  int
+		valid bool
+	}{
+		"default":  {nil, 400, true},
+		"none":     {[]string{"--max-direct-servers", "0"}, 0, true},
+		"many":     {[]string{"--max-direct-servers", "6300"}, 6300, true},
+		"negative": {[]string{"--max-direct-servers=-1"}, -1, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var s Serve
+			f := pflag.NewFlagSet("serve", pflag.ContinueOnError)
+			s.Flags(f)
+			if err := f.Parse(c.args); err != nil {
+				t.Fatal(err)
+			}
+			if err := s.CheckOnPlatform(); s.MaxDirectServers != c.want || err == nil != c.valid {
+				t.Errorf("got %d, error %v", s.MaxDirectServers, err)
+			}
+		})
+	}
+}
+
 // Guards against an environment variable that is ignored, overrides a flag or fails without its name.
 func TestFromEnvironment(t *testing.T) {
 	t.Setenv("ROSEMARYSPOKE_QUEUE_LIMIT", "7")
