Soak: run all calls to servers through other daemons

The soak has few servers, so its leaders made all calls themselves and it couldn't show faults of the calls through other daemons.

A series of faults pauses, kills, stops and replaces the leader and the daemons that probably call servers for it, and delays, silences or cuts in one direction the links to them, beside cuts of data centres and servers that restart under their ids. The jobs are those of server-loss. - Proxies can drop requests only, and those to single daemons lie behind those of the data centres.

--- a/internal/command/soak.go
+++ b/internal/command/soak.go
@@ -75,6 +75,7 @@
 	f.IntVar(&o.Daemons, "daemons", 3, "daemons")
 	f.IntVar(&o.Servers, "servers", 6, "backend servers")
 	f.IntVar(&o.Callers, "callers", 6, "callers")
+	f.StringVar((*string)(&o.ServerCalls), "server-calls", "", "who calls the backend servers: direct (the leader) or proxied (other daemons); empty means proxied with the profile server-proxies, else direct")
 	f.StringVar(&o.Binary, "binary", "", "program under test, as one of another version; empty means this one")
 	f.StringVar(&o.Dir, "dir", "", "directory for settings and logs; empty creates one")
 	f.StringVar(&report, "report", "", "file for a report with a time line of each seed, as HTML")
--- a/internal/soak/cell.go
+++ b/internal/soak/cell.go
@@ -45,11 +45,11 @@
 	profile      Profile
 	slots        []*slot
 	storeProxies []*proxy // from each daemon to the store
-	peerProxies  []*proxy // from the other daemons to each one, with ProfileSilentLinks
+	peerProxies  []*proxy // from the other daemons to each one, with ProfileSilentLinks and ProfileServerProxies
 	daemons      []*process
 	httpServers  []*http.Server
 	addresses    *addressBlock // of the daemons
-	network      *network      // with ProfileDataCentreCuts
+	network      *network      // with ProfileDataCentreCuts and ProfileServerProxies
 
 	randomMu sync.Mutex // the store's faults take it under the store's lock, so no call to the store may be made under it
 	random   *rand.Rand
@@ -105,7 +105,7 @@
 		if err != nil {
 			return err
 		}
-		p, err := newProcess(o.Binary, dir, standin.DaemonSettings{
+		p, err := newProcess(o.Binary, dir, o.environment(), standin.DaemonSettings{
 			Member: ident.MemberID(fmt.Sprintf("d%d", i)), IP: addresses.ip(i),
 			StoreAddress: storeProxy.address(), AdvisorAddress: advisorAddress, FirstInternalPort: addresses.port, Grace: gracePeriod, MaxRunLease: runhost.MaxLease,
 			StopTimeout: 200 * time.Millisecond, Revocation: revocationBound,
@@ -122,16 +122,16 @@
 // connect starts the proxies between daemons and the store as the profile needs them, and returns the address of the store for each
 // daemon.
 func (c *cell) connect(daemons int) (storeAddress func(daemon int) string, err error) {
-	if c.profile == ProfileDataCentreCuts {
-		if err := c.addNetwork(daemons); err != nil {
-			return nil, err
-		}
-		return func(daemon int) string { return c.network.dataCentres[dataCentreOf(daemon)].store.address() }, nil
-	}
 	proxies, err := c.addPeerProxies(daemons)
 	if err != nil {
 		return nil, err
 	}
+	if c.profile.hasDataCentres() {
+		if err := c.addNetwork(daemons, proxies); err != nil {
+			return nil, err
+		}
+		return func(daemon int) string { return c.network.dataCentres[dataCentreOf(daemon)].store.address() }, nil
+	}
 	address, err := c.addStore(proxies)
 	return func(int) string { return address }, err
 }
@@ -139,7 +139,7 @@
 // addPeerProxies puts a proxy before the peer address of each daemon and returns their addresses. The other profiles go without: a
 // daemon that is down refuses connections, and its proxy accepts and closes them.
 func (c *cell) addPeerProxies(daemons int) (proxies map[string]string, err error) {
-	if c.profile != ProfileSilentLinks {
+	if c.profile != ProfileSilentLinks && c.profile != ProfileServerProxies {
 		return nil, nil
 	}
 	proxies = map[string]string{}
@@ -155,9 +155,9 @@
 	return proxies, nil
 }
 
-// daemonDataCentre returns the data centre of a daemon. Only with ProfileDataCentreCuts there are several.
+// daemonDataCentre returns the data centre of a daemon.
 func (c *cell) daemonDataCentre(daemon int) int {
-	if c.profile == ProfileDataCentreCuts {
+	if c.profile.hasDataCentres() {
 		return dataCentreOf(daemon)
 	}
 	return 0
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -66,6 +66,10 @@
 		return c.cutDataCentre(f.Target%dataCentreCount, modeBlockAll)
 	case centreHeld:
 		return c.cutDataCentre(f.Target%dataCentreCount, modeHold)
+	case leaderPaused, leaderKilled, leaderStopped, leaderReplaced, leaderLinkDelayed, leaderLinkTo, leaderLinkFrom, leaderLinkSilent:
+		return c.startDaemonFault(f.Fault, c.leader())
+	case proxyPaused, proxyKilled, proxyStopped, proxyReplaced, proxyLinkDelayed, proxyLinkTo, proxyLinkFrom, proxyLinkSilent:
+		return c.startDaemonFault(f.Fault, c.likelyServerProxy(f.Target))
 	case revokeKey:
 		c.logError(c.revokeNextKey())
 	default:
--- a/internal/soak/network.go
+++ b/internal/soak/network.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -22,7 +23,7 @@
 	leaderKey            = "cell/leader"
 )
 
-// network has the ways of the daemons of ProfileDataCentreCuts, by data centre. The store is in none of the data centres.
+// network has the ways of the daemons of a profile with data centres, by data centre. The store is in none of the data centres.
 type network struct {
 	dataCentres []*dataCentre
 
@@ -47,14 +48,19 @@
 	return ident.Region("r" + strconv.Itoa(dc/dataCentresPerRegion))
 }
 
-// addNetwork starts the proxies of the data centres.
-func (c *cell) addNetwork(daemons int) error {
+// hasDataCentres reports whether daemons and servers are spread over data centres that can be cut off. Otherwise all daemons are in one.
+func (p Profile) hasDataCentres() bool {
+	return p == ProfileDataCentreCuts || p == ProfileServerProxies
+}
+
+// addNetwork starts the proxies of the data centres. They lead to daemons through the proxies before these, if there are some.
+func (c *cell) addNetwork(daemons int, peerProxies map[string]string) error {
 	c.network = &network{}
 	for dc := range dataCentreCount {
 		d, proxies := &dataCentre{}, map[string]string{}
 		c.network.dataCentres = append(c.network.dataCentres, d)
 		add := func(ways []*proxy, target string) ([]*proxy, error) {
-			p, err := newProxy(target)
+			p, err := newProxy(cmp.Or(peerProxies[target], target))
 			if err != nil {
 				return ways, fmt.Errorf("start a proxy from data centre %s to %s: %w", dataCentreName(dc), target, err)
 			}
@@ -168,7 +174,10 @@
 }
 
 // leaderDataCentre returns the data centre of the leader that the store names, or the first one.
-func (c *cell) leaderDataCentre() int {
+func (c *cell) leaderDataCentre() int { return dataCentreOf(c.leader()) }
+
+// leader returns the daemon that the store names as the leader, or the first one.
+func (c *cell) leader() int {
 	var leader coordinator.LeaderRecord
 	it, ok := c.store.Peek(leaderKey)
 	if !ok {
@@ -180,7 +189,7 @@
 	}
 	for i, d := range c.daemons {
 		if d.node.Member == leader.Member {
-			return dataCentreOf(i)
+			return i
 		}
 	}
 	return 0
--- a/internal/soak/network_test.go
+++ b/internal/soak/network_test.go
@@ -20,6 +20,7 @@
 
 // Guards against promises that are broken when data centres are cut off, and against cuts that the leader's data centre doesn't notice.
 func TestShortDataCentreCuts(t *testing.T) {
+	t.Parallel()
 	binary, dir := buildProgram(t), t.TempDir()
 	for _, seed := range []uint64{1, 2} {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -93,10 +93,13 @@
 	ProfileSilentLinks Profile = "silent-links"
 	// ProfileDataCentreCuts cuts off one data centre after the other, with the jobs of ProfileServerLoss.
 	ProfileDataCentreCuts Profile = "data-centre-cuts"
+	// ProfileServerProxies has all calls to servers made through other daemons than the leader, and faults of these daemons and of the
+	// links between them, with the jobs of ProfileServerLoss.
+	ProfileServerProxies Profile = "server-proxies"
 )
 
 // Profiles are all profiles; the first is the default.
-var Profiles = []Profile{ProfileMixed, ProfileServerLoss, ProfileSilentLinks, ProfileDataCentreCuts}
+var Profiles = []Profile{ProfileMixed, ProfileServerLoss, ProfileSilentLinks, ProfileDataCentreCuts, ProfileServerProxies}
 
 // faultWeight is the relative frequency of a fault.
 type faultWeight struct {
@@ -111,6 +114,7 @@
 	ProfileServerLoss:     serverLossFaults,
 	ProfileSilentLinks:    silentLinkFaults,
 	ProfileDataCentreCuts: besideCutsFaults,
+	ProfileServerProxies:  besideProxyFaults,
 }
 
 var mixedFaults = []faultWeight{
@@ -243,8 +247,11 @@
 		total += w.weight
 	}
 	var plan []plannedFault
-	if profile == ProfileDataCentreCuts {
+	switch profile {
+	case ProfileDataCentreCuts:
 		plan, rate = newCuts(rng, duration), besideCutsPerSecond
+	case ProfileServerProxies:
+		plan, rate = newProxyFaults(rng, duration), besideProxyFaultsPerSecond
 	}
 	for at := 500 * time.Millisecond; at < duration; at += time.Duration(rng.ExpFloat64() / rate * float64(time.Second)) {
 		n := rng.IntN(total)
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -23,6 +23,7 @@
 	binary       string
 	node         standin.DaemonSettings
 	settingsPath string
+	environment  []string
 	logFile      *os.File
 
 	mu              sync.Mutex
@@ -34,13 +35,14 @@
 }
 
 // newProcess writes the settings of a daemon and starts it.
-func newProcess(binary, dir string, node standin.DaemonSettings) (*process, error) {
+func newProcess(binary, dir string, environment []string, node standin.DaemonSettings) (*process, error) {
 	settings, err := node.Encode()
 	if err != nil {
 		return nil, fmt.Errorf("encode settings of %s: %w", node.Member, err)
 	}
 	p := &process{
-		binary: binary, node: node, settingsPath: filepath.Join(dir, string(node.Member)+".toml"), done: make(chan struct{}),
+		binary: binary, node: node, settingsPath: filepath.Join(dir, string(node.Member)+".toml"), environment: environment,
+		done: make(chan struct{}),
 	}
 	if err = os.WriteFile(p.settingsPath, settings, 0o600); err != nil {
 		return nil, fmt.Errorf("write settings of %s: %w", node.Member, err)
@@ -60,7 +62,7 @@
 // start starts the daemon's process, unless stop was called.
 func (p *process) start() error {
 	c := exec.Command(p.binary, "serve", "--log-level", "1")
-	c.Env = append(os.Environ(), "ROSEMARYSPOKE_BOOT="+p.settingsPath)
+	c.Env = append(append(os.Environ(), p.environment...), "ROSEMARYSPOKE_BOOT="+p.settingsPath)
 	c.Stdout, c.Stderr = p.logFile, p.logFile
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -11,12 +11,13 @@
 type mode int
 
 const (
-	modeForward      mode = iota
-	modeDelay             // requests to the server are delayed by requestDelay
-	modeBlockAll          // no bytes pass in either direction; connections stay open
-	modeBlockReplies      // no bytes pass from the server; connections stay open
-	modeHold              // like modeBlockAll, but the bytes of connections that were open before arrive at the end
-	modeReset             // open and new connections are closed
+	modeForward       mode = iota
+	modeDelay              // requests to the server are delayed by requestDelay
+	modeBlockAll           // no bytes pass in either direction; connections stay open
+	modeBlockReplies       // no bytes pass from the server; connections stay open
+	modeBlockRequests      // no bytes pass to the server; connections stay open
+	modeHold               // like modeBlockAll, but the bytes of connections that were open before arrive at the end
+	modeReset              // open and new connections are closed
 )
 
 const (
@@ -78,7 +79,7 @@
 	}
 	p.mu.Unlock()
 	switch {
-	case m == modeReset || previous == modeBlockAll || previous == modeBlockReplies:
+	case m == modeReset || previous == modeBlockAll || previous == modeBlockReplies || previous == modeBlockRequests:
 		p.reset()
 	case previous == modeHold:
 		p.resetExcept(kept)
@@ -219,5 +220,5 @@
 // blocked reports whether the mode blocks a direction.
 func (p *proxy) blocked(fromServer bool) bool {
 	m := p.currentMode()
-	return m == modeBlockAll || m == modeHold || m == modeBlockReplies && fromServer
+	return m == modeBlockAll || m == modeHold || m == modeBlockReplies && fromServer || m == modeBlockRequests && !fromServer
 }
--- a/internal/soak/serverfaults.go
+++ b/internal/soak/serverfaults.go
@@ -69,6 +69,10 @@
 			heal()
 			c.registerIfUp(s, v.ID)
 		}
+	case serverRestarted:
+		return c.restartServers([]*slot{s})
+	case serversReborn:
+		return c.restartServers(c.slotsWhere(func(o *slot) bool { return o.dataCentre == s.dataCentre }))
 	case serviceCrash:
 		return c.crashServers(c.slots)
 	case rackCrash:
--- a/internal/soak/slot.go
+++ b/internal/soak/slot.go
@@ -51,7 +51,7 @@
 
 // place returns the rack and the data centre of a slot.
 func (p Profile) place(index int) (rack, dataCentre int) {
-	if p == ProfileDataCentreCuts {
+	if p.hasDataCentres() {
 		dataCentre = dataCentreOf(index)
 		return index/(serversPerRack*dataCentreCount)*dataCentreCount + dataCentre, dataCentre
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/rosemaryspoke/rosemaryspoke/internal/sched"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/settings"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/resource"
 )
@@ -28,6 +29,25 @@
 	Daemons       int
 	Servers       int
 	Callers       int
+	ServerCalls   ServerCalls
+}
+
+// ServerCalls is who makes the leader's calls to servers.
+type ServerCalls string
+
+// The values of ServerCalls.
+const (
+	DefaultCalls ServerCalls = ""        // as ProxiedCalls with ProfileServerProxies, else as DirectCalls
+	DirectCalls  ServerCalls = "direct"  // the leader, as in installations of at most 400 servers
+	ProxiedCalls ServerCalls = "proxied" // other daemons in the servers' data centres
+)
+
+// environment returns the settings of the daemons. A program that doesn't have them ignores them.
+func (o Options) environment() []string {
+	if o.ServerCalls == ProxiedCalls || o.ServerCalls == DefaultCalls && o.Profile == ProfileServerProxies {
+		return []string{settings.EnvironmentVariable("max-direct-servers") + "=0"}
+	}
+	return nil
 }
 
 const (
@@ -61,6 +81,9 @@
 	if !slices.Contains(Profiles, o.Profile) {
 		return Result{}, fmt.Errorf("unknown profile %q, want one of %q", o.Profile, Profiles)
 	}
+	if !slices.Contains([]ServerCalls{DefaultCalls, DirectCalls, ProxiedCalls}, o.ServerCalls) {
+		return Result{}, fmt.Errorf("unknown way of calls to servers %q, want %q or %q", o.ServerCalls, DirectCalls, ProxiedCalls)
+	}
 	dir := filepath.Join(o.Dir, fmt.Sprintf("seed-%d", seed))
 	c, err := newCell(o, dir, seed)
 	if err != nil {
@@ -121,7 +144,7 @@
 	c := w.cell
 	c.store.SetFault(nil)
 	c.setStoreDelay(0)
-	for _, p := range c.storeProxies {
+	for _, p := range slices.Concat(c.peerProxies, c.storeProxies) {
 		p.setMode(modeForward)
 	}
 	for _, s := range c.slots {
