Soak: put daemons into the data centres of the servers that they call

Daemons are spread over the servers' data centres then. Without it, their data centres are as before.

--- a/internal/soak/cell.go
+++ b/internal/soak/cell.go
@@ -43,6 +43,7 @@
 	storeServers []*standin.StoreServer
 	fleet        *runhost.Fleet
 	profile      Profile
+	proxiedCalls bool // daemons call servers for the leader
 	slots        []*slot
 	storeProxies []*proxy // from each daemon to the store
 	peerProxies  []*proxy // from the other daemons to each one, with ProfileSilentLinks and ProfileServerProxies
@@ -63,8 +64,8 @@
 // newCell starts a cell. Settings and logs are written to the directory. After an error nothing of the cell is left running.
 func newCell(o Options, dir string, seed uint64) (*cell, error) {
 	c := &cell{
-		profile: o.Profile,
-		store:   txstore.New(time.Now), random: rand.New(rand.NewPCG(seed, 5)), revokedKeys: map[string]time.Time{},
+		profile: o.Profile, proxiedCalls: o.proxiedCalls(),
+		store: txstore.New(time.Now), random: rand.New(rand.NewPCG(seed, 5)), revokedKeys: map[string]time.Time{},
 		keys: map[string][]string{multiKeyTeam: {"blue-0", "blue-1", "blue-2", "blue-3"}, limitedTeam: {limitedTeam + "-0"}},
 	}
 	c.fleet = runhost.New(taskDuration, func(sched.TaskID) resource.Vector { return taskDemand })
@@ -155,12 +156,15 @@
 	return proxies, nil
 }
 
-// daemonDataCentre returns the data centre of a daemon.
+// daemonDataCentre returns the data centre of a daemon. Daemons make calls only to servers of their own data centre for a leader.
 func (c *cell) daemonDataCentre(daemon int) int {
-	if c.profile.hasDataCentres() {
+	switch {
+	case c.profile.hasDataCentres():
 		return dataCentreOf(daemon)
+	case !c.proxiedCalls:
+		return 0
 	}
-	return 0
+	return c.slots[daemon*serversPerRack*racksPerDataCentre%len(c.slots)].dataCentre
 }
 
 // taskDuration returns the duration of a task. It depends only on the task's id, so that every run takes the same time.
--- a/internal/soak/server_proxies_test.go
+++ b/internal/soak/server_proxies_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -115,3 +116,35 @@
 		t.Error("an unknown way of calls is accepted")
 	}
 }
+
+// Guards against a soak whose leader calls servers itself although it must not: daemons call only servers of their own data centre.
+func TestDaemonsAreInDataCentresOfServers(t *testing.T) {
+	for name, c := range map[string]struct {
+		profile Profile
+		proxied bool
+		want    map[int]bool // data centres of daemons
+	}{
+		"mixed":                {ProfileMixed, false, map[int]bool{0: true}},
+		"mixed, proxied":       {ProfileMixed, true, map[int]bool{1: true}},
+		"server-loss":          {ProfileServerLoss, false, map[int]bool{0: true}},
+		"server-loss, proxied": {ProfileServerLoss, true, map[int]bool{0: true, 1: true}},
+		"server-proxies":       {ProfileServerProxies, true, map[int]bool{0: true, 1: true, 2: true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cell := &cell{profile: c.profile, proxiedCalls: c.proxied}
+			got, servers := map[int]bool{}, map[int]bool{}
+			for i := range 6 {
+				s := &slot{index: i}
+				s.rack, s.dataCentre = c.profile.place(i)
+				servers[s.dataCentre] = true
+				cell.slots = append(cell.slots, s)
+			}
+			for i := range 6 {
+				got[cell.daemonDataCentre(i)] = true
+			}
+			if !maps.Equal(got, c.want) || c.proxied && !maps.Equal(got, servers) {
+				t.Errorf("daemons in %v, servers in %v, want daemons in %v", got, servers, c.want)
+			}
+		})
+	}
+}
--- a/internal/soak/slot.go
+++ b/internal/soak/slot.go
@@ -49,12 +49,15 @@
 	return s.proxy
 }
 
-// place returns the rack and the data centre of a slot.
+// place returns the rack and the data centre of a slot. With ProfileMixed all are in one.
 func (p Profile) place(index int) (rack, dataCentre int) {
 	if p.hasDataCentres() {
 		dataCentre = dataCentreOf(index)
 		return index/(serversPerRack*dataCentreCount)*dataCentreCount + dataCentre, dataCentre
 	}
+	if p == ProfileMixed {
+		return 1, 1
+	}
 	rack = index / serversPerRack
 	return rack, rack / racksPerDataCentre
 }
@@ -63,14 +66,14 @@
 func (c *cell) addServers(count int) error {
 	for i := range count {
 		v := sched.Server{
-			ID: sched.ServerID(fmt.Sprintf("s%d", i)), Incarnation: time.Now().UnixMilli(), Service: serviceName, DataCentre: "z1",
-			Labels: []string{"a", "r1"}, Capacity: resource.Vector{CPU: resource.Cores(serverCores), Memory: 4096},
+			ID: sched.ServerID(fmt.Sprintf("s%d", i)), Incarnation: time.Now().UnixMilli(), Service: serviceName,
+			Capacity: resource.Vector{CPU: resource.Cores(serverCores), Memory: 4096},
 		}
 		s := &slot{index: i, backend: standin.NewBackend(c.fleet.Client(), v.ID), up: true, lives: 1}
 		s.rack, s.dataCentre = c.profile.place(i)
+		v.DataCentre = dataCentreName(s.dataCentre)
+		v.Labels = []string{"a", fmt.Sprintf("r%d", s.rack)}
 		if c.profile != ProfileMixed {
-			v.DataCentre = dataCentreName(s.dataCentre)
-			v.Labels = []string{"a", fmt.Sprintf("r%d", s.rack)}
 			v.Capacity.CPU = resource.Cores(scarceCores)
 		}
 		var err error
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -42,9 +42,13 @@
 	ProxiedCalls ServerCalls = "proxied" // other daemons in the servers' data centres
 )
 
+func (o Options) proxiedCalls() bool {
+	return o.ServerCalls == ProxiedCalls || o.ServerCalls == DefaultCalls && o.Profile == ProfileServerProxies
+}
+
 // environment returns the settings of the daemons. A program that doesn't have them ignores them.
 func (o Options) environment() []string {
-	if o.ServerCalls == ProxiedCalls || o.ServerCalls == DefaultCalls && o.Profile == ProfileServerProxies {
+	if o.proxiedCalls() {
 		return []string{settings.EnvironmentVariable("max-direct-servers") + "=0"}
 	}
 	return nil
