Count commands that proxies send late in the bounds of the longest leases

Callers: a task could run twice for up to 0.3 s. The leader started it elsewhere while a server that had restarted still ran it under the longest lease that servers accept.

Cause: since proxies carry out commands, one may be sent up to maxProxyLag (0.5 s) after its hand-over. The bounds of the longest leases counted from the moment of a restart, or from the takeover if the former leaders had certainly stopped (LeaderOverlap of 0), with 100 ms for direct sending. A proxied command that is meant for a former incarnation and reaches the new one after 0.5 s grants 10 s on a clock that is 2 % slow, so to 10.7 s. The bound was 10.3 s.

Evidence: found by a review. TestLongLeaseOfACommandThatIsSentLate and TestTermCountsCommandsThatItsPredecessorHandedOver failed before: the task started elsewhere after 10.4 s and 10.32 s.

Change: Options.MaxSendDelay, which each term sets to maxProxyLag. It counts in the bounds for former incarnations, for servers under the id of a removed one, and, 2 % longer for the clocks, for former leaders that have stopped (formerSendTime). It also counts in how long runs may go on after the end of their job, and in the time after which a stop counts as stuck. A deadline on the clock of the incarnation that gets the command is absolute, so deadline, formerLeaseBound and the usual lease after a takeover don't count it (TestStoppedLeaderIsNotWaitedForBeyondItsLeases guards against that wait). LeaderOverlap of 0 still means that no unknown jobs were started: a stopped leader decides nothing, and the jobs of what it handed over were recorded before the takeover. docs/platform.md said that such a leader sends nothing any more. recordSettled was right: it waits for the configured overlap, not that of the term.

Result: both tests pass, the starts come after 10.9 s and 10.82 s; internal/sched and internal/coordinator pass with the race detector.

--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -90,11 +90,12 @@
 	rosterRevisions map[string]platform.Revision
 }
 
-// newTerm returns a term whose leader record was sent to the store at a time. If all former leaders have certainly stopped sending
-// commands, the term does not wait for them.
+// newTerm returns a term whose leader record was sent to the store at a time. If all former leaders have certainly stopped, the term
+// counts only on the commands that they had handed over to proxies.
 func newTerm(c *Coordinator, l LeaderRecord, revision platform.Revision, sentAt time.Time, formerStopped bool) *term {
 	options := c.config.Scheduling
 	options.RunBase = sched.RunNumber(l.Epoch-1) * runsPerTerm
+	options.MaxSendDelay = maxProxyLag // a former leader may have used proxies even if this one needs none
 	if formerStopped {
 		options.LeaderOverlap = 0
 	}
--- a/internal/coordinator/view.go
+++ b/internal/coordinator/view.go
@@ -77,8 +77,8 @@
 	return ok && a.Incarnation == s.leader.Incarnation && !s.leader.Vacant, a.revision
 }
 
-// formerLeadersStopped reports whether no former leader sends commands any more. The recorded one has certainly ended its term if it
-// marked the record as vacant, or its host now runs another process. Otherwise it may be partitioned and continue for a while, as may
+// formerLeadersStopped reports whether no former leader decides anything any more. Its proxies may still send for maxProxyLag what it handed
+// over. The recorded one has certainly ended its term if it marked the record as vacant, or its host now runs another process. Otherwise it may be partitioned and continue for a while, as may
 // those before it until it has settled.
 func (s *cellState) formerLeadersStopped() bool {
 	a, present := s.members[s.leader.Member]
--- a/internal/sched/long_lease.go
+++ b/internal/sched/long_lease.go
@@ -101,7 +101,7 @@
 	if e.LongLeaseLeft <= 0 {
 		return bound
 	}
-	if b := s.started.Add(s.options.LeaderOverlap + e.LongLeaseLeft + leaseMargin); b.Before(bound) {
+	if b := s.started.Add(s.options.formerSendTime() + e.LongLeaseLeft + leaseMargin); b.Before(bound) {
 		return b
 	}
 	return bound
--- a/internal/sched/restart.go
+++ b/internal/sched/restart.go
@@ -95,7 +95,7 @@
 // deadline on its clock, may have given the new one a lease of MaxRunLease.
 func (s *Scheduler) resetIncarnation(v *server) {
 	s.noteUnknownRunsLost(v)
-	v.formerIncarnationBound = s.now.Add(scale(s.options.MaxRunLease, 1+clockDrift) + leaseMargin)
+	v.formerIncarnationBound = s.longestLeaseBound()
 	v.leaseBound = latest(v.leaseBound, v.formerIncarnationBound)
 	v.longLease, v.longLeaseTasks = true, v.longRunningTasks()
 	v.longLeaseTasks.unnamed = s.options.RunBase > 0 && !v.inventoryKnown // it may have confirmed starts of former leaders
@@ -115,16 +115,28 @@
 	v.unknownRuns = map[runKey]bool{}
 }
 
+// longestLeaseBound returns when all leases of the maximum length have expired that commands of this leader, up to now, grant. A deadline
+// on the clock of a former incarnation limits neither the lease nor how late the command takes effect.
+func (s *Scheduler) longestLeaseBound() time.Time {
+	return s.now.Add(s.options.MaxSendDelay + scale(s.options.MaxRunLease, 1+clockDrift) + leaseMargin)
+}
+
 // longestFormerLeaseBound returns when all leases of the maximum length have expired that commands of former leaders granted.
 func (s *Scheduler) longestFormerLeaseBound() time.Time {
-	return s.started.Add(s.options.LeaderOverlap + scale(s.options.MaxRunLease, 1+clockDrift) + leaseMargin)
+	return s.started.Add(s.options.formerSendTime() + scale(s.options.MaxRunLease, 1+clockDrift) + leaseMargin)
+}
+
+// formerSendTime bounds how long after the takeover commands of former leaders are sent. The clock of a former leader may be slower than
+// this one's.
+func (o *Options) formerSendTime() time.Duration {
+	return max(o.LeaderOverlap, scale(o.MaxSendDelay, 1+clockDrift))
 }
 
 // longLeaseBound returns when all leases of the maximum length have expired that commands for former incarnations of a server may
-// have granted the one that has just answered its first poll. Former leaders send nothing after their overlap with this one.
+// have granted the one that has just answered its first poll. Commands of former leaders are sent for formerSendTime.
 // This leader has sent commands for a former incarnation if it has removed a server of that id, and else has seen the restart.
 func (s *Scheduler) longLeaseBound(v *server) time.Time {
-	bound := s.now.Add(scale(s.options.MaxRunLease, 1+clockDrift) + leaseMargin)
+	bound := s.longestLeaseBound()
 	if _, returned := s.serverLog.removals[v.info.ID]; returned {
 		return bound
 	}
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -24,8 +24,11 @@
 	// MaxRunLease is the longest lease that a server accepts. The clock of a restarted server starts anew, so it may take a
 	// deadline for its former incarnation as a lease of this length.
 	MaxRunLease time.Duration
-	// LeaderOverlap bounds how long a replaced leader that is partitioned off keeps sending commands.
+	// LeaderOverlap bounds how long a replaced leader that is partitioned off goes on. It is 0 if all former leaders have certainly
+	// stopped; commands that they have handed over may still be sent for MaxSendDelay.
 	LeaderOverlap time.Duration
+	// MaxSendDelay bounds how long after its hand-over a command may still be sent, if other daemons send commands for the leader.
+	MaxSendDelay time.Duration
 	// LedUntil returns the latest known time at which certainly no other leader had taken over; nil means that there can't be one.
 	LedUntil func() time.Time
 	// PollWait is how long a server may delay its reply to a poll until a run ends.
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -10,7 +10,8 @@
 )
 
 const (
-	// leaseMargin covers the delay between the computation of a lease and the sending of its command.
+	// leaseMargin covers the delay between the computation of a lease and the sending of its command, or its hand-over to the daemon that
+	// sends it.
 	leaseMargin = 100 * time.Millisecond
 	// pollPause delays the poll after one that reported ended runs, so that runs which end close together share a poll.
 	pollPause = 40 * time.Millisecond
--- a/internal/sched/stuck.go
+++ b/internal/sched/stuck.go
@@ -17,7 +17,7 @@
 // and gets no lease after it; its runs are released once the longest lease has expired and no reply can come any more.
 func (o *Options) maxStopTime() time.Duration {
 	lease := scale(max(o.RunLease, o.MaxRunLease), 1+clockDrift) + leaseMargin
-	return o.PollWait + maxReplyTimeout + lease + maxReplyDelay
+	return o.PollWait + maxReplyTimeout + o.MaxSendDelay + lease + maxReplyDelay
 }
 
 // StuckKind is why a run counts as stuck.
--- a/internal/sched/uncounted.go
+++ b/internal/sched/uncounted.go
@@ -127,7 +127,7 @@
 // longestRunAfterEnd returns how long runs may go on after the end of their job. Their stops are repeated, but don't reach an
 // unresponsive server until its lease has ended.
 func (s *Scheduler) longestRunAfterEnd() time.Duration {
-	return scale(max(s.options.MaxRunLease, s.options.MaxFormerLease), 1+clockDrift) + maxClockDifference
+	return s.options.MaxSendDelay + scale(max(s.options.MaxRunLease, s.options.MaxFormerLease), 1+clockDrift) + maxClockDifference
 }
 
 // remainingOf returns the runs of an ended job that may still be in progress.
