Probe the reply delay of a busy server, so that it gets starts again

Callers: a server gets no starts while its replies to polls are late (slow-replies). Once they are prompt again it now gets starts within about a poll's wait. A server whose replies all list ends got none until its runs had ended.

Cause: a reply that lists ends may come before the wait of its poll is over, so it doesn't show its delay. It never lowered lastReplyDelay and wholeReplyDelay, and on a busy server every reply lists ends.

Change: after a reply that doesn't show its delay, the next poll of a server with slow replies has no wait. The reply to such a poll shows its delay, also with ends, and sets both delays. If only the time until the leader handles replies is late, the server is probed so at most every 4 s, as an overloaded leader handles all replies late. The time since a poll as an upper bound of the delay isn't used: the existing test "an early reply with the end of a run doesn't count as prompt" forbids it.

--- a/internal/sched/inventory.go
+++ b/internal/sched/inventory.go
@@ -31,13 +31,7 @@
 		return
 	}
 	s.passNeeded = s.passNeeded || !v.answersPromptly()
-	whole := max(inv.Delay, now.Sub(answered.at)-answered.wait)
-	if len(inv.Finished) == 0 || whole > v.wholeReplyDelay {
-		v.wholeReplyDelay = whole
-	}
-	if len(inv.Finished) == 0 || inv.Delay > v.lastReplyDelay { // a reply with ends may come before the wait is over
-		v.noteReplyDelay(max(inv.Delay-replyTimeoutFactor*s.delay.median, 0)) // what all replies have in common isn't the server's
-	}
+	s.noteReply(v, answered, inv)
 	if serial == v.pollSerial {
 		v.polling = false
 		v.incarnationInDoubt = false
--- a/internal/sched/poll.go
+++ b/internal/sched/poll.go
@@ -17,6 +17,8 @@
 	maxStartReplyDelay = 400 * time.Millisecond
 	// promptReply is how long a long-running task waits for the answer of an idle server. After it, a server that answers is preferred.
 	promptReply = 200 * time.Millisecond
+	// delayProbeInterval is the interval at which a server is asked for the delay of its replies that the leader handled late.
+	delayProbeInterval = 4 * time.Second
 	// maxReplyDelay is the time after which no reply is used, beyond the wait of its poll. It is as long as a lease: what a server
 	// reports during the lease counts as reported, though the reply may be late.
 	maxReplyDelay = 4 * time.Second
@@ -70,12 +72,35 @@
 	})
 }
 
+// noteReply updates the delays of a server's replies for the reply to a poll. One that lists ends may come before the wait is over, so it can
+// only show that replies are later than known.
+func (s *Scheduler) noteReply(v *server, answered sentPoll, inv Inventory) {
+	v.replyDelayKnown = len(inv.Finished) == 0 || answered.wait == 0
+	if v.replyDelayKnown {
+		v.replyDelayKnownAt = s.now
+	}
+	whole := max(inv.Delay, s.now.Sub(answered.at)-answered.wait)
+	if v.replyDelayKnown || whole > v.wholeReplyDelay {
+		v.wholeReplyDelay = whole
+	}
+	if v.replyDelayKnown || inv.Delay > v.lastReplyDelay {
+		v.noteReplyDelay(max(inv.Delay-replyTimeoutFactor*s.delay.median, 0)) // what all replies have in common isn't the server's
+	}
+}
+
 // noteReplyDelay updates the recent delay of replies. It follows a longer delay at once and a shorter one gradually.
 func (v *server) noteReplyDelay(delay time.Duration) {
 	v.lastReplyDelay = delay
 	v.replyDelay = max(delay, v.replyDelay/2)
 }
 
+// probesReplyDelay reports whether the next poll has to be answered at once, as the latest reply listed ends and so doesn't show whether
+// replies are still late. A delay that only matters if the server falls silent is probed rarely, as an overloaded leader handles all replies late.
+func (s *Scheduler) probesReplyDelay(v *server) bool {
+	return !v.replyDelayKnown && (!v.answersPromptly() ||
+		v.wholeReplyDelay > maxStartReplyDelay && s.now.Sub(v.replyDelayKnownAt) >= delayProbeInterval)
+}
+
 // answersPromptly reports whether starts on the server would be confirmed in time.
 func (v *server) answersPromptly() bool { return v.lastReplyDelay <= maxStartReplyDelay }
 
@@ -191,7 +216,11 @@
 	case v.acknowledgedUpTo < v.recordedUpTo && v.acknowledgeable() == 0:
 		s.poll(v, 0, max(delay, pollPause)) // returns at once, as unacknowledged ends are still listed
 	case len(v.runs) > 0 || len(v.unknownRuns) > 0:
-		s.poll(v, s.pollWait(v), delay)
+		wait := s.pollWait(v)
+		if s.probesReplyDelay(v) {
+			wait = 0
+		}
+		s.poll(v, wait, delay)
 	case v.recordedUpTo > v.acknowledgedUpTo:
 		s.poll(v, 0, delay)
 	}
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -113,8 +113,11 @@
 	replyDelay      time.Duration // recent delay of replies to polls, see noteReplyDelay
 	lastReplyDelay  time.Duration // of the latest reply
 	wholeReplyDelay time.Duration // of the latest reply until this leader handled it; what all replies have in common is part of it
-	polledAt        time.Time
-	failures        int // consecutive failed calls, including unanswered starts
+	// replyDelayKnown is set if the latest reply shows its delay, as it didn't wait for an end. The latest such reply came at replyDelayKnownAt.
+	replyDelayKnown   bool
+	replyDelayKnownAt time.Time
+	polledAt          time.Time
+	failures          int // consecutive failed calls, including unanswered starts
 
 	unknownOutcomeTasks []*task // tasks of runs that ended here with an unknown outcome
 
