Soak: name the team of a job that hasn't ended

Jobs of the team with a limit queue up when there are many callers, which says nothing about the daemons; the message didn't tell them from others.

--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -230,7 +230,7 @@
 		sleep(ctx, pollInterval)
 	}
 	for _, j := range unfinished {
-		w.addViolation("job %s was accepted, but hasn't ended %s after the last fault", j.id, completionTimeout)
+		w.addViolation("job %s of team %s was accepted, but hasn't ended %s after the last fault", j.id, j.team, completionTimeout)
 	}
 	w.checkRefusedJobs()
 	w.checkCancelledJobs()
