Soak: let tests accept only the connection of their proxy

Cause: the test takes the first connection to its listener for that of its proxy. Daemons of soak runs beside it, which dial ports that were free when the listener got one, may be first. Change: the tests accept connections until they have the one that the proxy has opened for their caller.

--- a/internal/soak/silence_test.go
+++ b/internal/soak/silence_test.go
@@ -28,18 +28,60 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server, err := l.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _, _ = caller.Close(), server.Close() })
-	pair := proxiedPair{caller, server}
+	pair := proxiedPair{caller, acceptFrom(t, p, caller, l)}
+	t.Cleanup(func() { _, _ = caller.Close(), pair.server.Close() })
 	if !delivers(pair.caller, pair.server, true) || !delivers(pair.server, pair.caller, true) {
 		t.Fatal("a new connection delivers nothing")
 	}
 	return pair
 }
 
+// acceptFrom accepts the connection that a proxy opens for its caller's. Others may come first: daemons of runs beside this test dial ports
+// that were free for it.
+func acceptFrom(t *testing.T, p *proxy, caller net.Conn, l net.Listener) net.Conn {
+	t.Helper()
+	for {
+		server, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		for until := time.Now().Add(deliveryWait); time.Now().Before(until); time.Sleep(time.Millisecond) {
+			if from := p.sourceFor(caller.LocalAddr()); from != nil {
+				if from.String() == server.RemoteAddr().String() {
+					return server
+				}
+				break
+			}
+		}
+		_ = server.Close()
+	}
+}
+
+// sourceFor returns the address from which the proxy has connected to its server for a caller, or nil if it hasn't yet.
+func (p *proxy) sourceFor(caller net.Addr) net.Addr {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c, server := range p.pairs {
+		if c.RemoteAddr().String() == caller.String() {
+			return server.LocalAddr()
+		}
+	}
+	return nil
+}
+
+// Guards against tests that take the connection of another program, which dials a port that it used before, for the proxy's. Their new
+// connection then delivered nothing (TestCutDataCentre in CI, twice).
+func TestOpenIgnoresForeignConnections(t *testing.T) {
+	t.Parallel()
+	p, l := startProxy(t)
+	foreign, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = foreign.Close() }()
+	open(t, p, l)
+}
+
 // delivers reports whether what one end sends arrives at the other one. It waits longer if that is expected.
 func delivers(from, to net.Conn, expected bool) bool {
 	if _, err := from.Write([]byte("x")); err != nil {
