--- a/review/lab-2/daemon.go
+++ b/review/lab-2/daemon.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -19,6 +20,7 @@
 const (
 	restartDelay = 300 * time.Millisecond
 	portsOfAHost = 10
+	memoryMb     = 284 // of the site's machines
 )
 
 // Daemon is a process of the role of deploy/system.toml.
@@ -32,7 +34,9 @@
 	command  *exec.Cmd
 	expected bool // the current process was killed by the case
 	stopped  bool
-	ends     int // without a signal of the case
+	ends     int // without a signal of the case; memory over the limit counts
+
+	killedPid int // process that was killed for its memory
 }
 
 // AddDaemon starts a daemon on a loopback address of its own and restarts it whenever it ends.
@@ -47,6 +51,7 @@
 	}
 	raw, err := d.settings.Encode()
 	l.check(err)
+	raw = bytes.Replace(raw, []byte("memoryMb = 256"), fmt.Appendf(nil, "memoryMb = %d", memoryMb), 1)
 	d.path = filepath.Join(l.dir, d.Name+".toml")
 	l.check(os.WriteFile(d.path, raw, 0o600))
 	l.Daemons = append(l.Daemons, d)
@@ -146,7 +151,8 @@
 	}
 }
 
-func (d *Daemon) ownEnds() int {
+// OwnEnds returns how often the daemon's processes ended without a signal of the case, also for memory over the limit.
+func (d *Daemon) OwnEnds() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.ends
@@ -171,3 +177,33 @@
 	}
 	return nil
 }
+
+// KillAboveMemory ends each process that exceeds memoryMb, as the platform does, until the case ends.
+func (l *Lab) KillAboveMemory() {
+	for range time.Tick(50 * time.Millisecond) {
+		for _, d := range l.Daemons {
+			d.mu.Lock()
+			if used := residentMb(d.command.Process.Pid); used > memoryMb && d.killedPid != d.command.Process.Pid {
+				d.killedPid = d.command.Process.Pid
+				l.Record("platform: daemon %s uses %d MB, more than memoryMb = %d, and is killed", d.Name, used, memoryMb)
+				_ = d.command.Process.Kill()
+			}
+			d.mu.Unlock()
+		}
+	}
+}
+
+// residentMb returns the resident memory of a process, or 0 once it has ended.
+func residentMb(pid int) int {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	for line := range bytes.Lines(raw) {
+		var kb int
+		if n, _ := fmt.Sscanf(string(line), "VmRSS: %d kB", &kb); n == 1 {
+			return kb >> 10
+		}
+	}
+	return 0
+}
--- a/review/lab-2/lab.go
+++ b/review/lab-2/lab.go
@@ -101,7 +101,7 @@
 // Finish writes the verdict and ends the case and all its processes.
 func (l *Lab) Finish(violations []string) {
 	for _, d := range l.Daemons {
-		if n := d.ownEnds(); n > 0 {
+		if n := d.OwnEnds(); n > 0 {
 			l.Record("daemon %s ended %d times by itself", d.Name, n)
 		}
 	}
