--- a/review/10/main.go
+++ b/review/10/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command 10 shows that a job whose cancelling was acknowledged with 410 is accepted and run afterwards.
 package main
 
--- a/review/6/main.go
+++ b/review/6/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command 6 shows that a task runs twice after its queue was sent to another service and back and the leader was killed.
 package main
 
--- a/review/7/main.go
+++ b/review/7/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command 7 shows that one timed job with many open occurrences keeps the ends of all other jobs from being taken note of.
 package main
 
--- a/review/8/main.go
+++ b/review/8/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command 8 shows that a timed job with many due occurrences takes each leader over its memory.
 package main
 
--- a/review/lab-2/lab.go
+++ b/review/lab-2/lab.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Package lab runs daemons as processes on loopback addresses, with stand-ins of the platform's store, of workers and of requesters,
 // and records what was sent, answered and run. The cases of review 2 use it.
 package lab
