--- a/review/9/main.go
+++ b/review/9/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command 9 shows that a lasting task isn't run any more after it has failed often and the leader was killed.
 package main
 
