--- a/review/7/main.go
+++ b/review/7/main.go
@@ -11,14 +11,16 @@
 )
 
 const (
-	timedJob = "ffffffffffffffff"
-	seconds  = time.Second
-	// traffic lasts until trafficEnd; the case ends finish_s (14 s) after it.
-	trafficBegin, trafficEnd = 8 * seconds, 48 * seconds
+	timedJob                 = "ffffffffffffffff"
+	seconds                  = time.Second
+	trafficBegin, trafficEnd = 8 * seconds, 43 * seconds
 	finish                   = 14 * seconds
 	idleTime                 = 3 * seconds
 	workers                  = 4
-	capacity                 = 16000 // thousandths of a core
+	tasks                    = 4           // of a job of the shop
+	capacity                 = 16000       // thousandths of a core
+	between                  = seconds / 7 // jobs of the shop, 21 in the 3 s of the poison
+	poison                   = 12 * seconds
 	hours                    = 12
 	wait                     = 3 * seconds // of a requester for an answer
 )
@@ -35,13 +37,15 @@
 		l.AddWorker(fmt.Sprintf("w%d", i+1), "desk", capacity, 0)
 	}
 	l.WaitReady()
-	l.Until(3 * seconds)
 	if l.Trouble {
-		handInTimedJob(l, other)
+		go func() {
+			l.Until(poison)
+			handInTimedJob(l, other)
+		}()
 	}
 	requester := &lab.Requester{Lab: l, Tenant: shop, Queue: "orders"}
 	var jobs []string
-	for at := trafficBegin; at < trafficEnd; at += seconds {
+	for at := trafficBegin; at < trafficEnd; at += between {
 		l.Until(at)
 		id := fmt.Sprintf("%016x", len(jobs)+1)
 		code := requester.Submit(l.Daemons[len(jobs)%3], id, lab.Job{Spec: "700,700", Steps: []lab.Step{
@@ -68,28 +72,32 @@
 	l.Record("requester of %s: timed job %s is accepted with 200: due each second since %d hours ago", tenant.Name, timedJob, hours)
 }
 
-// judge returns the accepted jobs of the shop that have had nothing running for the last 3 s, although they aren't completed and less
-// than half of the workers was in use.
+// judge returns the accepted jobs of the shop that aren't known or get no answer, and those with a task whose turn has come that have
+// had nothing running for the last 3 s, while less than half of the workers was in use.
 func judge(l *lab.Lab, requester *lab.Requester, jobs []string) []string {
 	from := l.Now() - idleTime
 	used := l.MostInUse(from)
-	running, done := map[string]bool{}, map[string]int{}
+	running, done := map[string]bool{}, map[string]map[string]bool{}
 	for _, r := range l.Runs() {
 		job := lab.JobOf(r.Task)
 		running[job] = running[job] || r.End == 0 || r.End > from
+		if done[job] == nil {
+			done[job] = map[string]bool{}
+		}
 		if r.How == "done" {
-			done[job]++
+			done[job][r.Task] = true
 		}
 	}
 	l.Record("at most %d of %d thousandths of a core were in use in the last 3 s", used, workers*capacity)
 	var broken []string
 	for i, id := range jobs {
 		code, state := requester.State(l.Daemons[i%3], id, wait)
-		if code == 200 && state == "completed" || running[id] || used >= workers*capacity/2 {
-			continue
+		// The steps follow one another, so a task's turn has come as long as not all are done.
+		idle := len(done[id]) < tasks && !running[id] && used < workers*capacity/2
+		if code != 200 || idle {
+			broken = append(broken, fmt.Sprintf("job %s has nothing running and is answered with %d %q, %d of its %d tasks have ended done",
+				id, code, state, len(done[id]), tasks))
 		}
-		broken = append(broken, fmt.Sprintf("job %s has nothing running and is answered with %d %q, %d of its 4 tasks have ended done",
-			id, code, state, done[id]))
 	}
 	for _, w := range l.Workers {
 		unacked, listed := w.Unacked()
