--- a/review/lab-2/daemon.go
+++ b/review/lab-2/daemon.go
@@ -134,15 +134,6 @@
 	_ = d.command.Process.Kill()
 }
 
-// Terminate sends SIGTERM to the process; the daemon is restarted.
-func (d *Daemon) Terminate() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.expected = true
-	d.lab.Record("daemon %s gets SIGTERM", d.Name)
-	_ = d.command.Process.Signal(syscall.SIGTERM)
-}
-
 // end kills the process for good.
 func (d *Daemon) end() {
 	d.mu.Lock()
@@ -160,9 +151,6 @@
 	return d.ends
 }
 
-// LogPath returns the path of the daemon's log.
-func (d *Daemon) LogPath() string { return filepath.Join(d.lab.dir, d.Name+".log") }
-
 // Leader returns the daemon that last wrote to the store under a condition: the one that the leader record names.
 func (l *Lab) Leader() *Daemon {
 	item, ok := l.Store.Peek("cell/leader")
--- a/review/lab-2/lab.go
+++ b/review/lab-2/lab.go
@@ -97,9 +97,6 @@
 	}
 }
 
-// Check ends a case that can't run.
-func (l *Lab) Check(err error) { l.check(err) }
-
 // Finish writes the verdict and ends the case and all its processes.
 func (l *Lab) Finish(violations []string) {
 	for _, d := range l.Daemons {
