Refuse the late submission of a job that was cancelled without a record

Cause: a submission's write required only that the job record doesn't exist, and a cancellation without a record wrote nothing, so a write that was carried out late created the job after its cancellation.

Change: such a cancellation writes a leased mark under the key of a cancellation record, conditional on the absence of the job; a submission requires that the key doesn't exist and is refused with 503 while it does. Either the job is recorded first and is cancelled, or its write conflicts. The mark names teams, so that no team can block another one's ids.

--- a/internal/coordinator/cell_test.go
+++ b/internal/coordinator/cell_test.go
@@ -77,7 +77,12 @@
 
 // newCellOfTasks returns a cell without daemons. A function returns the duration of each task.
 func newCellOfTasks(t *testing.T, hosts int, duration func(sched.TaskID) time.Duration) *testCell {
-	c := &testCell{t: t, store: txstore.New(time.Now), daemons: map[ident.MemberID]*daemon{}, maxDirectServers: 100}
+	return newCellInStore(t, txstore.New(time.Now), hosts, duration)
+}
+
+// newCellInStore is newCellOfTasks with a given store.
+func newCellInStore(t *testing.T, store *txstore.Store, hosts int, duration func(sched.TaskID) time.Duration) *testCell {
+	c := &testCell{t: t, store: store, daemons: map[ident.MemberID]*daemon{}, maxDirectServers: 100}
 	c.fleet = runhost.New(duration, func(sched.TaskID) resource.Vector { return taskDemand })
 	for i := range hosts {
 		v := testServer(i)
--- a/internal/coordinator/load.go
+++ b/internal/coordinator/load.go
@@ -281,10 +281,8 @@
 			continue
 		}
 		at = next
-		for _, e := range events {
-			if !e.Deleted {
-				items = append(items, e.Item)
-			}
+		if len(events) > 0 {
+			items = remaining(events)
 		}
 		if len(items) > 0 {
 			t.update(func(now time.Time, s *sched.Scheduler) {
@@ -298,6 +296,20 @@
 	return ctx.Err()
 }
 
+// remaining returns the items that events leave. A mark of a cancellation that has expired says nothing about a job that is created
+// after it.
+func remaining(events []platform.Event) []platform.Item {
+	var items []platform.Item
+	for _, e := range events {
+		if e.Deleted {
+			items = slices.DeleteFunc(items, func(it platform.Item) bool { return it.Key == e.Key })
+			continue
+		}
+		items = append(items, e.Item)
+	}
+	return items
+}
+
 // loadUnknownJobs reads the records of jobs whose runs servers have listed before the jobs were reported or found by the watch.
 func (t *term) loadUnknownJobs(ctx context.Context) error {
 	for {
--- a/internal/coordinator/relay.go
+++ b/internal/coordinator/relay.go
@@ -16,6 +16,7 @@
 const (
 	methodTransact = "cell.transact"
 	methodGet      = "cell.get"
+	methodLease    = "cell.lease"
 )
 
 const (
@@ -44,8 +45,12 @@
 	getRequest struct {
 		Key string `json:"key"`
 	}
+	leaseRequest struct {
+		TTL time.Duration `json:"ttl"`
+	}
 	relayReply struct {
 		Outcome  relayOutcome      `json:"outcome"`
+		Lease    platform.LeaseID  `json:"lease,omitempty"`
 		Revision platform.Revision `json:"revision,omitempty"`
 		Items    []platform.Item   `json:"items,omitempty"`
 	}
@@ -112,6 +117,15 @@
 		}
 		return reply, nil
 	})
+	peer.Handle(c.config.Peer, methodLease, func(ctx context.Context, r leaseRequest) (relayReply, error) {
+		if storeUnreachable() {
+			return relayReply{Outcome: outcomeUnavailable}, nil
+		}
+		lease, err := c.config.Store.GrantLease(ctx, r.TTL)
+		reply := replyFor(err)
+		reply.Lease = lease
+		return reply, nil
+	})
 }
 
 // relay makes a store call through the leader, or through a random peer if no other daemon leads.
@@ -161,3 +175,9 @@
 	}
 	return platform.Item{}, err
 }
+
+// RelayGrantLease grants a lease for job records through a peer.
+func (c *Coordinator) RelayGrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+	r, err := relay(ctx, c, methodLease, leaseRequest{ttl})
+	return r.Lease, err
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -85,9 +85,10 @@
 
 // Gateway serves the requests of callers.
 type Gateway struct {
-	config  Config
-	now     func() time.Time
-	pending pendingCache
+	config    Config
+	now       func() time.Time
+	pending   pendingCache
+	markLease *markLease
 }
 
 // New returns a gateway.
@@ -95,7 +96,7 @@
 	if c.StoreTimeout == nil {
 		c.StoreTimeout = platform.NewAdaptiveTimeout()
 	}
-	return &Gateway{config: c, now: time.Now, pending: newPendingCache()}
+	return &Gateway{config: c, now: time.Now, pending: newPendingCache(), markLease: &markLease{}}
 }
 
 // authorization is the route and team of an authorized request.
@@ -191,40 +192,6 @@
 
 const jobIDLength = 16
 
-// recordJob writes a new job. It repeats the write until the outcome is known or the request's time is used up.
-func (g *Gateway) recordJob(ctx context.Context, job *sched.Job) Response {
-	value, err := json.Marshal(job)
-	if err != nil {
-		return Response{Kind: Invalid, Reason: "encode: " + err.Error()}
-	}
-	key := coordinator.JobKey(job.ID)
-	tx := platform.Transaction{
-		Preconditions: []platform.Precondition{{Key: key}}, Writes: []platform.Write{{Key: key, Value: value}},
-	}
-	outcomeUnknown := false // an earlier attempt may have taken effect or still may
-	for {
-		err := g.transact(ctx, tx)
-		var conflict *platform.ConflictError
-		switch {
-		case err == nil:
-			go g.reportJob(ctx, job, false)
-			return Response{Kind: Accepted}
-		case errors.As(err, &conflict):
-			return g.duplicateSubmission(ctx, job, conflict)
-		}
-		outcomeUnknown = outcomeUnknown || !errors.Is(err, platform.ErrUnavailable)
-		// Retries are pointless while the store is unreachable; if the outcome is unknown, the caller's next attempt finds it out.
-		_, unreachable := g.storeUnreachable()
-		if !unreachable && g.waitRetry(ctx) {
-			continue
-		}
-		if outcomeUnknown {
-			return Response{Kind: Unknown, Reason: err.Error()}
-		}
-		return Response{Kind: Refused, RetryAfter: unavailableRetryAfter, Reason: err.Error()}
-	}
-}
-
 // waitRetry waits before the next attempt. It reports false if the request has no time for one.
 func (g *Gateway) waitRetry(ctx context.Context) bool {
 	deadline, ok := ctx.Deadline()
@@ -241,28 +208,6 @@
 	}
 }
 
-// reportJob tells the leader of a job, even if the caller's request has ended.
-func (g *Gateway) reportJob(ctx context.Context, job *sched.Job, recordedBefore bool) {
-	g.config.Coordinator.ReportJob(context.WithoutCancel(ctx), job, recordedBefore)
-}
-
-// duplicateSubmission returns the response to a submission whose id is already recorded.
-func (g *Gateway) duplicateSubmission(ctx context.Context, job *sched.Job, conflict *platform.ConflictError) Response {
-	for _, it := range conflict.Items {
-		var recorded sched.Job
-		if err := json.Unmarshal(it.Value, &recorded); err != nil {
-			return Response{Kind: Unknown, Reason: "recorded job not readable: " + err.Error()}
-		}
-		if recorded.Queue.ID != job.Queue.ID || recorded.Team != job.Team {
-			return Response{Kind: Invalid, Reason: "id: in use by another job"}
-		}
-		if recorded.Ended == nil {
-			go g.reportJob(ctx, &recorded, true)
-		}
-	}
-	return Response{Kind: Accepted, Reason: "recorded before"}
-}
-
 // Read returns the state of a job, or the number of pending jobs if the path names a queue only.
 func (g *Gateway) Read(ctx context.Context, r Request) Response {
 	started := g.now()
@@ -351,48 +296,3 @@
 	}
 	return job, item, nil
 }
-
-// Cancel records the cancellation of a job.
-func (g *Gateway) Cancel(ctx context.Context, r Request) Response {
-	started := g.now()
-	a, refused, ok := g.authorize(r)
-	id := ident.JobID(a.rest)
-	if !ok {
-		return g.observe("cancel", id, started, refused)
-	}
-	return g.observe("cancel", id, started, g.recordCancellation(ctx, a, id))
-}
-
-// recordCancellation writes the cancellation of a job. It repeats the write until the outcome is known or the request's
-// time is used up.
-func (g *Gateway) recordCancellation(ctx context.Context, a authorization, id ident.JobID) Response {
-	key := coordinator.CancelKey(id)
-	outcomeUnknown := false
-	for {
-		job, item, err := g.findJob(ctx, a, id)
-		if errors.Is(err, platform.ErrNotFound) {
-			return Response{Kind: NoJob, Reason: err.Error()}
-		}
-		if err == nil && job.Ended != nil {
-			return Response{Kind: Cancelled, Reason: "ended before"}
-		}
-		if err == nil {
-			err = g.transact(ctx, platform.Transaction{
-				Preconditions: []platform.Precondition{{Key: item.Key, Revision: item.Revision}},
-				Writes:        []platform.Write{{Key: key, Value: []byte("{}")}},
-			})
-			outcomeUnknown = outcomeUnknown || errors.Is(err, platform.ErrUnknownOutcome)
-		}
-		if err == nil {
-			// The leader is told before the response, as the caller may rely on the cancellation once it has the response.
-			g.config.Coordinator.ReportCancel(ctx, id)
-			return Response{Kind: Cancelled}
-		}
-		if _, unreachable := g.storeUnreachable(); unreachable || !g.waitRetry(ctx) {
-			if outcomeUnknown {
-				return Response{Kind: Unknown, Reason: err.Error()}
-			}
-			return Response{Kind: Refused, RetryAfter: unavailableRetryAfter, Reason: err.Error()}
-		}
-	}
-}
