Record the services of a job before its tasks start there

Cause: after a takeover a job waited for the servers of its queue's present service and of the one at acceptance. No record named a service in between.

Change: a job's progress names each service other than the one at acceptance before the first start there; a takeover waits for the inventories or lease ends of all of them. Jobs whose queue stays with its service write nothing and wait as before. Former records without the field are read as before.

--- a/internal/sched/explain.go
+++ b/internal/sched/explain.go
@@ -45,6 +45,7 @@
 	WaitPredecessors     WaitReason = "earlier-steps"         // earlier steps aren't complete
 	WaitUntracked        WaitReason = "not-considered"        // a fault: scheduling passes don't consider the step
 	WaitUnknownInventory WaitReason = "unknown-inventory"     // a server that hasn't told its inventory may be running the task
+	WaitServiceRecord    WaitReason = "service-record"        // the queue was sent to another service, and the store doesn't have it for the job yet
 	WaitPaused           WaitReason = "paused"                // a start of the step was refused as malformed
 	WaitGangRuns         WaitReason = "former-gang"           // runs of the gang have to end first
 	WaitLastAttempt      WaitReason = "last-attempt-in-doubt" // an unresponsive server may have seen the last attempt fail
@@ -164,7 +165,7 @@
 	}
 	inGroup := func(t *task) bool { return t.group == g }
 	for _, v := range s.sortedServers() {
-		ofQueue := v.info.Service == r.queue.Service || v.info.Service == g.job.spec.Queue.Service
+		ofQueue := slices.Contains(g.job.possibleServices(r.queue.Service), v.info.Service)
 		if held == WaitUnknownInventory && ofQueue && s.mayHoldUnknownRuns(v, g.step.LongRunning) ||
 			row.Waiting[WaitUnknownInventory] > 0 && slices.ContainsFunc(g.tasks, func(t *task) bool { return s.mayRunUnderLongLease(v, t) }) ||
 			row.Waiting[WaitLastAttempt] > 0 && slices.ContainsFunc(v.unknownOutcomeTasks, inGroup) {
@@ -189,8 +190,11 @@
 		return WaitPredecessors
 	case !g.tracked:
 		return WaitUntracked
-	case g.job.inherited && !g.step.Speculative && (s.hasUnknownInventory(r.queue.Service, g.step.LongRunning) ||
-		s.hasUnknownInventory(g.job.spec.Queue.Service, g.step.LongRunning)):
+	case !g.step.Speculative && !g.job.serviceRecorded(r.queue.Service):
+		return WaitServiceRecord
+	case g.job.inherited && !g.step.Speculative && slices.ContainsFunc(g.job.possibleServices(r.queue.Service), func(id ServiceID) bool {
+		return s.hasUnknownInventory(id, g.step.LongRunning)
+	}):
 		return WaitUnknownInventory
 	case s.now.Before(g.noStartsBefore):
 		return WaitPaused
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
@@ -9,18 +10,20 @@
 
 // job is the runtime state of an accepted job.
 type job struct {
-	spec           *Job
-	queue          *Queue // current configuration
-	state          State  // StateQueued stands for all states that aren't terminal
-	recorded       State  // terminal state in the store
-	begun          bool   // a task has started
-	inherited      bool   // accepted under a former leader
-	surplus        bool   // beyond its team's weight
-	endedAt        time.Time
-	remaining      Remaining // of a job that ended under a former leader, see Progress
-	occurrences    map[int]*occurrence
-	nextOccurrence int // first occurrence that isn't created yet
-	doneBefore     int // all occurrences below it are done
+	spec             *Job
+	queue            *Queue      // current configuration
+	state            State       // StateQueued stands for all states that aren't terminal
+	recorded         State       // terminal state in the store
+	begun            bool        // a task has started
+	inherited        bool        // accepted under a former leader
+	services         []ServiceID // see Progress.Services
+	recordedServices int         // those of services, from the first on, that the store has
+	surplus          bool        // beyond its team's weight
+	endedAt          time.Time
+	remaining        Remaining // of a job that ended under a former leader, see Progress
+	occurrences      map[int]*occurrence
+	nextOccurrence   int // first occurrence that isn't created yet
+	doneBefore       int // all occurrences below it are done
 
 	criticalPath   time.Duration // expected duration of the longest path through all steps
 	criticalPathAt time.Time
@@ -129,6 +132,7 @@
 		return j
 	}
 	j.begun = p.Begun
+	j.services, j.recordedServices = slices.Clone(p.Services), len(p.Services)
 	j.doneBefore = p.DoneBefore
 	j.nextOccurrence = p.DoneBefore
 	for k, op := range p.Occurrences {
--- a/internal/sched/placement.go
+++ b/internal/sched/placement.go
@@ -90,9 +90,7 @@
 // held reports whether no task of a group may start for now, wherever there is room.
 func (p *pass) held(r *rankedGroup) bool {
 	g := r.group
-	// The queue may have been sent to another service since the job was accepted.
-	if g.job.inherited && !g.step.Speculative && (p.isBlocked(unknownInventory{r.queue.Service, g.step.LongRunning}) ||
-		p.isBlocked(unknownInventory{g.job.spec.Queue.Service, g.step.LongRunning})) {
+	if !g.step.Speculative && (!p.recordService(g.job, r.queue.Service) || g.job.inherited && p.mayRunUnlisted(r)) {
 		return true
 	}
 	return p.now.Before(g.noStartsBefore)
--- a/internal/sched/progress.go
+++ b/internal/sched/progress.go
@@ -15,8 +15,11 @@
 	State State     `json:"state,omitempty"` // set for terminal states only
 	Ended time.Time `json:"ended,omitzero"`
 	// Remaining is what may still have been in progress when the job ended. The next leader counts it against the team's limit.
-	Remaining   Remaining                  `json:"remaining,omitzero"`
-	Begun       bool                       `json:"begun,omitempty"`
+	Remaining Remaining `json:"remaining,omitzero"`
+	Begun     bool      `json:"begun,omitempty"`
+	// Services are those, besides the one of the queue at acceptance, on whose servers tasks may have been started. Each is recorded
+	// before the first start there. Records of daemons before it name none.
+	Services    []ServiceID                `json:"services,omitempty"`
 	DoneBefore  int                        `json:"done-before,omitempty"` // all occurrences below this number are done
 	Occurrences map[int]OccurrenceProgress `json:"occurrences,omitempty"`
 }
@@ -61,7 +64,9 @@
 	if j.state.Terminal() {
 		return Progress{State: j.state, Ended: j.endedAt, Begun: j.begun}
 	}
-	p := Progress{Begun: j.begun, DoneBefore: j.doneBefore, Occurrences: map[int]OccurrenceProgress{}}
+	p := Progress{
+		Begun: j.begun, Services: slices.Clone(j.services), DoneBefore: j.doneBefore, Occurrences: map[int]OccurrenceProgress{},
+	}
 	for k, o := range j.occurrences {
 		p.Occurrences[k] = o.progress()
 	}
--- a/internal/sched/record.go
+++ b/internal/sched/record.go
@@ -97,6 +97,7 @@
 		}
 		j.writeInFlight = false
 		j.recordedChanges = max(j.recordedChanges, u.Changes)
+		s.noteRecordedServices(j, u.Progress)
 		if u.Progress.State.Terminal() {
 			j.recorded = u.Progress.State
 			if !s.mayRunUncounted(j) { // else runs that a server lists later would have no known demand
