Keep due occurrences as ranges and tasks only while they are in use

Cause: each due occurrence had the state of each of its tasks, in memory (some 270 bytes a task) and in the job's record (some 33 bytes an occurrence).

Change: occurrences of which each step is complete or was never started are ranges of numbers by their complete steps; some of each such class are open, and another is opened once one has started, so an occurrence whose next step can't run holds back no other. Tasks take memory from their first use until they are done. Records list occurrences as before up to 128 KB, and ranges above that; records of the former version are read as before. An end of an occurrence that isn't due by this leader's clock is recorded before it is acknowledged.

--- a/internal/sched/advice.go
+++ b/internal/sched/advice.go
@@ -367,12 +367,11 @@
 func (s *Scheduler) untilReady(o *occurrence, g *group) time.Duration {
 	longest := time.Duration(0)
 	for _, i := range g.step.After {
-		for _, t := range o.groups[i].tasks {
-			switch {
-			case t.done:
-			case len(t.runs) == 0:
-				return time.Hour
-			default:
+		if o.groups[i].waiting > 0 {
+			return time.Hour
+		}
+		for t := range o.groups[i].tasks.used() {
+			if !t.done && len(t.runs) > 0 {
 				longest = max(longest, s.remaining(t.runs[0]))
 			}
 		}
--- a/internal/sched/advice_servers_test.go
+++ b/internal/sched/advice_servers_test.go
@@ -35,11 +35,11 @@
 	}
 	for name, check := range map[string]func(*fixture, *group){
 		"a server that runs as many siblings as MaxPerServer admits isn't selected": func(f *fixture, g *group) {
-			f.s.start(g.tasks[0], f.s.servers["s1"], 1, "1")
+			f.s.start(g.tasks.at(0), f.s.servers["s1"], 1, "1")
 			f.want("selected", selected(f, g), []ServerID{"s2"})
 		},
 		"servers without an answer are selected once no allowed server can run the task": func(f *fixture, g *group) {
-			f.s.start(g.tasks[0], f.s.servers["s1"], 1, "1")
+			f.s.start(g.tasks.at(0), f.s.servers["s1"], 1, "1")
 			f.s.servers["s2"].noStartsBefore = f.now.Add(10 * time.Second)
 			f.want("selected", selected(f, g), []ServerID{"s3"})
 		},
--- a/internal/sched/command_probe.go
+++ b/internal/sched/command_probe.go
@@ -87,7 +87,7 @@
 	if !g.step.LongRunning {
 		return nil
 	}
-	for _, t := range g.tasks {
+	for t := range g.tasks.used() {
 		if t.waiting() && !t.unansweredAt.IsZero() {
 			return mostFree(s.answeringServers(g, q, t), maxServersPerCall)
 		}
--- a/internal/sched/explain.go
+++ b/internal/sched/explain.go
@@ -10,9 +10,12 @@
 
 // JobExplanation describes a job and its incomplete steps for operators.
 type JobExplanation struct {
-	State   State             `json:"state"`
-	Surplus bool              `json:"surplus,omitempty"` // beyond its team's weight
-	Steps   []StepExplanation `json:"steps"`
+	State   State `json:"state"`
+	Surplus bool  `json:"surplus,omitempty"` // beyond its team's weight
+	// NotBegun is the number of due occurrences that aren't open and of which nothing has started.
+	NotBegun int               `json:"not-begun,omitempty"`
+	Idle     []IdleOccurrences `json:"idle,omitempty"` // due occurrences that aren't open, some of each row always are
+	Steps    []StepExplanation `json:"steps"`
 }
 
 // StepExplanation describes a step that is incomplete or has runs.
@@ -89,7 +92,7 @@
 	if j == nil {
 		return JobExplanation{}, false
 	}
-	e := JobExplanation{State: j.state, Surplus: j.surplus}
+	e := JobExplanation{State: j.state, Surplus: j.surplus, NotBegun: j.notBegun(), Idle: j.recordedIdle()}
 	for _, o := range j.openOccurrences() {
 		for _, g := range o.groups {
 			if !g.complete() || g.live() > 0 {
@@ -101,8 +104,8 @@
 }
 
 func (s *Scheduler) explainGroup(g *group) StepExplanation {
-	row := StepExplanation{Occurrence: g.occurrence, Step: g.index, Done: g.done, Tasks: len(g.tasks), Ready: g.ready}
-	for _, t := range g.tasks {
+	row := StepExplanation{Occurrence: g.occurrence, Step: g.index, Done: g.done, Tasks: g.tasks.len(), Ready: g.ready}
+	for t := range g.tasks.used() {
 		for _, p := range t.runs {
 			row.Running = append(row.Running, string(p.server.info.ID))
 			row.Runs = append(row.Runs, s.runDetail(p))
@@ -158,16 +161,21 @@
 	g := r.group
 	row.Waiting, row.Servers = map[WaitReason]int{}, map[ServerStatus]int{}
 	held, reason := s.heldReason(r), s.waitReasons(r)
-	for _, t := range g.tasks {
+	unused := g.waiting
+	for t := range g.tasks.used() {
 		if t.waiting() {
 			row.Waiting[reason(t)]++
+			unused--
 		}
 	}
+	if t := g.tasks.firstUnused(); t != nil && unused > 0 {
+		row.Waiting[reason(t)] += unused
+	}
 	inGroup := func(t *task) bool { return t.group == g }
 	for _, v := range s.sortedServers() {
 		ofQueue := slices.Contains(g.job.possibleServices(r.queue.Service), v.info.Service)
 		if held == WaitUnknownInventory && ofQueue && s.mayHoldUnknownRuns(v, g.step.LongRunning) ||
-			row.Waiting[WaitUnknownInventory] > 0 && slices.ContainsFunc(g.tasks, func(t *task) bool { return s.mayRunUnderLongLease(v, t) }) ||
+			row.Waiting[WaitUnknownInventory] > 0 && s.groupMayRunUnderLongLease(v, g) ||
 			row.Waiting[WaitLastAttempt] > 0 && slices.ContainsFunc(v.unknownOutcomeTasks, inGroup) {
 			row.HeldBackBy = append(row.HeldBackBy, v.info.ID)
 		}
@@ -208,10 +216,12 @@
 func (s *Scheduler) unplacedReason(r *rankedGroup) WaitReason {
 	g := r.group
 	p := pass{Scheduler: s, reserved: map[ServerID]bool{}}
-	tasks := g.tasks
-	if !g.step.Gang {
-		first := max(slices.IndexFunc(tasks, (*task).waiting), 0)
-		tasks = tasks[first : first+1] // whether there will be a server doesn't depend on the task
+	var tasks []*task
+	for t := range g.tasks.waiting() {
+		tasks = append(tasks, t)
+		if !g.step.Gang {
+			break // whether there will be a server doesn't depend on the task
+		}
 	}
 	if !p.withinLimit(g, len(tasks)) {
 		return WaitTeamLimit
--- a/internal/sched/explain_test.go
+++ b/internal/sched/explain_test.go
@@ -78,7 +78,7 @@
 				f.addServer("s2", 16)
 				f.addJob("a", Step{Count: 2, Demand: cores(1)})
 				f.takeStarts()
-				t := f.s.jobs["a"].occurrences[0].groups[0].tasks[0]
+				t := f.s.jobs["a"].occurrences[0].groups[0].tasks.at(0)
 				t.failedRuns = []RunNumber{100, 101}
 				v := t.runs[0].server
 				f.want("server", v.info.ID, "s1")
@@ -260,7 +260,7 @@
 	f.addJob("a", Step{Count: maxExplainedRuns + 20, Demand: cores(1)})
 	f.takeStarts()
 	g := f.s.jobs["a"].occurrences[0].groups[0]
-	last := g.tasks[maxExplainedRuns+19].runs[0]
+	last := g.tasks.at(maxExplainedRuns + 19).runs[0]
 	f.s.stop(last, "test")
 	e, _ := f.s.Explain("a")
 	f.want("runs listed", len(e.Steps[0].Runs), maxExplainedRuns)
--- a/internal/sched/invariants_test.go
+++ b/internal/sched/invariants_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"iter"
 	"slices"
 	"strings"
 	"testing"
@@ -134,7 +135,7 @@
 // checkGroup checks the counters of a group and that each of its tasks that has to run has a run or is waiting.
 func (c *invariantCheck) checkGroup(g *group, unknown map[*task]int) {
 	waiting, running, done := 0, 0, 0
-	for _, t := range g.tasks {
+	for t := range readTasks(g) {
 		waiting += boolToInt(t.waiting())
 		running += len(t.runs)
 		done += boolToInt(t.done)
@@ -195,7 +196,7 @@
 		"run on a removed server":        {func(s *Scheduler, p *run) { s.remove(p.server, CauseReplaced, 1) }, "run 1 of {j 0 0 0} (running) is on s1, which isn't known"},
 		"run that its server lacks":      {func(_ *Scheduler, p *run) { clear(p.server.runs) }, "run 1 of {j 0 0 0} isn't held by s1"},
 		"run that its task lacks":        {func(_ *Scheduler, p *run) { p.task.runs = nil }, "s1 holds run 1 of {j 0 0 0}, the task doesn't"},
-		"run of another task":            {func(_ *Scheduler, p *run) { p.task = p.task.group.tasks[1] }, "run 1 of {j 0 0 0} is of {j 0 0 1}"},
+		"run of another task":            {func(_ *Scheduler, p *run) { p.task = p.task.group.tasks.at(1) }, "run 1 of {j 0 0 0} is of {j 0 0 1}"},
 		"run under another key":          {func(_ *Scheduler, p *run) { p.number = 7 }, "s1 holds run 7 of {j 0 0 0} as {{j 0 0 0} 1}"},
 		"server under another id":        {func(_ *Scheduler, p *run) { p.server.info.ID = "s9" }, "s9 is known as s1, removed: false"},
 		"removed server that is known":   {func(_ *Scheduler, p *run) { p.server.removed = true }, "s1 is known as s1, removed: true"},
@@ -227,7 +228,7 @@
 			if got := violatedInvariants(f.s); len(got) > 0 {
 				t.Fatalf("before the change: %q", got)
 			}
-			corrupt.change(f.s, f.s.jobs["j"].occurrences[0].groups[0].tasks[0].runs[0])
+			corrupt.change(f.s, f.s.jobs["j"].occurrences[0].groups[0].tasks.at(0).runs[0])
 			got := violatedInvariants(f.s)
 			if !slices.ContainsFunc(got, func(v string) bool { return strings.HasPrefix(v, corrupt.want) }) {
 				t.Errorf("got %q, want %q", got, corrupt.want)
@@ -235,3 +236,22 @@
 		})
 	}
 }
+
+// readTasks iterates over all tasks of a group without keeping those that were never used.
+func readTasks(g *group) iter.Seq[*task] {
+	return func(yield func(*task) bool) {
+		used := map[int]*task{}
+		for t := range g.tasks.used() {
+			used[t.index] = t
+		}
+		for i := range g.tasks.len() {
+			t := used[i]
+			if t == nil {
+				t = g.tasks.unused(i)
+			}
+			if !yield(t) {
+				return
+			}
+		}
+	}
+}
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -22,8 +22,12 @@
 	endedAt          time.Time
 	remaining        Remaining // of a job that ended under a former leader, see Progress
 	occurrences      map[int]*occurrence
-	nextOccurrence   int // first occurrence that isn't created yet
-	doneBefore       int // all occurrences below it are done
+	idle             map[string]*idleClass // occurrences that are kept as ranges, by classKey
+	due              int                   // occurrences below it are due
+	doneBefore       int                   // all occurrences below it are done
+	doneAhead        numberSet             // further ones that are done
+	unbalanced       bool                  // idle occurrences may have to be opened
+	dropped          bool                  // only the end of the job is known
 
 	criticalPath   time.Duration // expected duration of the longest path through all steps
 	criticalPathAt time.Time
@@ -47,13 +51,14 @@
 	occurrence     int
 	index          int
 	step           *Step
-	tasks          []*task
+	tasks          taskTable
 	done           int
 	waiting        int         // tasks without a run that aren't done
 	running        int         // runs that hold capacity
 	tracked        bool        // listed in Scheduler.groups
 	gangRun        RunNumber   // current run of a gang step
 	failedRuns     []RunNumber // failed runs of the gang
+	used           bool        // a task has had a run, or has recorded failures or a checkpoint
 	ready          bool        // all steps before it are complete
 	readySince     time.Time
 	lastStart      time.Time // when a task was last started
@@ -123,28 +128,20 @@
 	if spec.Ended != nil {
 		p = *spec.Ended
 	}
-	j := &job{spec: spec, state: StateQueued, inherited: inherited, occurrences: map[int]*occurrence{}}
+	j := &job{
+		spec: spec, state: StateQueued, inherited: inherited, occurrences: map[int]*occurrence{}, idle: map[string]*idleClass{},
+	}
 	if p.State.Terminal() {
 		j.state = p.State
 		j.endedAt = p.Ended
 		j.remaining = p.Remaining
 		j.begun = p.Begun
+		j.dropped = true
 		return j
 	}
 	j.begun = p.Begun
 	j.services, j.recordedServices = slices.Clone(p.Services), len(p.Services)
-	j.doneBefore = p.DoneBefore
-	j.nextOccurrence = p.DoneBefore
-	for k, op := range p.Occurrences {
-		o := j.create(k)
-		o.restore(op)
-		j.nextOccurrence = max(j.nextOccurrence, k+1)
-	}
-	for k := j.doneBefore; k < j.nextOccurrence; k++ {
-		if j.occurrences[k] == nil {
-			j.create(k)
-		}
-	}
+	j.restore(p)
 	return j
 }
 
@@ -152,52 +149,28 @@
 func (j *job) dropDetails() {
 	if j.live() == 0 {
 		j.spec = j.spec.EndedRecord(Progress{State: j.state, Ended: j.endedAt})
-		j.occurrences = nil
+		j.occurrences, j.idle, j.doneAhead, j.dropped = nil, nil, nil, true
 	}
 }
 
-// openOccurrences returns the occurrences that are kept in memory, in order.
-func (j *job) openOccurrences() []*occurrence {
-	all := make([]*occurrence, 0, len(j.occurrences))
-	for k := range j.nextOccurrence {
-		if o := j.occurrences[k]; o != nil {
-			all = append(all, o)
-		}
-	}
-	return all
-}
-
 // create creates the runtime state of occurrence k.
 func (j *job) create(k int) *occurrence {
 	o := &occurrence{number: k}
 	for i := range j.spec.Steps {
 		g := &group{job: j, occurrence: k, index: i, step: &j.spec.Steps[i]}
-		g.tasks = make([]*task, g.step.Count)
+		g.tasks = newTaskTable(g, g.step.Count)
 		g.waiting = g.step.Count
-		for n := range g.tasks {
-			g.tasks[n] = &task{group: g, index: n}
-		}
 		o.groups = append(o.groups, g)
 	}
 	j.occurrences[k] = o
 	return o
 }
 
-// due returns the scheduled start of an occurrence.
-func (j *job) due(k int) time.Time {
-	if !j.spec.HasSchedule() {
-		return j.spec.Accepted
-	}
-	return j.spec.StartAt.Add(time.Duration(k) * j.spec.Interval)
-}
-
 // live counts the runs of the job that hold capacity.
 func (j *job) live() int {
 	n := 0
 	for _, o := range j.occurrences {
-		for _, g := range o.groups {
-			n += g.live()
-		}
+		n += o.live()
 	}
 	return n
 }
@@ -210,15 +183,24 @@
 		t.group.waiting--
 	}
 	t.done = true
+	t.group.tasks.setDone(t.index)
+	t.dropIfDone()
+}
+
+// dropIfDone releases the memory of a task that is done and has no runs.
+func (t *task) dropIfDone() {
+	if t.done && len(t.runs) == 0 {
+		t.group.tasks.drop(t.index)
+	}
 }
 
 // complete reports whether every task of the group is done.
-func (g *group) complete() bool { return g.done == len(g.tasks) }
+func (g *group) complete() bool { return g.done == g.tasks.len() }
 
 // lostAt returns when a run of the group was last released without a reported end.
 func (g *group) lostAt() time.Time {
 	var last time.Time
-	for _, t := range g.tasks {
+	for t := range g.tasks.used() {
 		last = latest(last, t.lostAt)
 	}
 	return last
@@ -233,21 +215,6 @@
 
 func (t *task) charge() resource.Vector { return t.group.step.Charge() }
 
-// openOccurrences creates the occurrences that are due and marks the groups that can start as ready.
-func (s *Scheduler) openOccurrences(j *job) {
-	count := max(j.spec.Repetitions, 1)
-	for j.nextOccurrence < count {
-		if j.spec.HasSchedule() && s.now.Before(j.due(j.nextOccurrence).Add(-s.options.EarlyStart)) {
-			break
-		}
-		j.create(j.nextOccurrence)
-		j.nextOccurrence++
-	}
-	for _, o := range j.openOccurrences() {
-		s.readyGroups(j, o)
-	}
-}
-
 // readyGroups marks the groups of an occurrence whose predecessors are complete as ready.
 func (s *Scheduler) readyGroups(j *job, o *occurrence) {
 	for _, g := range o.groups {
@@ -285,15 +252,15 @@
 	if j == nil {
 		return nil
 	}
-	o := j.occurrences[id.Occurrence]
+	o := s.occurrence(j, id.Occurrence)
 	if o == nil || id.Step < 0 || id.Step >= len(o.groups) {
 		return nil
 	}
 	g := o.groups[id.Step]
-	if id.Index < 0 || id.Index >= len(g.tasks) {
+	if id.Index < 0 || id.Index >= g.tasks.len() {
 		return nil
 	}
-	return g.tasks[id.Index]
+	return g.tasks.at(id.Index)
 }
 
 // HasJob reports whether the scheduler knows the job.
@@ -307,7 +274,7 @@
 		t.checkpoint = c
 		return
 	}
-	for _, o := range t.group.tasks {
+	for o := range t.group.tasks.all() {
 		o.checkpoint = c
 	}
 }
--- a/internal/sched/long_lease.go
+++ b/internal/sched/long_lease.go
@@ -148,8 +148,8 @@
 // there once the roster names them. Those before it have another server or must not start yet.
 func (s *Scheduler) requestLongRunning(v *server, g *group, first *task) {
 	coming := 0
-	for _, t := range g.tasks[slices.Index(g.tasks, first):] {
-		if !t.waiting() {
+	for t := range g.tasks.waiting() {
+		if t.index < first.index {
 			continue
 		}
 		if !v.fits(g.step.Charge().Times(int64(coming+1))) || !g.allowsAnother(v, coming) {
@@ -177,6 +177,16 @@
 	return tasks
 }
 
+// groupMayRunUnderLongLease reports whether mayRunUnderLongLease holds for a task of a group.
+func (s *Scheduler) groupMayRunUnderLongLease(v *server, g *group) bool {
+	for id := range v.longLeaseTasks.named {
+		if t := s.lookup(id); t != nil && t.group == g && s.mayRunUnderLongLease(v, t) {
+			return true
+		}
+	}
+	return false
+}
+
 // mayRunUnderLongLease reports whether a former leader may have started a long-running task on a server of unknown inventory, under
 // its long lease.
 func (s *Scheduler) mayRunUnderLongLease(v *server, t *task) bool {
--- a/internal/sched/placement.go
+++ b/internal/sched/placement.go
@@ -22,6 +22,7 @@
 	s.passNeeded = false
 	s.passes++
 	s.counts.Passes++
+	s.balanceSchedules()
 	p := pass{
 		Scheduler: s, reserved: map[ServerID]bool{}, reservations: map[ServiceID]*serviceReservations{},
 		blocked: map[unknownInventory]bool{}, inDoubt: s.underFormerLongLease(),
@@ -40,6 +41,7 @@
 		}
 	}
 	s.adviceQueue = append(s.adviceQueue, s.prefetchQueue...)
+	s.passNeeded = s.passNeeded || s.balanceSchedules()
 }
 
 // unknownInventory are the arguments of hasUnknownInventory.
@@ -81,7 +83,7 @@
 	case r.group.step.Gang:
 		p.placeGang(r)
 	default:
-		if p.placeTasks(r, len(r.group.tasks)) {
+		if p.placeTasks(r, r.group.tasks.len()) {
 			p.handleNoCapacity(r)
 		}
 	}
@@ -99,11 +101,11 @@
 // placeTasks starts up to limit tasks of a group that isn't a gang. It reports whether no server has capacity for a further one.
 func (p *pass) placeTasks(r *rankedGroup, limit int) (full bool) {
 	g := r.group
-	for _, t := range g.tasks {
+	for t := range g.tasks.waiting() {
 		if limit <= 0 {
 			return false
 		}
-		if !t.waiting() || t.attemptsMayBeExhausted(r.queue.MaxAttempts) || p.mustWait(t) {
+		if t.attemptsMayBeExhausted(r.queue.MaxAttempts) || p.mustWait(t) {
 			continue
 		}
 		if !p.withinLimit(g, 1) {
@@ -158,13 +160,17 @@
 // placeGang starts all members of a gang, or none.
 func (p *pass) placeGang(r *rankedGroup) {
 	g := r.group
-	if !p.withinLimit(g, len(g.tasks)) || slices.ContainsFunc(g.tasks, p.mustWait) {
+	if !p.withinLimit(g, g.tasks.len()) {
+		return
+	}
+	tasks := slices.Collect(g.tasks.all())
+	if slices.ContainsFunc(tasks, p.mustWait) {
 		return
 	}
 	taken := tentative{}
-	where := make([]*server, len(g.tasks))
+	where := make([]*server, len(tasks))
 	awaiting := false
-	for i, t := range g.tasks {
+	for i, t := range tasks {
 		where[i] = p.pickServer(r, t, taken)
 		if where[i] == nil {
 			p.handleNoCapacity(r)
@@ -181,12 +187,12 @@
 		return
 	}
 	number := RunNumber(0)
-	for _, t := range g.tasks {
+	for _, t := range tasks {
 		number = max(number, p.nextRun(t))
 	}
 	g.gangRun = number
 	g.reservation = groupReservation{}
-	for i, t := range g.tasks {
+	for i, t := range tasks {
 		p.start(t, where[i], number, g.advice.ticket(where[i], p.now))
 	}
 }
@@ -200,7 +206,7 @@
 // runsOn returns the number of runs of a group on a server.
 func (g *group) runsOn(v *server) int {
 	n := 0
-	for _, t := range g.tasks {
+	for t := range g.tasks.used() {
 		for _, p := range t.runs {
 			if p.server == v {
 				n++
@@ -218,7 +224,7 @@
 	for v := range taken {
 		return v.info.Rack
 	}
-	for _, t := range g.tasks {
+	for t := range g.tasks.used() {
 		for _, p := range t.runs {
 			return p.server.info.Rack
 		}
--- a/internal/sched/progress.go
+++ b/internal/sched/progress.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -22,6 +21,16 @@
 	Services    []ServiceID                `json:"services,omitempty"`
 	DoneBefore  int                        `json:"done-before,omitempty"` // all occurrences below this number are done
 	Occurrences map[int]OccurrenceProgress `json:"occurrences,omitempty"`
+	// Idle and DoneAhead stand for further occurrences where listing them, or a bit for each done task, takes more than
+	// maxListedBytes. Daemons before these fields can't read them.
+	Idle      []IdleOccurrences `json:"idle,omitempty"`
+	DoneAhead []numberRange     `json:"done-ahead,omitempty"` // done occurrences above DoneBefore
+}
+
+// IdleOccurrences are occurrences of which the same steps are complete and no other step has a task that was started.
+type IdleOccurrences struct {
+	Complete []int         `json:"complete"` // indexes of the steps
+	Numbers  []numberRange `json:"numbers"`
 }
 
 // Remaining is the demand of runs that may be in progress.
@@ -41,7 +50,8 @@
 
 // OccurrenceProgress is the progress of one occurrence.
 type OccurrenceProgress struct {
-	Done     [][]byte               `json:"done,omitempty"`     // a bit for each task, by step
+	Done     [][]byte               `json:"done,omitempty"`     // a bit for each task, by step; trailing zero bytes may be absent
+	Complete []int                  `json:"complete,omitempty"` // steps without bits in Done that are complete
 	Failures map[string][]RunNumber `json:"failures,omitempty"` // failed runs by step.index; the index of a gang is gangIndex
 	Saved    map[string]Checkpoint  `json:"saved,omitempty"`    // by step.index
 }
@@ -59,81 +69,6 @@
 // gangIndex is the index under which the failed runs of a gang are recorded.
 const gangIndex = -1
 
-// progress returns the durable state of the job.
-func (j *job) progress() Progress {
-	if j.state.Terminal() {
-		return Progress{State: j.state, Ended: j.endedAt, Begun: j.begun}
-	}
-	p := Progress{
-		Begun: j.begun, Services: slices.Clone(j.services), DoneBefore: j.doneBefore, Occurrences: map[int]OccurrenceProgress{},
-	}
-	for k, o := range j.occurrences {
-		p.Occurrences[k] = o.progress()
-	}
-	return p
-}
-
-func (o *occurrence) progress() OccurrenceProgress {
-	p := OccurrenceProgress{Failures: map[string][]RunNumber{}, Saved: map[string]Checkpoint{}}
-	for _, g := range o.groups {
-		bits := make([]byte, (len(g.tasks)+7)/8)
-		for n, t := range g.tasks {
-			if t.done {
-				bits[n/8] |= 1 << (n % 8)
-				continue
-			}
-			if len(t.failedRuns) > 0 {
-				p.Failures[taskKey(g.index, n)] = slices.Clone(t.failedRuns)
-			}
-			if t.checkpoint != "" {
-				p.Saved[taskKey(g.index, n)] = t.checkpoint
-			}
-		}
-		if len(g.failedRuns) > 0 {
-			p.Failures[taskKey(g.index, gangIndex)] = slices.Clone(g.failedRuns)
-		}
-		p.Done = append(p.Done, bits)
-	}
-	return p
-}
-
-// restore applies recorded progress to a newly created occurrence.
-func (o *occurrence) restore(p OccurrenceProgress) {
-	for i, bits := range p.Done {
-		if i >= len(o.groups) {
-			break
-		}
-		g := o.groups[i]
-		for n, t := range g.tasks {
-			if n/8 < len(bits) && bits[n/8]&(1<<(n%8)) != 0 {
-				t.markDone()
-				g.done++
-			}
-		}
-	}
-	for name, runs := range p.Failures {
-		step, index, ok := parseTaskKey(name)
-		if !ok || step < 0 || step >= len(o.groups) || index >= len(o.groups[step].tasks) {
-			continue
-		}
-		g := o.groups[step]
-		if index == gangIndex {
-			g.failedRuns = runs
-			continue
-		}
-		if index >= 0 {
-			g.tasks[index].failedRuns = runs
-		}
-	}
-	for name, saved := range p.Saved {
-		step, index, ok := parseTaskKey(name)
-		if ok && step >= 0 && step < len(o.groups) && index >= 0 && index < len(o.groups[step].tasks) {
-			o.groups[step].tasks[index].checkpoint = saved
-		}
-	}
-	o.done = o.allComplete()
-}
-
 func (o *occurrence) allComplete() bool {
 	for _, g := range o.groups {
 		if !g.complete() {
--- a/internal/sched/rank.go
+++ b/internal/sched/rank.go
@@ -75,7 +75,7 @@
 func (s *Scheduler) rankOf(g *group, q *Queue) rank {
 	r := rank{priority: q.Priority}
 	j := g.job
-	due := j.due(g.occurrence)
+	due := j.dueAt(g.occurrence)
 	if g.step.LongRunning {
 		r.slack = q.Target - s.now.Sub(due)
 		return r
@@ -110,6 +110,9 @@
 	for _, g := range s.groups {
 		if g.finished() {
 			g.tracked = false
+			if g.complete() {
+				g.tasks.dropAll()
+			}
 			continue
 		}
 		kept = append(kept, g)
--- a/internal/sched/removed_server_test.go
+++ b/internal/sched/removed_server_test.go
@@ -99,9 +99,9 @@
 						}
 					}
 				}
-				for i, task := range f.s.jobs["j"].occurrences[0].groups[1].tasks {
+				for task := range f.s.jobs["j"].occurrences[0].groups[1].tasks.all() {
 					if len(task.runs) != 1 || f.s.servers[task.runs[0].server.info.ID] != task.runs[0].server {
-						t.Errorf("task %d of the second step has no run on a known server", i)
+						t.Errorf("task %d of the second step has no run on a known server", task.index)
 					}
 				}
 			})
--- a/internal/sched/reservation.go
+++ b/internal/sched/reservation.go
@@ -125,7 +125,7 @@
 		return true
 	}
 	if c := &g.reservation; c.checkedAt.IsZero() || p.now.Sub(c.checkedAt) > gangFitMaxAge {
-		c.checkedAt, c.fits = p.now, p.countMembers(r) >= len(g.tasks)
+		c.checkedAt, c.fits = p.now, p.countMembers(r) >= g.tasks.len()
 	}
 	return g.reservation.fits
 }
@@ -144,10 +144,10 @@
 			continue
 		}
 		free := v.info.Capacity.Sub(v.longRunningUse())
-		for coming := 0; n < len(g.tasks) && charge.Times(int64(coming+1)).Fits(free) && g.allowsAnother(v, coming); coming++ {
+		for coming := 0; n < g.tasks.len() && charge.Times(int64(coming+1)).Fits(free) && g.allowsAnother(v, coming); coming++ {
 			n++
 		}
-		if n == len(g.tasks) {
+		if n == g.tasks.len() {
 			break
 		}
 	}
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -38,6 +38,9 @@
 		t.group.waiting--
 	}
 	t.group.running++
+	if !t.group.used {
+		t.group.used, t.group.job.unbalanced = true, true
+	}
 	t.runs = append(t.runs, p)
 	t.lastRun = max(t.lastRun, p.number)
 	s.track(t.group)
@@ -70,6 +73,7 @@
 		t.group.waiting++
 		t.waitingSince = s.now
 	}
+	t.dropIfDone()
 	s.passNeeded = true
 }
 
@@ -84,7 +88,7 @@
 
 // abortGang stops the members of the current run of a gang step.
 func (s *Scheduler) abortGang(g *group, reason string) {
-	for _, t := range g.tasks {
+	for t := range g.tasks.used() {
 		for _, p := range slices.Clone(t.runs) {
 			if p.number == g.gangRun {
 				s.stop(p, reason)
@@ -110,7 +114,7 @@
 	g := p.task.group
 	s.emit(StartCommand{
 		Server: p.server.info, Task: p.task.id(), Run: p.number, Payload: g.job.spec.Payload, Checkpoint: p.task.checkpoint,
-		Ticket: p.ticket, Deadline: p.startDeadline, Attempt: p.startAttempts, JobAge: s.now.Sub(g.job.due(g.occurrence)), CommonDelay: s.delay.median,
+		Ticket: p.ticket, Deadline: p.startDeadline, Attempt: p.startAttempts, JobAge: s.now.Sub(g.job.dueAt(g.occurrence)), CommonDelay: s.delay.median,
 	})
 }
 
@@ -274,6 +278,7 @@
 		s.markDirty(g.job)
 	}
 	t.lastRun = max(t.lastRun, f.Run)
+	g.used = true
 	if !g.job.state.Terminal() {
 		s.applyOutcome(t, p, f)
 	}
@@ -329,10 +334,10 @@
 func (s *Scheduler) completeTask(t *task) {
 	g := t.group
 	if g.step.Gang {
-		for _, o := range g.tasks {
+		for o := range g.tasks.all() {
 			o.markDone()
 		}
-		g.done = len(g.tasks)
+		g.done = g.tasks.len()
 	} else {
 		t.markDone()
 		g.done++
@@ -345,22 +350,13 @@
 	if !g.complete() {
 		return
 	}
+	j.unbalanced = true
 	o := j.occurrences[g.occurrence]
 	if !o.allComplete() {
 		s.readyGroups(j, o)
 		return
 	}
-	o.done = true
-	for {
-		next := j.occurrences[j.doneBefore]
-		if next == nil || !next.done {
-			break
-		}
-		if j.spec.HasSchedule() {
-			delete(j.occurrences, j.doneBefore)
-		}
-		j.doneBefore++
-	}
+	j.occurrenceDone(o)
 	if j.doneBefore >= max(j.spec.Repetitions, 1) {
 		s.finish(j, StateCompleted)
 	}
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -248,7 +248,7 @@
 	if g.step.Gang && g.complete() {
 		return // the other members end on their own
 	}
-	for _, t := range g.tasks {
+	for t := range g.tasks.used() {
 		for _, p := range slices.Clone(t.runs) {
 			s.stop(p, reason)
 		}
--- a/internal/sched/stuck.go
+++ b/internal/sched/stuck.go
@@ -60,7 +60,7 @@
 		if g.running == 0 {
 			continue
 		}
-		for _, t := range g.tasks {
+		for t := range g.tasks.used() {
 			for _, p := range t.runs {
 				kind := s.stuckKind(p)
 				if kind == "" {
--- a/internal/sched/stuck_test.go
+++ b/internal/sched/stuck_test.go
@@ -16,7 +16,7 @@
 	startOne := func(f *fixture) *run {
 		f.addServer("s1", 16)
 		f.addJob("a", Step{Count: 1, Demand: cores(1)})
-		return f.s.jobs["a"].occurrences[0].groups[0].tasks[0].runs[0]
+		return f.s.jobs["a"].occurrences[0].groups[0].tasks.at(0).runs[0]
 	}
 	for name, c := range map[string]struct {
 		happen func(*fixture)
@@ -152,8 +152,8 @@
 		add := func(id string, tasks int) {
 			j := &Job{ID: ident.JobID(id), Team: "blue", Queue: testQueue(), Steps: []Step{{Count: tasks, Demand: cores(1)}}, Accepted: epochStart}
 			s.AddJob(epochStart, j, Progress{}, false)
-			for i, t := range s.jobs[j.ID].occurrences[0].groups[0].tasks {
-				s.start(t, s.servers[ServerID(fmt.Sprint("s", (n+i)%6300))], 1, "")
+			for t := range s.jobs[j.ID].occurrences[0].groups[0].tasks.all() {
+				s.start(t, s.servers[ServerID(fmt.Sprint("s", (n+t.index)%6300))], 1, "")
 				s.confirm(t.runs[0])
 			}
 		}
--- a/internal/sched/supervise.go
+++ b/internal/sched/supervise.go
@@ -25,7 +25,7 @@
 		s.checkGang(g)
 		return
 	}
-	for _, t := range g.tasks {
+	for t := range g.tasks.used() {
 		if t.done || len(t.runs) != 1 {
 			continue
 		}
@@ -75,7 +75,7 @@
 // checkGang stops a gang that stays incomplete or of which a member makes no progress.
 func (s *Scheduler) checkGang(g *group) {
 	var members []*run
-	for _, t := range g.tasks {
+	for t := range g.tasks.used() {
 		for _, p := range t.runs {
 			if p.number == g.gangRun && p.phase != phaseStopping {
 				members = append(members, p)
@@ -86,7 +86,7 @@
 		return
 	}
 	oldest := slices.MinFunc(members, func(a, b *run) int { return a.startedAt.Compare(b.startedAt) })
-	if len(members) < len(g.tasks) && s.now.Sub(oldest.startedAt) > incompleteGangTimeout {
+	if len(members) < g.tasks.len() && s.now.Sub(oldest.startedAt) > incompleteGangTimeout {
 		s.abortGang(g, "incomplete")
 		return
 	}
@@ -113,7 +113,7 @@
 			slowest = p
 		}
 	}
-	if len(members) < len(g.tasks) || slowest.server.failures > 0 || !s.stalledSince(slowest, complete) {
+	if len(members) < g.tasks.len() || slowest.server.failures > 0 || !s.stalledSince(slowest, complete) {
 		return nil
 	}
 	return slowest
--- a/internal/sched/uncounted.go
+++ b/internal/sched/uncounted.go
@@ -122,6 +122,7 @@
 			u.add(g.step, g.uncountedTasks())
 		}
 	}
+	j.unfinishedSteps(func(step *Step, n int) { u.add(step, n*step.maxRuns()) })
 }
 
 // longestRunAfterEnd returns how long runs may go on after the end of their job. Their stops are repeated, but don't reach an
@@ -146,6 +147,9 @@
 			r.add(g.step, n)
 		}
 	}
+	if uncounted {
+		j.unfinishedSteps(func(step *Step, n int) { r.add(step, n*step.maxRuns()) })
+	}
 	return r
 }
 
@@ -170,19 +174,27 @@
 			}
 		}
 	}
-	return false
+	return j.anyIdle()
+}
+
+// maxRuns returns how many runs the tasks of the step may have at a time.
+func (s *Step) maxRuns() int {
+	if s.Speculative {
+		return 2 * s.Count
+	}
+	return s.Count
 }
 
 // uncountedTasks returns how many tasks of a group may have a run that isn't known. A task has two runs at most, if it is copied.
 func (g *group) uncountedTasks() int {
 	if g.step.Speculative {
-		return 2 * len(g.tasks)
+		return 2 * g.tasks.len()
 	}
 	return g.waiting
 }
 
 // hasNoDetails reports whether only the end of the job is known.
-func (j *job) hasNoDetails() bool { return j.state.Terminal() && len(j.occurrences) == 0 }
+func (j *job) hasNoDetails() bool { return j.dropped }
 
 // uncountedDemand returns the bound of a team's uncounted runs at the first call in the pass.
 func (p *pass) uncountedDemand(id ident.TeamID) resource.Vector {
--- a/internal/sched/waiting.go
+++ b/internal/sched/waiting.go
@@ -79,7 +79,9 @@
 	if !g.ready || !g.hasWaiting() || s.now.Sub(g.readySince) <= longWait {
 		return longest, false
 	}
-	for _, t := range g.tasks {
+	unused := g.waiting
+	for t := range g.tasks.used() {
+		unused -= boolToInt(t.waiting())
 		since := latest(g.readySince, t.waitingSince)
 		if !t.waiting() || s.now.Sub(since) <= longWait {
 			continue
@@ -89,6 +91,12 @@
 			longest = longWaiting{t, since}
 		}
 	}
+	if t := g.tasks.firstUnused(); t != nil && unused > 0 {
+		s.waitCheck.tasks += unused
+		if longest.task == nil || g.readySince.Before(longest.since) {
+			longest = longWaiting{t, g.readySince}
+		}
+	}
 	return longest, longest.task != nil
 }
 
@@ -102,7 +110,7 @@
 		failed = g.failedRuns
 	}
 	return WaitingStep{
-		Job: g.job.spec.ID, Index: t.index, Age: s.now.Sub(w.since), JobAge: s.now.Sub(g.job.due(g.occurrence)), LastRun: t.lastRun,
+		Job: g.job.spec.ID, Index: t.index, Age: s.now.Sub(w.since), JobAge: s.now.Sub(g.job.dueAt(g.occurrence)), LastRun: t.lastRun,
 		FailedRuns: len(failed), Reason: s.waitReasons(&r)(t), StepExplanation: s.explainGroup(g),
 	}
 }
