Narrow a refused write of progress down to the job at fault

Cause: on an error that is neither a conflict nor an unknown outcome the leader took the same batch of up to ten jobs again, without a pause and without a look at its size.

Change: records above the limit aren't sent, transactions are bounded in bytes, and a refused one is written again in halves down to the job at fault. That job's next write comes after a growing pause; a record that is too large is written without checkpoints, and if that doesn't help its job fails, as its ends hold up all later ends on their servers. The refusal is logged with its size and counted.

--- a/internal/coordinator/progress.go
+++ b/internal/coordinator/progress.go
@@ -5,6 +5,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
+	"strconv"
 	"sync"
 	"time"
 
@@ -23,6 +25,8 @@
 	// jobsPerWrite is the number of jobs whose progress fits a transaction: beside the precondition on the leader record
 	// each job takes a precondition, a write and, if it has ended, a delete.
 	jobsPerWrite = (platform.MaxTransactionEntries - 1) / 3
+	// maxWriteBytes bounds the records of a transaction, beyond the first one.
+	maxWriteBytes = 1 << 20
 	// deletedJobsPerWrite is the number of jobs whose three keys fit a transaction beside the precondition on the leader
 	// record.
 	deletedJobsPerWrite = (platform.MaxTransactionEntries - 1) / 3
@@ -104,15 +108,43 @@
 	}
 }
 
-// writeProgress writes the progress of a batch of jobs. Each record is expected at its known revision, so that an earlier
-// write that takes effect late changes nothing.
+// encodedProgress is progress with its record.
+type encodedProgress struct {
+	sched.ProgressUpdate
+	write platform.Write
+}
+
+// writeProgress writes the progress of a batch of jobs, in several transactions if it is large.
 func (t *term) writeProgress(ctx context.Context, batch []sched.ProgressUpdate) {
+	var part []encodedProgress
+	size := 0
+	for _, u := range batch {
+		e := encodedProgress{u, t.encodeProgress(u)}
+		if len(e.write.Value) > platform.MaxValueBytes {
+			t.progressRefused(e, platform.ErrTooLarge)
+			continue
+		}
+		if len(part) > 0 && size+len(e.write.Value) > maxWriteBytes {
+			t.writePart(ctx, part)
+			part, size = nil, 0
+		}
+		part = append(part, e)
+		size += len(e.write.Value)
+	}
+	if len(part) > 0 {
+		t.writePart(ctx, part)
+	}
+}
+
+// writePart writes the progress of some jobs in one transaction. Each record is expected at its known revision, so that an earlier write
+// that takes effect late changes nothing.
+func (t *term) writePart(ctx context.Context, part []encodedProgress) {
 	sentAt := t.coordinator.now()
 	tx := t.fencedTransaction()
-	for _, u := range batch {
+	for _, u := range part {
 		revision := t.progressRevisions.get(u.Job)
 		tx.Preconditions = append(tx.Preconditions, platform.Precondition{Key: ProgressKey(u.Job), Revision: revision})
-		tx.Writes = append(tx.Writes, t.encodeProgress(u))
+		tx.Writes = append(tx.Writes, u.write)
 		if u.EndedJob != nil && revision != 0 {
 			tx.Deletes = append(tx.Deletes, ProgressKey(u.Job))
 		}
@@ -122,17 +154,34 @@
 		return
 	}
 	if err != nil {
-		t.handleWriteFailure(ctx, batch, tx.Writes, err)
+		t.handleWriteFailure(ctx, part, err)
 		return
 	}
-	for _, u := range batch {
+	for _, u := range part {
 		if u.EndedJob != nil {
 			t.progressRevisions.set(u.Job, 0)
 		} else {
 			t.progressRevisions.set(u.Job, rev)
 		}
 	}
-	t.progressWritten(batch, sentAt)
+	t.progressWritten(updatesOf(part), sentAt)
+}
+
+func updatesOf(part []encodedProgress) []sched.ProgressUpdate {
+	out := make([]sched.ProgressUpdate, len(part))
+	for i, u := range part {
+		out[i] = u.ProgressUpdate
+	}
+	return out
+}
+
+// progressRefused handles the progress of one job that the store refuses for its own sake, or would refuse for its size.
+func (t *term) progressRefused(u encodedProgress, err error) {
+	tooLarge := errors.Is(err, platform.ErrTooLarge)
+	t.config.Log.Error(err, "progress refused", "job", string(u.Job), "bytes", len(u.write.Value), "limit", platform.MaxValueBytes,
+		"state", string(u.Progress.State), "occurrences", len(u.Progress.Occurrences))
+	t.config.Metrics.GetOrCreateCounter(fmt.Sprintf("rosemaryspoke_progress_refused_total{too_large=%q}", strconv.FormatBool(tooLarge))).Inc()
+	t.update(func(now time.Time, s *sched.Scheduler) { s.ProgressRefused(now, u.ProgressUpdate, tooLarge) })
 }
 
 // encodeProgress returns the write for the progress of a job. If the job has ended, its end replaces the job's own record,
@@ -165,19 +214,32 @@
 }
 
 // handleWriteFailure returns the progress of a failed write to the scheduler, to be written again, or ends the term if
-// another daemon leads. Progress that an earlier write with an unknown outcome has recorded counts as written.
-func (t *term) handleWriteFailure(ctx context.Context, batch []sched.ProgressUpdate, writes []platform.Write, err error) {
+// another daemon leads. Progress that an earlier write with an unknown outcome has recorded counts as written. If the store refuses the
+// write for its own sake, the jobs are written in smaller parts, so that one job keeps no other from being recorded.
+func (t *term) handleWriteFailure(ctx context.Context, part []encodedProgress, err error) {
 	var conflict *platform.ConflictError
-	if !errors.As(err, &conflict) {
-		t.config.Log.Info("progress not recorded", "jobs", len(batch), "error", err.Error())
+	switch {
+	case errors.As(err, &conflict):
+		t.handleConflict(part, conflict)
+	case errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrUnknownOutcome):
+		t.config.Log.Info("progress not recorded", "jobs", len(part), "error", err.Error())
 		if errors.Is(err, platform.ErrUnavailable) {
 			sleep(ctx, writeRetryDelay)
 		}
 		t.mu.Lock()
-		t.scheduler.ProgressWriteFailed(batch)
+		t.scheduler.ProgressWriteFailed(updatesOf(part))
 		t.mu.Unlock()
-		return
+	case len(part) > 1:
+		t.config.Log.Info("progress refused, writing smaller parts", "jobs", len(part), "error", err.Error())
+		t.writePart(ctx, part[:len(part)/2])
+		t.writePart(ctx, part[len(part)/2:])
+	default:
+		t.progressRefused(part[0], err)
 	}
+}
+
+// handleConflict handles a write of which a record had another revision.
+func (t *term) handleConflict(part []encodedProgress, conflict *platform.ConflictError) {
 	present := map[string]platform.Item{}
 	for _, it := range conflict.Items {
 		present[it.Key] = it
@@ -187,14 +249,14 @@
 		return
 	}
 	var retry, recorded []sched.ProgressUpdate
-	for i, u := range batch {
+	for _, u := range part {
 		it := present[progressPrefix+string(u.Job)]
 		t.progressRevisions.set(u.Job, it.Revision)
 		// The end of a job is always written again, which has no further effect.
-		if it.Revision != 0 && u.EndedJob == nil && bytes.Equal(it.Value, writes[i].Value) {
-			recorded = append(recorded, u)
+		if it.Revision != 0 && u.EndedJob == nil && bytes.Equal(it.Value, u.write.Value) {
+			recorded = append(recorded, u.ProgressUpdate)
 		} else {
-			retry = append(retry, u)
+			retry = append(retry, u.ProgressUpdate)
 		}
 	}
 	t.mu.Lock()
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -35,6 +35,7 @@
 	changes         uint64 // version of the progress
 	recordedChanges uint64
 	writeInFlight   bool
+	refusedWrites   refusedWrites
 	endToWrite      bool // counted in writeQueue.ended
 }
 
--- a/internal/sched/job_progress.go
+++ b/internal/sched/job_progress.go
@@ -21,9 +21,10 @@
 		Begun: j.begun, Services: slices.Clone(j.services), DoneBefore: j.doneBefore, Occurrences: map[int]OccurrenceProgress{},
 	}
 	compact := j.listedBytes() > maxListedBytes
+	saved := !j.refusedWrites.withoutCheckpoints
 	for k, o := range j.occurrences {
 		if !o.done && !o.untouched() {
-			p.Occurrences[k] = o.progress(compact)
+			p.Occurrences[k] = o.progress(compact, saved)
 		}
 	}
 	if compact {
@@ -90,7 +91,7 @@
 	return !slices.ContainsFunc(o.groups, func(g *group) bool { return g.used || g.done > 0 })
 }
 
-func (o *occurrence) progress(compact bool) OccurrenceProgress {
+func (o *occurrence) progress(compact, saved bool) OccurrenceProgress {
 	p := OccurrenceProgress{Failures: map[string][]RunNumber{}, Saved: map[string]Checkpoint{}}
 	for _, g := range o.groups {
 		if len(g.failedRuns) > 0 {
@@ -108,7 +109,7 @@
 			if len(t.failedRuns) > 0 {
 				p.Failures[taskKey(g.index, t.index)] = slices.Clone(t.failedRuns)
 			}
-			if t.checkpoint != "" {
+			if saved && t.checkpoint != "" {
 				p.Saved[taskKey(g.index, t.index)] = t.checkpoint
 			}
 		}
--- a/internal/sched/record.go
+++ b/internal/sched/record.go
@@ -55,7 +55,9 @@
 func (s *Scheduler) TakeProgressUpdates(limit int) []ProgressUpdate {
 	jobs := make([]*job, 0, len(s.toWrite.jobs))
 	for _, j := range s.toWrite.jobs {
-		jobs = append(jobs, j)
+		if !s.now.Before(j.refusedWrites.pauseUntil) {
+			jobs = append(jobs, j)
+		}
 	}
 	slices.SortFunc(jobs, func(a, b *job) int {
 		if a.state.Terminal() != b.state.Terminal() {
@@ -96,6 +98,7 @@
 			continue
 		}
 		j.writeInFlight = false
+		j.refusedWrites.pauseUntil, j.refusedWrites.count = time.Time{}, 0
 		j.recordedChanges = max(j.recordedChanges, u.Changes)
 		s.noteRecordedServices(j, u.Progress)
 		if u.Progress.State.Terminal() {
@@ -120,6 +123,44 @@
 	})
 }
 
+const (
+	// refusedWritePause is the pause after the first refused write of a job's progress, and maxRefusedWritePause the longest one.
+	refusedWritePause    = 500 * time.Millisecond
+	maxRefusedWritePause = 30 * time.Second
+)
+
+// refusedWrites tells how often in a row the store has refused the progress of a job for its own sake.
+type refusedWrites struct {
+	count              int
+	pauseUntil         time.Time
+	withoutCheckpoints bool // they are left out, as the record was too large with them
+}
+
+// ProgressRefused reports that the store refuses the progress of a job for its own sake, which is too large or refused for another
+// reason. It is written again after a pause that doubles with each refusal. If it is too large, it is written without checkpoints, and if
+// that doesn't help, the job fails: the ends that it has on servers can't be acknowledged, and with them no later end there.
+func (s *Scheduler) ProgressRefused(now time.Time, u ProgressUpdate, tooLarge bool) {
+	s.now = now
+	j := s.jobs[u.Job]
+	if j == nil {
+		return
+	}
+	j.writeInFlight = false
+	r := &j.refusedWrites
+	switch {
+	case !tooLarge:
+		r.pauseUntil = now.Add(min(refusedWritePause<<min(r.count, 8), maxRefusedWritePause))
+		r.count++
+	case !r.withoutCheckpoints:
+		r.withoutCheckpoints = true
+	case !j.state.Terminal():
+		s.finish(j, StateFailed)
+	default:
+		r.pauseUntil = now.Add(maxRefusedWritePause)
+	}
+	s.toWrite.add(j)
+}
+
 // ProgressWriteFailed reports that the progress couldn't be written and has to be taken again.
 func (s *Scheduler) ProgressWriteFailed(failed []ProgressUpdate) {
 	for _, u := range failed {
--- a/internal/standin/txstore/txstore.go
+++ b/internal/standin/txstore/txstore.go
@@ -249,6 +249,11 @@
 	if n := len(t.Preconditions) + len(t.Writes) + len(t.Deletes); n > platform.MaxTransactionEntries {
 		return 0, fmt.Errorf("transaction has %d entries, more than %d", n, platform.MaxTransactionEntries)
 	}
+	for _, w := range t.Writes {
+		if len(w.Value) > platform.MaxValueBytes {
+			return 0, fmt.Errorf("value of %s has %d bytes: %w", w.Key, len(w.Value), platform.ErrTooLarge)
+		}
+	}
 	err = s.applyFault("transact", firstKey, true, func() error {
 		conflict := false
 		var present []platform.Item
