Keep run numbers inside the range of their term, and pause failing restarts

Cause: a term had 1,000 run numbers and nothing kept it inside them, nor did anything slow such restarts down.

Change: a takeover raises the epoch by 4,096 instead of 1, so a term has 4,096,000 numbers of a task; a term in which a task has used them up ends. Short runs in a row are followed by a pause of up to 2 s from the fifth one on, forgotten after a good run. A refusal as old makes the number leap, so that seven refusals find one that is accepted. Only the first two failures in a row of a task count against servers: a task that always fails quarantined its servers one after the other, also its only one, and so had no run.

TestLeaderRecordsThatItHasSettled named the second term's epoch, 2; it is 4,097 now, the check is as strict as before.

--- a/internal/coordinator/election.go
+++ b/internal/coordinator/election.go
@@ -99,10 +99,18 @@
 	return delay
 }
 
+// nextEpoch returns the epoch of the term after the one of a former leader, or of the first term.
+func nextEpoch(former ident.Epoch) ident.Epoch {
+	if former == 0 {
+		return 1
+	}
+	return former + epochsPerTerm
+}
+
 // takeOver writes this daemon into the leader record. It returns nil if another daemon was faster or the store failed.
 func (c *Coordinator) takeOver(ctx context.Context, v *cellState, precondition platform.Precondition) *term {
 	record := LeaderRecord{
-		Member: c.config.Member, Incarnation: c.incarnation, Address: c.config.Address, Epoch: v.leader.Epoch + 1,
+		Member: c.config.Member, Incarnation: c.incarnation, Address: c.config.Address, Epoch: nextEpoch(v.leader.Epoch),
 	}
 	value, err := json.Marshal(record)
 	if err != nil {
--- a/internal/coordinator/isolated_leader_test.go
+++ b/internal/coordinator/isolated_leader_test.go
@@ -176,7 +176,7 @@
 	c.await("leader b", 4*time.Second, func() bool { return second.leader() == "b" })
 	settled := func() bool {
 		item, err := c.store.Get(t.Context(), "cell/settled")
-		return err == nil && string(item.Value) == `{"epoch":2}`
+		return err == nil && string(item.Value) == `{"epoch":4097}` // the second term's
 	}
 	time.Sleep(1500 * time.Millisecond)
 	if settled() {
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -17,9 +17,11 @@
 )
 
 const (
-	// runsPerTerm is the size of the range of run numbers that a term may use for a task; each term starts above the range
-	// of the previous one.
-	runsPerTerm = 1000
+	// runsPerEpoch and epochsPerTerm give the range of run numbers that a term may use for a task, some four million: each term starts
+	// above the range of the former one, which is runsPerEpoch times its epoch. JSON carries the numbers of two billion terms
+	// exactly. Daemons before epochsPerTerm took one epoch a term.
+	runsPerEpoch  = 1000
+	epochsPerTerm = 4096
 	// minPassPause is the shortest pause between two scheduling passes; events in the meantime share the next pass.
 	minPassPause = 4 * time.Millisecond
 	// passPauseFactor times the duration of a pass is the pause after it, so that passes over a long queue leave processor
@@ -43,6 +45,9 @@
 // errHandover reports that this daemon hands the leadership over to a faster host.
 var errHandover = errors.New("handed over to a faster host")
 
+// errRunNumbers reports that a task has used up the run numbers of the term.
+var errRunNumbers = errors.New("run numbers of the term are used up")
+
 // errDeposed reports that another daemon has taken over.
 var errDeposed = errors.New("another daemon took over")
 
@@ -95,7 +100,7 @@
 // counts only on the commands that they had handed over to proxies.
 func newTerm(c *Coordinator, l LeaderRecord, revision platform.Revision, sentAt time.Time, formerStopped bool) *term {
 	options := c.config.Scheduling
-	options.RunBase = sched.RunNumber(l.Epoch-1) * runsPerTerm
+	options.RunBase, options.RunRange = sched.RunNumber(l.Epoch-1)*runsPerEpoch, epochsPerTerm*runsPerEpoch
 	options.MaxSendDelay = maxProxyLag // a former leader may have used proxies even if this one needs none
 	if formerStopped {
 		options.LeaderOverlap = 0
@@ -164,7 +169,8 @@
 	g.Go(func() error { return t.logLoad(ctx) })
 	err = g.Wait()
 	cancel(err)
-	if cause := context.Cause(t.ctx); errors.Is(cause, errHandover) || errors.Is(cause, errShutdown) {
+	if cause := context.Cause(t.ctx); errors.Is(cause, errHandover) || errors.Is(cause, errShutdown) ||
+		errors.Is(cause, errRunNumbers) {
 		releaseCtx, cancelRelease := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
 		defer cancelRelease()
 		t.releaseLeadership(releaseCtx)
@@ -178,7 +184,7 @@
 	t.mu.Lock()
 	f(t.coordinator.now(), t.scheduler)
 	commands := t.scheduler.TakeCommands()
-	deposed := t.scheduler.Deposed()
+	deposed, usedUp := t.scheduler.Deposed(), t.scheduler.RunNumbersUsedUp()
 	decisions, dropped := t.scheduler.TakeDecisions()
 	serverDecisions, droppedOnServers := t.scheduler.TakeServerDecisions()
 	some, terminal := t.scheduler.HasProgressUpdates()
@@ -191,6 +197,10 @@
 		t.cancel(errDeposed)
 		return
 	}
+	if usedUp {
+		t.cancel(errRunNumbers)
+		return
+	}
 	t.dispatch(commands)
 	notify(t.wake)
 	if some && terminal {
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -27,6 +27,9 @@
 	maxSuspects = 0.25
 	// restartGain is the remaining time, in expected durations, from which a run on a slow server is restarted elsewhere.
 	restartGain = 1.5
+	// blamedShortRuns is the number of short runs in a row of a task that count against their servers. Further ones show a fault of the
+	// task, which would otherwise quarantine one server after the other, also its only one.
+	blamedShortRuns = 2
 	// restartCost is the overhead of the stop and the new start.
 	restartCost = 700 * time.Millisecond
 )
@@ -34,6 +37,9 @@
 // learnFromRun updates the health of a run's server, and the learned durations, when a run ends.
 func (s *Scheduler) learnFromRun(p *run, outcome Outcome) {
 	v := p.server
+	if outcome == OutcomeFailed && p.task.shortRuns >= blamedShortRuns {
+		return
+	}
 	v.recentRuns *= failureShareDecay
 	v.recentFailures *= failureShareDecay
 	v.recentRuns++
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -85,6 +85,8 @@
 	waitingSince    time.Time // when the last run ended or was released; zero without one
 	avoidServer     ServerID  // server of the last failed, stalled or slow run
 	refusals        int       // refused starts since the last confirmed one, see pauseAfterRefusal
+	refusedLeap     RunNumber // see skipRefusedNumbers
+	shortRuns       int       // short runs in a row, see pauseAfterShortRun
 	noStartsBefore  time.Time // no starts before this time
 	unansweredAt    time.Time // when a start was last given up without an answer; zero once a run is confirmed
 	probedAt        time.Time // when servers were last probed for the task, see probeCommands
--- a/internal/sched/placement.go
+++ b/internal/sched/placement.go
@@ -151,7 +151,7 @@
 
 // mustWait reports whether a task must not start yet, wherever there is room for it.
 func (p *pass) mustWait(t *task) bool {
-	return p.inDoubt[t.id()] || p.now.Before(t.noStartsBefore) || p.lossInDoubt(t)
+	return p.inDoubt[t.id()] || p.now.Before(t.noStartsBefore) || p.lossInDoubt(t) || !p.runNumbersLeft(t)
 }
 
 // tentative counts the tasks of a gang that are assigned to each server but not yet started.
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -118,9 +118,6 @@
 	})
 }
 
-// nextRun returns the number of a task's next run.
-func (s *Scheduler) nextRun(t *task) RunNumber { return max(t.lastRun, s.options.RunBase) + 1 }
-
 // confirm marks a run as in progress on its server.
 func (s *Scheduler) confirm(p *run) {
 	s.countUnanswered(p, -1)
@@ -128,7 +125,7 @@
 	p.confirmedAt = s.now
 	p.progressAt = s.now
 	p.server.refusals, p.server.startFailedAt = 0, time.Time{}
-	p.task.refusals, p.task.unansweredAt = 0, time.Time{}
+	p.task.refusals, p.task.refusedLeap, p.task.unansweredAt = 0, 0, time.Time{}
 	p.task.group.job.begin()
 }
 
@@ -291,6 +288,9 @@
 // applyOutcome updates a task of an unfinished job for the outcome of one of its runs.
 func (s *Scheduler) applyOutcome(t *task, p *run, f FinishedRun) {
 	g := t.group
+	if (f.Outcome == OutcomeDone || f.Outcome == OutcomeFailed) && (g.step.LongRunning || g.job.queue.MaxAttempts <= 0) {
+		s.pauseAfterShortRun(t, p)
+	}
 	switch f.Outcome {
 	case OutcomeDone:
 		if !g.step.LongRunning && !t.done {
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -17,6 +17,8 @@
 	// RunBase is one less than the first run number of this leader. It exceeds the run numbers of former leaders; 0 means
 	// that there was none.
 	RunBase RunNumber
+	// RunRange is the number of run numbers of this leader; those of the next one come after them. 0 means that there is no bound.
+	RunRange RunNumber
 	// RunLease is how long a server keeps its runs without hearing from the leader.
 	RunLease time.Duration
 	// MaxFormerLease bounds the leases that former leaders may have granted.
@@ -47,17 +49,18 @@
 	started time.Time // when this leader took over
 	now     time.Time
 
-	queues        map[ident.QueueID]*Queue
-	teams         map[ident.TeamID]*team
-	jobs          map[ident.JobID]*job
-	scheduledJobs []*job   // jobs with a schedule that haven't ended
-	groups        []*group // groups with tasks to start or in progress, in no order
-	servers       map[ServerID]*server
-	byID          []*server // see sortedServers; nil if outdated
-	services      map[ServiceID][]*server
-	freeOrders    map[ServiceID]*freeOrder
-	grantShares   map[ident.QueueID]float64 // share of the servers that a queue's advisor allows, learned from its answers
-	passes        uint64                    // number of scheduling passes
+	queues           map[ident.QueueID]*Queue
+	teams            map[ident.TeamID]*team
+	jobs             map[ident.JobID]*job
+	scheduledJobs    []*job   // jobs with a schedule that haven't ended
+	groups           []*group // groups with tasks to start or in progress, in no order
+	servers          map[ServerID]*server
+	byID             []*server // see sortedServers; nil if outdated
+	services         map[ServiceID][]*server
+	freeOrders       map[ServiceID]*freeOrder
+	grantShares      map[ident.QueueID]float64 // share of the servers that a queue's advisor allows, learned from its answers
+	runNumbersUsedUp bool
+	passes           uint64 // number of scheduling passes
 
 	durations         durations
 	fleetVersion      uint64               // incremented when the set of servers or their capacity changes
--- a/internal/sched/start_refused.go
+++ b/internal/sched/start_refused.go
@@ -48,6 +48,9 @@
 		v.startFailedAt = now
 		p.task.pauseAfterRefusal(now)
 	}
+	if reason == RefusedOldRun {
+		s.skipRefusedNumbers(p.task)
+	}
 	s.abandonStart(p, "refused: "+string(reason))
 }
 
