--- a/internal/sched/advice.go
+++ b/internal/sched/advice.go
@@ -236,7 +236,7 @@
 // adviceFor returns the call for a step, if one is due and its duration is within bounds.
 func (s *Scheduler) adviceFor(r *rankedGroup, moreThan, atMost time.Duration) (AdviceRequest, bool) {
 	g := r.group
-	if !s.callDue(r, moreThan, atMost) {
+	if !g.isOpen() || !s.callDue(r, moreThan, atMost) {
 		return AdviceRequest{}, false
 	}
 	ids := s.selectServers(g, r.queue)
@@ -331,11 +331,17 @@
 
 // group returns the group that an advisor call is about, or nil.
 func (s *Scheduler) group(request AdviceRequest) *group {
-	t := s.lookup(TaskID{Job: request.Job, Occurrence: request.Occurrence, Step: request.Step})
-	if t == nil {
+	j := s.jobs[request.Job]
+	if j == nil || j.occurrences[request.Occurrence] == nil {
 		return nil
 	}
-	return t.group
+	return j.occurrences[request.Occurrence].groups[request.Step]
+}
+
+// isOpen reports whether the group's occurrence is still in memory.
+func (g *group) isOpen() bool {
+	o := g.job.occurrences[g.occurrence]
+	return o != nil && o.groups[g.index] == g
 }
 
 // prefetchLead is how long before a step is expected to be ready its advice is requested.
--- a/internal/sched/supervise.go
+++ b/internal/sched/supervise.go
@@ -125,7 +125,7 @@
 	q := g.job.queue
 	p := pass{Scheduler: s, reserved: map[ServerID]bool{slow.server.info.ID: true}}
 	r := rankedGroup{group: g, queue: q}
-	if !p.withinLimit(g, 1) {
+	if !p.withinLimit(g, 1) || !s.runNumbersLeft(t) {
 		return
 	}
 	if v := p.pickServer(&r, t, nil); v != nil {
