--- a/internal/sched/occurrences_test.go
+++ b/internal/sched/occurrences_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/resource"
 )
 
 // valueBytes is the largest record that the store accepts.
@@ -84,6 +85,23 @@
 	}
 }
 
+// Guards against a bound of the runs of former leaders that overflows, so that a team gets more than its limit after a takeover.
+func TestDemandOfManyOccurrencesDoesNotOverflow(t *testing.T) {
+	f := newFixture(t, func(o *Options) { o.RunBase = 1000 })
+	f.s.Register(f.now, testServer("s1", 64))
+	wide := Step{Count: 10_000, Demand: cores(64), BestEffort: true}
+	f.s.AddJob(f.now, &Job{ID: "a", Team: "blue", Queue: testQueue(), Steps: []Step{wide}, Repetitions: 1 << 62, Interval: time.Millisecond, StartAt: time.Unix(0, 0)},
+		Progress{}, true)
+	f.s.Cancel(f.now, "a")
+	least := wide.Demand.Times(int64(wide.Count) * maxCountedOccurrences).CPU
+	r := f.s.TakeProgressUpdates(1)[0].Progress.Remaining
+	for what, got := range map[string]resource.MilliCPU{"demand": r.Demand.CPU, "best-effort": r.BestEffortCPU} {
+		if got < least || got > 2*least {
+			t.Errorf("%s of the ended job: %d, want %d or somewhat more", what, got, least)
+		}
+	}
+}
+
 // timedCell plays a scheduler with servers whose runs end at random, without time bounds, and replaces the scheduler by one that
 // loads the recorded progress.
 type timedCell struct {
