--- a/internal/sched/occurrences.go
+++ b/internal/sched/occurrences.go
@@ -74,14 +74,14 @@
 	return false
 }
 
-// maxCountedOccurrences bounds the occurrences of which demands are summed up, so that the sums can't overflow. No fleet runs as many.
-const maxCountedOccurrences = 1 << 20
+// maxSummedOccurrences bounds the occurrences of which demands are summed up, so that the sums can't overflow. No fleet runs as many.
+const maxSummedOccurrences = 1 << 20
 
 // unfinishedSteps calls a function with each step that isn't complete of the occurrences that are kept as ranges, and their number, which is
-// at most maxCountedOccurrences.
+// at most maxSummedOccurrences.
 func (j *job) unfinishedSteps(visit func(step *Step, occurrences int)) {
 	for _, c := range j.idle {
-		n := min(c.numbers.count(), maxCountedOccurrences)
+		n := min(c.numbers.count(), maxSummedOccurrences)
 		for i := range j.spec.Steps {
 			if n > 0 && !c.complete[i] {
 				visit(&j.spec.Steps[i], n)
--- a/internal/sched/occurrences_test.go
+++ b/internal/sched/occurrences_test.go
@@ -93,7 +93,7 @@
 	f.s.AddJob(f.now, &Job{ID: "a", Team: "blue", Queue: testQueue(), Steps: []Step{wide}, Repetitions: 1 << 62, Interval: time.Millisecond, StartAt: time.Unix(0, 0)},
 		Progress{}, true)
 	f.s.Cancel(f.now, "a")
-	least := wide.Demand.Times(int64(wide.Count) * maxCountedOccurrences).CPU
+	least := wide.Demand.Times(int64(wide.Count) * maxSummedOccurrences).CPU
 	r := f.s.TakeProgressUpdates(1)[0].Progress.Remaining
 	for what, got := range map[string]resource.MilliCPU{"demand": r.Demand.CPU, "best-effort": r.BestEffortCPU} {
 		if got < least || got > 2*least {
