Evacuation: start nothing in data centres under op/evacuate/

An operator had no way to take a data centre out of use: the scheduler knew only servers that drain on their own.

The leader reads the prefix op/evacuate/ while it loads, before its first start, and watches it afterwards. While the store leaves the watch unanswered or answers it with errors for over a second, it reads the keys of the known data centres through up to three peers. Servers of an evacuated data centre aren't usable, which covers tasks, gangs, copies, advice and reservations. An unanswered start there isn't repeated but stopped.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -48,6 +48,7 @@
 	Registry            coordinator.Registry
 	ServerClient        coordinator.ServerClient
 	ConfigKey           string
+	EvacuationPrefix    string // see coordinator.Config; empty means that data centres aren't evacuated
 	DecodeConfig        func([]byte) (*policy.Policy, error)
 	CallerAddress       string
 	ReadinessAddress    string
@@ -113,7 +114,8 @@
 		Member: d.settings.Member, DataCentre: d.settings.DataCentre, Region: d.settings.Region, Address: d.settings.PeerAddress,
 		ElectionDelay: d.settings.ElectionDelay(), Store: d.adapter.Store, StoreTimeout: d.storeTimeout,
 		Registry: d.adapter.Registry, ServerClient: d.adapter.ServerClient,
-		Policy: watcher, Peer: n, Scheduling: d.settings.Bounds.SchedulingOptions(), PresenceTTL: d.periods.PresenceTTL,
+		EvacuationPrefix: d.adapter.EvacuationPrefix,
+		Policy:           watcher, Peer: n, Scheduling: d.settings.Bounds.SchedulingOptions(), PresenceTTL: d.periods.PresenceTTL,
 		MaxDirectServers: d.settings.MaxDirectServers, OnLeading: newGCTuner(), Log: d.log.WithName("coordinator"), Metrics: set,
 	})
 }
--- a/internal/coordinator/cell_test.go
+++ b/internal/coordinator/cell_test.go
@@ -52,6 +52,8 @@
 	dataCentre ident.DataCentre
 	peerDial   func(ctx context.Context, network, address string) (net.Conn, error)
 	clock      func() time.Time
+	// evacuationPrefix is that of the daemons' configuration.
+	evacuationPrefix string
 	// maxDirectServers is that of the daemons' configuration. With more servers than that the leader calls none itself.
 	maxDirectServers int
 
@@ -159,8 +161,8 @@
 		Member: name, DataCentre: c.dataCentre, Region: c.region, Address: l.Addr().String(), ElectionDelay: electionDelay, Store: s, Policy: watcher, Peer: node,
 		Registry: coordinator.Registry{Prefix: "servers/", Decode: decodeServer}, ServerClient: c.serverClient,
 		Scheduling: bounds.SchedulingOptions(), PresenceTTL: 800 * time.Millisecond, OnLeading: c.onLeading,
-		MaxDirectServers: c.maxDirectServers,
-		Log:              testr.NewWithOptions(c.t, testr.Options{LogTimestamp: true}).WithName(string(name)),
+		MaxDirectServers: c.maxDirectServers, EvacuationPrefix: c.evacuationPrefix,
+		Log: testr.NewWithOptions(c.t, testr.Options{LogTimestamp: true}).WithName(string(name)),
 	})
 	if err != nil {
 		c.t.Fatal(err)
--- a/internal/coordinator/commands.go
+++ b/internal/coordinator/commands.go
@@ -56,7 +56,11 @@
 		return
 	}
 	sent := t.coordinator.now()
-	clock, err := t.config.ServerClient.Start(t.serverContext(), t.fence, cmd)
+	var clock time.Duration
+	err := t.withheldStart(&cmd)
+	if err == nil {
+		clock, err = t.config.ServerClient.Start(t.startContext(cmd.Server.DataCentre), t.fence, cmd)
+	}
 	if t.ctx.Err() != nil {
 		return
 	}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -77,9 +77,12 @@
 	StoreTimeout  *platform.AdaptiveTimeout // timeout of store calls, which follows its response times
 	Registry      Registry
 	ServerClient  ServerClient
-	Policy        *policy.Watcher
-	Peer          *peer.Node
-	Scheduling    sched.Options // RunBase is set for each term; LeaderOverlap may be set to 0
+	// EvacuationPrefix is the store prefix of the requests to evacuate data centres, each of which is named by the rest of a key.
+	// Empty means that there are none.
+	EvacuationPrefix string
+	Policy           *policy.Watcher
+	Peer             *peer.Node
+	Scheduling       sched.Options // RunBase is set for each term; LeaderOverlap may be set to 0
 	// MaxDirectServers is the number of servers up to which a leader makes all calls to them itself. Calls to a larger fleet go
 	// through daemons of the servers' data centres.
 	MaxDirectServers int
--- a/internal/coordinator/load.go
+++ b/internal/coordinator/load.go
@@ -31,8 +31,8 @@
 
 // loadResult holds the revisions at which the watches of a term start, and the numbers of loaded jobs and servers.
 type loadResult struct {
-	jobsRevision, serversRevision platform.Revision
-	jobCount, serverCount         int
+	jobsRevision, serversRevision, evacuationsRevision platform.Revision
+	jobCount, serverCount                              int
 }
 
 // load reads jobs, progress, the roster and the server registrations into the scheduler. It runs after the leader record is
@@ -41,6 +41,7 @@
 	var (
 		result                               loadResult
 		jobs, progress, servers, rosterItems []platform.Item
+		requests                             []platform.Item // to evacuate data centres
 	)
 	read := func(into *[]platform.Item, prefix string, from *platform.Revision) func() error {
 		return func() error {
@@ -57,6 +58,9 @@
 	g.Go(read(&progress, progressPrefix, nil))
 	g.Go(read(&servers, t.config.Registry.Prefix, &result.serversRevision))
 	g.Go(read(&rosterItems, rosterPrefix, nil))
+	if t.config.EvacuationPrefix != "" {
+		g.Go(read(&requests, t.config.EvacuationPrefix, &result.evacuationsRevision))
+	}
 	if err := g.Wait(); err != nil {
 		return result, fmt.Errorf("load: %w", err)
 	}
@@ -69,6 +73,7 @@
 		t.addRoster(now, s, rosterItems)
 		result.serverCount = t.addServers(now, s, servers)
 	})
+	t.changeEvacuations(sourceLoad, func(e *evacuations) { e.replace(t.evacuationItems(requests), result.evacuationsRevision) })
 	t.mu.Lock()
 	t.loaded = true
 	t.mu.Unlock()
--- a/internal/coordinator/server_proxy_calls.go
+++ b/internal/coordinator/server_proxy_calls.go
@@ -74,14 +74,19 @@
 	})
 }
 
-// dropOutdated removes the polls that aren't to be sent any more. Like the polls of this daemon they may have waited.
+// dropOutdated removes the polls that aren't to be sent any more, and starts in evacuated data centres. Like the commands of this daemon
+// they may have waited.
 func (t *term) dropOutdated(calls []*proxiedCall) []*proxiedCall {
 	kept := calls[:0]
 	var outdated []sched.PollCommand
+	var withheld []sched.StartCommand
 	t.mu.Lock()
 	for _, c := range calls {
+		start, isStart := c.command.(sched.StartCommand)
 		poll, ok := c.command.(sched.PollCommand)
 		switch {
+		case isStart && t.evacuations.includes(start.Server.DataCentre):
+			withheld = append(withheld, start)
 		case ok && poll.Delay > 0 && !t.scheduler.IsPollCurrent(poll.Server.ID, poll.Serial):
 		case ok && t.scheduler.IsPollOutdated(poll):
 			outdated = append(outdated, poll)
@@ -90,8 +95,11 @@
 		}
 	}
 	t.mu.Unlock()
-	if len(outdated) > 0 {
+	if len(outdated)+len(withheld) > 0 {
 		t.update(func(now time.Time, s *sched.Scheduler) {
+			for _, start := range withheld {
+				s.StartUnanswered(now, start.Server.ID, start.Task, start.Run, false)
+			}
 			for _, poll := range outdated {
 				s.PollFailed(now, poll.Server.ID, poll.Serial)
 			}
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -88,6 +88,7 @@
 	advisorProxies    advisorProxies
 	progressRevisions progressRevisions
 	silences          silences
+	evacuations       evacuations
 	// registered holds the server registrations. Only load and then watchServers use it, so it needs no lock.
 	registered map[sched.ServerID]sched.Server
 	// unreadable holds the reason by the key of each unreadable registration. It is used like registered.
@@ -164,6 +165,12 @@
 	g.Go(func() error { return t.watchServers(ctx, loaded.serversRevision) })
 	g.Go(func() error { return t.watchJobs(ctx, loaded.jobsRevision) })
 	g.Go(func() error { return t.loadUnknownJobs(ctx) })
+	if t.config.EvacuationPrefix != "" {
+		w := &evacuationWatch{}
+		w.answered(t.coordinator.now())
+		g.Go(func() error { return t.watchEvacuations(ctx, w, loaded.evacuationsRevision) })
+		g.Go(func() error { return t.readEvacuationsThroughPeers(ctx, w) })
+	}
 	g.Go(func() error { return t.monitorLeadership(ctx) })
 	g.Go(func() error { return t.confirmByPeers(ctx) })
 	g.Go(func() error { return t.logLoad(ctx) })
--- a/internal/sched/dump.go
+++ b/internal/sched/dump.go
@@ -25,6 +25,7 @@
 	Attached       bool            `json:"attached"`
 	Registered     bool            `json:"registered"`
 	Draining       bool            `json:"draining,omitempty"`
+	Evacuated      bool            `json:"evacuated,omitempty"`
 	Failures       int             `json:"failures,omitempty"`
 	Runs           int             `json:"runs"`
 	Used           resource.Vector `json:"used"`
@@ -49,7 +50,7 @@
 	}
 	for _, v := range s.sortedServers() {
 		d.Servers = append(d.Servers, ServerDump{
-			ID: v.info.ID, Attached: v.attached, Registered: v.registered, Draining: v.info.Draining, Failures: v.failures,
+			ID: v.info.ID, Attached: v.attached, Registered: v.registered, Draining: v.info.Draining, Evacuated: v.evacuated, Failures: v.failures,
 			Runs: len(v.runs), Used: v.used, LeaseEnds: v.leaseBound.Sub(now).String(), PollAge: now.Sub(v.polledAt).String(),
 			Acknowledged: v.recordedUpTo, UnrecordedEnds: len(v.unrecordedEnds),
 		})
--- a/internal/sched/explain.go
+++ b/internal/sched/explain.go
@@ -74,6 +74,7 @@
 	ServerUnresponsive ServerStatus = "unresponsive"
 	ServerSlowReplies  ServerStatus = "slow-replies"
 	ServerCordoned     ServerStatus = "cordoned"
+	ServerEvacuated    ServerStatus = "evacuated" // its data centre is evacuated
 	ServerUnrecorded   ServerStatus = "not-in-roster"
 	ServerPaused       ServerStatus = "paused" // after a refused start or in quarantine
 	ServerSuspected    ServerStatus = "suspected"
@@ -286,6 +287,8 @@
 		return ServerSlowReplies
 	case v.cordoned || v.cordonMayBeRecorded:
 		return ServerCordoned
+	case v.evacuated:
+		return ServerEvacuated
 	case v.awaitsRoster():
 		return ServerUnrecorded
 	case now.Before(v.noStartsBefore):
--- a/internal/sched/interrupted.go
+++ b/internal/sched/interrupted.go
@@ -16,7 +16,7 @@
 	}
 	v := p.server
 	p.startUncertain, v.incarnationInDoubt = true, true
-	if p.startAttempts < maxStartAttempts && v.attached && !v.cordoned {
+	if p.startAttempts < maxStartAttempts && v.attached && v.admitsRepeatedStarts() {
 		s.sendStart(p)
 		return
 	}
--- a/internal/sched/invariants_test.go
+++ b/internal/sched/invariants_test.go
@@ -78,6 +78,9 @@
 	if v.info.ID != id || v.removed {
 		c.report("%s is known as %s, removed: %v", v.info.ID, id, v.removed)
 	}
+	if v.evacuated != c.s.evacuated[v.info.DataCentre] {
+		c.report("%s of data centre %s counts as evacuated: %v", id, v.info.DataCentre, v.evacuated)
+	}
 	pending := func(p sentPoll) bool { return p.serial == v.pollSerial }
 	if v.polling && !slices.ContainsFunc(v.unansweredPolls, pending) {
 		c.report("%s: no reply to poll %d in progress is accepted", id, v.pollSerial)
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -181,9 +181,13 @@
 	}
 	s.noteCommandReply(now, p.sentAt)
 	v := p.server
+	if v.evacuated && !sent {
+		s.abandonStart(p, "data centre evacuated") // withheld by the caller, which shows nothing about the server
+		return
+	}
 	p.startUncertain = p.startUncertain || sent
 	v.incarnationInDoubt = v.incarnationInDoubt || sent
-	if p.startAttempts < maxStartAttempts && v.attached && sent && !v.cordoned {
+	if p.startAttempts < maxStartAttempts && v.attached && sent && v.admitsRepeatedStarts() {
 		s.sendStart(p)
 		return
 	}
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -63,10 +63,11 @@
 	passes           uint64 // number of scheduling passes
 
 	durations         durations
-	fleetVersion      uint64               // incremented when the set of servers or their capacity changes
-	rosterDirty       map[ServerID]*server // servers whose roster record is outdated
-	unknownRunsLostAt time.Time            // see noteUnknownRunsLost
-	rosterUrgent      bool                 // see HasUrgentRosterChanges
+	fleetVersion      uint64                    // incremented when the set of servers or their capacity changes
+	rosterDirty       map[ServerID]*server      // servers whose roster record is outdated
+	evacuated         map[ident.DataCentre]bool // see SetEvacuated
+	unknownRunsLostAt time.Time                 // see noteUnknownRunsLost
+	rosterUrgent      bool                      // see HasUrgentRosterChanges
 
 	lastRosterChange uint64
 
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -139,6 +139,7 @@
 	cordoned            bool   // gets no starts, see RosterEntry
 	cordonMayBeRecorded bool   // the store may have the server recorded as cordoned
 	rosterAddress       string // in the server's entry of the roster that the store has for certain; empty without one
+	evacuated           bool   // its data centre is evacuated, see Scheduler.SetEvacuated
 	removed             bool   // removed from Scheduler.servers
 	rosterChange        uint64 // version of the server's roster record
 	history             serverHistory
@@ -158,7 +159,7 @@
 // usable reports whether new runs may be placed on the server.
 func (v *server) usable(now time.Time) bool {
 	return v.attached && v.registered && !v.info.Draining && v.failures == 0 && v.answersPromptly() &&
-		!v.cordoned && !v.cordonMayBeRecorded && !v.awaitsRoster() && !now.Before(v.noStartsBefore) &&
+		!v.evacuated && !v.cordoned && !v.cordonMayBeRecorded && !v.awaitsRoster() && !now.Before(v.noStartsBefore) &&
 		(v.suspicions == 0 || v.finiteRuns == 0) && !v.acknowledgementDue()
 }
 
@@ -226,6 +227,7 @@
 	v.leaseBound = s.formerLeaseBound(s.started.Add(s.options.LeaderOverlap))
 	v.formerLeaderBound, v.formerLongRunningBound = v.leaseBound, v.leaseBound
 	v.incarnationClaimedAt = s.now
+	v.evacuated = s.evacuated[info.DataCentre]
 	if former := s.rosterDirty[info.ID]; former != nil {
 		v.cordonMayBeRecorded = former.cordonMayBeRecorded // its removal isn't recorded yet
 	}
@@ -263,6 +265,7 @@
 		s.fleetVersion++
 	}
 	v.info = info
+	v.evacuated = s.evacuated[info.DataCentre]
 	if !sameEntry {
 		s.touchRoster(v)
 	}
