Bound what callers make a process hold

Callers saw a daemon that ended, or that no longer answered, while others sent unfinished headers and bodies. The cause: the HTTP server's header limit was the library's 1 MB, nothing bounded the time or the sum of bodies being read nor the number of connections, a refused body was read to its end before the response, and a body of 262,000 bytes became up to 87,000 steps of over 200 bytes before their number was checked.

Package internal/inbound has one budget per process. Half is for connections, whose listener has small receive buffers and closes the connection that is worth least for a new one; a quarter is for headers and bodies, which reserve what has arrived; a quarter is for complete bodies until they are recorded. Without room, stalled requests are closed first, and others get 503 or 429 with Retry-After before they are read on. Requests that are being served are never closed. The product's own listeners use the same package.

A body over 2 KB is read only for a known key, steps are counted while they are decoded, and repeated numbers in "after" are dropped.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -21,6 +21,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/rosemaryspoke/rosemaryspoke/internal/bundle"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/inbound"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/job"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
@@ -195,6 +196,10 @@
 	var wrongType *json.UnmarshalTypeError
 	var notBase64 base64.CorruptInputError
 	switch {
+	case errors.Is(err, inbound.ErrFull):
+		p := api.NewProblem(api.CodeOverloaded, "", "%v", inbound.ErrFull)
+		p.RetryAfter = api.Millis(inbound.RetryAfter.Milliseconds())
+		return p
 	case errors.As(err, &tooLarge):
 		return api.NewProblem(api.CodeTooLarge, "", "the body is larger than %d bytes", tooLarge.Limit)
 	case errors.As(err, &wrongType):
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -17,6 +17,7 @@
 
 	"github.com/rosemaryspoke/rosemaryspoke/internal/coordinator"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/entry"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/inbound"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/peer"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/peer/wire"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/platform"
@@ -51,7 +52,7 @@
 	DecodeConfig        func([]byte) (*policy.Policy, error)
 	CallerAddress       string
 	ReadinessAddress    string
-	NewCallerHandler    func(g *entry.Gateway, shuttingDown func() bool) http.Handler
+	NewCallerHandler    func(g *entry.Gateway, shuttingDown func() bool, b *inbound.Budget) http.Handler
 	NewReadinessHandler func(ready func() bool) http.Handler
 }
 
@@ -70,6 +71,7 @@
 	callerServer    *http.Server
 	readinessServer *http.Server
 	operatorServer  *http.Server
+	budget          *inbound.Budget
 	shuttingDown    atomic.Bool
 
 	cancel context.CancelFunc
@@ -87,7 +89,7 @@
 	d.app = fx.New(
 		fx.NopLogger,
 		fx.Supply(d),
-		fx.Provide(metrics.NewSet, newWatcher, newNode, newCoordinator, newGateway),
+		fx.Provide(metrics.NewSet, newWatcher, newNode, newCoordinator, newGateway, newBudget),
 		fx.Invoke(assemble, appendHooks),
 	)
 	if err := d.app.Err(); err != nil {
@@ -139,14 +141,12 @@
 }
 
 func assemble(
-	d *Daemon, watcher *policy.Watcher, n *peer.Node, c *coordinator.Coordinator, g *entry.Gateway, set *metrics.Set,
+	d *Daemon, watcher *policy.Watcher, n *peer.Node, c *coordinator.Coordinator, g *entry.Gateway, b *inbound.Budget, set *metrics.Set,
 ) {
-	d.watcher, d.node, d.coordinator = watcher, n, c
-	d.callerServer = &http.Server{
-		Handler: d.adapter.NewCallerHandler(g, d.shuttingDown.Load), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-	}
-	d.operatorServer = &http.Server{Handler: d.newOperatorHandler(set, watcher, c), ReadHeaderTimeout: headerTimeout}
-	d.readinessServer = &http.Server{Handler: d.adapter.NewReadinessHandler(d.ready), ReadHeaderTimeout: headerTimeout}
+	d.watcher, d.node, d.coordinator, d.budget = watcher, n, c, b
+	d.callerServer = d.newHTTPServer(d.adapter.NewCallerHandler(g, d.shuttingDown.Load, b))
+	d.operatorServer = d.newHTTPServer(d.newOperatorHandler(set, watcher, c))
+	d.readinessServer = d.newHTTPServer(d.adapter.NewReadinessHandler(d.ready))
 }
 
 func appendHooks(l fx.Lifecycle, d *Daemon) {
@@ -178,19 +178,27 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
 	d.group, ctx = errgroup.WithContext(ctx)
-	listeners := map[string]func(net.Listener) error{
-		d.settings.PeerAddress:     func(l net.Listener) error { return d.node.Serve(ctx, l) },
-		d.adapter.CallerAddress:    func(l net.Listener) error { return ignoreServerClosed(d.callerServer.Serve(l)) },
-		d.settings.OperatorAddress: func(l net.Listener) error { return ignoreServerClosed(d.operatorServer.Serve(l)) },
-		d.adapter.ReadinessAddress: func(l net.Listener) error { return ignoreServerClosed(d.readinessServer.Serve(l)) },
+	peers, err := net.Listen("tcp", d.settings.PeerAddress)
+	if err != nil {
+		cancel()
+		return fmt.Errorf("listen on %s: %w", d.settings.PeerAddress, err)
 	}
-	for address, serve := range listeners {
-		l, err := net.Listen("tcp", address)
+	d.group.Go(func() error { return d.node.Serve(ctx, peers) })
+	for _, l := range []struct {
+		name, address string
+		most          int
+		server        *http.Server
+	}{
+		{"callers", d.adapter.CallerAddress, d.settings.inboundConfig().MaxConnections(), d.callerServer},
+		{"operators", d.settings.OperatorAddress, maxOperatorConnections, d.operatorServer},
+		{"readiness", d.adapter.ReadinessAddress, maxOperatorConnections, d.readinessServer},
+	} {
+		serve, err := d.listenHTTP(l.name, l.address, l.most, l.server)
 		if err != nil {
 			cancel()
-			return fmt.Errorf("listen on %s: %w", address, err)
+			return err
 		}
-		d.group.Go(func() error { return serve(l) })
+		d.group.Go(serve)
 	}
 	d.group.Go(func() error { return d.watcher.Run(ctx) })
 	d.group.Go(func() error { return d.coordinator.Run(ctx) })
--- a/internal/cell/failed_test.go
+++ b/internal/cell/failed_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/rosemaryspoke/rosemaryspoke/internal/coordinator"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/entry"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/inbound"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/policy"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/sched"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/standin/txstore"
@@ -31,7 +32,7 @@
 // Guards against a daemon that neither serves nor ends after one of its parts has failed, so that the platform doesn't restart it. Found
 // by an independent review (review/2): the callers' server kept the others from ending.
 func TestFailedPartEndsDaemon(t *testing.T) {
-	none := func(*entry.Gateway, func() bool) http.Handler { return http.NotFoundHandler() }
+	none := func(*entry.Gateway, func() bool, *inbound.Budget) http.Handler { return http.NotFoundHandler() }
 	d, err := New(Settings{
 		Member: "a", PeerAddress: freeAddress(t), OperatorAddress: freeAddress(t), Cores: 1, MemoryBytes: 1 << 30,
 		Bounds: Bounds{GracePeriod: 2 * time.Second, MaxRunLease: 10 * time.Second, MaxRevocationDelay: 5 * time.Second},
--- a/internal/cell/settings.go
+++ b/internal/cell/settings.go
@@ -20,6 +20,8 @@
 	Cores           float64 // processor time that the daemon may use
 	LinkMbps        float64 // bandwidth of the host's link, megabits per second
 	MemoryBytes     int64
+	MaxDescriptors  int // open descriptors of the process; 0 if the installation names no limit
+	Inbound         Inbound
 	Bounds          Bounds
 	// MaxDirectServers is the number of servers up to which a leader makes all calls to them itself.
 	MaxDirectServers int
--- a/internal/command/platform.go
+++ b/internal/command/platform.go
@@ -11,6 +11,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/rosemaryspoke/rosemaryspoke/internal/asynclog"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/cell"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/settings"
 	"github.com/rosemaryspoke/rosemaryspoke/platform"
 )
@@ -30,6 +31,9 @@
 		return err
 	}
 	boot.Cell.MaxDirectServers = s.MaxDirectServers
+	boot.Cell.Inbound = cell.Inbound{
+		Memory: s.InboundMemory, Connections: s.InboundConnections, BodyTimeout: s.BodyTimeout, MaxHeaderBytes: s.MaxHeaderBytes,
+	}
 	out := asynclog.New(c.OutOrStdout())
 	defer out.Close()
 	log := funcr.NewJSON(out.WriteLine, funcr.Options{Verbosity: s.LogLevel, LogTimestamp: true})
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/rosemaryspoke/rosemaryspoke/internal/claim"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/dispatch"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/fleet"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/inbound"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/job"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/limit"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/member"
@@ -65,6 +66,7 @@
 	backendTransport *backendTransport
 	ownership        *ownershipTracker
 	adoptions        *adoptionTracker
+	inbound          *inbound.Budget
 	drainedHosts     drainedHosts
 }
 
@@ -103,7 +105,7 @@
 		fx.Provide(func() logr.Logger { return log }, metrics.NewSet, backend.NewHTTPClient),
 		fx.Invoke(
 			buildBase, buildPlatform, buildPeer, buildMembers, buildConfiguration, buildLimits, buildOwnership,
-			buildDispatcher, buildClaims, buildJobs, buildRequests, buildCallers, buildOperators,
+			buildDispatcher, buildClaims, buildJobs, buildRequests, buildInbound, buildCallers, buildOperators,
 			registerPeers, registerGauges, registerChangeHandlers,
 		),
 	)
@@ -148,10 +150,7 @@
 	if d.peerListener, err = listen(ctx, d.settings.PeerListen); err != nil {
 		return err
 	}
-	if d.callerListener, err = listen(ctx, d.settings.CallerListen); err != nil {
-		return err
-	}
-	if d.operatorListener, err = listen(ctx, d.settings.OperatorListen); err != nil {
+	if err := d.listenHTTP(ctx); err != nil {
 		return err
 	}
 	d.enableTLS()
@@ -159,6 +158,10 @@
 	d.cancel = cancel
 	d.group, base = errgroup.WithContext(base)
 	d.callerServer, d.operatorServer = d.callers.HTTPServer(), d.operators.HTTP()
+	for _, s := range []*http.Server{d.callerServer, d.operatorServer} {
+		s.MaxHeaderBytes = d.settings.MaxHeaderBytes
+		d.inbound.Attach(s)
+	}
 	// TLS handshake errors go to the daemon's log instead of the standard logger.
 	errorLog := slog.NewLogLogger(logr.ToSlogHandler(d.log.WithName("http")), slog.LevelInfo)
 	d.callerServer.ErrorLog, d.operatorServer.ErrorLog = errorLog, errorLog
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -130,6 +130,16 @@
 	return a, Response{}, true
 }
 
+// CheckAccess returns the response to a submission that is refused whatever its body is, and whether it may be read.
+func (g *Gateway) CheckAccess(r Request) (Response, bool) {
+	started := g.now()
+	a, refused, ok := g.authorize(r)
+	if !ok {
+		g.observe("submit", ident.JobID(a.rest), started, refused)
+	}
+	return refused, ok
+}
+
 // MaxBodyBytes returns the maximum size of a request body, or 0 if the configuration sets no limit.
 func (g *Gateway) MaxBodyBytes() int64 {
 	if p := g.config.Policy.Current().Policy; p != nil {
--- /dev/null
+++ b/internal/inbound/listener.go
@@ -0,0 +1,130 @@
+package inbound
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// receiveBuffer bounds the bytes of a connection that have arrived and aren't read, which count toward the memory of a host; the
+	// kernel doubles it for its own structures and would let it grow to megabytes. A request of up to 14 KB arrives in one round trip anyway.
+	receiveBuffer = 32 << 10
+	// crowdShare of a listener's connections makes an address a crowd.
+	crowdShare = 4
+	// closingShare of the bound is how many closed connections may have goroutines that haven't ended.
+	closingShare = 4
+	// acceptPause is the time between two looks at connections that are being closed, and maxAcceptPause bounds the wait for them.
+	acceptPause    = time.Millisecond
+	maxAcceptPause = 500 * time.Millisecond
+)
+
+// Listener accepts connections up to a bound. For a new one beyond it, it closes the connection that is worth least.
+type Listener struct {
+	net.Listener
+	budget *Budget
+	most   int
+
+	// Guarded by budget.mu.
+	open       int // without those that were closed for others
+	total      int
+	perAddress addressCounts
+}
+
+// addressCounts counts the open connections of each address.
+type addressCounts map[netip.Addr]int
+
+func (a addressCounts) remove(x netip.Addr) {
+	if a[x]--; a[x] <= 0 {
+		delete(a, x)
+	}
+}
+
+// Listen opens a listener whose connections have small receive buffers. Not more than most are open at once.
+func (b *Budget) Listen(ctx context.Context, name, address string, most int) (*Listener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		var failed error
+		// Accepted connections inherit it, which also holds for those that wait to be accepted.
+		if err := c.Control(func(fd uintptr) {
+			failed = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer)
+		}); err != nil {
+			return err
+		}
+		return failed
+	}}
+	l, err := config.Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	limited := &Listener{Listener: l, budget: b, most: most, perAddress: addressCounts{}}
+	b.config.Metrics.GetOrCreateGauge(fmt.Sprintf("rosemaryspoke_inbound_connections{listener=%q}", name), func() float64 {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return float64(limited.open)
+	})
+	return limited, nil
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		l.awaitClosing()
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &Conn{Conn: raw, budget: l.budget, listener: l}
+		if a, ok := raw.RemoteAddr().(*net.TCPAddr); ok {
+			c.address = a.AddrPort().Addr().Unmap()
+		}
+		now := int64(l.budget.now())
+		c.startedAt.Store(now)
+		c.progressAt.Store(now)
+		if l.add(c) {
+			return c, nil
+		}
+		_ = raw.Close()
+	}
+}
+
+// add adds a connection, in place of another one if necessary. It returns false if all others are being served.
+func (l *Listener) add(c *Conn) bool {
+	b := l.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if l.open >= l.most {
+		worst := b.worst(func(x *Conn) bool { return x.listener == l && phase(x.phase.Load()) != phaseHandled })
+		if worst == nil {
+			b.reports.add(refusedConnection)
+			return false
+		}
+		b.evict(worst, closedForConnection)
+	}
+	l.open++
+	l.total++
+	l.perAddress[c.address]++
+	b.conns[c] = struct{}{}
+	return true
+}
+
+// awaitClosing waits while many closed connections still have goroutines, which hold memory until they run.
+func (l *Listener) awaitClosing() {
+	for began := time.Now(); time.Since(began) < maxAcceptPause; time.Sleep(acceptPause) {
+		l.budget.mu.Lock()
+		closing := l.total - l.open
+		l.budget.mu.Unlock()
+		if closing <= l.most/closingShare {
+			return
+		}
+	}
+}
+
+// crowded reports whether an address has many of the connections and isn't the only one with many, as behind a balancer.
+func (l *Listener) crowded(a netip.Addr) bool {
+	return len(l.perAddress) > 1 && l.perAddress[a] > l.most/crowdShare
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -22,7 +22,7 @@
 // Check returns an error for the first invalid setting, or nil. It sets PeerAddress to PeerListen if it is empty.
 func (s *Serve) Check() error {
 	s.PeerAddress = cmp.Or(s.PeerAddress, s.PeerListen)
-	for _, check := range []func() error{s.checkIdentity, s.checkAddresses, s.checkTLS, s.checkOperators, s.checkDurations, s.checkNumbers} {
+	for _, check := range []func() error{s.checkIdentity, s.checkAddresses, s.checkTLS, s.checkOperators, s.checkDurations, s.checkNumbers, s.checkInbound} {
 		if err := check(); err != nil {
 			return err
 		}
@@ -35,6 +35,25 @@
 	if s.MaxDirectServers < 0 {
 		return &Error{"max-direct-servers", fmt.Sprint(s.MaxDirectServers), "at least 0"}
 	}
+	return s.checkInbound()
+}
+
+// checkInbound checks the limits on what callers send.
+func (s *Serve) checkInbound() error {
+	// An eighth of the memory has to hold the largest bundle of an operator, 4 MB.
+	if s.InboundMemory != 0 && (s.InboundMemory < 32<<20 || s.InboundMemory > 64<<30) {
+		return &Error{"inbound-memory", fmt.Sprint(s.InboundMemory), "0, or from 33554432 to 68719476736"}
+	}
+	if s.InboundConnections != 0 && (s.InboundConnections < 16 || s.InboundConnections > 1_000_000) {
+		return &Error{"inbound-connections", fmt.Sprint(s.InboundConnections), "0, or from 16 to 1000000"}
+	}
+	// Callers wait for up to 3 s for an answer unless they say otherwise, and a request may take that long to arrive.
+	if s.BodyTimeout < 5*time.Second || s.BodyTimeout > 10*time.Minute {
+		return &Error{"body-timeout", s.BodyTimeout.String(), "from 5s to 10m0s"}
+	}
+	if s.MaxHeaderBytes < 4<<10 || s.MaxHeaderBytes > 1<<20 {
+		return &Error{"max-header-bytes", fmt.Sprint(s.MaxHeaderBytes), "from 4096 to 1048576"}
+	}
 	return nil
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -10,6 +10,7 @@
 
 	"github.com/spf13/pflag"
 
+	"github.com/rosemaryspoke/rosemaryspoke/internal/inbound"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/member"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/ownership"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
@@ -18,6 +19,9 @@
 // EnvironmentPrefix is the prefix of every environment variable.
 const EnvironmentPrefix = "ROSEMARYSPOKE_"
 
+// DefaultInboundMemory bounds what callers make a daemon hold where no platform names the host's memory. It has room for 2,048 connections.
+const DefaultInboundMemory = 128 << 20
+
 // DefaultMaxDirectServers is the number of servers that a leader calls itself. Calls to 350 servers take at most 0.35 cores.
 const DefaultMaxDirectServers = 400
 
@@ -68,11 +72,16 @@
 	RetryRatio           float64
 	DrainTimeout         time.Duration
 
+	InboundMemory      int64 // bytes held for callers; 0 means a share of the host's memory or DefaultInboundMemory
+	InboundConnections int   // of callers; 0 means as many as the memory and the descriptors allow
+	BodyTimeout        time.Duration
+	MaxHeaderBytes     int
+
 	LogLevel int
 	LogJSON  bool
 
-	// PlatformSettingsFile is the path of the settings file of a platform that keeps all state. With it, only MaxDirectServers
-	// and the log settings of this struct apply.
+	// PlatformSettingsFile is the path of the settings file of a platform that keeps all state. With it, only MaxDirectServers,
+	// the limits on what callers send and the log settings of this struct apply.
 	PlatformSettingsFile string
 	// MaxDirectServers is the number of backend servers up to which the leader on such a platform makes all calls to them itself.
 	MaxDirectServers int
@@ -147,6 +156,10 @@
 	f.IntVar(&s.QueueBytes, "queue-bytes", 24<<20, "most bytes of all queued tasks in this daemon, payloads included; a team may take a quarter of them")
 	f.Float64Var(&s.RetryRatio, "retry-ratio", 0.2, "retries allowed per first start, over all work of this daemon")
 	f.DurationVar(&s.DrainTimeout, "drain-timeout", 2*time.Minute, "longest time a shutdown waits for held requests")
+	f.Int64Var(&s.InboundMemory, "inbound-memory", 0, "bytes that callers may make the daemon hold: connections, headers, bodies and decoded requests; 0 means a quarter of the host's memory with boot, otherwise 134217728")
+	f.IntVar(&s.InboundConnections, "inbound-connections", 0, "most connections of callers; beyond it the one that is worth least is closed; 0 means as many as half of the inbound memory and, with boot, a third of the descriptors allow")
+	f.DurationVar(&s.BodyTimeout, "body-timeout", inbound.DefaultBodyTimeout, "time for the arrival of a request's body; callers wait for answers for a shorter time")
+	f.IntVar(&s.MaxHeaderBytes, "max-header-bytes", inbound.DefaultMaxHeaderBytes, "largest header of a request; at least what the installation allows callers")
 	f.IntVar(&s.LogLevel, "log-level", 0, "verbosity of the log; higher shows more")
 	f.BoolVar(&s.LogJSON, "log-json", false, "write the log as JSON")
 	f.StringVar(&s.PlatformSettingsFile, "boot", "", "settings file of a platform that keeps all state; the other settings but max-direct-servers and those of the log don't apply then")
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -77,6 +77,10 @@
 			s.CallerCertificate, s.CallerKey = "-----BEGIN CERTIFICATE-----", secret
 		}, "caller-key", "(hidden)", "PEM"},
 		"short token":                    {func(s *Serve) { s.OperatorToken = "tok3n" }, "operator-token", "(hidden)", "16 bytes"},
+		"little inbound memory":          {func(s *Serve) { s.InboundMemory = 1 << 20 }, "inbound-memory", "1048576", "33554432"},
+		"few inbound connections":        {func(s *Serve) { s.InboundConnections = 1 }, "inbound-connections", "1", "16"},
+		"short body time":                {func(s *Serve) { s.BodyTimeout = time.Second }, "body-timeout", "1s", "5s"},
+		"no header":                      {func(s *Serve) { s.MaxHeaderBytes = 0 }, "max-header-bytes", "0", "4096"},
 		"no signer":                      {func(s *Serve) { s.Signers = nil }, "signers", "", "Ed25519"},
 		"signer not base64":              {func(s *Serve) { s.Signers = []string{"?"} }, "signers", "?", "base64"},
 		"more required than signers":     {func(s *Serve) { s.RequiredSigners = 2 }, "required-signers", "2", "number of signers"},
