--- a/internal/inbound/process_test.go
+++ b/internal/inbound/process_test.go
@@ -60,7 +60,8 @@
 // cell is a store and a few servers in this process, and daemons in processes of their own.
 type cell struct {
 	t       *testing.T
-	store   string
+	store   string // its address
+	records *txstore.Store
 	daemons []*daemon
 }
 
@@ -101,7 +102,7 @@
 		t.Fatal(err)
 	}
 	store.Put(standin.ConfigKey, raw)
-	c := &cell{t: t, store: listen(t, standin.NewStoreServer(store).Handler())}
+	c := &cell{t: t, records: store, store: listen(t, standin.NewStoreServer(store).Handler())}
 	for i := range daemons {
 		c.daemons = append(c.daemons, c.startDaemon(i))
 	}
