Past use: count the use of runs and order surplus work by it

Operators saw a team with ten hours of heavy use compete for surplus room like one that had used nothing: rank compared priority, usefulness and slack only.

The scheduler counts each team's dominant share of the fleet at every start and end of its runs and each second, names copies and discarded runs, and orders groups beyond their team's weight or past their last useful time by the team's level of past use, between priority and slack. Other groups have level 0. The class shown as "past use" is now "past its last useful time", so that the two can't be confused.

The invariant test compares 400 random queues with and without past use: the order of on-time and late groups is the same.

--- a/internal/sched/dump.go
+++ b/internal/sched/dump.go
@@ -16,6 +16,7 @@
 	UnrecordedJobs int                              `json:"jobs-with-unrecorded-progress"`
 	Servers        []ServerDump                     `json:"servers"`
 	Teams          map[ident.TeamID]resource.Vector `json:"team-usage"`
+	PastUse        map[ident.TeamID]TeamUse         `json:"past-use,omitempty"`
 	Counts         Counts                           `json:"counts"`
 }
 
@@ -57,5 +58,6 @@
 	for id, t := range s.teams {
 		d.Teams[id] = t.used
 	}
+	d.PastUse = s.TeamUses()
 	return d
 }
--- a/internal/sched/explain.go
+++ b/internal/sched/explain.go
@@ -122,7 +122,7 @@
 	})
 	row.Runs = row.Runs[:min(len(row.Runs), maxExplainedRuns)]
 	r := s.ranked(g)
-	row.Rank = r.rank.class.String() + ", slack " + r.rank.slack.Round(time.Millisecond).String()
+	row.Rank = r.rank.String()
 	if !g.job.state.Terminal() && g.waiting > 0 {
 		s.explainWaiting(&row, &r)
 	}
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -125,6 +125,7 @@
 	speedPercent     int
 	speedUnknown     bool // a former leader may have throttled the run
 	speedUnanswered  bool // the latest throttle command got no answer
+	copied           bool // a copy beside another run of its task
 }
 
 func newJob(spec *Job, p Progress, inherited bool) *job {
--- a/internal/sched/rank.go
+++ b/internal/sched/rank.go
@@ -2,8 +2,11 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/pastuse"
 )
 
 // lateFactor is the multiple of a job's objective after which its result is of no use to the caller.
@@ -24,22 +27,35 @@
 
 // String returns the name of the class that operators see.
 func (u rankClass) String() string {
-	return [...]string{onTime: "on time", late: "late", surplus: "beyond the team's weight", pastDeadline: "past use"}[u]
+	return [...]string{onTime: "on time", late: "late", surplus: "beyond the team's weight", pastDeadline: "past its last useful time"}[u]
 }
 
 // rank is the sort key of groups; lower ranks start first.
 type rank struct {
 	class    rankClass
 	priority int
+	level    pastuse.Level // of the team's past use; only for the classes that it orders
 	slack    time.Duration
 }
 
+// String describes a rank for operators.
+func (a rank) String() string {
+	text := a.class.String()
+	if a.level > 0 {
+		text += fmt.Sprintf(", level %d of past use", a.level)
+	}
+	return text + ", slack " + a.slack.Round(time.Millisecond).String()
+}
+
+// compare orders ranks. Past use decides only between groups beyond their teams' weights, or past their last useful time, that have the same
+// priority: the level of other groups is 0.
 func (a rank) compare(b rank) int {
 	return cmp.Or(
 		cmp.Compare(boolToInt(a.class == pastDeadline), boolToInt(b.class == pastDeadline)),
 		cmp.Compare(boolToInt(a.class == surplus), boolToInt(b.class == surplus)),
 		cmp.Compare(a.priority, b.priority),
 		cmp.Compare(a.class, b.class),
+		cmp.Compare(a.level, b.level),
 		cmp.Compare(a.slack, b.slack),
 	)
 }
@@ -89,7 +105,7 @@
 	r.slack = due.Add(objective).Sub(s.now) - left
 	switch {
 	case j.surplus:
-		r.class = surplus
+		r.class, r.level = surplus, s.team(j.spec.Team).level
 	case r.slack >= 0:
 		r.class = onTime
 	case due.Add(lateFactor*objective).Sub(s.now) >= left:
@@ -97,7 +113,7 @@
 		// Past the objective, jobs that are nearly done come first, not those that have waited longest.
 		r.slack = left
 	default:
-		r.class = pastDeadline
+		r.class, r.level = pastDeadline, s.team(j.spec.Team).level
 		r.slack = left
 	}
 	return r
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -33,6 +33,7 @@
 	s.nameUnderLongLease(v, t)
 	v.used = v.used.Add(t.charge())
 	tm := s.team(t.group.job.spec.Team)
+	s.countUse(tm)
 	tm.used = tm.used.Add(t.group.step.Demand)
 	if t.waiting() {
 		t.group.waiting--
@@ -41,6 +42,7 @@
 	if !t.group.used {
 		t.group.used, t.group.job.unbalanced = true, true
 	}
+	p.copied = t.isCopy()
 	t.runs = append(t.runs, p)
 	t.lastRun = max(t.lastRun, p.number)
 	s.track(t.group)
@@ -66,6 +68,7 @@
 	v.finiteRuns -= boolToInt(!t.group.step.LongRunning)
 	v.used = v.used.Sub(t.charge())
 	tm := s.team(t.group.job.spec.Team)
+	s.countUse(tm)
 	tm.used = tm.used.Sub(t.group.step.Demand)
 	t.runs = slices.DeleteFunc(t.runs, func(o *run) bool { return o == p })
 	t.group.running--
@@ -80,6 +83,7 @@
 // runLost handles a run that is known to have ended without a reported outcome.
 func (s *Scheduler) runLost(p *run) {
 	s.detachRun(p)
+	s.countEnd(p, false)
 	p.task.lostAt = s.now
 	if p.task.group.step.Gang && !p.task.done && p.number == p.task.group.gangRun {
 		s.abortGang(p.task.group, "member lost")
@@ -265,7 +269,9 @@
 	}
 	g := t.group
 	if p != nil {
+		useful := hasResult(t, f)
 		s.detachRun(p)
+		s.countEnd(p, useful)
 		s.learnFromRun(p, f.Outcome)
 	} else {
 		s.decide(v, Decision{Task: f.Task, Run: f.Run, Outcome: f.Outcome, Number: f.Number})
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/rosemaryspoke/rosemaryspoke/internal/pastuse"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/resource"
 )
@@ -41,6 +42,8 @@
 	EarlyStart time.Duration
 	// Retention is how long the state of an ended job is kept.
 	Retention time.Duration
+	// PastUseHalfLife is the time in which the past use of a team decays by half; 0 means that past use doesn't count.
+	PastUseHalfLife time.Duration
 }
 
 // Scheduler decides which task runs where. It isn't safe for concurrent use.
@@ -93,6 +96,7 @@
 	delay            commonDelay
 	unansweredStarts int // starts without an answer, on all servers
 	counts           Counts
+	pastUse          pastUse
 }
 
 // Counts holds counters for metrics, counted since the takeover. Ends counts the reported ends of runs, Lapses the runs that
@@ -107,7 +111,9 @@
 type team struct {
 	Team
 	used       resource.Vector
-	tokens     float64 // jobs that the team may still submit within its weight (token bucket)
+	usedSince  time.Time     // from when the use of its runs isn't in the past use yet
+	level      pastuse.Level // see updateLevels
+	tokens     float64       // jobs that the team may still submit within its weight (token bucket)
 	refilledAt time.Time
 }
 
@@ -120,6 +126,7 @@
 		freeOrders: map[ServiceID]*freeOrder{}, grantShares: map[ident.QueueID]float64{},
 		delay: commonDelay{window: maxStartWindow}, durations: newDurations(), dirtyJobs: map[ident.JobID]*job{}, unknownJobs: map[ident.JobID]bool{}, rosterDirty: map[ServerID]*server{},
 		toWrite: writeQueue{jobs: map[ident.JobID]*job{}}, starvation: starvation{usedShare: map[ServiceID]float64{}},
+		pastUse: newPastUse(o.PastUseHalfLife, now),
 	}
 }
 
@@ -141,6 +148,7 @@
 			t.Team = Team{ID: id}
 		}
 	}
+	s.configurePastUse(c.Teams)
 	s.passNeeded = true
 }
 
@@ -285,6 +293,7 @@
 func (s *Scheduler) Tick(now time.Time) {
 	s.now = now
 	s.delay.update(now)
+	s.updatePastUse()
 	for _, v := range s.sortedServers() {
 		s.checkServer(v)
 	}
