--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -109,11 +109,13 @@
 }
 
 func newCoordinator(d *Daemon, watcher *policy.Watcher, n *peer.Node, set *metrics.Set) (*coordinator.Coordinator, error) {
+	scheduling := d.settings.Bounds.SchedulingOptions()
+	scheduling.PastUseHalfLife = d.settings.PastUseHalfLife
 	return coordinator.New(coordinator.Config{
 		Member: d.settings.Member, DataCentre: d.settings.DataCentre, Region: d.settings.Region, Address: d.settings.PeerAddress,
 		ElectionDelay: d.settings.ElectionDelay(), Store: d.adapter.Store, StoreTimeout: d.storeTimeout,
 		Registry: d.adapter.Registry, ServerClient: d.adapter.ServerClient,
-		Policy: watcher, Peer: n, Scheduling: d.settings.Bounds.SchedulingOptions(), PresenceTTL: d.periods.PresenceTTL,
+		Policy: watcher, Peer: n, Scheduling: scheduling, PresenceTTL: d.periods.PresenceTTL,
 		MaxDirectServers: d.settings.MaxDirectServers, OnLeading: newGCTuner(), Log: d.log.WithName("coordinator"), Metrics: set,
 	})
 }
--- a/internal/cell/operator.go
+++ b/internal/cell/operator.go
@@ -24,9 +24,10 @@
 	Cell         coordinator.Dump `json:"cell"`
 }
 
-// newOperatorHandler serves metrics and the state dump, which includes the job that the query names.
+// newOperatorHandler serves metrics, the state dump, which includes the job that the query names, and the reset of past use.
 func (d *Daemon) newOperatorHandler(set *metrics.Set, watcher *policy.Watcher, c *coordinator.Coordinator) http.Handler {
-	r := mux.NewRouter()
+	r := mux.NewRouter().UseEncodedPath()
+	r.HandleFunc("/past-use/{team}/reset", d.resetPastUse(c)).Methods(http.MethodPost)
 	r.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
 		set.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
--- a/internal/cell/settings.go
+++ b/internal/cell/settings.go
@@ -23,6 +23,8 @@
 	Bounds          Bounds
 	// MaxDirectServers is the number of servers up to which a leader makes all calls to them itself.
 	MaxDirectServers int
+	// PastUseHalfLife is the time in which the past use of a team decays by half; 0 means that past use doesn't count.
+	PastUseHalfLife time.Duration
 }
 
 // Bounds are the limits that an installation sets; periods are derived from them.
--- a/internal/coordinator/cell_test.go
+++ b/internal/coordinator/cell_test.go
@@ -54,6 +54,7 @@
 	clock      func() time.Time
 	// maxDirectServers is that of the daemons' configuration. With more servers than that the leader calls none itself.
 	maxDirectServers int
+	pastUseHalfLife  time.Duration // of the daemons that are started next; 0 means that past use is off
 
 	mu      sync.Mutex
 	daemons map[ident.MemberID]*daemon
@@ -155,10 +156,12 @@
 		MaxRunLease: 10 * time.Second, MaxStopTime: 100 * time.Millisecond, Retention: time.Minute, MaxRevocationDelay: 5 * time.Second,
 		GracePeriod: 5 * time.Second, MinStoreLease: 800 * time.Millisecond,
 	}
+	scheduling := bounds.SchedulingOptions()
+	scheduling.PastUseHalfLife = c.pastUseHalfLife
 	coord, err := coordinator.New(coordinator.Config{
 		Member: name, DataCentre: c.dataCentre, Region: c.region, Address: l.Addr().String(), ElectionDelay: electionDelay, Store: s, Policy: watcher, Peer: node,
 		Registry: coordinator.Registry{Prefix: "servers/", Decode: decodeServer}, ServerClient: c.serverClient,
-		Scheduling: bounds.SchedulingOptions(), PresenceTTL: 800 * time.Millisecond, OnLeading: c.onLeading,
+		Scheduling: scheduling, PresenceTTL: 800 * time.Millisecond, OnLeading: c.onLeading,
 		MaxDirectServers: c.maxDirectServers,
 		Log:              testr.NewWithOptions(c.t, testr.Options{LogTimestamp: true}).WithName(string(name)),
 	})
--- a/internal/coordinator/dump.go
+++ b/internal/coordinator/dump.go
@@ -16,7 +16,8 @@
 	Leading     bool                              `json:"leading"`
 	Members     map[ident.MemberID]PresenceRecord `json:"alive"`
 	ViewAge     string                            `json:"view-age"`
-	StoreAge    string                            `json:"store-age"` // time since the last contact with the store
+	StoreAge    string                            `json:"store-age"`                     // time since the last contact with the store
+	PastUseAge  string                            `json:"past-use-record-age,omitempty"` // since the leader last read or wrote the record
 	Scheduler   *sched.Dump                       `json:"scheduler,omitempty"`
 	Job         *sched.JobExplanation             `json:"job,omitempty"`
 }
@@ -37,6 +38,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	d.Leading = true
+	if t.config.Scheduling.PastUseHalfLife > 0 {
+		d.PastUseAge = age(now, t.pastUse.at)
+	}
 	s := t.scheduler.Dump(now)
 	d.Scheduler = &s
 	if e, ok := t.scheduler.Explain(job); ok {
@@ -145,6 +149,7 @@
 			return float64(s.StuckRuns(kind))
 		}))
 	}
+	m.RegisterMetricsWriter(c.writePastUseMetrics)
 	m.NewGauge("rosemaryspoke_long_waiting_tasks", c.schedulerGauge(func(s *sched.Scheduler) float64 { return float64(s.LongWaitingTasks()) }))
 }
 
--- a/internal/coordinator/load.go
+++ b/internal/coordinator/load.go
@@ -39,8 +39,8 @@
 // written, so former leaders can no longer record anything.
 func (t *term) load(ctx context.Context) (loadResult, error) {
 	var (
-		result                               loadResult
-		jobs, progress, servers, rosterItems []platform.Item
+		result                                        loadResult
+		jobs, progress, servers, rosterItems, pastUse []platform.Item
 	)
 	read := func(into *[]platform.Item, prefix string, from *platform.Revision) func() error {
 		return func() error {
@@ -57,6 +57,9 @@
 	g.Go(read(&progress, progressPrefix, nil))
 	g.Go(read(&servers, t.config.Registry.Prefix, &result.serversRevision))
 	g.Go(read(&rosterItems, rosterPrefix, nil))
+	if t.config.Scheduling.PastUseHalfLife > 0 {
+		g.Go(read(&pastUse, pastUseKey, nil))
+	}
 	if err := g.Wait(); err != nil {
 		return result, fmt.Errorf("load: %w", err)
 	}
@@ -68,6 +71,7 @@
 		result.jobCount = t.addJobs(now, s, jobs, records)
 		t.addRoster(now, s, rosterItems)
 		result.serverCount = t.addServers(now, s, servers)
+		t.restorePastUse(now, s, pastUse)
 	})
 	t.mu.Lock()
 	t.loaded = true
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -86,6 +86,7 @@
 		return adviseReply{tickets}, err
 	})
 	peer.Handle(n, methodEpoch, c.answerEpoch)
+	peer.Handle(n, methodResetPastUse, func(_ context.Context, r resetRequest) (resetReply, error) { return c.resetPastUse(r), nil })
 }
 
 // loadedTerm returns this daemon's term, or nil if it doesn't lead or its term is still loading.
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -63,6 +63,7 @@
 	scheduler *sched.Scheduler
 	loaded    bool
 	passTime  time.Duration // taken by scheduling passes since the load was logged
+	pastUse   pastUseRecord
 
 	ctx        context.Context
 	serverCtx  context.Context // for calls to servers, see serverContext
@@ -161,6 +162,7 @@
 	g.Go(func() error { return t.recordProgress(ctx) })
 	g.Go(func() error { return t.recordRoster(ctx) })
 	g.Go(func() error { return t.recordSettled(ctx) })
+	g.Go(func() error { return t.recordPastUse(ctx) })
 	g.Go(func() error { return t.watchServers(ctx, loaded.serversRevision) })
 	g.Go(func() error { return t.watchJobs(ctx, loaded.jobsRevision) })
 	g.Go(func() error { return t.loadUnknownJobs(ctx) })
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -35,6 +35,10 @@
 	if s.MaxDirectServers < 0 {
 		return &Error{"max-direct-servers", fmt.Sprint(s.MaxDirectServers), "at least 0"}
 	}
+	// Below a minute the order would follow single runs; above 30 days a team would pay for its use for months.
+	if h := s.PastUseHalfLife; h != 0 && (h < time.Minute || h > 30*24*time.Hour) {
+		return &Error{"past-use-half-life", h.String(), "0, or from 1m0s to 720h0m0s"}
+	}
 	return nil
 }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -164,3 +164,32 @@
 		t.Errorf("got %v", err)
 	}
 }
+
+// Guards against a half-life with which the order follows single runs or a team pays for its use for months, and against one that is
+// refused although it turns past use off.
+func TestPastUseHalfLife(t *testing.T) {
+	for name, c := range map[string]struct {
+		halfLife time.Duration
+		ok       bool
+	}{
+		"default":         {DefaultPastUseHalfLife, true},
+		"off":             {0, true},
+		"shortest":        {time.Minute, true},
+		"longest":         {30 * 24 * time.Hour, true},
+		"negative":        {-time.Hour, false},
+		"below a minute":  {time.Minute - 1, false},
+		"beyond a month":  {30*24*time.Hour + 1, false},
+		"a bare number":   {4, false},
+		"longest integer": {1<<63 - 1, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := valid()
+			s.PastUseHalfLife = c.halfLife
+			err := s.CheckOnPlatform()
+			var invalid *Error
+			if (err == nil) != c.ok || err != nil && (!errors.As(err, &invalid) || invalid.Name != "past-use-half-life") {
+				t.Errorf("got %v", err)
+			}
+		})
+	}
+}
