--- a/internal/command/platform.go
+++ b/internal/command/platform.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		return err
 	}
-	boot.Cell.MaxDirectServers = s.MaxDirectServers
+	boot.Cell.MaxDirectServers, boot.Cell.PastUseHalfLife = s.MaxDirectServers, s.PastUseHalfLife
 	boot.Cell.Inbound = cell.Inbound{
 		Memory: s.InboundMemory, Connections: s.InboundConnections, BodyTimeout: s.BodyTimeout, MaxHeaderBytes: s.MaxHeaderBytes,
 	}
--- a/internal/coordinator/load.go
+++ b/internal/coordinator/load.go
@@ -39,9 +39,9 @@
 // written, so former leaders can no longer record anything.
 func (t *term) load(ctx context.Context) (loadResult, error) {
 	var (
-		result                               loadResult
-		jobs, progress, servers, rosterItems []platform.Item
-		requests                             []platform.Item // to evacuate data centres
+		result                                        loadResult
+		jobs, progress, servers, rosterItems, pastUse []platform.Item
+		requests                                      []platform.Item // to evacuate data centres
 	)
 	read := func(into *[]platform.Item, prefix string, from *platform.Revision) func() error {
 		return func() error {
@@ -61,6 +61,9 @@
 	if t.config.EvacuationPrefix != "" {
 		g.Go(read(&requests, t.config.EvacuationPrefix, &result.evacuationsRevision))
 	}
+	if t.config.Scheduling.PastUseHalfLife > 0 {
+		g.Go(read(&pastUse, pastUseKey, nil))
+	}
 	if err := g.Wait(); err != nil {
 		return result, fmt.Errorf("load: %w", err)
 	}
@@ -72,6 +75,7 @@
 		result.jobCount = t.addJobs(now, s, jobs, records)
 		t.addRoster(now, s, rosterItems)
 		result.serverCount = t.addServers(now, s, servers)
+		t.restorePastUse(now, s, pastUse)
 	})
 	t.changeEvacuations(sourceLoad, func(e *evacuations) { e.replace(t.evacuationItems(requests), result.evacuationsRevision) })
 	t.mu.Lock()
