Bound large messages of peers and replies without end

Peers could make a daemon hold unfinished messages of 4 MB on 512 connections, and servers, the advisor and the store could reply with headers of the library's 10 MB and, from servers, with bodies of 8 MB in twelve calls each.

A peer's connection whose message finds no room is closed, and counted with the reason memory; a frame that has begun has 30 s.

--- a/internal/backend/http.go
+++ b/internal/backend/http.go
@@ -28,15 +28,18 @@
 	maxIdleConnsPerHost = 10
 	// idleTimeout is above the longest poll interval, so that polls of an idle host need no new connections.
 	idleTimeout = 5 * time.Minute
+	// maxReplyHeaderBytes bounds the header of a reply; ordinary ones have a few hundred bytes.
+	maxReplyHeaderBytes = 16 << 10
 )
 
 // NewHTTPClient returns a client with a persistent connection pool, to be shared by the adapters of all hosts.
 func NewHTTPClient() *http.Client {
 	return &http.Client{Transport: httpconn.New(&http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout, KeepAlive: time.Minute, Control: tcp.UserTimeout(userTimeout)}).DialContext,
-		MaxIdleConnsPerHost: maxIdleConnsPerHost,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true, // saves the Accept-Encoding header of every exchange
+		DialContext:            (&net.Dialer{Timeout: dialTimeout, KeepAlive: time.Minute, Control: tcp.UserTimeout(userTimeout)}).DialContext,
+		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxReplyHeaderBytes,
+		DisableCompression:     true, // saves the Accept-Encoding header of every exchange
 	})}
 }
 
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -107,6 +107,7 @@
 		Self:           func() wire.Sender { return wire.Sender{Member: d.settings.Member} },
 		Address:        func(ident.MemberID) (string, bool) { return "", false },
 		AllowPlaintext: true, CallTimeout: peerCallTimeout, Log: d.log.WithName("peer"), Metrics: set,
+		Receive: inbound.NewPool(max(d.settings.MemoryBytes/peerReceiveShare, minPeerReceive)),
 	})
 }
 
--- a/internal/cell/inbound.go
+++ b/internal/cell/inbound.go
@@ -19,6 +19,10 @@
 	// servers, proxies, the store and peers: a leader of 400 servers has up to 1,200 such connections.
 	fileDescriptors       = 200
 	callerDescriptorShare = 3
+	// peerReceiveShare is the divisor of MemoryBytes for large messages of peers, and minPeerReceive has room for one of the largest while
+	// it is received and for a configuration.
+	peerReceiveShare = 12
+	minPeerReceive   = 12 << 20
 	// defaultDescriptors applies where the settings file names no limit; it is the usual soft limit of a process.
 	defaultDescriptors = 1024
 	// maxOperatorConnections bounds the connections of the operator's and of the readiness listener, each on its own, so that callers
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -13,6 +13,7 @@
 	"github.com/rosemaryspoke/rosemaryspoke/internal/claim"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/dispatch"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/fleet"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/inbound"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/job"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/limit"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/member"
@@ -66,7 +67,7 @@
 			m, ok := d.members.View().Find(id)
 			return m.Address, ok
 		},
-		Dial: d.peerDial, TLS: d.peerCerts, Log: d.log.WithName("peer"), Metrics: d.metrics,
+		Receive: inbound.NewPool(peerReceiveBytes), Dial: d.peerDial, TLS: d.peerCerts, Log: d.log.WithName("peer"), Metrics: d.metrics,
 	})
 	if err != nil {
 		return fmt.Errorf("create peer node: %w", err)
--- a/internal/daemon/inbound.go
+++ b/internal/daemon/inbound.go
@@ -9,6 +9,9 @@
 	"github.com/rosemaryspoke/rosemaryspoke/internal/settings"
 )
 
+// peerReceiveBytes bounds the large messages of peers that arrive at the same time. The largest one takes 8 MB.
+const peerReceiveBytes = 64 << 20
+
 // maxOperatorConnections bounds the connections of the operator port on its own, so that callers can't keep operators out.
 const maxOperatorConnections = 64
 
--- a/internal/peer/counters.go
+++ b/internal/peer/counters.go
@@ -42,6 +42,7 @@
 	refusedCertificate   refusalReason = "certificate"
 	refusedConnections   refusalReason = "too-many-connections"
 	refusedPanic         refusalReason = "handler-panic"
+	refusedMemory        refusalReason = "memory"
 )
 
 // counters holds the metrics of the transport.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -13,6 +13,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/inbound"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/peer/wire"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/tcp"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
@@ -39,6 +40,8 @@
 	// descriptor left. It doubles with each failure.
 	minAcceptPause = 5 * time.Millisecond
 	maxAcceptPause = time.Second
+	// frameTimeout bounds the arrival of an accepted connection's frame that has begun. The largest takes 3.4 s at 10 Mbit/s.
+	frameTimeout = 30 * time.Second
 	// userTimeout is how long sent data may stay unacknowledged before the kernel closes the connection. Without it an
 	// accepted connection that went silent holds its place for minutes once a reply was written to it.
 	userTimeout = 10 * time.Second
@@ -63,6 +66,8 @@
 	// CallTimeout bounds every call and write; an earlier deadline of a call's context applies. 0 means
 	// DefaultCallTimeout.
 	CallTimeout time.Duration
+	// Receive bounds the memory of large requests on all accepted connections, until they are handled; nil means no bound.
+	Receive *inbound.Pool
 	// Log receives connection errors.
 	Log logr.Logger
 	// Metrics is the set in which the counters are registered; nil means a new set.
--- a/internal/peer/receive.go
+++ b/internal/peer/receive.go
@@ -73,6 +73,7 @@
 		return
 	}
 	in.stream = newStream(conn, n)
+	in.stream.accepted, in.stream.receive = true, n.config.Receive
 	rpc := jsonrpc2.NewConn(ctx, in.stream, in, in.stream.connOptions()...)
 	<-rpc.DisconnectNotify()
 	// Wait for the handlers of this connection, whose contexts are cancelled.
@@ -126,8 +127,16 @@
 		in.reply(ctx, conn, r, nil, rpcError(CodeBusy, ErrBackpressure.Error()))
 		return
 	}
+	taken, ok := n.config.Receive.Take(len(*r.Params))
+	if !ok {
+		<-in.inFlight
+		n.counters.countRefusal(refusedMemory)
+		in.reply(ctx, conn, r, nil, rpcError(CodeBusy, ErrBackpressure.Error()))
+		return
+	}
 	go func() {
 		defer func() { <-in.inFlight }()
+		defer n.config.Receive.Give(taken)
 		result, err := in.run(ctx, h, r)
 		in.reply(ctx, conn, r, result, err)
 	}()
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/rosemaryspoke/rosemaryspoke/internal/inbound"
 	"github.com/sourcegraph/jsonrpc2"
 )
 
@@ -21,6 +22,11 @@
 // readFrame reads one frame: its length as an unsigned varint, followed by that many bytes. The length is checked
 // first, and the buffer grows only as bytes arrive, so that a false length allocates no memory.
 func readFrame(r *bufio.Reader, limit int) ([]byte, error) {
+	return readFrameFrom(r, limit, func(int) io.Reader { return r })
+}
+
+// readFrameFrom is readFrame with the reader of the frame's bytes, for which it asks once their number is known.
+func readFrameFrom(r *bufio.Reader, limit int, open func(length int) io.Reader) ([]byte, error) {
 	length, err := binary.ReadUvarint(r)
 	if err != nil {
 		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || isNetError(err) {
@@ -35,7 +41,7 @@
 		return nil, fmt.Errorf("%w: length is 0", errMalformed)
 	}
 	var frame bytes.Buffer
-	if _, err := io.CopyN(&frame, r, int64(length)); err != nil {
+	if _, err := io.CopyN(&frame, open(int(length)), int64(length)); err != nil {
 		if errors.Is(err, io.EOF) {
 			err = io.ErrUnexpectedEOF
 		}
@@ -69,6 +75,8 @@
 type stream struct {
 	conn         net.Conn
 	reader       *bufio.Reader
+	receive      *inbound.Pool // for frames of an accepted connection
+	accepted     bool
 	limit        int
 	writeTimeout time.Duration
 	counters     *counters
@@ -166,12 +174,12 @@
 
 // ReadObject reads one frame. It returns io.EOF for every error, on which jsonrpc2 closes the connection.
 func (s *stream) ReadObject(message any) error {
-	frame, err := readFrame(s.reader, s.limit)
-	if err == nil {
-		err = decodeFrame(frame, message)
-	}
+	frame, err := s.readFrame(message)
 	switch {
 	case err == nil:
+	case errors.Is(err, inbound.ErrFull):
+		s.onError(refusedMemory, err)
+		return io.EOF
 	case errors.Is(err, ErrTooLarge):
 		s.onError(refusedOversize, err)
 		return io.EOF
@@ -188,6 +196,32 @@
 	return nil
 }
 
+// readFrame reads and decodes one frame. That of an accepted connection takes memory while it does, and has a time limit unless it has
+// arrived already.
+func (s *stream) readFrame(message any) ([]byte, error) {
+	var pooled *inbound.PooledReader
+	timed := false
+	frame, err := readFrameFrom(s.reader, s.limit, func(length int) io.Reader {
+		if !s.accepted || s.reader.Buffered() >= length {
+			return s.reader
+		}
+		timed = true
+		_ = s.conn.SetReadDeadline(time.Now().Add(frameTimeout))
+		pooled = s.receive.Reader(s.reader)
+		return pooled
+	})
+	if pooled != nil {
+		defer pooled.Release()
+	}
+	if timed && err == nil {
+		_ = s.conn.SetReadDeadline(time.Time{})
+	}
+	if err == nil {
+		err = decodeFrame(frame, message)
+	}
+	return frame, err
+}
+
 // Close closes the connection.
 func (s *stream) Close() error { return s.conn.Close() }
 
--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -28,6 +28,8 @@
 	DefaultMaxReplyBytes = 32 << 20
 	maxErrorBytes        = 4 << 10
 	maxIdleConnections   = 16
+	// maxReplyHeaderBytes bounds the header of a reply; ordinary ones have a few hundred bytes.
+	maxReplyHeaderBytes = 16 << 10
 	// idleTimeout stays below the idle timeouts of common load balancers, so that the client closes first.
 	idleTimeout = 30 * time.Second
 )
@@ -67,6 +69,7 @@
 		dialer := net.Dialer{Timeout: c.CallTimeout, Control: tcp.UserTimeout(c.CallTimeout)}
 		c.Transport = httpconn.New(&http.Transport{
 			DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: idleTimeout,
+			MaxResponseHeaderBytes: maxReplyHeaderBytes,
 		})
 	}
 	if c.Metrics == nil {
