--- a/internal/inbound/budget.go
+++ b/internal/inbound/budget.go
@@ -17,8 +17,8 @@
 
 const (
 	// ConnectionBytes is what a connection takes without large headers and bodies: the stack of its goroutine, two buffers of 4 KB, the
-	// HTTP server's state, the first freeBytes of headers and body, and about a third of its receive buffer.
-	ConnectionBytes = 32 << 10
+	// HTTP server's state, the first freeBytes of headers and body, and half of its receive buffer.
+	ConnectionBytes = 48 << 10
 	// freeBytes of a header and of a body are part of ConnectionBytes, so that ordinary requests don't use the budget's lock.
 	freeBytes = 2 << 10
 	// headerFactor is the memory that a byte of a header may take: a field of five bytes becomes a map entry and a slice of over 80.
