--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -148,6 +148,7 @@
 	d.callerServer = d.newHTTPServer(d.adapter.NewCallerHandler(g, d.shuttingDown.Load, b))
 	d.operatorServer = d.newHTTPServer(d.newOperatorHandler(set, watcher, c))
 	d.readinessServer = d.newHTTPServer(d.adapter.NewReadinessHandler(d.ready))
+	d.operatorServer.WriteTimeout, d.readinessServer.WriteTimeout = operatorWriteTimeout, operatorWriteTimeout
 }
 
 func appendHooks(l fx.Lifecycle, d *Daemon) {
--- a/internal/cell/inbound.go
+++ b/internal/cell/inbound.go
@@ -19,6 +19,8 @@
 	// servers, proxies, the store and peers: a leader of 400 servers has up to 1,200 such connections.
 	fileDescriptors       = 200
 	callerDescriptorShare = 3
+	// operatorWriteTimeout ends responses to operators and readiness checks that aren't read.
+	operatorWriteTimeout = 30 * time.Second
 	// peerReceiveShare is the divisor of MemoryBytes for large messages of peers, and minPeerReceive has room for one of the largest while
 	// it is received and for a configuration.
 	peerReceiveShare = 12
--- a/internal/cell/operator.go
+++ b/internal/cell/operator.go
@@ -24,14 +24,26 @@
 	Cell         coordinator.Dump `json:"cell"`
 }
 
+// maxStateDumps bounds the dumps that are being made or sent: a leader's has up to megabytes, which are held until the operator has read them.
+const maxStateDumps = 4
+
 // newOperatorHandler serves metrics and the state dump, which includes the job that the query names.
 func (d *Daemon) newOperatorHandler(set *metrics.Set, watcher *policy.Watcher, c *coordinator.Coordinator) http.Handler {
 	r := mux.NewRouter()
+	dumps := make(chan struct{}, maxStateDumps)
 	r.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
 		set.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
 	}).Methods(http.MethodGet)
 	r.HandleFunc("/state", func(w http.ResponseWriter, q *http.Request) {
+		select {
+		case dumps <- struct{}{}:
+			defer func() { <-dumps }()
+		default:
+			w.Header().Set("Retry-After", "1")
+			http.Error(w, "too many state dumps are being sent", http.StatusServiceUnavailable)
+			return
+		}
 		p := watcher.Current()
 		dump := stateDump{
 			Member: d.settings.Member, Ready: d.ready(), ShuttingDown: d.shuttingDown.Load(), ConfigAge: time.Since(p.ConfirmedAt).String(),
