--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -108,6 +108,7 @@
 		Self:           func() wire.Sender { return wire.Sender{Member: d.settings.Member} },
 		Address:        func(ident.MemberID) (string, bool) { return "", false },
 		AllowPlaintext: true, CallTimeout: peerCallTimeout, Log: d.log.WithName("peer"), Metrics: set,
+		Receive: inbound.NewPool(max(d.settings.MemoryBytes/peerReceiveShare, minPeerReceive)),
 	})
 }
 
@@ -151,6 +152,7 @@
 	d.callerServer = d.newHTTPServer(d.adapter.NewCallerHandler(g, d.shuttingDown.Load, b))
 	d.operatorServer = d.newHTTPServer(d.newOperatorHandler(set, watcher, c))
 	d.readinessServer = d.newHTTPServer(d.adapter.NewReadinessHandler(d.ready))
+	d.operatorServer.WriteTimeout, d.readinessServer.WriteTimeout = operatorWriteTimeout, operatorWriteTimeout
 }
 
 func appendHooks(l fx.Lifecycle, d *Daemon) {
