Past use: explain-placement

Operators could see why a known job's tasks wait, at the leader only, but not where a job that isn't submitted would go, which servers could take a task, or how the team stands.

rosemaryspoke explain-placement asks the leader through any daemon's operator listener (GET or POST /explain-placement): the queue, the team's weight, limit and past use, the rank and what comes first, the servers that could take tasks and why not the others.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -167,6 +167,9 @@
 // Stop leaves the cell and returns when all requests are answered or their time is over.
 func (d *Daemon) Stop(ctx context.Context) error { return d.app.Stop(ctx) }
 
+// OperatorAddress returns the address of the operator's listener.
+func (d *Daemon) OperatorAddress() string { return d.settings.OperatorAddress }
+
 // ready reports whether the daemon should receive new connections.
 func (d *Daemon) ready() bool {
 	if d.shuttingDown.Load() || d.watcher.Current().Policy == nil {
--- a/internal/cell/operator.go
+++ b/internal/cell/operator.go
@@ -27,6 +27,7 @@
 // newOperatorHandler serves metrics, the state dump, which includes the job that the query names, and the reset of past use.
 func (d *Daemon) newOperatorHandler(set *metrics.Set, watcher *policy.Watcher, c *coordinator.Coordinator) http.Handler {
 	r := mux.NewRouter().UseEncodedPath()
+	r.HandleFunc("/explain-placement", d.explainPlacement(c)).Methods(http.MethodGet, http.MethodPost)
 	r.HandleFunc("/past-use/{team}/reset", d.resetPastUse(c)).Methods(http.MethodPost)
 	r.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
 		set.WritePrometheus(w)
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -143,7 +143,7 @@
 	f.StringVarP(&o.output, "output", "o", "table", "output format: table or json")
 	f.DurationVar(&o.timeout, "timeout", time.Minute, "longest time of the command")
 	root.AddCommand(newServeCommand(), newJobCommand(o), newRequestCommand(o), newBundleCommand(o),
-		newKeyCommand(o), newHostCommand(o), newMemberCommand(o), newStateCommand(o),
+		newKeyCommand(o), newHostCommand(o), newMemberCommand(o), newStateCommand(o), newExplainPlacementCommand(o),
 		newDemoCommand(o), newStandinCommand(), newSoakCommand(), newSettingsCommand(), newVersionCommand())
 	requireSubcommand(root)
 	return root
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -86,6 +86,9 @@
 		return adviseReply{tickets}, err
 	})
 	peer.Handle(n, methodEpoch, c.answerEpoch)
+	peer.Handle(n, methodExplainPlacement, func(_ context.Context, r sched.PlacementQuery) (placementReply, error) {
+		return c.explainPlacement(r), nil
+	})
 	peer.Handle(n, methodResetPastUse, func(_ context.Context, r resetRequest) (resetReply, error) { return c.resetPastUse(r), nil })
 }
 
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 
 	"github.com/rosemaryspoke/rosemaryspoke/internal/platform"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/sched"
@@ -64,6 +65,7 @@
 	loaded    bool
 	passTime  time.Duration // taken by scheduling passes since the load was logged
 	pastUse   pastUseRecord
+	queries   *rate.Limiter // of placements, see maxQueriesPerSecond
 
 	ctx        context.Context
 	serverCtx  context.Context // for calls to servers, see serverContext
@@ -117,6 +119,7 @@
 	t.confirmed.Store(&sentAt)
 	options.LedUntil = func() time.Time { return *t.confirmed.Load() }
 	t.scheduler = sched.New(options, c.now())
+	t.queries = rate.NewLimiter(maxQueriesPerSecond, maxQueriesPerSecond)
 	return t
 }
 
--- a/internal/sched/past_use.go
+++ b/internal/sched/past_use.go
@@ -198,11 +198,15 @@
 func (s *Scheduler) TeamUses() map[ident.TeamID]TeamUse {
 	uses := make(map[ident.TeamID]TeamUse, s.pastUse.ledger.Len())
 	for _, id := range s.pastUse.ledger.Teams() {
-		w, ok := s.pastUse.weights[id]
-		if !ok {
-			w = 1
-		}
-		uses[id] = TeamUse{Use: s.pastUse.ledger.Use(id), Weight: w, Level: s.pastUse.ledger.Level(id, w)}
+		uses[id] = s.teamUse(id)
 	}
 	return uses
 }
+
+func (s *Scheduler) teamUse(id ident.TeamID) TeamUse {
+	w, ok := s.pastUse.weights[id]
+	if !ok {
+		w = 1
+	}
+	return TeamUse{Use: s.pastUse.ledger.Use(id), Weight: w, Level: s.pastUse.ledger.Level(id, w)}
+}
--- a/internal/sched/rank.go
+++ b/internal/sched/rank.go
@@ -139,14 +139,17 @@
 	}
 	clear(s.groups[len(kept):])
 	s.groups = kept
-	slices.SortStableFunc(out, func(a, b rankedGroup) int {
-		return cmp.Or(a.rank.compare(b.rank), a.group.job.spec.Accepted.Compare(b.group.job.spec.Accepted),
-			cmp.Compare(a.group.job.spec.ID, b.group.job.spec.ID), cmp.Compare(a.group.occurrence, b.group.occurrence),
-			cmp.Compare(a.group.index, b.group.index))
-	})
+	slices.SortStableFunc(out, func(a, b rankedGroup) int { return a.compare(&b) })
 	return out
 }
 
+// compare orders groups by rank, and those of the same rank by age and id.
+func (r *rankedGroup) compare(b *rankedGroup) int {
+	return cmp.Or(r.rank.compare(b.rank), r.group.job.spec.Accepted.Compare(b.group.job.spec.Accepted),
+		cmp.Compare(r.group.job.spec.ID, b.group.job.spec.ID), cmp.Compare(r.group.occurrence, b.group.occurrence),
+		cmp.Compare(r.group.index, b.group.index))
+}
+
 // rankedGroup is a group with its rank and the current configuration of its queue.
 type rankedGroup struct {
 	group *group
