Evacuation: move long-running tasks out of evacuated data centres

A long-running task never ends, so an evacuated data centre was never empty. The package internal/evacuation decides which ones are stopped to start elsewhere: one of a step at a time, at most eight of a service, only with room on a usable server, and only while no more tasks of the step than it may miss aren't at work, whatever the cause. A task is at work if the latest inventory lists it with 100 %; the highest progress so far, which the scheduler kept before, doesn't show a task that has fallen back. Each move, and each change of the reason why a step stays, is one log line; gauges count what is left.

The leader now asks three peers at once while the store doesn't answer it: one after the other, silent peers would take up the bound.

--- a/internal/coordinator/diagnostics.go
+++ b/internal/coordinator/diagnostics.go
@@ -1,6 +1,10 @@
 package coordinator
 
-import "github.com/rosemaryspoke/rosemaryspoke/internal/sched"
+import (
+	"fmt"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/sched"
+)
 
 // logServerDecisions logs changes of the set of servers and of what is believed of them.
 func (t *term) logServerDecisions(decisions []sched.ServerDecision, dropped int) {
@@ -41,3 +45,50 @@
 			"advice-in-flight", w.AdviceInFlight, "advice-age", w.AdviceAge)
 	}
 }
+
+// logMoves logs the decisions on long-running tasks in evacuated data centres.
+func (t *term) logMoves(decisions []sched.MoveDecision, dropped int) {
+	for i := range decisions {
+		d := &decisions[i]
+		log := t.config.Log.WithValues("job", string(d.Task.Job), "occurrence", d.Task.Occurrence, "step", d.Task.Step, "tasks", d.Tasks,
+			"at-work", d.AtWork, "may-miss", d.MaxUnavailable, "to-move", d.Candidates, "service", string(d.Service), "moving", d.Moving)
+		if d.Withheld != "" {
+			log.Info("long-running tasks stay in an evacuated data centre", "reason", string(d.Withheld))
+			continue
+		}
+		log.Info("long-running task moved out of an evacuated data centre", "index", d.Task.Index, "run", uint64(d.Run),
+			"server", string(d.Server), "data-centre", string(d.DataCentre), "run-age", d.RunAge.String())
+	}
+	if dropped > 0 {
+		t.config.Log.Info("decisions not logged", "count", dropped)
+	}
+}
+
+// registerEvacuationGauges registers the gauges of the evacuated data centres.
+func (c *Coordinator) registerEvacuationGauges() {
+	m := c.config.Metrics
+	m.NewGauge("rosemaryspoke_evacuated_data_centres", func() float64 {
+		t := c.loadedTerm()
+		if t == nil {
+			return 0
+		}
+		return float64(len(t.evacuations.current()))
+	})
+	for kind, read := range map[string]func(sched.EvacuationState) int{
+		"servers":      func(e sched.EvacuationState) int { return e.Servers },
+		"runs":         func(e sched.EvacuationState) int { return e.Runs },
+		"long-running": func(e sched.EvacuationState) int { return e.LongRunning },
+	} {
+		m.NewGauge(fmt.Sprintf("rosemaryspoke_evacuation{kind=%q}", kind), c.schedulerGauge(func(s *sched.Scheduler) float64 {
+			return float64(read(s.EvacuationState()))
+		}))
+	}
+	m.NewGauge(`rosemaryspoke_evacuation{kind="moving"}`, c.schedulerGauge(func(s *sched.Scheduler) float64 {
+		moving, _ := s.MovingTasks()
+		return float64(moving)
+	}))
+	m.NewGauge(`rosemaryspoke_evacuation{kind="withheld-steps"}`, c.schedulerGauge(func(s *sched.Scheduler) float64 {
+		_, withheld := s.MovingTasks()
+		return float64(withheld)
+	}))
+}
--- a/internal/coordinator/dump.go
+++ b/internal/coordinator/dump.go
@@ -119,6 +119,8 @@
 		"passes":   func(c sched.Counts) uint64 { return c.Passes },
 		"polls":    func(c sched.Counts) uint64 { return c.Polls },
 
+		"moves": func(c sched.Counts) uint64 { return c.Moves },
+
 		"servers-read": func(c sched.Counts) uint64 { return c.ServersRead },
 	}
 	for kind, read := range counts {
@@ -140,6 +142,7 @@
 			return float64(read(t.proxies.counts()))
 		})
 	}
+	c.registerEvacuationGauges()
 	for _, kind := range sched.StuckKinds {
 		m.NewGauge(fmt.Sprintf("rosemaryspoke_stuck_runs{kind=%q}", string(kind)), c.schedulerGauge(func(s *sched.Scheduler) float64 {
 			return float64(s.StuckRuns(kind))
--- a/internal/coordinator/evacuations.go
+++ b/internal/coordinator/evacuations.go
@@ -22,9 +22,11 @@
 	// evacuationWatchTimeout is the longest duration of a watch call for evacuation requests. It is short, as a request has to take effect
 	// within seconds also if the reply to a call is lost.
 	evacuationWatchTimeout = time.Second
+	// evacuationWatchPause bounds the rate of watch calls, as a store may answer at once.
+	evacuationWatchPause = 50 * time.Millisecond
 	// evacuationReadInterval is the pause between reads of the requests through peers.
 	evacuationReadInterval = 250 * time.Millisecond
-	// maxReadingPeers bounds the peers that a read asks in turn; some of them may not reach the store either.
+	// maxReadingPeers bounds the peers that a read asks; some of them may not reach the store either.
 	maxReadingPeers = 3
 )
 
@@ -76,6 +78,9 @@
 // set applies a change of a key unless a later one is known. A reply to a watch may arrive after a later read through a peer.
 func (e *evacuations) set(id ident.DataCentre, present bool, revision platform.Revision) {
 	r := e.requests[id]
+	if id == "" {
+		return // the prefix itself names no data centre
+	}
 	if revision != 0 && revision < r.revision {
 		return
 	}
@@ -141,7 +146,7 @@
 			message = "evacuation of the data centre ended"
 		}
 		t.config.Log.Info(message, "data-centre", string(c.id), "source", string(source), "revision", uint64(c.revision),
-			"servers", c.state.Servers, "runs", c.state.Runs, "epoch", uint64(t.leader.Epoch),
+			"servers", c.state.Servers, "runs", c.state.Runs, "long-running", c.state.LongRunning, "epoch", uint64(t.leader.Epoch),
 			"store-age", t.coordinator.now().Sub(t.coordinator.LastStoreContact()).String())
 	}
 }
@@ -203,6 +208,7 @@
 				}
 			})
 		}
+		sleep(ctx, evacuationWatchPause)
 	}
 	return ctx.Err()
 }
@@ -235,36 +241,38 @@
 	err      error
 }
 
-// readEvacuations reads the requests for the known data centres through up to maxReadingPeers peers. It returns how many it has read, and
-// how many there are.
+// readEvacuations reads the requests for the known data centres through maxReadingPeers peers at once. It returns how many it has read,
+// and how many there are.
 func (t *term) readEvacuations(ctx context.Context) (read, known int) {
 	t.mu.Lock()
-	left := map[ident.DataCentre]uint64{} // with the changes of the request
+	changes := map[ident.DataCentre]uint64{} // of each request
 	for _, id := range t.scheduler.DataCentres() {
-		left[id] = t.evacuations.requests[id].changes
+		changes[id] = t.evacuations.requests[id].changes
 	}
 	for id, r := range t.evacuations.requests {
 		if r.present {
-			left[id] = r.changes
+			changes[id] = r.changes
 		}
 	}
 	t.mu.Unlock()
-	known = len(left)
 	peers := slices.Collect(maps.Values(t.coordinator.peerAddresses()))
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	for _, address := range peers[:min(len(peers), maxReadingPeers)] {
-		if len(left) == 0 {
-			break
-		}
-		for _, r := range t.readThrough(ctx, address, left) {
+	peers = peers[:min(len(peers), maxReadingPeers)]
+	results := make(chan []peerRead, len(peers))
+	for _, address := range peers {
+		go func() { results <- t.readThrough(ctx, address, changes) }()
+	}
+	done := map[ident.DataCentre]bool{}
+	for range peers {
+		for _, r := range <-results {
 			if r.err != nil {
 				t.config.Log.V(1).Info("read of an evacuation request failed", "data-centre", string(r.id), "error", r.err.Error())
 				continue
 			}
-			delete(left, r.id)
+			done[r.id] = true
 		}
 	}
-	return known - len(left), known
+	return len(done), len(changes)
 }
 
 // readThrough reads the requests for some data centres through a peer and applies them.
--- a/internal/sched/evacuation.go
+++ b/internal/sched/evacuation.go
@@ -30,19 +30,21 @@
 	return slices.Sorted(maps.Keys(known))
 }
 
-// EvacuationState is what is left in an evacuated data centre.
+// EvacuationState is what is left in evacuated data centres.
 type EvacuationState struct {
-	Servers int
-	Runs    int // including those that are being stopped
+	Servers     int
+	Runs        int // including those that are being stopped
+	LongRunning int // among the runs
 }
 
-// EvacuationState returns what is left in a data centre.
-func (s *Scheduler) EvacuationState(id ident.DataCentre) EvacuationState {
+// EvacuationState returns what is left in some data centres, or in all evacuated ones if none is named.
+func (s *Scheduler) EvacuationState(ids ...ident.DataCentre) EvacuationState {
 	var e EvacuationState
 	for _, v := range s.servers {
-		if v.info.DataCentre == id {
+		if len(ids) == 0 && v.evacuated || slices.Contains(ids, v.info.DataCentre) {
 			e.Servers++
 			e.Runs += len(v.runs)
+			e.LongRunning += len(v.runs) - v.finiteRuns
 		}
 	}
 	return e
--- a/internal/sched/explain.go
+++ b/internal/sched/explain.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/rosemaryspoke/rosemaryspoke/internal/evacuation"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 )
 
@@ -34,7 +35,8 @@
 	HeldBackBy     []ServerID           `json:"held-back-by,omitempty"` // servers that the waiting tasks may be running on or may have failed on
 	Servers        map[ServerStatus]int `json:"servers,omitempty"`      // servers of the service, if tasks wait
 	AdviceInFlight bool                 `json:"advice-in-flight,omitempty"`
-	AdviceAge      string               `json:"advice-age,omitempty"` // time since the start of the last advisor call
+	AdviceAge      string               `json:"advice-age,omitempty"`    // time since the start of the last advisor call
+	MoveWithheld   evacuation.Reason    `json:"move-withheld,omitempty"` // why its tasks stay in an evacuated data centre
 }
 
 // maxExplainedRuns bounds the runs in the explanation of a step, which may have thousands.
@@ -105,7 +107,9 @@
 }
 
 func (s *Scheduler) explainGroup(g *group) StepExplanation {
-	row := StepExplanation{Occurrence: g.occurrence, Step: g.index, Done: g.done, Tasks: g.tasks.len(), Ready: g.ready}
+	row := StepExplanation{
+		Occurrence: g.occurrence, Step: g.index, Done: g.done, Tasks: g.tasks.len(), Ready: g.ready, MoveWithheld: g.moveWithheld,
+	}
 	for t := range g.tasks.used() {
 		for _, p := range t.runs {
 			row.Running = append(row.Running, string(p.server.info.ID))
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/rosemaryspoke/rosemaryspoke/internal/evacuation"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/resource"
 )
@@ -69,6 +70,8 @@
 	isLargeVersion uint64    // fleetVersion for which isLarge was computed
 	isLarge        bool      // a task is large for some server of the service
 	reservation    groupReservation
+	moveWithheld   evacuation.Reason // why no task leaves its evacuated data centre, as of the latest MoveDecision
+	moveWithheldAt time.Time
 }
 
 // task is the runtime state of a task.
@@ -88,6 +91,7 @@
 	refusedLeap     RunNumber // see skipRefusedNumbers
 	shortRuns       int       // short runs in a row, see pauseAfterShortRun
 	noStartsBefore  time.Time // no starts before this time
+	movedAt         time.Time // when a run was stopped in an evacuated data centre; zero once the task is at work again
 	unansweredAt    time.Time // when a start was last given up without an answer; zero once a run is confirmed
 	probedAt        time.Time // when servers were last probed for the task, see probeCommands
 }
@@ -119,7 +123,8 @@
 	unlisted         bool      // the latest inventory listed neither the run nor all ended ones, so it may have ended
 	stoppingSince    time.Time // when the first stop was sent
 	stopAnsweredAt   time.Time // when the stop was answered
-	progressPercent  int
+	progressPercent  int       // highest one
+	listedPercent    int       // in the latest inventory that listed the run
 	progressAt       time.Time // when the progress last rose
 	tailLatency      time.Duration
 	speedPercent     int
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -63,8 +63,9 @@
 	passes           uint64 // number of scheduling passes
 
 	durations         durations
-	fleetVersion      uint64                    // incremented when the set of servers or their capacity changes
-	rosterDirty       map[ServerID]*server      // servers whose roster record is outdated
+	fleetVersion      uint64               // incremented when the set of servers or their capacity changes
+	rosterDirty       map[ServerID]*server // servers whose roster record is outdated
+	evacuationMoves   evacuationMoves
 	evacuated         map[ident.DataCentre]bool // see SetEvacuated
 	unknownRunsLostAt time.Time                 // see noteUnknownRunsLost
 	rosterUrgent      bool                      // see HasUrgentRosterChanges
@@ -102,6 +103,7 @@
 type Counts struct {
 	Starts, Ends, Failures, Lapses, Stops, Refusals, Advice uint64
 	Passes, Polls, ServersRead                              uint64
+	Moves                                                   uint64 // long-running tasks stopped in evacuated data centres
 }
 
 // team is the configuration and the usage of a team.
@@ -292,6 +294,7 @@
 	for _, g := range s.groups {
 		s.checkProgress(g)
 	}
+	s.moveLongRunning()
 	s.scheduledJobs = slices.DeleteFunc(s.scheduledJobs, func(j *job) bool { return j.state.Terminal() })
 	for _, j := range s.scheduledJobs {
 		s.openOccurrences(j)
