Evacuation: treat servers that are slow after their start as such

The registration's coldLeftMs was required and then ignored. Runs on such servers were learned as the usual duration of their image, made the server suspected, and were restarted as slow.

While it lasts, the server ranks after equally suitable ones and later in advisor calls, its runs teach neither durations nor slowness, and none is stopped as slow or for lack of progress.

go test -race of internal/sched (123 s) and platform (36 s) passes.

--- a/internal/sched/advice_servers.go
+++ b/internal/sched/advice_servers.go
@@ -15,6 +15,7 @@
 type freeOrder struct {
 	servers []*server
 	keys    []freeKey // reused by the next sort
+	cold    bool      // one of the servers is slow after its start, so it may have more time free than those before it
 	pass    uint64    // scheduling pass in which it was sorted
 	fleet   uint64    // version of the fleet then
 }
@@ -37,9 +38,13 @@
 		return o
 	}
 	o.pass, o.fleet = s.passes, s.fleetVersion
-	o.keys = o.keys[:0]
+	o.keys, o.cold = o.keys[:0], false
 	for i, v := range all {
-		o.keys = append(o.keys, freeKey{v.unclaimed(), i})
+		free := v.unclaimed()
+		if v.cold(s.now) && free > 0 {
+			free, o.cold = free/coldDivisor, true
+		}
+		o.keys = append(o.keys, freeKey{free, i})
 	}
 	slices.SortFunc(o.keys, func(a, b freeKey) int {
 		if a.free != b.free {
@@ -166,7 +171,7 @@
 	order := s.byFree(q.Service)
 	for i, v := range order.servers {
 		onlyWithRoom := len(a.grants) > 0 || len(ids) >= maxServersPerCall
-		if onlyWithRoom && max(order.keys[i].free, 0) < charge.CPU {
+		if onlyWithRoom && !order.cold && max(order.keys[i].free, 0) < charge.CPU {
 			break // the servers after it have less
 		}
 		s.counts.ServersRead++
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -47,6 +47,10 @@
 		v.recentFailures++
 		s.suspectFailures(v)
 	}
+	if outcome == OutcomeDone && p.slowStart() {
+		s.endSuspicion(v)
+		return
+	}
 	if outcome == OutcomeDone && p.task.checkpoint == "" && p.speedPercent == 100 {
 		took := s.now.Sub(p.startedAt)
 		s.observeSlowdown(p, took)
@@ -87,7 +91,14 @@
 		if !s.tooManySuspects(v.info.Service) {
 			s.suspect(v)
 		}
-	case ratio < slowFactor && !s.now.Before(v.noStartsBefore):
+	case ratio < slowFactor:
+		s.endSuspicion(v)
+	}
+}
+
+// endSuspicion ends the suspicion of a server after a success, unless it is still in quarantine.
+func (s *Scheduler) endSuspicion(v *server) {
+	if !s.now.Before(v.noStartsBefore) {
 		v.suspicions, v.lastSlowJob = 0, nil
 	}
 }
@@ -114,7 +125,7 @@
 // worthRestarting reports whether a run on a suspected server would end sooner if it was restarted elsewhere.
 func (s *Scheduler) worthRestarting(p *run) bool {
 	whole, ok := s.predictedDuration(p)
-	if !ok || p.server.suspicions == 0 {
+	if !ok || p.server.suspicions == 0 || p.server.cold(s.now) {
 		return false
 	}
 	usual := s.durations.expect(p.task.group.step)
--- a/internal/sched/inventory.go
+++ b/internal/sched/inventory.go
@@ -194,7 +194,7 @@
 	}
 	p.listedPercent = r.Percent
 	p.tailLatency = r.TailLatency
-	if whole, ok := s.predictedDuration(p); ok && !p.task.group.step.LongRunning {
+	if whole, ok := s.predictedDuration(p); ok && !p.task.group.step.LongRunning && !p.slowStart() {
 		s.observeSlowdown(p, max(whole, s.now.Sub(p.startedAt)))
 	}
 }
--- a/internal/sched/placement.go
+++ b/internal/sched/placement.go
@@ -258,6 +258,9 @@
 	if t.avoidServer == v.info.ID || v.failedStart(p.now) {
 		x -= failedWeight
 	}
+	if v.cold(p.now) {
+		x -= coldWeight
+	}
 	x -= failedWeight * v.recentFailures / (v.recentRuns + 1)
 	if g.step.BestEffort && v.hasLatencyTarget() || g.step.TailTarget > 0 && v.hasBestEffort() {
 		x -= interferenceWeight
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -134,6 +134,7 @@
 	Capacity    resource.Vector
 	Draining    bool
 	Remaining   time.Duration // minimum time until a draining server shuts down
+	Cold        time.Duration // time for which it remains slow after its start, from the registration on
 }
 
 // Outcome is the result of a run.
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -75,6 +75,7 @@
 	registered       bool
 	unregisteredAt   time.Time // when the registration was removed
 	drainSince       time.Time
+	coldUntil        time.Time // its runs are slow until then, as it has just started; see cold
 	used             resource.Vector
 	expected         resource.MilliCPU // expected use by steps with an advisor call in flight that names the server
 	runs             map[runKey]*run
@@ -261,6 +262,7 @@
 	if info.Draining && !v.info.Draining {
 		v.drainSince = now
 	}
+	v.noteCold(now, info.Cold)
 	if info.Capacity != v.info.Capacity || info.Service != v.info.Service {
 		s.fleetVersion++
 	}
--- a/internal/sched/supervise.go
+++ b/internal/sched/supervise.go
@@ -59,7 +59,7 @@
 // stalled reports whether a run has made no progress for far longer than expected of its image.
 func (s *Scheduler) stalled(p *run) bool { return s.stalledSince(p, p.startedAt) }
 
-// stalledSince is like stalled for a run that began its work at a time.
+// stalledSince is like stalled for a run that began its work at a time. Slowness of its server after that one's start doesn't count.
 func (s *Scheduler) stalledSince(p *run, began time.Time) bool {
 	if p.progressPercent >= 100 && p.task.group.step.LongRunning {
 		return false
@@ -69,7 +69,7 @@
 		expected = defaultEstimate
 	}
 	stallTimeout := max(minStallTime, expected/100*stallFactor)
-	return p.server.polledAt.Sub(latest(p.progressAt, began)) > stallTimeout
+	return p.server.polledAt.Sub(latest(latest(p.progressAt, began), p.server.coldUntil)) > stallTimeout
 }
 
 // checkGang stops a gang that stays incomplete or of which a member makes no progress.
