Evacuation: soak profile evacuations

The operator evacuates data centres in turn while leaders are killed, paused and cut off from the store. The profile is a new one, so plans of other profiles stay as they are.

--- a/internal/soak/cell.go
+++ b/internal/soak/cell.go
@@ -50,7 +50,8 @@
 	daemons      []*process
 	httpServers  []*http.Server
 	addresses    *addressBlock // of the daemons
-	network      *network      // with ProfileDataCentreCuts and ProfileServerProxies
+	network      *network      // of a profile with data centres
+	evacuations  evacuations   // with ProfileEvacuations
 
 	randomMu sync.Mutex // the store's faults take it under the store's lock, so no call to the store may be made under it
 	random   *rand.Rand
@@ -70,6 +71,7 @@
 	}
 	c.fleet = runhost.New(taskDuration, func(sched.TaskID) resource.Vector { return taskDemand })
 	c.fleet.SetAdvisor(advisorTiming, advisorAllows)
+	c.fleet.SetStartCheck(c.evacuations.checkStart)
 	if err := c.start(o, dir, seed); err != nil {
 		return nil, errors.Join(err, c.close())
 	}
@@ -106,12 +108,16 @@
 		if err != nil {
 			return err
 		}
-		p, err := newProcess(o.Binary, dir, o.environment(), standin.DaemonSettings{
+		node := standin.DaemonSettings{
 			Member: ident.MemberID(fmt.Sprintf("d%d", i)), IP: addresses.ip(i),
 			StoreAddress: storeProxy.address(), AdvisorAddress: advisorAddress, FirstInternalPort: addresses.port, Grace: gracePeriod, MaxRunLease: runhost.MaxLease,
 			StopTimeout: 200 * time.Millisecond, Revocation: revocationBound,
 			DataCentre: dataCentreName(c.daemonDataCentre(i)), Region: regionName(c.daemonDataCentre(i)),
-		})
+		}
+		if c.profile == ProfileEvacuations {
+			node.Evacuation = evacuationBound
+		}
+		p, err := newProcess(o.Binary, dir, o.environment(), node)
 		if err != nil {
 			return err
 		}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -70,6 +70,10 @@
 		return c.startDaemonFault(f.Fault, c.leader())
 	case proxyPaused, proxyKilled, proxyStopped, proxyReplaced, proxyLinkDelayed, proxyLinkTo, proxyLinkFrom, proxyLinkSilent:
 		return c.startDaemonFault(f.Fault, c.likelyServerProxy(f.Target))
+	case evacuate:
+		return c.evacuate(f.Target % dataCentreCount)
+	case leaderStoreCut:
+		return setProxyMode(c.storeProxies[c.leader()], modeBlockAll)
 	case revokeKey:
 		c.logError(c.revokeNextKey())
 	default:
--- a/internal/soak/network.go
+++ b/internal/soak/network.go
@@ -50,7 +50,7 @@
 
 // hasDataCentres reports whether daemons and servers are spread over data centres that can be cut off. Otherwise all daemons are in one.
 func (p Profile) hasDataCentres() bool {
-	return p == ProfileDataCentreCuts || p == ProfileServerProxies
+	return p == ProfileDataCentreCuts || p == ProfileServerProxies || p == ProfileEvacuations
 }
 
 // addNetwork starts the proxies of the data centres. They lead to daemons through the proxies before these, if there are some.
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -96,10 +96,12 @@
 	// ProfileServerProxies has all calls to servers made through other daemons than the leader, and faults of these daemons and of the
 	// links between them, with the jobs of ProfileServerLoss.
 	ProfileServerProxies Profile = "server-proxies"
+	// ProfileEvacuations evacuates data centres while leaders end and lose the store, with the jobs of ProfileServerLoss.
+	ProfileEvacuations Profile = "evacuations"
 )
 
 // Profiles are all profiles; the first is the default.
-var Profiles = []Profile{ProfileMixed, ProfileServerLoss, ProfileSilentLinks, ProfileDataCentreCuts, ProfileServerProxies}
+var Profiles = []Profile{ProfileMixed, ProfileServerLoss, ProfileSilentLinks, ProfileDataCentreCuts, ProfileServerProxies, ProfileEvacuations}
 
 // faultWeight is the relative frequency of a fault.
 type faultWeight struct {
@@ -115,6 +117,7 @@
 	ProfileSilentLinks:    silentLinkFaults,
 	ProfileDataCentreCuts: besideCutsFaults,
 	ProfileServerProxies:  besideProxyFaults,
+	ProfileEvacuations:    besideEvacuationsFaults,
 }
 
 var mixedFaults = []faultWeight{
@@ -252,6 +255,8 @@
 		plan, rate = newCuts(rng, duration), besideCutsPerSecond
 	case ProfileServerProxies:
 		plan, rate = newProxyFaults(rng, duration), besideProxyFaultsPerSecond
+	case ProfileEvacuations:
+		plan, rate = newEvacuations(rng, duration), besideEvacuationsPerSecond
 	}
 	for at := 500 * time.Millisecond; at < duration; at += time.Duration(rng.ExpFloat64() / rate * float64(time.Second)) {
 		n := rng.IntN(total)
--- a/internal/soak/server_proxies.go
+++ b/internal/soak/server_proxies.go
@@ -111,7 +111,8 @@
 
 // startDaemonFault starts a fault of a daemon or of the links to it and returns the function that ends it.
 func (c *cell) startDaemonFault(f fault, daemon int) (end func()) {
-	d, link := c.daemons[daemon], c.peerProxies[daemon]
+	d := c.daemons[daemon]
+	link := func() *proxy { return c.peerProxies[daemon] } // not all profiles have them
 	switch f {
 	case leaderPaused, proxyPaused:
 		d.signal(syscall.SIGSTOP)
@@ -124,13 +125,13 @@
 	case leaderStopped, proxyStopped:
 		d.signal(syscall.SIGTERM)
 	case leaderLinkDelayed, proxyLinkDelayed:
-		return setProxyMode(link, modeDelay)
+		return setProxyMode(link(), modeDelay)
 	case leaderLinkTo, proxyLinkTo:
-		return setProxyMode(link, modeBlockRequests)
+		return setProxyMode(link(), modeBlockRequests)
 	case leaderLinkFrom, proxyLinkFrom:
-		return setProxyMode(link, modeBlockReplies)
+		return setProxyMode(link(), modeBlockReplies)
 	case leaderLinkSilent, proxyLinkSilent:
-		link.silence(bothWays, everyConnection)
+		link().silence(bothWays, everyConnection)
 	}
 	return noEnd
 }
--- a/internal/standin/runhost/runhost.go
+++ b/internal/standin/runhost/runhost.go
@@ -44,6 +44,7 @@
 	gangs         map[gangKey]*gang
 	gangTimeouts  []gangTimeout
 	advisor       *advisor
+	startCheck    func(sched.Server, time.Time) string
 }
 
 type host struct {
@@ -285,6 +286,11 @@
 	if service := f.traits(task).Service; service != "" && service != h.info.Service {
 		f.violations = append(f.violations, fmt.Sprintf("%v started on %s of service %s, not %s", task, h.info.ID, h.info.Service, service))
 	}
+	if f.startCheck != nil {
+		if violation := f.startCheck(h.info, now); violation != "" {
+			f.violations = append(f.violations, fmt.Sprintf("%v: %s", task, violation))
+		}
+	}
 	for _, other := range f.hosts {
 		f.endDueRuns(other, now)
 	}
--- a/internal/standin/runhost/traits.go
+++ b/internal/standin/runhost/traits.go
@@ -21,6 +21,13 @@
 	f.traits = traits
 }
 
+// SetStartCheck sets a function that returns the violation of a start on a host at a time, or "".
+func (f *Fleet) SetStartCheck(check func(sched.Server, time.Time) string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.startCheck = check
+}
+
 const (
 	// stableLifetime is the time after which a run of a long-running task fails, unless the run is one of the short ones.
 	stableLifetime = 24 * time.Hour
