--- a/internal/sched/inventory.go
+++ b/internal/sched/inventory.go
@@ -192,8 +192,9 @@
 	if r.Percent > p.progressPercent || p.progressAt.IsZero() {
 		p.progressPercent, p.progressAt = r.Percent, s.now
 	}
+	p.listedPercent = r.Percent
 	p.tailLatency = r.TailLatency
-	if whole, ok := s.predictedDuration(p); ok && !p.task.group.step.LongRunning {
+	if whole, ok := s.predictedDuration(p); ok && !p.task.group.step.LongRunning && !p.slowStart() {
 		s.observeSlowdown(p, max(whole, s.now.Sub(p.startedAt)))
 	}
 }
