Preemption: single tasks of batches give way to urgent steps

Callers of a contended service saw urgent jobs late while running batches had seconds of slack: nothing that runs was ever stopped to make room.

internal/preemption decides, from values only, which runs of one server give way to a step of priority 0 that is on time, would start too late by the expected releases of room, and starts in time with a stop. internal/sched stops them and holds the room for the step until it has started there, at most 1 s after the end of the stops is listed. The search for the cheapest set moved there from internal/placement, which uses it too. Gangs don't give way yet.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -113,7 +113,7 @@
 		Member: d.settings.Member, DataCentre: d.settings.DataCentre, Region: d.settings.Region, Address: d.settings.PeerAddress,
 		ElectionDelay: d.settings.ElectionDelay(), Store: d.adapter.Store, StoreTimeout: d.storeTimeout,
 		Registry: d.adapter.Registry, ServerClient: d.adapter.ServerClient,
-		Policy: watcher, Peer: n, Scheduling: d.settings.Bounds.SchedulingOptions(), PresenceTTL: d.periods.PresenceTTL,
+		Policy: watcher, Peer: n, Scheduling: d.settings.SchedulingOptions(), PresenceTTL: d.periods.PresenceTTL,
 		MaxDirectServers: d.settings.MaxDirectServers, OnLeading: newGCTuner(), Log: d.log.WithName("coordinator"), Metrics: set,
 	})
 }
--- a/internal/cell/settings.go
+++ b/internal/cell/settings.go
@@ -23,6 +23,8 @@
 	Bounds          Bounds
 	// MaxDirectServers is the number of servers up to which a leader makes all calls to them itself.
 	MaxDirectServers int
+	// MaxPreemptionLoss is the longest work that a run may lose for runs to be stopped to make room for urgent steps; 0 means never.
+	MaxPreemptionLoss time.Duration
 }
 
 // Bounds are the limits that an installation sets; periods are derived from them.
@@ -35,6 +37,13 @@
 	MaxEarlyStart      time.Duration // a scheduled occurrence may start this much early
 	Retention          time.Duration // the state of an ended job can be read for this time
 	MinStoreLease      time.Duration // shortest lease that the store grants
+	Checkpoints        *Checkpoints  // nil if the installation doesn't tell
+}
+
+// Checkpoints tells what a run loses that is stopped.
+type Checkpoints struct {
+	Interval    time.Duration // between the checkpoints of a run
+	RestoreTime time.Duration // until a task goes on from one
 }
 
 // Periods are the periods and timeouts that a daemon derives from Bounds. The state dump encodes them.
@@ -97,7 +106,17 @@
 	}
 }
 
-// SchedulingOptions returns the options of the scheduling core.
+// SchedulingOptions returns the options of the scheduling core. Runs are stopped to make room only where that loses little: where
+// the work since a checkpoint and the longest stop are together at most MaxPreemptionLoss.
+func (s Settings) SchedulingOptions() sched.Options {
+	o, c := s.Bounds.SchedulingOptions(), s.Bounds.Checkpoints
+	if c != nil && c.Interval+s.Bounds.MaxStopTime <= s.MaxPreemptionLoss {
+		o.Preemption = &sched.PreemptionOptions{CheckpointInterval: c.Interval, RestoreTime: c.RestoreTime}
+	}
+	return o
+}
+
+// SchedulingOptions returns the options of the scheduling core that don't depend on the daemon's settings.
 func (b Bounds) SchedulingOptions() sched.Options {
 	p := b.Derive()
 	return sched.Options{
--- a/internal/command/platform.go
+++ b/internal/command/platform.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		return err
 	}
-	boot.Cell.MaxDirectServers = s.MaxDirectServers
+	boot.Cell.MaxDirectServers, boot.Cell.MaxPreemptionLoss = s.MaxDirectServers, s.MaxPreemptionLoss
 	out := asynclog.New(c.OutOrStdout())
 	defer out.Close()
 	log := funcr.NewJSON(out.WriteLine, funcr.Options{Verbosity: s.LogLevel, LogTimestamp: true})
--- a/internal/coordinator/dump.go
+++ b/internal/coordinator/dump.go
@@ -140,6 +140,7 @@
 			return float64(read(t.proxies.counts()))
 		})
 	}
+	c.registerPreemptionGauges()
 	for _, kind := range sched.StuckKinds {
 		m.NewGauge(fmt.Sprintf("rosemaryspoke_stuck_runs{kind=%q}", string(kind)), c.schedulerGauge(func(s *sched.Scheduler) float64 {
 			return float64(s.StuckRuns(kind))
--- a/internal/placement/victims.go
+++ b/internal/placement/victims.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/rosemaryspoke/rosemaryspoke/internal/preemption"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/api"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/resource"
@@ -32,9 +33,6 @@
 	// maxVictimHosts bounds the hosts that are compared. More are examined only while none has enough lower-priority
 	// work.
 	maxVictimHosts = 64
-	// maxVictimSearchNodes bounds the search for the cheapest set of victims on one host; 8 slots per host give 256
-	// sets.
-	maxVictimSearchNodes = 512
 )
 
 // Costs of preempting one attempt, and the factors for its kind. Only their order matters: a throttled attempt continues,
@@ -177,41 +175,16 @@
 	return list
 }
 
-// cheapestSet returns the cheapest set of candidates that covers the shortfall and costs less than a bound, or nil. It
-// is a depth-first search that prunes branches that cost too much or cannot free enough, bounded by
-// maxVictimSearchNodes.
+// cheapestSet returns the cheapest set of candidates that covers the shortfall and costs less than a bound, or nil.
 func cheapestSet(list []victimCandidate, shortfall resource.Vector, below float64) ([]victimCandidate, float64) {
-	rest := make([]resource.Vector, len(list)+1) // capacity that the candidates from index i on free together
-	for i := len(list) - 1; i >= 0; i-- {
-		rest[i] = rest[i+1].Add(list[i].freed)
+	candidates := make([]preemption.Candidate, len(list))
+	for i, c := range list {
+		candidates[i] = preemption.Candidate{Freed: c.freed, Cost: c.cost}
 	}
-	var best, set []victimCandidate
-	nodes := 0
-	var visit func(i int, short resource.Vector, cost float64)
-	visit = func(i int, shortfall resource.Vector, cost float64) {
-		if nodes++; cost >= below || nodes > maxVictimSearchNodes {
-			return
-		}
-		if shortfall.Max(resource.Vector{}).IsZero() {
-			best, below = slices.Clone(set), cost
-			return
-		}
-		if i == len(list) || !shortfall.Fits(rest[i].Max(resource.Vector{})) {
-			return
-		}
-		if reducesShortfall(list[i].freed, shortfall) {
-			set = append(set, list[i])
-			visit(i+1, shortfall.Sub(list[i].freed), cost+list[i].cost)
-			set = set[:len(set)-1]
-		}
-		visit(i+1, shortfall, cost)
+	indexes, cost := preemption.CheapestSet(candidates, shortfall, below)
+	var set []victimCandidate
+	for _, i := range indexes {
+		set = append(set, list[i])
 	}
-	visit(0, shortfall, 0)
-	return best, below
-}
-
-// reducesShortfall reports whether the freed capacity includes a resource that is short.
-func reducesShortfall(freed, shortfall resource.Vector) bool {
-	return freed.CPU > 0 && shortfall.CPU > 0 || freed.Memory > 0 && shortfall.Memory > 0 || freed.GPUs > 0 && shortfall.GPUs > 0 ||
-		freed.Slots > 0 && shortfall.Slots > 0 || freed.Connections > 0 && shortfall.Connections > 0
+	return set, cost
 }
--- a/internal/sched/advice_servers.go
+++ b/internal/sched/advice_servers.go
@@ -113,7 +113,7 @@
 // places returns how many tasks of a group have room on a server, at most limit.
 func (g *group) places(v *server, charge resource.Vector, limit int) int {
 	n := 0
-	for n < limit && v.fits(charge.Times(int64(n+1))) && g.allowsAnother(v, n) {
+	for n < limit && v.admits(g, charge.Times(int64(n+1))) && g.allowsAnother(v, n) {
 		n++
 	}
 	return n
@@ -198,6 +198,12 @@
 		if g.failedStart(v, s.now) != failedStart {
 			continue
 		}
+		if v.hold != nil && v.hold.group == g {
+			if g.advice.ticket(v, latest(s.now, v.hold.freeBy)) == "" {
+				renew = append(renew, v)
+			}
+			continue
+		}
 		if g.advice.ticket(v, s.now) == "" && s.hasCapacityWithin(g.step, v, cost.CallTime(1)+renewalLead) {
 			renew = append(renew, v)
 		}
--- a/internal/sched/explain.go
+++ b/internal/sched/explain.go
@@ -80,6 +80,7 @@
 	ServerUnusable     ServerStatus = "unusable"
 	ServerUnsuitable   ServerStatus = "unsuitable" // it lacks the label or the capacity, also when empty
 	ServerFull         ServerStatus = "full"
+	ServerHeld         ServerStatus = "held" // its room is held for a step that runs were stopped for
 	ServerSpread       ServerStatus = "max-per-server"
 	ServerNotAllowed   ServerStatus = "not-allowed" // the advisor doesn't allow it
 	ServerNoTicket     ServerStatus = "no-ticket"
@@ -261,6 +262,8 @@
 		return ServerUnsuitable
 	case !v.fits(g.step.Charge()):
 		return ServerFull
+	case !v.admits(g, g.step.Charge()):
+		return ServerHeld
 	case !g.allowsAnother(v, 0):
 		return ServerSpread
 	case r.queue.Advisor != nil && answered && !allowed:
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -37,6 +37,7 @@
 	writeInFlight   bool
 	refusedWrites   refusedWrites
 	endToWrite      bool // counted in writeQueue.ended
+	gaveWay         bool // a task was stopped to make room
 }
 
 // occurrence is one repetition of a job's steps.
@@ -69,6 +70,8 @@
 	isLargeVersion uint64    // fleetVersion for which isLarge was computed
 	isLarge        bool      // a task is large for some server of the service
 	reservation    groupReservation
+	heldPlaces     int       // tasks for which room is held, see roomHold
+	nextPreemption time.Time // no decision on preemption before this time
 }
 
 // task is the runtime state of a task.
@@ -90,6 +93,7 @@
 	noStartsBefore  time.Time // no starts before this time
 	unansweredAt    time.Time // when a start was last given up without an answer; zero once a run is confirmed
 	probedAt        time.Time // when servers were last probed for the task, see probeCommands
+	timesGivenWay   int       // runs that were stopped to make room
 }
 
 type phase int
@@ -123,8 +127,10 @@
 	progressAt       time.Time // when the progress last rose
 	tailLatency      time.Duration
 	speedPercent     int
-	speedUnknown     bool // a former leader may have throttled the run
-	speedUnanswered  bool // the latest throttle command got no answer
+	speedUnknown     bool      // a former leader may have throttled the run
+	speedUnanswered  bool      // the latest throttle command got no answer
+	preempted        bool      // being stopped to make room
+	madeRoom         *roomHold // for which it is being stopped, or nil
 }
 
 func newJob(spec *Job, p Progress, inherited bool) *job {
--- a/internal/sched/load_test.go
+++ b/internal/sched/load_test.go
@@ -42,14 +42,7 @@
 	// allowedPercent is the percentage of the servers that the advisor of a queue allows.
 	allowedPercent map[ident.QueueID]uint32
 	t              *testing.T // nil in benchmarks, which check no invariants
-}
-
-type simulatedServer struct {
-	runs        map[runKey]time.Time // start of each run
-	slowdown    float64              // multiple of the usual run time; 0 means 1
-	pendingPoll *PollCommand
-	finished    []FinishedRun
-	lastEnd     uint64
+	checkpoints    simulatedCheckpoints
 }
 
 type simulatedJob struct {
@@ -213,90 +206,6 @@
 	}
 }
 
-func (p *loadSimulation) deliverCommands() {
-	sent := p.now
-	for _, cmd := range p.s.TakeCommands() {
-		switch cmd := cmd.(type) {
-		case StartCommand:
-			p.after(oneWayDelay, func() { p.start(cmd, sent) })
-		case StopCommand:
-			p.after(oneWayDelay, func() { p.end(cmd.Server.ID, runKey{cmd.Task, cmd.Run}, OutcomeStopped) })
-			p.after(2*oneWayDelay, func() { p.s.Stopped(p.now, sent, cmd.Server.ID, cmd.Task, cmd.Run, p.clock()) })
-		case PollCommand:
-			p.after(cmd.Delay+oneWayDelay, func() { p.receivePoll(cmd) })
-		}
-	}
-}
-
-func (p *loadSimulation) clock() time.Duration { return p.now.Sub(epochStart) + time.Hour }
-
-func (p *loadSimulation) start(cmd StartCommand, sent time.Time) {
-	v := p.servers[cmd.Server.ID]
-	p.starts++
-	key := runKey{cmd.Task, cmd.Run}
-	v.runs[key] = p.now
-	work := p.s.jobs[cmd.Task.Job].spec.Steps[cmd.Task.Step].Estimate
-	p.after(scale(work, v.durationFactor()*(0.7+0.6*p.random.Float64())), func() { p.end(cmd.Server.ID, key, OutcomeDone) })
-	p.after(oneWayDelay, func() { p.s.Started(p.now, sent, cmd.Server.ID, cmd.Task, cmd.Run, p.clock()) })
-}
-
-func (v *simulatedServer) durationFactor() float64 { return max(v.slowdown, 1) }
-
-func (p *loadSimulation) end(id ServerID, key runKey, outcome Outcome) {
-	v := p.servers[id]
-	if _, here := v.runs[key]; !here {
-		return
-	}
-	delete(v.runs, key)
-	v.lastEnd++
-	v.finished = append(v.finished, FinishedRun{Number: v.lastEnd, Task: key.task, Run: key.run, Outcome: outcome})
-	p.answerPoll(id)
-}
-
-func (p *loadSimulation) receivePoll(poll PollCommand) {
-	v := p.servers[poll.Server.ID]
-	for len(v.finished) > 0 && v.finished[0].Number <= poll.Acknowledged {
-		v.finished = v.finished[1:]
-	}
-	v.pendingPoll = &poll
-	if len(v.finished) > 0 || poll.Wait == 0 {
-		p.answerPoll(poll.Server.ID)
-		return
-	}
-	p.after(poll.Wait, func() {
-		if v.pendingPoll == &poll {
-			p.answerPoll(poll.Server.ID)
-		}
-	})
-}
-
-func (p *loadSimulation) answerPoll(id ServerID) {
-	v := p.servers[id]
-	if v.pendingPoll == nil {
-		return
-	}
-	poll := *v.pendingPoll
-	v.pendingPoll = nil
-	inv := Inventory{Incarnation: 1, Clock: p.clock(), Finished: append([]FinishedRun(nil), v.finished...)}
-	for key, at := range v.runs {
-		step := p.s.jobs[key.task.Job].spec.Steps[key.task.Step]
-		share := min(float64(p.now.Sub(at))/float64(step.Estimate)/v.durationFactor(), 0.99)
-		inv.Running = append(inv.Running, ActiveRun{Task: key.task, Run: key.run, Percent: int(100 * share)})
-	}
-	p.after(oneWayDelay, func() {
-		p.s.Polled(p.now, id, poll.Serial, inv)
-		p.recordCompletions(inv.Finished)
-	})
-}
-
-func (p *loadSimulation) recordCompletions(ends []FinishedRun) {
-	for _, f := range ends {
-		if j := p.jobs[f.Task.Job]; j.done.IsZero() && p.s.jobs[f.Task.Job].state == StateCompleted {
-			j.done = p.now
-		}
-	}
-}
-
 // usefulShare returns the weighted share of the jobs of each kind that were on time. A late job counts a fifth.
 func (p *loadSimulation) usefulShare() map[string]float64 {
 	useful, total := map[string]float64{}, map[string]float64{}
--- a/internal/sched/pick_server.go
+++ b/internal/sched/pick_server.go
@@ -22,7 +22,7 @@
 		if !v.usable(p.now) || p.reserved[v.info.ID] || !eligible(g.step, v) {
 			continue
 		}
-		if !v.fits(charge.Times(int64(taken[v] + 1))) {
+		if !v.admits(g, charge.Times(int64(taken[v]+1))) {
 			continue
 		}
 		if !g.allowsAnother(v, taken[v]) {
--- a/internal/sched/placement.go
+++ b/internal/sched/placement.go
@@ -29,11 +29,13 @@
 	}
 	clear(s.starvation.usedShare)
 	groups := s.rankedGroups()
+	s.beginPreemption()
 	s.adviceQueue = s.adviceQueue[:0]
 	p.placeStarved(groups)
 	for i := range groups {
 		p.place(&groups[i])
 	}
+	s.endPreemption()
 	if now.Sub(s.prefetchedAt) >= prefetchInterval {
 		s.prefetchedAt, s.prefetchQueue = now, s.prefetchQueue[:0]
 		for _, g := range s.groups {
@@ -85,6 +87,7 @@
 	default:
 		if p.placeTasks(r, r.group.tasks.len()) {
 			p.handleNoCapacity(r)
+			p.preempt(r)
 		}
 	}
 }
--- a/internal/sched/reservation.go
+++ b/internal/sched/reservation.go
@@ -186,7 +186,7 @@
 		if held >= g.missing() || n.servers >= n.maxServers {
 			return
 		}
-		if !p.reserved[v.info.ID] && large(g.step, v) && v.fits(g.step.Charge()) {
+		if !p.reserved[v.info.ID] && large(g.step, v) && v.admits(g, g.step.Charge()) {
 			p.reserve(n, v)
 			held++
 		}
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -15,10 +15,12 @@
 	for _, p := range v.runs {
 		all = append(all, p)
 	}
-	slices.SortFunc(all, func(a, b *run) int { return compareTasks(a.task.id(), b.task.id(), a.number, b.number) })
+	slices.SortFunc(all, compareRuns)
 	return all
 }
 
+func compareRuns(a, b *run) int { return compareTasks(a.task.id(), b.task.id(), a.number, b.number) }
+
 func compareTasks(a, b TaskID, ra, rb RunNumber) int {
 	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step),
 		cmp.Compare(a.Index, b.Index), cmp.Compare(ra, rb))
@@ -75,6 +77,9 @@
 	}
 	t.dropIfDone()
 	s.passNeeded = true
+	if p.preempted {
+		s.notePreemptedEnd(p)
+	}
 }
 
 // runLost handles a run that is known to have ended without a reported outcome.
@@ -103,6 +108,9 @@
 	t.group.lastStart = s.now
 	s.starvation.earnStart()
 	s.attachRun(p)
+	if v.hold != nil && v.hold.group == t.group {
+		s.useHeldPlace(v)
+	}
 	s.sendStart(p)
 }
 
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -41,6 +41,8 @@
 	EarlyStart time.Duration
 	// Retention is how long the state of an ended job is kept.
 	Retention time.Duration
+	// Preemption describes the loss of a stopped run; nil means that no run is stopped to make room.
+	Preemption *PreemptionOptions
 }
 
 // Scheduler decides which task runs where. It isn't safe for concurrent use.
@@ -93,6 +95,7 @@
 	delay            commonDelay
 	unansweredStarts int // starts without an answer, on all servers
 	counts           Counts
+	preemption       preemptionState
 }
 
 // Counts holds counters for metrics, counted since the takeover. Ends counts the reported ends of runs, Lapses the runs that
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -148,6 +148,8 @@
 	slowdown       float64 // moving average of run durations, as a multiple of the expected ones
 	recentRuns     float64 // ended runs, with exponential decay
 	recentFailures float64 // failed runs among them, with the same decay
+
+	hold *roomHold // room that is held for a group, or nil
 }
 
 // fits reports whether the server has free capacity for a charge. Runs of unknown demand leave none.
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -19,6 +19,9 @@
 // minTokenBytes is the shortest operator credential.
 const minTokenBytes = 16
 
+// maxPreemptionLoss bounds max-preemption-loss: tasks that lose more have mostly ended before an urgent step has to start.
+const maxPreemptionLoss = time.Minute
+
 // Check returns an error for the first invalid setting, or nil. It sets PeerAddress to PeerListen if it is empty.
 func (s *Serve) Check() error {
 	s.PeerAddress = cmp.Or(s.PeerAddress, s.PeerListen)
@@ -35,6 +38,9 @@
 	if s.MaxDirectServers < 0 {
 		return &Error{"max-direct-servers", fmt.Sprint(s.MaxDirectServers), "at least 0"}
 	}
+	if s.MaxPreemptionLoss < 0 || s.MaxPreemptionLoss > maxPreemptionLoss {
+		return &Error{"max-preemption-loss", s.MaxPreemptionLoss.String(), fmt.Sprintf("from 0 to %s", maxPreemptionLoss)}
+	}
 	return nil
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -21,6 +21,9 @@
 // DefaultMaxDirectServers is the number of servers that a leader calls itself. Calls to 350 servers take at most 0.35 cores.
 const DefaultMaxDirectServers = 400
 
+// DefaultMaxPreemptionLoss admits a checkpoint each second and stops of 200 ms, which lose less than most tasks of batches work.
+const DefaultMaxPreemptionLoss = 1250 * time.Millisecond
+
 // Serve holds the settings of a daemon.
 type Serve struct {
 	Member     ident.MemberID
@@ -71,11 +74,13 @@
 	LogLevel int
 	LogJSON  bool
 
-	// PlatformSettingsFile is the path of the settings file of a platform that keeps all state. With it, only MaxDirectServers
-	// and the log settings of this struct apply.
+	// PlatformSettingsFile is the path of the settings file of a platform that keeps all state. With it, only MaxDirectServers,
+	// MaxPreemptionLoss and the log settings of this struct apply.
 	PlatformSettingsFile string
 	// MaxDirectServers is the number of backend servers up to which the leader on such a platform makes all calls to them itself.
 	MaxDirectServers int
+	// MaxPreemptionLoss is the longest work that a run may lose for runs to be stopped to make room for urgent steps; 0 means never.
+	MaxPreemptionLoss time.Duration
 
 	// Baseline replaces the scheduling policy with random fit in order of arrival. It has no flag; only the load driver
 	// sets it.
@@ -149,8 +154,9 @@
 	f.DurationVar(&s.DrainTimeout, "drain-timeout", 2*time.Minute, "longest time a shutdown waits for held requests")
 	f.IntVar(&s.LogLevel, "log-level", 0, "verbosity of the log; higher shows more")
 	f.BoolVar(&s.LogJSON, "log-json", false, "write the log as JSON")
-	f.StringVar(&s.PlatformSettingsFile, "boot", "", "settings file of a platform that keeps all state; the other settings but max-direct-servers and those of the log don't apply then")
+	f.StringVar(&s.PlatformSettingsFile, "boot", "", "settings file of a platform that keeps all state; the other settings but max-direct-servers, max-preemption-loss and those of the log don't apply then")
 	f.IntVar(&s.MaxDirectServers, "max-direct-servers", DefaultMaxDirectServers, "with boot, number of backend servers up to which the leader calls them itself; above it, other daemons make the calls; 0 means always")
+	f.DurationVar(&s.MaxPreemptionLoss, "max-preemption-loss", DefaultMaxPreemptionLoss, "with boot, the longest checkpoint interval and stop, together, with which runs of lower priority are stopped to make room for urgent steps, as each of them loses about that much work; 0 means never")
 }
 
 // FromEnvironment sets every flag that wasn't given on the command line from its environment variable.
