--- a/internal/cell/settings_test.go
+++ b/internal/cell/settings_test.go
@@ -110,3 +110,33 @@
 		})
 	}
 }
+
+// Guards against stops where a run loses much, or where the operator has turned them off.
+func TestPreemptionNeedsCheapStops(t *testing.T) {
+	const ms = time.Millisecond
+	for name, c := range map[string]struct {
+		checkpoints *Checkpoints
+		atMost      time.Duration
+		on          bool
+	}{
+		"a checkpoint each second":  {&Checkpoints{time.Second, 600 * ms}, 1250 * ms, true},
+		"at the limit":              {&Checkpoints{1050 * ms, 600 * ms}, 1250 * ms, true},
+		"above the limit":           {&Checkpoints{1051 * ms, 0}, 1250 * ms, false},
+		"a checkpoint each 2 s":     {&Checkpoints{2 * time.Second, 100 * ms}, 1250 * ms, false},
+		"the same, allowed":         {&Checkpoints{2 * time.Second, 100 * ms}, 2200 * ms, true},
+		"off":                       {&Checkpoints{time.Second, 600 * ms}, 0, false},
+		"off, stops that lose none": {&Checkpoints{}, 0, false},
+		"unknown":                   {nil, time.Minute, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := Settings{Bounds: Bounds{MaxStopTime: 200 * ms, MaxRunLease: 10 * time.Second, Checkpoints: c.checkpoints}, MaxPreemptionLoss: c.atMost}
+			o := s.SchedulingOptions()
+			if (o.Preemption != nil) != c.on {
+				t.Fatalf("got %+v, want on: %v", o.Preemption, c.on)
+			}
+			if c.on && (o.Preemption.CheckpointInterval != c.checkpoints.Interval || o.Preemption.RestoreTime != c.checkpoints.RestoreTime) {
+				t.Errorf("got %+v, want %+v", o.Preemption, c.checkpoints)
+			}
+		})
+	}
+}
--- a/internal/preemption/preemption.go
+++ b/internal/preemption/preemption.go
@@ -55,12 +55,13 @@
 	Surplus       bool            // beyond its team's weight
 	PastUse       bool            // its result is of no use to its caller any more
 	TimesGivenWay int             // of the task, or the most of the members
+	Gang          int             // numbers the gangs of a decision, which may have members on several servers; 0 for a single task
 	Freed         resource.Vector // charge on the server
 	Stops         int             // runs that end; more than 1 only for a gang
 	Lost          CoreSeconds     // processor time lost, of all members
 	Remaining     time.Duration   // expected time until it ends; of a gang, that of its first member to end
-	// Slack is the time for which its job can wait for room after the loss and still be on time.
-	Slack time.Duration
+	// Slack is the time for which its job can wait for room after the loss and still be on time, and Wait how long it is expected to wait.
+	Slack, Wait time.Duration
 }
 
 // Server is a server on which the step may start once there is room, with the runs there.
@@ -73,7 +74,6 @@
 // Limits bound a decision.
 type Limits struct {
 	StopTime time.Duration // from the decision until the room of a stopped run can be used
-	Wait     time.Duration // for room, of a stopped task
 	Stops    int           // the most runs to stop
 }
 
@@ -175,6 +175,9 @@
 			v.Reason = max(v.Reason, TooManyStops)
 			continue
 		}
+		if sharesGang(servers, v.Plans, p) {
+			continue // it gives way already, and would be counted twice
+		}
 		l.Stops -= p.Stops
 		missing -= p.Places
 		v.Plans = append(v.Plans, p)
@@ -185,13 +188,29 @@
 	return v
 }
 
+// sharesGang reports whether a plan stops a gang that an earlier plan stops.
+func sharesGang(servers []Server, earlier []Plan, p Plan) bool {
+	for _, i := range p.Runs {
+		gang := servers[p.Server].Runs[i].Gang
+		if gang == 0 {
+			continue
+		}
+		for _, e := range earlier {
+			if slices.ContainsFunc(e.Runs, func(j int) bool { return servers[e.Server].Runs[j].Gang == gang }) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (p *Plan) lostPerPlace() CoreSeconds { return p.Lost / CoreSeconds(p.Places) }
 
 // cheapestPlan returns the plan for a server that loses least for each of up to missing tasks, or why there is none.
 func cheapestPlan(s *Step, v *Server, missing int, l Limits) (Plan, Reason) {
 	order := make([]int, 0, len(v.Runs))
 	for i := range v.Runs {
-		if v.Runs[i].yields(s, l) {
+		if v.Runs[i].yields(s, l.StopTime) {
 			order = append(order, i)
 		}
 	}
@@ -245,9 +264,9 @@
 const maxLoss = 1e18
 
 // yields reports whether a run may give way to a step.
-func (r *Run) yields(s *Step, l Limits) bool {
-	if r.Priority <= s.Priority || r.LongRunning || r.Copy || r.TimesGivenWay >= MaxTimesGivenWay || r.Remaining < l.StopTime {
+func (r *Run) yields(s *Step, stopTime time.Duration) bool {
+	if r.Priority <= s.Priority || r.LongRunning || r.Copy || r.TimesGivenWay >= MaxTimesGivenWay || r.Remaining < stopTime {
 		return false
 	}
-	return r.Surplus || r.PastUse || r.Slack >= l.Wait
+	return r.Surplus || r.PastUse || r.Slack >= r.Wait
 }
--- a/internal/preemption/preemption_test.go
+++ b/internal/preemption/preemption_test.go
@@ -17,7 +17,7 @@
 // batchRun returns a run of a batch with slack.
 func batchRun(n float64) Run {
 	return Run{
-		Priority: 2, Freed: cores(n), Stops: 1, Lost: Work(cores(n), 800*ms), Remaining: 2 * time.Second, Slack: 10 * time.Second,
+		Priority: 2, Freed: cores(n), Stops: 1, Lost: Work(cores(n), 800*ms), Remaining: 2 * time.Second, Slack: 10 * time.Second, Wait: time.Second,
 	}
 }
 
@@ -28,7 +28,7 @@
 }
 
 func TestDecide(t *testing.T) {
-	limits := Limits{StopTime: 250 * ms, Wait: time.Second, Stops: 32}
+	limits := Limits{StopTime: 250 * ms, Stops: 32}
 	full := func(runs ...Run) Server {
 		return Server{Free: resource.Vector{CPU: 1000, Memory: 1000}, Places: 10, Runs: runs}
 	}
--- a/internal/sched/advice_servers.go
+++ b/internal/sched/advice_servers.go
@@ -54,8 +54,14 @@
 	return o
 }
 
-// unclaimed returns the free processor time of a server less what steps with an advisor call in flight will take.
-func (v *server) unclaimed() resource.MilliCPU { return v.info.Capacity.CPU - v.used.CPU - v.expected }
+// unclaimed returns the free processor time of a server less what is held and what steps with an advisor call in flight will take.
+func (v *server) unclaimed() resource.MilliCPU {
+	free := v.info.Capacity.CPU - v.used.CPU - v.expected
+	if v.hold != nil {
+		free -= v.hold.room().CPU
+	}
+	return free
+}
 
 // expectUse counts the use of the servers by a step whose advisor call begins, so that calls in flight at the same time don't
 // all name the same servers and find them full when the answers arrive.
@@ -199,7 +205,7 @@
 			continue
 		}
 		if v.hold != nil && v.hold.group == g {
-			if g.advice.ticket(v, latest(s.now, v.hold.freeBy)) == "" {
+			if s.heldTicketDue(v.hold, q) {
 				renew = append(renew, v)
 			}
 			continue
--- a/internal/sched/faulty_server_test.go
+++ b/internal/sched/faulty_server_test.go
@@ -155,7 +155,7 @@
 	if w.random.IntN(20) == 0 {
 		outcome = OutcomeFailed
 	}
-	runTime := time.Duration(100+w.random.IntN(600))*time.Millisecond + w.lateInventories.extraRunTime()
+	runTime := time.Duration(100+w.random.IntN(600))*time.Millisecond + w.lateInventories.extraRunTime() + w.extraRunTime(cmd.Task)
 	v.runs[key] = faultyServerRun{end: w.now.Add(runTime), outcome: outcome}
 	w.losses.started(v, key)
 	return started
@@ -262,7 +262,7 @@
 	}
 	v.finished = inv.Finished
 	for _, k := range v.runKeys() {
-		row := ActiveRun{Task: k.task, Run: k.run, Percent: 50}
+		row := ActiveRun{Task: k.task, Run: k.run, Percent: w.percent()}
 		if w.specs[k.task.Job].Steps[k.task.Step].LongRunning {
 			row.Percent = 100
 		}
--- a/internal/sched/load_servers_test.go
+++ b/internal/sched/load_servers_test.go
@@ -21,7 +21,6 @@
 	shares   map[Checkpoint]float64 // of the work that is done
 	runs     map[runKey]*simulatedRun
 	stopped  int
-	lost     time.Duration // from the checkpoint of a stop to the end of the run
 }
 
 // simulatedRun is the progress of a run.
--- a/internal/sched/placement.go
+++ b/internal/sched/placement.go
@@ -86,8 +86,8 @@
 		p.placeGang(r)
 	default:
 		if p.placeTasks(r, r.group.tasks.len()) {
+			p.preempt(r) // first, as it doesn't consider reserved servers
 			p.handleNoCapacity(r)
-			p.preempt(r)
 		}
 	}
 }
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rosemaryspoke/rosemaryspoke/internal/preemption"
@@ -28,7 +29,7 @@
 	decisionLead = 60 * time.Millisecond
 	// spreadShare is the part of the expected work by which the longest of a step's tasks is assumed to exceed it.
 	spreadShare = 0.25
-	// waitFactor times the time in which a service works off what waits is how long a stopped task is assumed to wait for room, as more
+	// waitFactor times the time in which a service works off what waits before a task is how long a stopped task is assumed to wait for room, as more
 	// urgent work arrives meanwhile.
 	waitFactor = 2
 )
@@ -54,16 +55,24 @@
 
 	servers    []preemption.Server // reused
 	candidates []preemptionServer  // reused, for servers
+	gangs      []*group            // on the servers; their numbers are the indexes plus 1
 }
 
 // servicePreemption is what is known of the work of a service.
 type servicePreemption struct {
-	ahead      resource.Vector // demand of the steps that found no room in this pass so far
-	aheadWork  float64         // core seconds of that demand
-	backlog    float64         // core seconds of the demand that found no room in the latest pass
-	forecast   preemption.Forecast
-	capacity   float64 // cores of its usable servers
-	forecastAt time.Time
+	ahead     resource.Vector // demand of the steps that found no room in this pass so far
+	aheadWork preemption.CoreSeconds
+	// waiting are the steps that found no room in this pass so far, in the order of rank, and backlog those of the pass before.
+	waiting, backlog []waitingWork
+	forecast         preemption.Forecast
+	capacity         float64 // cores of its usable servers
+	forecastAt       time.Time
+}
+
+// waitingWork is the rank of a step that found no room, and the work that starts up to it.
+type waitingWork struct {
+	rank rank
+	work preemption.CoreSeconds
 }
 
 // beginPreemption prepares a pass.
@@ -78,7 +87,7 @@
 // endPreemption keeps what a pass has found out.
 func (s *Scheduler) endPreemption() {
 	for _, n := range s.preemption.services {
-		n.backlog = n.aheadWork
+		n.backlog, n.waiting = n.waiting, n.backlog[:0]
 	}
 }
 
@@ -96,7 +105,8 @@
 	}
 	demand := g.step.Charge().Times(int64(waiting))
 	n.ahead = n.ahead.Add(demand)
-	n.aheadWork += float64(preemption.Work(demand, p.durations.expect(g.step)))
+	n.aheadWork += preemption.Work(demand, p.durations.expect(g.step))
+	n.waiting = append(n.waiting, waitingWork{r.rank, n.aheadWork})
 }
 
 func (s *Scheduler) preemptionOf(id ServiceID) *servicePreemption {
@@ -117,6 +127,9 @@
 	if r.rank.priority != 0 || r.rank.class != onTime || waiting == 0 || g.step.LongRunning || g.step.Speculative || g.job.gaveWay {
 		return false
 	}
+	if r.queue.Advisor != nil && len(g.advice.positive) == 0 {
+		return false // it waits for advice
+	}
 	return p.preemption.steps < maxPreemptingSteps && p.preemption.stops < maxStopsPerPass && p.preemption.stopping < maxStopping &&
 		!p.now.Before(g.nextPreemption) && r.rank.slack >= p.stopTime()
 }
@@ -135,8 +148,7 @@
 		Waiting: waiting, Slack: r.rank.slack, SafeSlack: p.safeSlack(r), Ahead: n.ahead, Released: &n.forecast,
 	}
 	limits := preemption.Limits{
-		StopTime: p.stopTime(), Wait: p.stopTime() + n.expectedWait(),
-		Stops: min(maxStopsPerPass-p.preemption.stops, maxStopping-p.preemption.stopping),
+		StopTime: p.stopTime(), Stops: min(maxStopsPerPass-p.preemption.stops, maxStopping-p.preemption.stopping),
 	}
 	if step.SafeSlack > limits.StopTime+decisionLead {
 		p.preemption.counts.Deferred++
@@ -175,16 +187,19 @@
 	return min(scale(spare, float64(p.durations.expect(g.step))/float64(left)), spare)
 }
 
-// expectedWait returns how long a task that is stopped now is expected to wait for room.
-func (n *servicePreemption) expectedWait() time.Duration {
+// expectedWait returns how long a task of a rank that is stopped now is expected to wait for room, after the work of higher rank.
+func (n *servicePreemption) expectedWait(r rank) time.Duration {
 	if n.capacity <= 0 {
 		return neverFree
 	}
-	work := max(n.backlog, n.aheadWork)
-	return scale(time.Second, waitFactor*work/n.capacity)
+	work := n.aheadWork
+	if i, _ := slices.BinarySearchFunc(n.backlog, r, func(w waitingWork, r rank) int { return w.rank.compare(r) }); i > 0 {
+		work = max(work, n.backlog[i-1].work)
+	}
+	return scale(time.Second, waitFactor*float64(work)/n.capacity)
 }
 
-// updateForecast computes the expected releases of a service unless those known are recent. Room of preempted runs is held already.
+// updateForecast computes the expected releases of a service unless those known are recent. Room that is held isn't released for others.
 func (s *Scheduler) updateForecast(n *servicePreemption, id ServiceID) {
 	if !n.forecastAt.IsZero() && s.now.Sub(n.forecastAt) < forecastMaxAge {
 		return
@@ -198,7 +213,7 @@
 		n.capacity += float64(v.info.Capacity.CPU) / 1000
 		for _, p := range v.runs {
 			switch {
-			case p.preempted || p.task.group.step.LongRunning:
+			case p.madeRoom != nil || p.task.group.step.LongRunning:
 			case p.phase == phaseStopping:
 				n.forecast.Add(s.options.MaxStopTime, p.task.charge())
 			default:
--- a/internal/sched/preempt_load_test.go
+++ b/internal/sched/preempt_load_test.go
@@ -22,7 +22,6 @@
 	from, to   time.Duration
 	length     time.Duration
 	preempts   bool
-	stop       time.Duration // 0 means the longest
 }
 
 // contendedQueues returns the queues of an installation with contention.
--- a/internal/sched/preempt_log.go
+++ b/internal/sched/preempt_log.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"math"
 	"time"
 
 	"github.com/rosemaryspoke/rosemaryspoke/internal/preemption"
@@ -39,7 +40,7 @@
 	Slack       time.Duration // until the step must start
 	SafeSlack   time.Duration // see preemption.Step
 	StopTime    time.Duration
-	Wait        time.Duration // for room, of a stopped task
+	Wait        time.Duration // for room, of a task that ranks last
 	FreePlaces  int
 	AheadCores  float64 // demand of the work that starts before the step
 	ForecastAge time.Duration
@@ -119,11 +120,16 @@
 func (p *pass) describePreemption(g *group, step *preemption.Step, l *preemption.Limits) PreemptionDecision {
 	return PreemptionDecision{
 		Job: g.job.spec.ID, Occurrence: g.occurrence, Step: g.index, Waiting: step.Waiting, Slack: step.Slack, SafeSlack: step.SafeSlack, StopTime: l.StopTime,
-		Wait: l.Wait, FreePlaces: step.FreePlaces, AheadCores: float64(step.Ahead.CPU) / 1000,
+		Wait: p.longestWait(g), FreePlaces: step.FreePlaces, AheadCores: float64(step.Ahead.CPU) / 1000,
 		ForecastAge: p.since(p.preemptionOf(g.job.queue.Service).forecastAt), Stopping: p.preemption.stopping,
 	}
 }
 
+// longestWait returns how long a stopped task of the lowest rank is expected to wait for room in a group's service.
+func (p *pass) longestWait(g *group) time.Duration {
+	return p.preemptionOf(g.job.queue.Service).expectedWait(rank{class: pastDeadline, priority: math.MaxInt, slack: neverFree})
+}
+
 func (p *pass) keepPreemption(d PreemptionDecision) {
 	log := &p.preemption.log
 	if len(log.decisions) >= maxPreemptionDecisions {
--- a/internal/sched/property_test.go
+++ b/internal/sched/property_test.go
@@ -124,7 +124,7 @@
 // injectFaults randomly adds jobs, drains, silences and restarts servers, and replaces the leader.
 func (w *faultSimulation) injectFaults() {
 	v := w.servers[ServerID(fmt.Sprintf("s%d", w.random.IntN(len(w.servers))))]
-	switch n := w.random.IntN(1000); {
+	switch n := w.faultNumber(); {
 	case n < 51 && w.freeze.frozen(w):
 	case n < 50 && len(w.specs) < 60:
 		id := ident.JobID(fmt.Sprintf("j%03d", len(w.specs)))
@@ -132,7 +132,7 @@
 		if w.random.IntN(2) == 0 {
 			steps = append(steps, Step{Count: 2, Demand: cores(2), After: []int{0}})
 		}
-		w.specs[id] = &Job{ID: id, Team: "blue", Queue: testQueue(), Steps: steps, Accepted: w.now}
+		w.specs[id] = &Job{ID: id, Team: "blue", Queue: w.queueOfJob(steps), Steps: steps, Accepted: w.now}
 		w.isolation.addJob(w, w.specs[id])
 	case n < 51 && !v.info.Draining:
 		v.info.Draining = true
--- a/internal/sched/reservation.go
+++ b/internal/sched/reservation.go
@@ -100,7 +100,7 @@
 		}
 		p.reserveAllowed(r)
 	}
-	if r.rank.class == pastDeadline || r.rank.class == surplus {
+	if r.rank.class == pastDeadline || r.rank.class == surplus || r.group.heldPlaces >= r.group.waiting {
 		return
 	}
 	n := p.reservationsOf(r.queue.Service)
--- a/internal/sched/room_hold.go
+++ b/internal/sched/room_hold.go
@@ -35,6 +35,12 @@
 	return v.fits(charge)
 }
 
+// heldTicketDue reports whether a call has to be made now for a valid ticket when the held room is free.
+func (s *Scheduler) heldTicketDue(h *roomHold, q *Queue) bool {
+	free := latest(s.now, h.freeBy)
+	return free.Sub(s.now) <= q.Advisor.CallTime(1)+2*renewalLead && h.group.advice.ticket(h.server, free) == ""
+}
+
 // useHeldPlace counts a start of the group that room is held for on a server.
 func (s *Scheduler) useHeldPlace(v *server) {
 	h := v.hold
--- a/internal/sched/simulation_test.go
+++ b/internal/sched/simulation_test.go
@@ -36,6 +36,7 @@
 	losses          *serverLosses // nil if servers keep their ids and addresses
 	lateInventories lateInventories
 	isolation       isolation
+	contention      *PreemptionOptions // set if urgent jobs preempt batches
 }
 
 // delayedCall is a call or a reply that arrives later.
@@ -82,6 +83,7 @@
 	w.s = New(Options{
 		RunBase: RunNumber(w.epoch-1) * 1000, RunLease: 4 * time.Second, MaxFormerLease: 4 * time.Second, MaxRunLease: maxRunLease,
 		LeaderOverlap: w.leaderOverlap(), PollWait: 400 * time.Millisecond, MaxStopTime: 50 * time.Millisecond, Retention: time.Hour,
+		Preemption: w.contention,
 	}, w.leaderNow())
 	w.s.Configure(w.leaderNow(), w.config())
 	for i := range len(w.specs) {
@@ -117,7 +119,7 @@
 		return Config{Queues: w.losses.queues, Teams: map[ident.TeamID]Team{"blue": {ID: "blue"}}}
 	}
 	return Config{
-		Queues: map[ident.QueueID]Queue{"quotes": testQueue()},
+		Queues: map[ident.QueueID]Queue{"quotes": testQueue(), "batch": batchOfContention()},
 		Teams:  map[ident.TeamID]Team{"blue": {ID: "blue", Limit: resource.Vector{CPU: resource.Cores(teamLimitCores)}}},
 	}
 }
@@ -152,7 +154,7 @@
 	delay := time.Duration(1+w.random.IntN(int(maxOneWayDelay/time.Millisecond))) * time.Millisecond
 	timeout := 300 * time.Millisecond
 	chance := w.random.IntN(100)
-	if w.losses.calm() {
+	if w.losses.calm() || w.contention != nil && w.random.IntN(20) > 0 { // with many faults hardly any server is usable and full
 		chance = 50
 	}
 	switch {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -145,6 +145,33 @@
 	}
 }
 
+// Guards against a limit of the loss that isn't the one asked for, and against refusing to turn preemption off.
+func TestMaxPreemptionLoss(t *testing.T) {
+	for name, c := range map[string]struct {
+		args  []string
+		want  time.Duration
+		valid bool
+	}{
+		"default":  {nil, 1250 * time.Millisecond, true},
+		"off":      {[]string{"--max-preemption-loss", "0"}, 0, true},
+		"longer":   {[]string{"--max-preemption-loss", "3s"}, 3 * time.Second, true},
+		"negative": {[]string{"--max-preemption-loss=-1s"}, -time.Second, false},
+		"too long": {[]string{"--max-preemption-loss", "61s"}, 61 * time.Second, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var s Serve
+			f := pflag.NewFlagSet("serve", pflag.ContinueOnError)
+			s.Flags(f)
+			if err := f.Parse(c.args); err != nil {
+				t.Fatal(err)
+			}
+			if err := s.CheckOnPlatform(); s.MaxPreemptionLoss != c.want || err == nil != c.valid {
+				t.Errorf("got %s, error %v", s.MaxPreemptionLoss, err)
+			}
+		})
+	}
+}
+
 // Guards against an environment variable that is ignored, overrides a flag or fails without its name.
 func TestFromEnvironment(t *testing.T) {
 	t.Setenv("ROSEMARYSPOKE_QUEUE_LIMIT", "7")
