--- a/internal/command/explain_placement_test.go
+++ b/internal/command/explain_placement_test.go
@@ -17,6 +17,7 @@
 	"github.com/rosemaryspoke/rosemaryspoke/internal/cell"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/coordinator"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/entry"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/inbound"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/policy"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/sched"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/standin/runhost"
@@ -68,7 +69,7 @@
 				}, nil
 			},
 			CallerAddress: loopbackAddress(t), ReadinessAddress: loopbackAddress(t),
-			NewCallerHandler:    func(*entry.Gateway, func() bool) http.Handler { return http.NotFoundHandler() },
+			NewCallerHandler:    func(*entry.Gateway, func() bool, *inbound.Budget) http.Handler { return http.NotFoundHandler() },
 			NewReadinessHandler: func(func() bool) http.Handler { return http.NotFoundHandler() },
 		}, logr.Discard())
 		if err != nil {
--- a/internal/coordinator/evacuation_test.go
+++ b/internal/coordinator/evacuation_test.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	evacuationPrefix = "op/evacuate/"
+	evacuationPrefix = "requests/evacuate/"
 	// evacuationBound is the longest time from the answered request until nothing starts any more.
 	evacuationBound = 5 * time.Second
 )
--- a/internal/coordinator/evacuations_test.go
+++ b/internal/coordinator/evacuations_test.go
@@ -72,7 +72,7 @@
 func newEvacuatedTerm(t *testing.T) (*term, *logLines, *atomic.Int32) {
 	m, lines := newLoggedTerm(t)
 	m.cancel = func(error) {}
-	m.config.EvacuationPrefix = "op/evacuate/"
+	m.config.EvacuationPrefix = "requests/evacuate/"
 	m.coordinator.view = newView(nil, m.config.Log)
 	m.coordinator.presence = newPresence(Config{}, "i1")
 	m.coordinator.config.Metrics = metrics.NewSet()
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -200,6 +200,7 @@
 	decisions, dropped := t.scheduler.TakeDecisions()
 	serverDecisions, droppedOnServers := t.scheduler.TakeServerDecisions()
 	moves, droppedMoves := t.scheduler.TakeMoveDecisions()
+	preemptions, droppedPreemptions := t.scheduler.TakePreemptions()
 	some, terminal := t.scheduler.HasProgressUpdates()
 	unknown := t.scheduler.HasUnknownJobs()
 	urgentRoster := t.scheduler.HasUrgentRosterChanges()
@@ -207,6 +208,7 @@
 	t.logDecisions(decisions, dropped)
 	t.logServerDecisions(serverDecisions, droppedOnServers)
 	t.logMoves(moves, droppedMoves)
+	t.logPreemptions(preemptions, droppedPreemptions)
 	if deposed {
 		t.cancel(errDeposed)
 		return
--- a/internal/inbound/calm_test.go
+++ b/internal/inbound/calm_test.go
@@ -12,7 +12,7 @@
 )
 
 // Guards against refusing a caller that sends slowly, in very small pieces, while nothing else happens: the time for its answer began with
-// its header, so that a body which took longer than Deadline-Ms was refused.
+// its header, so that a body which took longer than its deadline was refused.
 func TestSlowCallerIsServed(t *testing.T) {
 	c := newCell(t, 1)
 	const job = `{"spec":"x","steps":[{"count":1,"cpu":100}]}`
--- a/internal/sched/advice_servers.go
+++ b/internal/sched/advice_servers.go
@@ -59,8 +59,14 @@
 	return o
 }
 
-// unclaimed returns the free processor time of a server less what steps with an advisor call in flight will take.
-func (v *server) unclaimed() resource.MilliCPU { return v.info.Capacity.CPU - v.used.CPU - v.expected }
+// unclaimed returns the free processor time of a server less what is held and what steps with an advisor call in flight will take.
+func (v *server) unclaimed() resource.MilliCPU {
+	free := v.info.Capacity.CPU - v.used.CPU - v.expected
+	if v.hold != nil {
+		free -= v.hold.room().CPU
+	}
+	return free
+}
 
 // expectUse counts the use of the servers by a step whose advisor call begins, so that calls in flight at the same time don't
 // all name the same servers and find them full when the answers arrive.
@@ -118,7 +124,7 @@
 // places returns how many tasks of a group have room on a server, at most limit.
 func (g *group) places(v *server, charge resource.Vector, limit int) int {
 	n := 0
-	for n < limit && v.fits(charge.Times(int64(n+1))) && g.allowsAnother(v, n) {
+	for n < limit && v.admits(g, charge.Times(int64(n+1))) && g.allowsAnother(v, n) {
 		n++
 	}
 	return n
@@ -203,6 +209,12 @@
 		if g.failedStart(v, s.now) != failedStart {
 			continue
 		}
+		if v.hold != nil && v.hold.group == g {
+			if s.heldTicketDue(v.hold, q) {
+				renew = append(renew, v)
+			}
+			continue
+		}
 		if g.advice.ticket(v, s.now) == "" && s.hasCapacityWithin(g.step, v, cost.CallTime(1)+renewalLead) {
 			renew = append(renew, v)
 		}
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -38,6 +38,7 @@
 	writeInFlight   bool
 	refusedWrites   refusedWrites
 	endToWrite      bool // counted in writeQueue.ended
+	gaveWay         bool // a task was stopped to make room
 }
 
 // occurrence is one repetition of a job's steps.
@@ -72,6 +73,8 @@
 	reservation    groupReservation
 	moveWithheld   evacuation.Reason // why no task leaves its evacuated data centre, as of the latest MoveDecision
 	moveWithheldAt time.Time
+	heldPlaces     int       // tasks for which room is held, see roomHold
+	nextPreemption time.Time // no decision on preemption before this time
 }
 
 // task is the runtime state of a task.
@@ -94,6 +97,7 @@
 	movedAt         time.Time // when a run was stopped in an evacuated data centre; zero once the task is at work again
 	unansweredAt    time.Time // when a start was last given up without an answer; zero once a run is confirmed
 	probedAt        time.Time // when servers were last probed for the task, see probeCommands
+	timesGivenWay   int       // runs that were stopped to make room
 }
 
 type phase int
@@ -128,9 +132,11 @@
 	progressAt       time.Time // when the progress last rose
 	tailLatency      time.Duration
 	speedPercent     int
-	speedUnknown     bool // a former leader may have throttled the run
-	speedUnanswered  bool // the latest throttle command got no answer
-	copied           bool // a copy beside another run of its task
+	speedUnknown     bool      // a former leader may have throttled the run
+	speedUnanswered  bool      // the latest throttle command got no answer
+	copied           bool      // a copy beside another run of its task
+	preempted        bool      // being stopped to make room
+	madeRoom         *roomHold // for which it is being stopped, or nil
 }
 
 func newJob(spec *Job, p Progress, inherited bool) *job {
--- a/internal/sched/reservation.go
+++ b/internal/sched/reservation.go
@@ -100,7 +100,7 @@
 		}
 		p.reserveAllowed(r)
 	}
-	if r.rank.class == pastDeadline || r.rank.class == surplus {
+	if r.rank.class == pastDeadline || r.rank.class == surplus || r.group.heldPlaces >= r.group.waiting {
 		return
 	}
 	n := p.reservationsOf(r.queue.Service)
@@ -186,7 +186,7 @@
 		if held >= g.missing() || n.servers >= n.maxServers {
 			return
 		}
-		if !p.reserved[v.info.ID] && large(g.step, v) && v.fits(g.step.Charge()) {
+		if !p.reserved[v.info.ID] && large(g.step, v) && v.admits(g, g.step.Charge()) {
 			p.reserve(n, v)
 			held++
 		}
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -44,6 +44,8 @@
 	Retention time.Duration
 	// PastUseHalfLife is the time in which the past use of a team decays by half; 0 means that past use doesn't count.
 	PastUseHalfLife time.Duration
+	// Preemption describes the loss of a stopped run; nil means that no run is stopped to make room.
+	Preemption *PreemptionOptions
 }
 
 // Scheduler decides which task runs where. It isn't safe for concurrent use.
@@ -99,6 +101,7 @@
 	unansweredStarts int // starts without an answer, on all servers
 	counts           Counts
 	pastUse          pastUse
+	preemption       preemptionState
 }
 
 // Counts holds counters for metrics, counted since the takeover. Ends counts the reported ends of runs, Lapses the runs that
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -28,6 +28,9 @@
 // DefaultPastUseHalfLife lets a busy morning count for the rest of the day and hardly the day after.
 const DefaultPastUseHalfLife = 4 * time.Hour
 
+// DefaultMaxPreemptionLoss admits a checkpoint each second and stops of 200 ms, which lose less than most tasks of batches work.
+const DefaultMaxPreemptionLoss = 1250 * time.Millisecond
+
 // Serve holds the settings of a daemon.
 type Serve struct {
 	Member     ident.MemberID
@@ -84,12 +87,14 @@
 	LogJSON  bool
 
 	// PlatformSettingsFile is the path of the settings file of a platform that keeps all state. With it, only MaxDirectServers,
-	// PastUseHalfLife, the limits on what callers send and the log settings of this struct apply.
+	// PastUseHalfLife, MaxPreemptionLoss, the limits on what callers send and the log settings of this struct apply.
 	PlatformSettingsFile string
 	// MaxDirectServers is the number of backend servers up to which the leader on such a platform makes all calls to them itself.
 	MaxDirectServers int
 	// PastUseHalfLife is the time in which the past use of a team decays by half on such a platform; 0 means that it doesn't count.
 	PastUseHalfLife time.Duration
+	// MaxPreemptionLoss is the longest work that a run may lose for runs to be stopped to make room for urgent steps; 0 means never.
+	MaxPreemptionLoss time.Duration
 
 	// Baseline replaces the scheduling policy with random fit in order of arrival. It has no flag; only the load driver
 	// sets it.
@@ -170,6 +175,7 @@
 	f.StringVar(&s.PlatformSettingsFile, "boot", "", "settings file of a platform that keeps all state; of the other settings only those that say so, the limits on what callers send and those of the log apply then")
 	f.IntVar(&s.MaxDirectServers, "max-direct-servers", DefaultMaxDirectServers, "with boot, number of backend servers up to which the leader calls them itself; above it, other daemons make the calls; 0 means always")
 	f.DurationVar(&s.PastUseHalfLife, "past-use-half-life", DefaultPastUseHalfLife, "with boot, time in which the past use of a team decays by half; work beyond its team's weight or past its last useful time starts in the order of past use, so that teams that have used less over hours come first; 0 means off")
+	f.DurationVar(&s.MaxPreemptionLoss, "max-preemption-loss", DefaultMaxPreemptionLoss, "with boot, the longest checkpoint interval and stop, together, with which runs of lower priority are stopped to make room for urgent steps, as each of them loses about that much work; 0 means never")
 }
 
 // FromEnvironment sets every flag that wasn't given on the command line from its environment variable.
