Past use: keep the record outside the keys that every daemon watches

Each write of cell/past-use ended a watch call of every daemon on the prefix cell/: by calculation up to four more store calls a second with 40 daemons, for a record that only the leader reads. The key is now past-use.

--- a/internal/cell/past_use_test.go
+++ b/internal/cell/past_use_test.go
@@ -83,7 +83,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	store.Put("cell/past-use", value)
+	store.Put("past-use", value)
 	d := startDaemon(t, store, time.Hour)
 	for deadline := time.Now().Add(5 * time.Second); !d.coordinator.Dump("").Leading; time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(deadline) {
--- a/internal/coordinator/past_use.go
+++ b/internal/coordinator/past_use.go
@@ -16,7 +16,8 @@
 
 const (
 	// pastUseKey is the record of what the teams have used. Only a leader writes it, under the leader record's revision.
-	pastUseKey = "cell/past-use"
+	// It lies outside cellPrefix, as each write there ends a watch call of every daemon.
+	pastUseKey = "past-use"
 	// pastUseInterval is the shortest time between two writes of the record, and the longest use that a crash loses while the store answers.
 	pastUseInterval = 10 * time.Second
 )
