Evacuation: reasons why tasks stay end with the evacuation

The gauge of withheld steps and move-withheld in the state of a job kept their last value after the operator had withdrawn the request.

go test -race of the evacuation tests of internal/sched passes.

--- a/internal/sched/evacuation_moves.go
+++ b/internal/sched/evacuation_moves.go
@@ -66,7 +66,7 @@
 // moveLongRunning stops long-running tasks in evacuated data centres, so that they start elsewhere.
 func (s *Scheduler) moveLongRunning() {
 	m := &s.evacuationMoves
-	if len(s.evacuated) == 0 && m.moving == 0 || s.now.Sub(m.decidedAt) < moveInterval {
+	if len(s.evacuated) == 0 && m.moving+m.withheld == 0 || s.now.Sub(m.decidedAt) < moveInterval {
 		return
 	}
 	m.decidedAt, m.moving, m.withheld = s.now, 0, 0
@@ -77,6 +77,9 @@
 			continue
 		}
 		step, moving := s.evacuatedStep(g)
+		if len(step.Candidates) == 0 {
+			g.moveWithheld = ""
+		}
 		if len(step.Candidates) == 0 && moving == 0 {
 			continue
 		}
--- a/internal/sched/evacuation_moves_test.go
+++ b/internal/sched/evacuation_moves_test.go
@@ -89,7 +89,7 @@
 }
 
 // Guards against a move while a task of the step is down for another cause, to servers that don't have room, or of a gang, and against a
-// line in the log for each of the checks.
+// line in the log for each of the checks, or a reason that outlasts the evacuation.
 func TestLongRunningTasksStay(t *testing.T) {
 	for name, c := range map[string]struct {
 		step    Step
@@ -157,6 +157,11 @@
 			e, _ := f.s.Explain("j")
 			f.want("explained reason", e.Steps[0].MoveWithheld, c.reason)
 			if c.mend == nil {
+				f.evacuate()
+				f.advanceTime(moveInterval + 100*time.Millisecond)
+				e, _ = f.s.Explain("j")
+				_, withheld := f.s.MovingTasks()
+				f.want("reason and steps that stay after the end", [2]any{e.Steps[0].MoveWithheld, withheld}, [2]any{"", 0})
 				return
 			}
 			c.mend(f)
