Durations: tell tasks with more work from slow servers

Callers saw that tasks which merely have more work than others of their image (3 % with 7 times the work) were stopped as slow and began anew. Healthy servers were quarantined for them, and the suspicions that this used up hid servers that were really slow.

The cause: a run that takes three times its usual time counted against its server, whatever other runs did there.

A run that takes long now says nothing about its server, and is neither stopped nor copied, if more of the other runs on the server have been at their usual rate than have been slow, for most of their time since the run began. The rate of runs in progress is that of their latest percents. Without other runs, without progress or with an untrusted image everything is as before. Stalls are unchanged.

--- a/internal/sched/bench_test.go
+++ b/internal/sched/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -49,3 +50,21 @@
 		s.TakeCommands()
 	}
 }
+
+// BenchmarkBurst measures the processor time that the scheduler takes for 14 seconds of load, seven of them a burst, on the
+// grown Sample Exchange.
+func BenchmarkBurst(b *testing.B) {
+	const second = time.Second
+	for b.Loop() {
+		kinds, servers := sampleExchange(1)
+		p := newLoadSimulation(1, 35, kinds, servers)
+		for _, k := range kinds {
+			p.addArrivals(k, 14*second, 3*second, 10*second)
+		}
+		p.run(14 * second)
+		b.ReportMetric(float64(p.starts), "starts/op")
+		for kind, w := range p.usefulShare() {
+			b.ReportMetric(w, strings.ReplaceAll(kind, " ", "-")+"-worth") // a unit has no spaces
+		}
+	}
+}
--- a/internal/sched/durations.go
+++ b/internal/sched/durations.go
@@ -15,16 +15,18 @@
 	defaultEstimate = time.Second
 )
 
-// durations learns the ratio of actual to estimated run times for each image.
-type durations struct {
+// imageDurations learns the ratio of actual to estimated run times for each image.
+type imageDurations struct {
 	ratio map[string]float64
 	seen  map[string]int // finished runs of an image, up to trustedRuns
 }
 
-func newDurations() durations { return durations{ratio: map[string]float64{}, seen: map[string]int{}} }
+func newDurations() imageDurations {
+	return imageDurations{ratio: map[string]float64{}, seen: map[string]int{}}
+}
 
 // observe updates the ratio of an image from the duration of a finished run.
-func (d *durations) observe(step *Step, took time.Duration) {
+func (d *imageDurations) observe(step *Step, took time.Duration) {
 	if step.Image == "" || step.Estimate <= 0 {
 		return
 	}
@@ -44,10 +46,10 @@
 
 // trusted reports whether enough runs of a step's image have finished to compare others with them. Estimates alone may be
 // off by a factor.
-func (d *durations) trusted(step *Step) bool { return d.seen[step.Image] >= trustedRuns }
+func (d *imageDurations) trusted(step *Step) bool { return d.seen[step.Image] >= trustedRuns }
 
 // expect returns the expected duration of a task on a healthy server.
-func (d *durations) expect(step *Step) time.Duration {
+func (d *imageDurations) expect(step *Step) time.Duration {
 	e := step.Estimate
 	if e <= 0 {
 		e = defaultEstimate
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -50,6 +50,7 @@
 	if outcome == OutcomeDone && p.task.checkpoint == "" && p.speedPercent == 100 {
 		took := s.now.Sub(p.startedAt)
 		s.observeSlowdown(p, took)
+		s.notePace(p, took)
 		s.durations.observe(p.task.group.step, took)
 	}
 }
@@ -76,7 +77,7 @@
 	v := p.server
 	ratio := float64(took) / float64(s.durations.expect(p.task.group.step))
 	if ratio >= slowFactor {
-		if v.lastSlowJob == p.task.group.job || !s.durations.trusted(p.task.group.step) {
+		if v.lastSlowJob == p.task.group.job || !s.durations.trusted(p.task.group.step) || s.hasMoreWork(p) {
 			return // the job, or all jobs of its image, may be slow on every server
 		}
 		v.lastSlowJob = p.task.group.job
@@ -119,5 +120,5 @@
 	}
 	usual := s.durations.expect(p.task.group.step)
 	left := whole - s.now.Sub(p.startedAt)
-	return float64(whole) >= slowFactor*float64(usual) && left > scale(usual, restartGain)+restartCost
+	return float64(whole) >= slowFactor*float64(usual) && left > scale(usual, restartGain)+restartCost && !s.hasMoreWork(p)
 }
--- a/internal/sched/inventory.go
+++ b/internal/sched/inventory.go
@@ -191,6 +191,7 @@
 	}
 	if r.Percent > p.progressPercent || p.progressAt.IsZero() {
 		p.progressPercent, p.progressAt = r.Percent, s.now
+		p.samples.Note(s.now.Sub(p.startedAt), r.Percent)
 	}
 	p.tailLatency = r.TailLatency
 	if whole, ok := s.predictedDuration(p); ok && !p.task.group.step.LongRunning {
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/rosemaryspoke/rosemaryspoke/internal/durations"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/resource"
 )
@@ -121,6 +122,7 @@
 	stopAnsweredAt   time.Time // when the stop was answered
 	progressPercent  int
 	progressAt       time.Time // when the progress last rose
+	samples          durations.Samples
 	tailLatency      time.Duration
 	speedPercent     int
 	speedUnknown     bool // a former leader may have throttled the run
--- a/internal/sched/load_test.go
+++ b/internal/sched/load_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
-	"strings"
 	"testing"
 	"time"
 
@@ -41,12 +40,16 @@
 	starts           int
 	// allowedPercent is the percentage of the servers that the advisor of a queue allows.
 	allowedPercent map[ident.QueueID]uint32
-	t              *testing.T // nil in benchmarks, which check no invariants
+	// moreWork returns the work of a task as a multiple of the usual one; nil means that all tasks have the usual work.
+	moreWork func(TaskID) float64
+	stopped  []stoppedRun
+	t        *testing.T // nil in benchmarks, which check no invariants
 }
 
 type simulatedServer struct {
-	runs        map[runKey]time.Time // start of each run
-	slowdown    float64              // multiple of the usual run time; 0 means 1
+	runs        map[runKey]time.Time     // start of each run
+	took        map[runKey]time.Duration // how long each run takes, if loadSimulation.moreWork is set
+	slowdown    float64                  // multiple of the usual run time; 0 means 1
 	pendingPoll *PollCommand
 	finished    []FinishedRun
 	lastEnd     uint64
@@ -102,7 +105,7 @@
 	}
 	p.s.Configure(p.now, c)
 	for _, v := range servers {
-		p.servers[v.ID] = &simulatedServer{runs: map[runKey]time.Time{}}
+		p.servers[v.ID] = &simulatedServer{runs: map[runKey]time.Time{}, took: map[runKey]time.Duration{}}
 		p.s.Register(p.now, v)
 		recordServers(p.s)
 	}
@@ -236,7 +239,11 @@
 	key := runKey{cmd.Task, cmd.Run}
 	v.runs[key] = p.now
 	work := p.s.jobs[cmd.Task.Job].spec.Steps[cmd.Task.Step].Estimate
-	p.after(scale(work, v.durationFactor()*(0.7+0.6*p.random.Float64())), func() { p.end(cmd.Server.ID, key, OutcomeDone) })
+	took := scale(work, p.workOf(cmd.Task)*v.durationFactor()*(0.7+0.6*p.random.Float64()))
+	if p.moreWork != nil {
+		v.took[key] = took
+	}
+	p.after(took, func() { p.end(cmd.Server.ID, key, OutcomeDone) })
 	p.after(oneWayDelay, func() { p.s.Started(p.now, sent, cmd.Server.ID, cmd.Task, cmd.Run, p.clock()) })
 }
 
@@ -244,10 +251,15 @@
 
 func (p *loadSimulation) end(id ServerID, key runKey, outcome Outcome) {
 	v := p.servers[id]
-	if _, here := v.runs[key]; !here {
+	began, here := v.runs[key]
+	if !here {
 		return
 	}
 	delete(v.runs, key)
+	delete(v.took, key)
+	if outcome == OutcomeStopped {
+		p.stopped = append(p.stopped, stoppedRun{key, p.now.Sub(began)})
+	}
 	v.lastEnd++
 	v.finished = append(v.finished, FinishedRun{Number: v.lastEnd, Task: key.task, Run: key.run, Outcome: outcome})
 	p.answerPoll(id)
@@ -281,6 +293,9 @@
 	for key, at := range v.runs {
 		step := p.s.jobs[key.task.Job].spec.Steps[key.task.Step]
 		share := min(float64(p.now.Sub(at))/float64(step.Estimate)/v.durationFactor(), 0.99)
+		if took, known := v.took[key]; known {
+			share = min(float64(p.now.Sub(at))/float64(took), 0.99)
+		}
 		inv.Running = append(inv.Running, ActiveRun{Task: key.task, Run: key.run, Percent: int(100 * share)})
 	}
 	p.after(oneWayDelay, func() {
@@ -377,21 +392,3 @@
 	add("render", 98, resource.Vector{CPU: resource.Cores(64), Memory: 1 << 30, GPUs: 8})
 	return kinds, servers
 }
-
-// BenchmarkBurst measures the processor time that the scheduler takes for 14 seconds of load, seven of them a burst, on the
-// grown Sample Exchange.
-func BenchmarkBurst(b *testing.B) {
-	const second = time.Second
-	for b.Loop() {
-		kinds, servers := sampleExchange(1)
-		p := newLoadSimulation(1, 35, kinds, servers)
-		for _, k := range kinds {
-			p.addArrivals(k, 14*second, 3*second, 10*second)
-		}
-		p.run(14 * second)
-		b.ReportMetric(float64(p.starts), "starts/op")
-		for kind, w := range p.usefulShare() {
-			b.ReportMetric(w, strings.ReplaceAll(kind, " ", "-")+"-worth") // a unit has no spaces
-		}
-	}
-}
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -62,7 +62,7 @@
 	runNumbersUsedUp bool
 	passes           uint64 // number of scheduling passes
 
-	durations         durations
+	durations         imageDurations
 	fleetVersion      uint64               // incremented when the set of servers or their capacity changes
 	rosterDirty       map[ServerID]*server // servers whose roster record is outdated
 	unknownRunsLostAt time.Time            // see noteUnknownRunsLost
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rosemaryspoke/rosemaryspoke/internal/convert"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/durations"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/resource"
 )
@@ -148,6 +149,7 @@
 	slowdown       float64 // moving average of run durations, as a multiple of the expected ones
 	recentRuns     float64 // ended runs, with exponential decay
 	recentFailures float64 // failed runs among them, with the same decay
+	recentPaces    durations.Recent
 }
 
 // fits reports whether the server has free capacity for a charge. Runs of unknown demand leave none.
--- a/internal/sched/supervise.go
+++ b/internal/sched/supervise.go
@@ -44,7 +44,7 @@
 		} else if !g.step.LongRunning && !g.step.Speculative && s.worthRestarting(p) {
 			t.avoidServer = p.server.info.ID
 			s.stop(p, "slow server")
-		} else if g.step.Speculative && s.now.Sub(p.startedAt) > s.speculationDelay(g.step) && !s.startWindowFull() {
+		} else if g.step.Speculative && s.now.Sub(p.startedAt) > s.speculationDelay(g.step) && !s.startWindowFull() && !s.progressesAtUsualServer(p) {
 			s.startCopy(t, p)
 		}
 	}
