Durations: spread of images, speeds of servers

Each task of a tail raised the expected duration of its image by up to a fifth, and with it the ranks of all its jobs. A run without progress was expected to end at once when it had taken its usual time, so that drains and reservations counted on it. Servers of different speeds counted as equal: urgent tasks and gangs were placed without regard to them.

The cause: an image had a single ratio, without a spread or the server.

- A long run with more work, as other runs on its server show, no longer moves the expected duration, unless over a fifth of the latest runs of its image are such.
Other runs move it as before, by their duration at the usual speed.
Ranks use it.
- An image keeps 24 counters (64 bytes); a run without progress that has taken twice its usual time is expected to take as long as the median of the long ones, once 1 % of at least 100 runs were long.
- A server keeps the ratios of its latest 64 runs.
Their median is its speed from 20 runs on, if it differs by 15 % and by 4 standard errors.
- For priority 0 the faster of two about equally full servers is taken; a gang that would get servers of different speeds gets similar ones if its members have room there.
- On a slow server, the work of a run by the rate of the others counts for how long it would take elsewhere.

With 3 standard errors instead of 4, TestLargeJobsUnderBurst failed: one or two of 48 equal servers seemed to differ.

The simulated load lists runs in a fixed order, as it gave other results in each run with long tasks.

--- a/internal/durations/pace.go
+++ b/internal/durations/pace.go
@@ -27,6 +27,8 @@
 // Peers counts what other runs on a server show of its rate while a run is in progress there.
 type Peers struct {
 	Usual, Slow int
+	rates       float64 // sum of the rates of all counted runs, 1 is the usual one
+	counted     int
 }
 
 // Add counts a pace if most of its period lies after the beginning of the run. What a server did before says nothing about a run there.
@@ -34,6 +36,10 @@
 	if other.To <= other.From || 2*(other.To-max(other.From, began)) <= other.To-other.From {
 		return
 	}
+	if other.Ratio > 0 {
+		p.rates += 1 / other.Ratio
+		p.counted++
+	}
 	switch {
 	case other.Ratio < usualPace:
 		p.Usual++
@@ -45,6 +51,18 @@
 // ServerAtUsualRate reports whether the other runs show that the server isn't slow. Without other runs nothing does.
 func (p Peers) ServerAtUsualRate() bool { return p.Usual > p.Slow }
 
+// Work returns the work of a run that takes a multiple of its expected duration, as a multiple of the expected work: what the mean rate of
+// the other runs leaves unexplained. It is 1 unless it is known to be at least twice the expected work, as tasks are uneven.
+func (p Peers) Work(ratio float64) float64 {
+	if p.counted == 0 {
+		return 1
+	}
+	if work := ratio * min(p.rates/float64(p.counted), 1); work >= slowPace {
+		return work
+	}
+	return 1
+}
+
 // Recent holds the paces of the latest runs that ended on a server.
 type Recent struct {
 	paces [recentPaces]Pace
--- a/internal/sched/dump.go
+++ b/internal/sched/dump.go
@@ -31,6 +31,7 @@
 	LeaseEnds      string          `json:"lease-ends-in"`
 	PollAge        string          `json:"look-age"`
 	Acknowledged   uint64          `json:"acknowledged"`
+	Speed          float64         `json:"speed"` // multiple of the usual speed, 1 unless known to differ
 	UnrecordedEnds int             `json:"unacknowledged-ends,omitempty"`
 }
 
@@ -51,7 +52,7 @@
 		d.Servers = append(d.Servers, ServerDump{
 			ID: v.info.ID, Attached: v.attached, Registered: v.registered, Draining: v.info.Draining, Failures: v.failures,
 			Runs: len(v.runs), Used: v.used, LeaseEnds: v.leaseBound.Sub(now).String(), PollAge: now.Sub(v.polledAt).String(),
-			Acknowledged: v.recordedUpTo, UnrecordedEnds: len(v.unrecordedEnds),
+			Acknowledged: v.recordedUpTo, UnrecordedEnds: len(v.unrecordedEnds), Speed: v.speed.Factor(),
 		})
 	}
 	for id, t := range s.teams {
--- a/internal/sched/durations.go
+++ b/internal/sched/durations.go
@@ -1,6 +1,10 @@
 package sched
 
-import "time"
+import (
+	"time"
+
+	"github.com/rosemaryspoke/rosemaryspoke/internal/durations"
+)
 
 const (
 	// durationWeight is the weight of the newest run in the moving average of an image's duration ratio.
@@ -15,21 +19,26 @@
 	defaultEstimate = time.Second
 )
 
-// imageDurations learns the ratio of actual to estimated run times for each image.
+// imageDurations learns the ratio of actual to estimated run times for each image, on servers of the usual speed.
 type imageDurations struct {
-	ratio map[string]float64
-	seen  map[string]int // finished runs of an image, up to trustedRuns
+	ratio  map[string]float64
+	seen   map[string]int               // finished runs of an image, up to trustedRuns
+	spread map[string]*durations.Spread // of trusted images
 }
 
 func newDurations() imageDurations {
-	return imageDurations{ratio: map[string]float64{}, seen: map[string]int{}}
+	return imageDurations{ratio: map[string]float64{}, seen: map[string]int{}, spread: map[string]*durations.Spread{}}
 }
 
-// observe updates the ratio of an image from the duration of a finished run.
-func (d *imageDurations) observe(step *Step, took time.Duration) {
+// observe updates the ratio of an image from a finished run, which would have taken the given time on a server of the usual speed. A run
+// with more work than others of its image doesn't count, unless that has become usual.
+func (d *imageDurations) observe(step *Step, took time.Duration, moreWork bool) {
 	if step.Image == "" || step.Estimate <= 0 {
 		return
 	}
+	if d.observeSpread(step, took, moreWork) {
+		return
+	}
 	if n := d.seen[step.Image]; n < trustedRuns && (n > 0 || len(d.seen) < maxImages) {
 		d.seen[step.Image]++
 	}
@@ -44,11 +53,27 @@
 	}
 }
 
+// observeSpread updates the spread of an image, and reports whether the run is part of its tail. A long run without more work shows
+// a slow server and not the spread.
+func (d *imageDurations) observeSpread(step *Step, took time.Duration, moreWork bool) (tail bool) {
+	ratio := float64(took) / float64(d.expect(step))
+	if !d.trusted(step) || ratio >= durations.LongRatio && !moreWork {
+		return false
+	}
+	x := d.spread[step.Image]
+	if x == nil {
+		x = &durations.Spread{}
+		d.spread[step.Image] = x
+	}
+	x.Add(ratio)
+	return ratio >= durations.LongRatio && !x.TakesLonger()
+}
+
 // trusted reports whether enough runs of a step's image have finished to compare others with them. Estimates alone may be
 // off by a factor.
 func (d *imageDurations) trusted(step *Step) bool { return d.seen[step.Image] >= trustedRuns }
 
-// expect returns the expected duration of a task on a healthy server.
+// expect returns the expected duration of a task on a healthy server of the usual speed.
 func (d *imageDurations) expect(step *Step) time.Duration {
 	e := step.Estimate
 	if e <= 0 {
@@ -60,7 +85,17 @@
 	return e
 }
 
-// remaining returns the expected time until a run ends, from its progress if that is known.
+// expectOn returns the expected duration of a task on a server.
+func (s *Scheduler) expectOn(v *server, step *Step) time.Duration {
+	e := s.durations.expect(step)
+	if f := v.speed.Factor(); f != 1 {
+		return scale(e, 1/f)
+	}
+	return e
+}
+
+// remaining returns the expected time until a run ends, from its progress if that is known. A run without progress that has taken long
+// is expected to be one of its image's tail.
 func (s *Scheduler) remaining(p *run) time.Duration {
 	elapsed := s.now.Sub(p.startedAt)
 	if p.progressPercent > 0 && p.progressPercent < 100 {
@@ -68,5 +103,12 @@
 		left := scale(seen, float64(100-p.progressPercent)/float64(p.progressPercent))
 		return max(left-s.now.Sub(p.progressAt), 0)
 	}
-	return max(s.durations.expect(p.task.group.step)-elapsed, 0)
+	step := p.task.group.step
+	expected := s.expectOn(p.server, step)
+	if x := s.durations.spread[step.Image]; x != nil && elapsed/2 >= expected {
+		if tail, known := x.Tail(); known {
+			expected = scale(expected, tail)
+		}
+	}
+	return max(expected-elapsed, 0)
 }
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -51,7 +51,7 @@
 		took := s.now.Sub(p.startedAt)
 		s.observeSlowdown(p, took)
 		s.notePace(p, took)
-		s.durations.observe(p.task.group.step, took)
+		s.learnDuration(p, took)
 	}
 }
 
@@ -120,5 +120,10 @@
 	}
 	usual := s.durations.expect(p.task.group.step)
 	left := whole - s.now.Sub(p.startedAt)
-	return float64(whole) >= slowFactor*float64(usual) && left > scale(usual, restartGain)+restartCost && !s.hasMoreWork(p)
+	if float64(whole) < slowFactor*float64(usual) || s.hasMoreWork(p) {
+		return false
+	}
+	// On a slow server too, a run that is even slower than the others has more work, which it has to repeat elsewhere.
+	elsewhere := scale(usual, s.peersOf(p).Work(float64(whole)/float64(usual)))
+	return left > scale(elsewhere, restartGain)+restartCost
 }
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -123,6 +123,7 @@
 	progressPercent  int
 	progressAt       time.Time // when the progress last rose
 	samples          durations.Samples
+	longNoted        bool // see noteLongRun
 	tailLatency      time.Duration
 	speedPercent     int
 	speedUnknown     bool // a former leader may have throttled the run
--- a/internal/sched/load_test.go
+++ b/internal/sched/load_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -49,6 +50,7 @@
 type simulatedServer struct {
 	runs        map[runKey]time.Time     // start of each run
 	took        map[runKey]time.Duration // how long each run takes, if loadSimulation.moreWork is set
+	speed       float64                  // multiple of the usual speed; 0 means 1
 	slowdown    float64                  // multiple of the usual run time; 0 means 1
 	pendingPoll *PollCommand
 	finished    []FinishedRun
@@ -247,8 +249,6 @@
 	p.after(oneWayDelay, func() { p.s.Started(p.now, sent, cmd.Server.ID, cmd.Task, cmd.Run, p.clock()) })
 }
 
-func (v *simulatedServer) durationFactor() float64 { return max(v.slowdown, 1) }
-
 func (p *loadSimulation) end(id ServerID, key runKey, outcome Outcome) {
 	v := p.servers[id]
 	began, here := v.runs[key]
@@ -298,6 +298,7 @@
 		}
 		inv.Running = append(inv.Running, ActiveRun{Task: key.task, Run: key.run, Percent: int(100 * share)})
 	}
+	slices.SortFunc(inv.Running, func(a, b ActiveRun) int { return compareTasks(a.Task, b.Task, a.Run, b.Run) })
 	p.after(oneWayDelay, func() {
 		p.s.Polled(p.now, id, poll.Serial, inv)
 		p.recordCompletions(inv.Finished)
--- a/internal/sched/pick_server.go
+++ b/internal/sched/pick_server.go
@@ -19,7 +19,7 @@
 	rack := g.rackInUse(taken)
 	for _, v := range p.candidates(g, r.queue) {
 		p.counts.ServersRead++
-		if !v.usable(p.now) || p.reserved[v.info.ID] || !eligible(g.step, v) {
+		if !v.usable(p.now) || p.reserved[v.info.ID] || !eligible(g.step, v) || !p.speeds.contains(v) {
 			continue
 		}
 		if !v.fits(charge.Times(int64(taken[v] + 1))) {
@@ -28,7 +28,7 @@
 		if !g.allowsAnother(v, taken[v]) {
 			continue
 		}
-		x := p.score(g, t, v, rack)
+		x := p.score(g, t, v, rack) + g.speedScore(v)
 		switch {
 		case !g.step.LongRunning:
 		case !v.admitsLongRunning(t.id()):
--- a/internal/sched/placement.go
+++ b/internal/sched/placement.go
@@ -72,6 +72,7 @@
 	withheld     *server                   // the best server for latestTask among those that don't admit it yet, or nil
 	latestTask   *task                     // the latest task that pickServer was called for
 	unproven     []*server                 // those that latestTask would have to wait for, if it is long-running
+	speeds       speedRange                // of the servers that pickServer may choose
 	uncounted    *uncountedRuns            // nil until uncountedDemand is called
 	starved      map[*group]bool           // the groups that placeStarved has chosen
 }
@@ -167,17 +168,13 @@
 	if slices.ContainsFunc(tasks, p.mustWait) {
 		return
 	}
-	taken := tentative{}
-	where := make([]*server, len(tasks))
-	awaiting := false
-	for i, t := range tasks {
-		where[i] = p.pickServer(r, t, taken)
-		if where[i] == nil {
-			p.handleNoCapacity(r)
-			return
-		}
-		awaiting = g.step.LongRunning && p.awaitsCommandAnswer(r, t, where[i]) || awaiting
-		taken[where[i]]++
+	where, awaiting := p.assignGang(r, tasks)
+	if where == nil {
+		p.handleNoCapacity(r)
+		return
+	}
+	if other := p.assignAtOneSpeed(r, tasks, where); other != nil {
+		where = other
 	}
 	if g.step.LongRunning && (awaiting || !p.allRespond(where, g.lostAt())) {
 		return
@@ -197,6 +194,22 @@
 	}
 }
 
+// assignGang returns a server for each member of a gang, or nil if they don't all have room, and whether a command of a long-running member
+// has to be answered first.
+func (p *pass) assignGang(r *rankedGroup, tasks []*task) (where []*server, awaiting bool) {
+	taken := tentative{}
+	where = make([]*server, len(tasks))
+	for i, t := range tasks {
+		where[i] = p.pickServer(r, t, taken)
+		if where[i] == nil {
+			return nil, false
+		}
+		awaiting = r.group.step.LongRunning && p.awaitsCommandAnswer(r, t, where[i]) || awaiting
+		taken[where[i]]++
+	}
+	return where, awaiting
+}
+
 // allowsAnother reports whether MaxPerServer admits another task of the group on a server, beyond its runs there and the
 // coming tasks that are assigned to the server but not yet started.
 func (g *group) allowsAnother(v *server, coming int) bool {
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -84,6 +84,7 @@
 	endedJobs      []*job               // jobs in a terminal state, in the order in which they ended
 	passNeeded     bool                 // something changed since the last scheduling pass
 	deposed        bool
+	longRuns       []LongRun  // that TakeLongRuns hasn't returned yet
 	decisions      []Decision // that TakeDecisions hasn't returned yet
 	// droppedDecisions counts the decisions beyond maxDecisions.
 	droppedDecisions int
@@ -101,6 +102,8 @@
 type Counts struct {
 	Starts, Ends, Failures, Lapses, Stops, Refusals, Advice uint64
 	Passes, Polls, ServersRead                              uint64
+	// LongRuns counts the runs that took long because of their own work, see LongRun.
+	LongRuns uint64
 }
 
 // team is the configuration and the usage of a team.
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -150,6 +150,7 @@
 	recentRuns     float64 // ended runs, with exponential decay
 	recentFailures float64 // failed runs among them, with the same decay
 	recentPaces    durations.Recent
+	speed          durations.Speed
 }
 
 // fits reports whether the server has free capacity for a charge. Runs of unknown demand leave none.
--- a/internal/sched/server_decision.go
+++ b/internal/sched/server_decision.go
@@ -13,6 +13,7 @@
 	ServerRestarted ServerEvent = "restarted" // under its id; the cause is CauseClockWentBack or CauseNewIncarnation
 	// ServerAddressRefuted is that another server responds at the address of a registration, while this one has answered elsewhere.
 	ServerAddressRefuted ServerEvent = "address-refuted"
+	ServerSpeedChanged   ServerEvent = "speed-changed" // its speed is used from now on, or no longer
 )
 
 // Causes of server events, besides those that also release runs.
@@ -45,6 +46,8 @@
 	RunsLeft   int
 	Attached   bool
 	Registered bool
+	Speed      float64 // multiple of the usual speed, set for ServerSpeedChanged
+	SpeedRuns  int     // runs that it was learned from, set for ServerSpeedChanged
 }
 
 // serverHistory is what only the log and the state dump use of a server.
--- a/internal/sched/supervise.go
+++ b/internal/sched/supervise.go
@@ -44,7 +44,7 @@
 		} else if !g.step.LongRunning && !g.step.Speculative && s.worthRestarting(p) {
 			t.avoidServer = p.server.info.ID
 			s.stop(p, "slow server")
-		} else if g.step.Speculative && s.now.Sub(p.startedAt) > s.speculationDelay(g.step) && !s.startWindowFull() && !s.progressesAtUsualServer(p) {
+		} else if g.step.Speculative && s.now.Sub(p.startedAt) > s.copyDelay(p) && !s.startWindowFull() && !s.progressesAtUsualServer(p) {
 			s.startCopy(t, p)
 		}
 	}
@@ -56,6 +56,12 @@
 	return scale(s.durations.expect(step), speculationFactor) + 2*s.delay.median + s.pollPauseNow() - pollPause
 }
 
+// copyDelay is the speculationDelay of a run, by the speed of its server.
+func (s *Scheduler) copyDelay(p *run) time.Duration {
+	step := p.task.group.step
+	return s.speculationDelay(step) + scale(s.expectOn(p.server, step)-s.durations.expect(step), speculationFactor)
+}
+
 // stalled reports whether a run has made no progress for far longer than expected of its image.
 func (s *Scheduler) stalled(p *run) bool { return s.stalledSince(p, p.startedAt) }
 
--- a/internal/sched/tail_load_test.go
+++ b/internal/sched/tail_load_test.go
@@ -71,6 +71,13 @@
 	return p.moreWork(t)
 }
 
+func (v *simulatedServer) durationFactor() float64 {
+	if v.speed > 0 {
+		return max(v.slowdown, 1) / v.speed
+	}
+	return max(v.slowdown, 1)
+}
+
 // noteSuspicions calls a function for each suspected server, ten times a second.
 func (p *loadSimulation) noteSuspicions(note func(ServerID)) {
 	p.every(100*time.Millisecond, func() {
