--- a/internal/coordinator/diagnostics.go
+++ b/internal/coordinator/diagnostics.go
@@ -8,13 +8,27 @@
 		t.config.Log.Info("server "+string(d.Event), "server", string(d.Server), "cause", string(d.Cause), "incarnation", d.Incarnation,
 			"address", d.Address, "runs", d.Runs, "runs-left", d.RunsLeft, "attached", d.Attached, "registered", d.Registered,
 			"registration-age", d.RegistrationAge.String(), "poll-age", d.PollAge.String(), "failures", d.Failures,
-			"away", d.Away.String(), "former-removal", string(d.FormerRemoval))
+			"away", d.Away.String(), "former-removal", string(d.FormerRemoval),
+			"speed", d.Speed, "speed-runs", d.SpeedRuns)
 	}
 	if dropped > 0 {
 		t.config.Log.Info("decisions not logged", "count", dropped)
 	}
 }
 
+// logLongRuns logs why runs that take long are neither stopped as slow nor copied.
+func (t *term) logLongRuns(runs []sched.LongRun) {
+	detail := t.config.Log.V(1)
+	if !detail.Enabled() {
+		return
+	}
+	for _, r := range runs {
+		detail.Info("run has more work", "job", string(r.Task.Job), "occurrence", r.Task.Occurrence, "step", r.Task.Step, "index", r.Task.Index,
+			"run", uint64(r.Run), "server", string(r.Server), "percent", r.Percent, "elapsed", r.Elapsed.String(),
+			"expected", r.Expected.String(), "usual", r.Usual, "slow", r.Slow)
+	}
+}
+
 // logStuckRuns logs runs that hold their tasks back for longer than the scheduler's timeouts allow.
 func (t *term) logStuckRuns(stuck []sched.StuckRun) {
 	for _, r := range stuck {
--- a/internal/coordinator/dump.go
+++ b/internal/coordinator/dump.go
@@ -120,6 +120,7 @@
 		"polls":    func(c sched.Counts) uint64 { return c.Polls },
 
 		"servers-read": func(c sched.Counts) uint64 { return c.ServersRead },
+		"long-runs":    func(c sched.Counts) uint64 { return c.LongRuns },
 	}
 	for kind, read := range counts {
 		m.NewGauge(fmt.Sprintf("rosemaryspoke_term_events{kind=%q}", kind), c.schedulerGauge(func(s *sched.Scheduler) float64 {
@@ -145,6 +146,7 @@
 			return float64(s.StuckRuns(kind))
 		}))
 	}
+	m.NewGauge("rosemaryspoke_servers_of_other_speed", c.schedulerGauge(func(s *sched.Scheduler) float64 { return float64(s.ServersOfOtherSpeed()) }))
 	m.NewGauge("rosemaryspoke_long_waiting_tasks", c.schedulerGauge(func(s *sched.Scheduler) float64 { return float64(s.LongWaitingTasks()) }))
 }
 
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -187,12 +187,14 @@
 	deposed, usedUp := t.scheduler.Deposed(), t.scheduler.RunNumbersUsedUp()
 	decisions, dropped := t.scheduler.TakeDecisions()
 	serverDecisions, droppedOnServers := t.scheduler.TakeServerDecisions()
+	longRuns := t.scheduler.TakeLongRuns()
 	some, terminal := t.scheduler.HasProgressUpdates()
 	unknown := t.scheduler.HasUnknownJobs()
 	urgentRoster := t.scheduler.HasUrgentRosterChanges()
 	t.mu.Unlock()
 	t.logDecisions(decisions, dropped)
 	t.logServerDecisions(serverDecisions, droppedOnServers)
+	t.logLongRuns(longRuns)
 	if deposed {
 		t.cancel(errDeposed)
 		return
