--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -201,6 +201,7 @@
 	serverDecisions, droppedOnServers := t.scheduler.TakeServerDecisions()
 	moves, droppedMoves := t.scheduler.TakeMoveDecisions()
 	preemptions, droppedPreemptions := t.scheduler.TakePreemptions()
+	longRuns := t.scheduler.TakeLongRuns()
 	some, terminal := t.scheduler.HasProgressUpdates()
 	unknown := t.scheduler.HasUnknownJobs()
 	urgentRoster := t.scheduler.HasUrgentRosterChanges()
@@ -209,6 +210,7 @@
 	t.logServerDecisions(serverDecisions, droppedOnServers)
 	t.logMoves(moves, droppedMoves)
 	t.logPreemptions(preemptions, droppedPreemptions)
+	t.logLongRuns(longRuns)
 	if deposed {
 		t.cancel(errDeposed)
 		return
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -54,7 +54,8 @@
 	if outcome == OutcomeDone && p.task.checkpoint == "" && p.speedPercent == 100 {
 		took := s.now.Sub(p.startedAt)
 		s.observeSlowdown(p, took)
-		s.durations.observe(p.task.group.step, took)
+		s.notePace(p, took)
+		s.learnDuration(p, took)
 	}
 }
 
@@ -80,7 +81,7 @@
 	v := p.server
 	ratio := float64(took) / float64(s.durations.expect(p.task.group.step))
 	if ratio >= slowFactor {
-		if v.lastSlowJob == p.task.group.job || !s.durations.trusted(p.task.group.step) {
+		if v.lastSlowJob == p.task.group.job || !s.durations.trusted(p.task.group.step) || s.hasMoreWork(p) {
 			return // the job, or all jobs of its image, may be slow on every server
 		}
 		v.lastSlowJob = p.task.group.job
@@ -130,5 +131,10 @@
 	}
 	usual := s.durations.expect(p.task.group.step)
 	left := whole - s.now.Sub(p.startedAt)
-	return float64(whole) >= slowFactor*float64(usual) && left > scale(usual, restartGain)+restartCost
+	if float64(whole) < slowFactor*float64(usual) || s.hasMoreWork(p) {
+		return false
+	}
+	// On a slow server too, a run that is even slower than the others has more work, which it has to repeat elsewhere.
+	elsewhere := scale(usual, s.peersOf(p).Work(float64(whole)/float64(usual)))
+	return left > scale(elsewhere, restartGain)+restartCost
 }
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/rosemaryspoke/rosemaryspoke/internal/durations"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/evacuation"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/resource"
@@ -130,6 +131,8 @@
 	progressPercent  int       // highest one
 	listedPercent    int       // in the latest inventory that listed the run
 	progressAt       time.Time // when the progress last rose
+	samples          durations.Samples
+	longNoted        bool // see noteLongRun
 	tailLatency      time.Duration
 	speedPercent     int
 	speedUnknown     bool      // a former leader may have throttled the run
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -67,7 +67,7 @@
 	runNumbersUsedUp bool
 	passes           uint64 // number of scheduling passes
 
-	durations         durations
+	durations         imageDurations
 	fleetVersion      uint64               // incremented when the set of servers or their capacity changes
 	rosterDirty       map[ServerID]*server // servers whose roster record is outdated
 	evacuationMoves   evacuationMoves
@@ -91,6 +91,7 @@
 	endedJobs      []*job               // jobs in a terminal state, in the order in which they ended
 	passNeeded     bool                 // something changed since the last scheduling pass
 	deposed        bool
+	longRuns       []LongRun  // that TakeLongRuns hasn't returned yet
 	decisions      []Decision // that TakeDecisions hasn't returned yet
 	// droppedDecisions counts the decisions beyond maxDecisions.
 	droppedDecisions int
@@ -111,6 +112,8 @@
 	Starts, Ends, Failures, Lapses, Stops, Refusals, Advice uint64
 	Passes, Polls, ServersRead                              uint64
 	Moves                                                   uint64 // long-running tasks stopped in evacuated data centres
+	// LongRuns counts the runs that took long because of their own work, see LongRun.
+	LongRuns uint64
 }
 
 // team is the configuration and the usage of a team.
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rosemaryspoke/rosemaryspoke/internal/convert"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/durations"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/resource"
 )
@@ -151,7 +152,9 @@
 	recentRuns     float64 // ended runs, with exponential decay
 	recentFailures float64 // failed runs among them, with the same decay
 
-	hold *roomHold // room that is held for a group, or nil
+	hold        *roomHold // room that is held for a group, or nil
+	recentPaces durations.Recent
+	speed       durations.Speed
 }
 
 // fits reports whether the server has free capacity for a charge. Runs of unknown demand leave none.
