--- a/internal/inbound/hostile_test.go
+++ b/internal/inbound/hostile_test.go
@@ -206,4 +206,9 @@
 		wait()
 	}
 	c.check(next)
+	for deadline := time.Now().Add(answerTimeout); !strings.Contains(next.log.String(), `"took over"`); time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%s hasn't taken over", next.settings.Member)
+		}
+	}
 }
--- a/internal/inbound/process_test.go
+++ b/internal/inbound/process_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -69,11 +70,31 @@
 type daemon struct {
 	settings    standin.DaemonSettings
 	command     *exec.Cmd
-	log         bytes.Buffer
+	log         output
 	exited      chan struct{}
 	descriptors atomic.Int64
 }
 
+// output is what a process has written.
+type output struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (o *output) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.Write(p)
+}
+
+// String returns what was written.
+func (o *output) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.String()
+}
+
 var addressCount atomic.Int64
 
 // newCell starts a cell and waits until an ordinary request is answered at each daemon.
