Preemption: paused tasks, speculative steps and the reason of a wait

Runs could be stopped for tasks that must not start yet, such as one whose former run another daemon may have seen end, and urgent steps whose tasks may have copies preempted nothing. Paused tasks no longer count as missing, and speculative steps take room like others; copies still never give way. The explanation of a step says room-being-freed while runs are stopped for it.

--- a/internal/sched/explain.go
+++ b/internal/sched/explain.go
@@ -53,14 +53,15 @@
 	WaitGangRuns         WaitReason = "former-gang"           // runs of the gang have to end first
 	WaitLastAttempt      WaitReason = "last-attempt-in-doubt" // an unresponsive server may have seen the last attempt fail
 	WaitTeamLimit        WaitReason = "team-limit"
-	WaitAdvice           WaitReason = "no-advice"       // no server has a valid ticket
-	WaitAdviceDeferred   WaitReason = "advice-deferred" // the same, and tickets would expire before the starts, see ticketsWouldExpire
-	WaitRoom             WaitReason = "no-room"         // see StepExplanation.Servers
-	WaitReserved         WaitReason = "reserved"        // the servers with room are reserved for steps of a higher rank
-	WaitStartWindow      WaitReason = "start-window"    // too many starts are unanswered
-	WaitConfirmation     WaitReason = "confirmation"    // another daemon may lead and know the end of the run that was lost
-	WaitCommandAnswer    WaitReason = "command-answer"  // its latest start had no answer, and a server that answers commands is sought
-	WaitPass             WaitReason = "next-pass"       // nothing holds it back
+	WaitAdvice           WaitReason = "no-advice"        // no server has a valid ticket
+	WaitAdviceDeferred   WaitReason = "advice-deferred"  // the same, and tickets would expire before the starts, see ticketsWouldExpire
+	WaitRoom             WaitReason = "no-room"          // see StepExplanation.Servers
+	WaitFreedRoom        WaitReason = "room-being-freed" // the same, while runs are stopped for the step
+	WaitReserved         WaitReason = "reserved"         // the servers with room are reserved for steps of a higher rank
+	WaitStartWindow      WaitReason = "start-window"     // too many starts are unanswered
+	WaitConfirmation     WaitReason = "confirmation"     // another daemon may lead and know the end of the run that was lost
+	WaitCommandAnswer    WaitReason = "command-answer"   // its latest start had no answer, and a server that answers commands is sought
+	WaitPass             WaitReason = "next-pass"        // nothing holds it back
 )
 
 // ServerStatus is what keeps a server from running a task of a step.
@@ -236,6 +237,9 @@
 	taken := tentative{}
 	for _, t := range tasks {
 		v := p.pickServer(r, t, taken)
+		if v == nil && g.heldPlaces > 0 {
+			return WaitFreedRoom
+		}
 		if v == nil {
 			return WaitRoom
 		}
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -100,7 +100,9 @@
 	g := r.group
 	waiting := max(g.waiting-g.heldPlaces, 0)
 	if p.mayPreempt(r, waiting) {
-		p.decidePreemption(r, n, waiting)
+		if startable := waiting - p.pausedTasks(g); startable > 0 {
+			p.decidePreemption(r, n, startable)
+		}
 		waiting = max(g.waiting-g.heldPlaces, 0)
 	}
 	demand := g.step.Charge().Times(int64(waiting))
@@ -109,6 +111,15 @@
 	n.waiting = append(n.waiting, waitingWork{r.rank, n.aheadWork})
 }
 
+// pausedTasks returns how many waiting tasks of a group must not start yet, wherever there is room.
+func (p *pass) pausedTasks(g *group) int {
+	n := 0
+	for t := range g.tasks.used() {
+		n += boolToInt(t.waiting() && (p.mustWait(t) || t.attemptsMayBeExhausted(g.job.queue.MaxAttempts)))
+	}
+	return n
+}
+
 func (s *Scheduler) preemptionOf(id ServiceID) *servicePreemption {
 	n := s.preemption.services[id]
 	if n == nil {
@@ -124,7 +135,7 @@
 // mayPreempt makes the checks that read nothing but the group.
 func (p *pass) mayPreempt(r *rankedGroup, waiting int) bool {
 	g := r.group
-	if r.rank.priority != 0 || r.rank.class != onTime || waiting == 0 || g.step.LongRunning || g.step.Speculative || g.job.gaveWay {
+	if r.rank.priority != 0 || r.rank.class != onTime || waiting == 0 || g.step.LongRunning || g.job.gaveWay {
 		return false
 	}
 	if r.queue.Advisor != nil && len(g.advice.positive) == 0 {
--- a/internal/sched/preempt_load_test.go
+++ b/internal/sched/preempt_load_test.go
@@ -98,20 +98,27 @@
 // A burst of urgent short steps meets a service that batches with slack fill. Guards against urgent jobs that are late because nothing
 // gives way, and against batches that are late because they did.
 func TestBurstOfUrgentStepsOnServiceFullOfBatches(t *testing.T) {
-	for seed := range uint64(4) {
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+	small := contention{
+		servers: 50, cores: 32, urgentRate: 3, batchRate: 0.95, burst: 9, from: 12 * time.Second, to: 15 * time.Second, length: 25 * time.Second,
+	}
+	whole := contention{
+		servers: 252, cores: 32, urgentRate: 20, batchRate: 4, burst: 5, from: 12 * time.Second, to: 16 * time.Second, length: 25 * time.Second,
+	}
+	for name, c := range map[string]struct {
+		load contention
+		seed uint64
+	}{
+		"seed 0": {small, 0}, "seed 1": {small, 1}, "seed 2": {small, 2}, "seed 3": {small, 3}, "whole installation": {whole, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			c := contention{
-				seed: seed, servers: 50, cores: 32, urgentRate: 3, batchRate: 0.95, burst: 9, from: 12 * time.Second, to: 15 * time.Second,
-				length: 25 * time.Second,
-			}
+			c := c.load.withSeed(c.seed)
 			without := c.play(t)
 			c.preempts = true
 			with := c.play(t)
-			counts := with.s.PreemptionCounts()
 			before, after := without.lateJobs("urgent"), with.lateJobs("urgent")
 			t.Logf("late urgent jobs %d without, %d with; late batches %d, %d; %+v", len(before), len(after),
-				len(without.lateJobs("batch")), len(with.lateJobs("batch")), counts)
+				len(without.lateJobs("batch")), len(with.lateJobs("batch")), with.s.PreemptionCounts())
 			if len(before) == 0 {
 				t.Fatal("no urgent job is late without preemption: the load doesn't show the case")
 			}
@@ -128,6 +135,11 @@
 	}
 }
 
+func (c contention) withSeed(seed uint64) contention {
+	c.seed = seed
+	return c
+}
+
 // Guards against stops without contention: urgent steps and batches fill three quarters of a service, and what a step lacks is released
 // in time.
 func TestNoPreemptionWithoutContention(t *testing.T) {
--- a/internal/sched/preempt_test.go
+++ b/internal/sched/preempt_test.go
@@ -41,6 +41,15 @@
 	return f.takeStarts()
 }
 
+// waitReason returns why the tasks of a job's only step wait.
+func (f *preemptionFixture) waitReason(id ident.JobID) WaitReason {
+	e, _ := f.s.Explain(id)
+	for reason := range e.Steps[0].Waiting {
+		return reason
+	}
+	return ""
+}
+
 // batchStep returns n tasks of 8 cores that take 10 s.
 func batchStep(n int) Step {
 	return Step{Count: n, Demand: cores(8), Estimate: 10 * time.Second, Checkpointing: true}
@@ -83,6 +92,7 @@
 	f.want("starts of another job", len(f.add("other", f.batch, batchStep(1))), 0)
 	f.advanceTime(100 * time.Millisecond)
 	f.want("stops after further passes", len(f.stops), 1)
+	f.want("reason of the urgent step", f.waitReason("u"), WaitFreedRoom)
 	stop := f.stops[0]
 	f.endStopped(stop)
 	starts := f.takeStarts()
@@ -232,6 +242,44 @@
 	f.want("not listed after the end", f.s.PreemptedRuns(), 0)
 }
 
+// Guards against an urgent step that gets no room because its tasks may have copies.
+func TestSpeculativeStepTakesRoom(t *testing.T) {
+	f := newPreemptionFixture(t, nil)
+	f.fill("s1")
+	step := urgentStep(1)
+	step.Speculative = true
+	f.add("u", f.urgent, step)
+	f.want("stops", len(f.stops), 1)
+}
+
+// Guards against a copy of a task that gives way, and against the run beside it, which is slow.
+func TestCopiesDoNotGiveWay(t *testing.T) {
+	f := newPreemptionFixture(t, nil)
+	f.fill("s1")
+	for x := range f.s.jobs["batch"].occurrences[0].groups[0].tasks.used() {
+		f.want("may give way", mayYield(x.runs[0]), true)
+		x.runs = append(x.runs, x.runs[0])
+		f.want("may give way beside a copy", mayYield(x.runs[0]), false)
+		x.runs = x.runs[:1]
+	}
+}
+
+// Guards against a stop for a task that must not start yet: another daemon may know the end of its former run.
+func TestNoPreemptionForTaskThatMustWait(t *testing.T) {
+	f := newPreemptionFixture(t, nil)
+	f.fill("s1")
+	f.s.AddJob(f.now, &Job{ID: "u", Team: "blue", Queue: f.urgent, Payload: "p", Steps: []Step{urgentStep(1)}, Accepted: f.now}, Progress{}, false)
+	task := f.s.lookup(TaskID{Job: "u"})
+	task.noStartsBefore = f.now.Add(time.Hour)
+	f.advanceTime(50 * time.Millisecond)
+	f.want("stops", len(f.stops), 0)
+	task.noStartsBefore = time.Time{}
+	f.collectCommands()
+	f.s.Tick(f.now)
+	f.collectCommands()
+	f.want("stops once it may start", len(f.stops), 1)
+}
+
 // Guards against a finished task that runs again because a stop overtook the report of its end.
 func TestStopOvertakenByEnd(t *testing.T) {
 	f := newPreemptionFixture(t, nil)
