Admission: refuse surplus jobs that would be served too late

Callers of a team that submits more than its weight got a 2xx for jobs that started long after three times their objective. Surplus jobs were recorded without bound, and nothing compared the backlog ahead of them with the rate at which it drains.

A daemon uses its copy for up to 1 s and refuses such a job with 503 and a spread Retry-After before anything is written. It reads first that the id has no record; a recorded job gets its 2xx as before. Without a copy, a rate, or an answer of the store the job is accepted. Replies without forecasts are the same bytes as before.

Each daemon lets a job of the team pass at least once a second, so a small surplus over many daemons isn't refused and the backlog may still grow.

With two daemons over loopback and 60 s of backlog, the one that doesn't lead refused once the leader had seen 10 s of it (TestDaemonRefusesByTheLeadersStatement).

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -139,7 +139,7 @@
 func newGateway(d *Daemon, watcher *policy.Watcher, c *coordinator.Coordinator, set *metrics.Set) *entry.Gateway {
 	return entry.New(entry.Config{
 		Store: d.adapter.Store, StoreTimeout: d.storeTimeout, Policy: watcher, Coordinator: c, MaxConfigurationAge: d.periods.Freshness,
-		FailClosed: d.settings.Bounds.FailClosed, Log: d.log.WithName("entry"), Metrics: set,
+		FailClosed: d.settings.Bounds.FailClosed, Admission: d.settings.Admission, Log: d.log.WithName("entry"), Metrics: set,
 	})
 }
 
--- a/internal/cell/settings.go
+++ b/internal/cell/settings.go
@@ -29,6 +29,8 @@
 	PastUseHalfLife time.Duration
 	// MaxPreemptionLoss is the longest work that a run may lose for runs to be stopped to make room for urgent steps; 0 means never.
 	MaxPreemptionLoss time.Duration
+	// Admission rejects jobs beyond their team's weight that would be served too late.
+	Admission bool
 }
 
 // Bounds are the limits that an installation sets; periods are derived from them.
@@ -114,7 +116,7 @@
 // the work since a checkpoint and the longest stop are together at most MaxPreemptionLoss.
 func (s Settings) SchedulingOptions() sched.Options {
 	o, c := s.Bounds.SchedulingOptions(), s.Bounds.Checkpoints
-	o.PastUseHalfLife = s.PastUseHalfLife
+	o.PastUseHalfLife, o.Admission = s.PastUseHalfLife, s.Admission
 	if c != nil && c.Interval+s.Bounds.MaxStopTime <= s.MaxPreemptionLoss {
 		o.Preemption = &sched.PreemptionOptions{CheckpointInterval: c.Interval, RestoreTime: c.RestoreTime}
 	}
--- a/internal/cell/settings_test.go
+++ b/internal/cell/settings_test.go
@@ -140,3 +140,12 @@
 		})
 	}
 }
+
+// Guards against a leader that makes no forecasts although its daemons refuse jobs by them, or that makes some with the setting off.
+func TestAdmissionReachesTheScheduler(t *testing.T) {
+	for _, on := range []bool{false, true} {
+		if got := (Settings{Admission: on}).SchedulingOptions().Admission; got != on {
+			t.Errorf("forecasts are on: %t, want %t", got, on)
+		}
+	}
+}
--- a/internal/command/platform.go
+++ b/internal/command/platform.go
@@ -31,7 +31,7 @@
 		return err
 	}
 	boot.Cell.MaxDirectServers, boot.Cell.PastUseHalfLife = s.MaxDirectServers, s.PastUseHalfLife
-	boot.Cell.MaxPreemptionLoss = s.MaxPreemptionLoss
+	boot.Cell.MaxPreemptionLoss, boot.Cell.Admission = s.MaxPreemptionLoss, s.Admission
 	boot.Cell.Inbound = cell.Inbound{
 		Memory: s.InboundMemory, Connections: s.InboundConnections, BodyTimeout: s.BodyTimeout, MaxHeaderBytes: s.MaxHeaderBytes,
 	}
--- a/internal/coordinator/cell_test.go
+++ b/internal/coordinator/cell_test.go
@@ -57,6 +57,8 @@
 	// maxDirectServers is that of the daemons' configuration. With more servers than that the leader calls none itself.
 	maxDirectServers int
 	pastUseHalfLife  time.Duration // of the daemons that are started next; 0 means that past use is off
+	admission        bool          // of the daemons that are started next
+	teamWeight       float64       // in the configuration of the daemons that are started next
 
 	mu      sync.Mutex
 	daemons map[ident.MemberID]*daemon
@@ -144,7 +146,12 @@
 		c.t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	watcher := policy.NewWatcher(s, configKey, decodePolicy, logr.Discard())
+	weight := c.teamWeight
+	watcher := policy.NewWatcher(s, configKey, func(raw []byte) (*policy.Policy, error) {
+		p, err := decodePolicy(raw)
+		p.Teams["blue"] = sched.Team{ID: "blue", Weight: weight}
+		return p, err
+	}, logr.Discard())
 	node, err := peer.New(peer.Config{
 		Self:    func() wire.Sender { return wire.Sender{Member: name} },
 		Address: func(ident.MemberID) (string, bool) { return "", false },
@@ -159,7 +166,7 @@
 		GracePeriod: 5 * time.Second, MinStoreLease: 800 * time.Millisecond,
 	}
 	scheduling := bounds.SchedulingOptions()
-	scheduling.PastUseHalfLife = c.pastUseHalfLife
+	scheduling.PastUseHalfLife, scheduling.Admission = c.pastUseHalfLife, c.admission
 	coord, err := coordinator.New(coordinator.Config{
 		Member: name, DataCentre: c.dataCentre, Region: c.region, Address: l.Addr().String(), ElectionDelay: electionDelay, Store: s, Policy: watcher, Peer: node,
 		Registry: coordinator.Registry{Prefix: "servers/", Decode: decodeServer}, ServerClient: c.serverClient,
@@ -178,7 +185,7 @@
 	group.Go(func() { _ = node.Serve(ctx, l) })
 	group.Go(func() { _ = coord.Run(ctx) })
 	d := &daemon{member: name, address: l.Addr().String(), coordinator: coord, gateway: entry.New(entry.Config{
-		Store: s, Policy: watcher, Coordinator: coord, MaxConfigurationAge: 4 * time.Second, FailClosed: true, Log: logr.Discard(),
+		Store: s, Policy: watcher, Coordinator: coord, MaxConfigurationAge: 4 * time.Second, FailClosed: true, Admission: c.admission, Log: logr.Discard(),
 		Metrics: metrics.NewSet(),
 	})}
 	d.configured = func() bool { return watcher.Current().Policy != nil }
--- a/internal/coordinator/dump.go
+++ b/internal/coordinator/dump.go
@@ -149,6 +149,7 @@
 	}
 	c.registerEvacuationGauges()
 	c.registerPreemptionGauges()
+	c.registerAdmissionGauges()
 	for _, kind := range sched.StuckKinds {
 		m.NewGauge(fmt.Sprintf("rosemaryspoke_stuck_runs{kind=%q}", string(kind)), c.schedulerGauge(func(s *sched.Scheduler) float64 {
 			return float64(s.StuckRuns(kind))
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"github.com/rosemaryspoke/rosemaryspoke/internal/admission"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/peer"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/sched"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
@@ -50,6 +51,11 @@
 	leaderReply struct {
 		Leading bool `json:"leading"`
 	}
+	submitReply struct {
+		Leading bool `json:"leading"`
+		// Admission is absent if no jobs are to be rejected. Older daemons neither send nor read it.
+		Admission *admission.Statement `json:"admission,omitempty"`
+	}
 	pendingReply struct {
 		Leading bool `json:"leading"`
 		Count   int  `json:"count"`
@@ -71,8 +77,8 @@
 // registerHandlers registers the handlers for the calls of peers.
 func (c *Coordinator) registerHandlers() {
 	n := c.config.Peer
-	peer.Handle(n, methodSubmit, func(_ context.Context, r submitRequest) (leaderReply, error) {
-		return leaderReply{c.submit(r)}, nil
+	peer.Handle(n, methodSubmit, func(_ context.Context, r submitRequest) (submitReply, error) {
+		return c.submit(r), nil
 	})
 	peer.Handle(n, methodCancel, func(_ context.Context, r jobRequest) (leaderReply, error) {
 		return leaderReply{c.cancel(r.ID)}, nil
@@ -106,13 +112,17 @@
 	return t
 }
 
-func (c *Coordinator) submit(r submitRequest) bool {
+func (c *Coordinator) submit(r submitRequest) submitReply {
 	t := c.loadedTerm()
 	if t == nil || r.Job == nil {
-		return false
+		return submitReply{}
 	}
-	t.update(func(now time.Time, s *sched.Scheduler) { s.AddJob(now, r.Job, sched.Progress{}, r.RecordedBefore) })
-	return true
+	reply := submitReply{Leading: true}
+	t.update(func(now time.Time, s *sched.Scheduler) {
+		s.AddJob(now, r.Job, sched.Progress{}, r.RecordedBefore)
+		reply.Admission = s.AdmissionStatement(now)
+	})
+	return reply
 }
 
 func (c *Coordinator) cancel(id ident.JobID) bool {
@@ -169,17 +179,27 @@
 }
 
 // ReportJob tells the leader of a job that was recorded just now or, if recordedBefore is set, some time ago. If the report is lost, the
-// leader finds the job in the store later.
-func (c *Coordinator) ReportJob(ctx context.Context, j *sched.Job, recordedBefore bool) {
+// leader finds the job in the store later. The leader's statement on admission comes back, and whether a leader has replied.
+func (c *Coordinator) ReportJob(ctx context.Context, j *sched.Job, recordedBefore bool) (admission.Statement, bool) {
 	request := submitRequest{j, recordedBefore}
-	if c.submit(request) {
-		return
+	r := c.submit(request)
+	if r.Leading {
+		return r.statement(), true
 	}
-	r, err := callLeader[submitRequest, leaderReply](ctx, c, reportTimeout, methodSubmit, request)
+	r, err := callLeader[submitRequest, submitReply](ctx, c, reportTimeout, methodSubmit, request)
 	if err != nil || !r.Leading {
 		c.config.Log.Info("job not reported to the leader, which will find it in the store", "job", string(j.ID),
 			"error", describeOutcome(err))
+		return admission.Statement{}, false
+	}
+	return r.statement(), true
+}
+
+func (r submitReply) statement() admission.Statement {
+	if r.Admission == nil {
+		return admission.Statement{}
 	}
+	return *r.Admission
 }
 
 // ReportCancel tells the leader of a recorded cancellation.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -17,6 +18,7 @@
 	"github.com/rosemaryspoke/rosemaryspoke/internal/platform"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/policy"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/sched"
+	"github.com/rosemaryspoke/rosemaryspoke/internal/uptime"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 )
 
@@ -79,6 +81,7 @@
 	// unconfirmed.
 	MaxConfigurationAge time.Duration
 	FailClosed          bool // refuse requests that need a key while keys are unconfirmed
+	Admission           bool // refuse jobs that the leader has stated to be served too late
 	Log                 logr.Logger
 	Metrics             *metrics.Set
 }
@@ -87,8 +90,10 @@
 type Gateway struct {
 	config    Config
 	now       func() time.Time
+	uptime    func() time.Duration
 	pending   pendingCache
 	markLease *markLease
+	admission admissionCopy
 }
 
 // New returns a gateway.
@@ -96,7 +101,10 @@
 	if c.StoreTimeout == nil {
 		c.StoreTimeout = platform.NewAdaptiveTimeout()
 	}
-	return &Gateway{config: c, now: time.Now, pending: newPendingCache(), markLease: &markLease{}}
+	return &Gateway{
+		config: c, now: time.Now, uptime: uptime.Now, pending: newPendingCache(), markLease: &markLease{},
+		admission: admissionCopy{mu: &sync.Mutex{}},
+	}
 }
 
 // authorization is the route and team of an authorized request.
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -19,6 +19,9 @@
 	if len(value) > platform.MaxValueBytes {
 		return Response{Kind: Invalid, Reason: "job: its record would be larger than the store accepts"}
 	}
+	if refused, ok := g.rejectLate(ctx, job); ok {
+		return refused
+	}
 	key := coordinator.JobKey(job.ID)
 	tx := platform.Transaction{
 		Preconditions: []platform.Precondition{{Key: key}, {Key: coordinator.CancelKey(job.ID)}},
@@ -75,7 +78,10 @@
 
 // reportJob tells the leader of a job, even if the caller's request has ended.
 func (g *Gateway) reportJob(ctx context.Context, job *sched.Job, recordedBefore bool) {
-	g.config.Coordinator.ReportJob(context.WithoutCancel(ctx), job, recordedBefore)
+	sentAt := g.uptime()
+	if statement, ok := g.config.Coordinator.ReportJob(context.WithoutCancel(ctx), job, recordedBefore); ok && g.config.Admission {
+		g.admission.set(statement, sentAt)
+	}
 }
 
 // duplicateSubmission returns the response to a submission whose id is already recorded.
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -21,6 +21,7 @@
 	services         []ServiceID // see Progress.Services
 	recordedServices int         // those of services, from the first on, that the store has
 	surplus          bool        // beyond its team's weight
+	forecastLate     bool        // accepted although it was forecast to be too late, see updateForecasts
 	endedAt          time.Time
 	remaining        Remaining // of a job that ended under a former leader, see Progress
 	occurrences      map[int]*occurrence
--- a/internal/sched/rank.go
+++ b/internal/sched/rank.go
@@ -100,7 +100,7 @@
 		j.criticalPath, j.criticalPathAt = s.criticalPath(j, nil, q, true), s.now
 	}
 	whole := j.criticalPath
-	objective := scale(whole, q.Stretch) + q.Target
+	objective := q.objective(whole)
 	left := s.criticalPath(j, j.occurrences[g.occurrence], q, false)
 	r.slack = due.Add(objective).Sub(s.now) - left
 	switch {
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -112,6 +112,7 @@
 	t.group.lastStart = s.now
 	s.starvation.earnStart()
 	s.attachRun(p)
+	s.noteSurplusStart(p)
 	if v.hold != nil && v.hold.group == t.group {
 		s.useHeldPlace(v)
 	}
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/rosemaryspoke/rosemaryspoke/internal/admission"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/pastuse"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/resource"
@@ -46,6 +47,8 @@
 	PastUseHalfLife time.Duration
 	// Preemption describes the loss of a stopped run; nil means that no run is stopped to make room.
 	Preemption *PreemptionOptions
+	// Admission predicts which jobs beyond their team's weight would be served too late, so that daemons reject them.
+	Admission bool
 }
 
 // Scheduler decides which task runs where. It isn't safe for concurrent use.
@@ -103,6 +106,7 @@
 	counts           Counts
 	pastUse          pastUse
 	preemption       preemptionState
+	admission        admissionState
 }
 
 // Counts holds counters for metrics, counted since the takeover. Ends counts the reported ends of runs, Lapses the runs that
@@ -135,7 +139,7 @@
 		freeOrders: map[ServiceID]*freeOrder{}, grantShares: map[ident.QueueID]float64{},
 		delay: commonDelay{window: maxStartWindow}, durations: newDurations(), dirtyJobs: map[ident.JobID]*job{}, unknownJobs: map[ident.JobID]bool{}, rosterDirty: map[ServerID]*server{},
 		toWrite: writeQueue{jobs: map[ident.JobID]*job{}}, starvation: starvation{usedShare: map[ServiceID]float64{}},
-		pastUse: newPastUse(o.PastUseHalfLife, now),
+		pastUse: newPastUse(o.PastUseHalfLife, now), admission: admissionState{flows: map[flowKey]*admission.Flow{}},
 	}
 }
 
@@ -198,6 +202,7 @@
 	j := newJob(spec, p, inherited)
 	j.queue = s.queueOf(spec)
 	j.surplus = !s.takeToken(s.team(spec.Team), spec.Accepted)
+	j.forecastLate = s.isForecastLate(j)
 	s.jobs[spec.ID] = j
 	if j.state.Terminal() {
 		j.recorded = j.state
@@ -255,6 +260,7 @@
 	j.state = to
 	j.endedAt = s.now
 	s.endedJobs = append(s.endedJobs, j)
+	s.countAdmission(j)
 	s.markDirty(j)
 	for _, o := range j.openOccurrences() {
 		for _, g := range o.groups {
@@ -310,6 +316,7 @@
 		s.checkProgress(g)
 	}
 	s.moveLongRunning()
+	s.updateForecasts()
 	s.scheduledJobs = slices.DeleteFunc(s.scheduledJobs, func(j *job) bool { return j.state.Terminal() })
 	for _, j := range s.scheduledJobs {
 		s.openOccurrences(j)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -87,7 +87,7 @@
 	LogJSON  bool
 
 	// PlatformSettingsFile is the path of the settings file of a platform that keeps all state. With it, only MaxDirectServers,
-	// PastUseHalfLife, MaxPreemptionLoss, the limits on what callers send and the log settings of this struct apply.
+	// PastUseHalfLife, MaxPreemptionLoss, Admission, the limits on what callers send and the log settings of this struct apply.
 	PlatformSettingsFile string
 	// MaxDirectServers is the number of backend servers up to which the leader on such a platform makes all calls to them itself.
 	MaxDirectServers int
@@ -95,6 +95,8 @@
 	PastUseHalfLife time.Duration
 	// MaxPreemptionLoss is the longest work that a run may lose for runs to be stopped to make room for urgent steps; 0 means never.
 	MaxPreemptionLoss time.Duration
+	// Admission rejects jobs beyond their team's weight that would be served too late on such a platform.
+	Admission bool
 
 	// Baseline replaces the scheduling policy with random fit in order of arrival. It has no flag; only the load driver
 	// sets it.
@@ -176,6 +178,7 @@
 	f.IntVar(&s.MaxDirectServers, "max-direct-servers", DefaultMaxDirectServers, "with boot, number of backend servers up to which the leader calls them itself; above it, other daemons make the calls; 0 means always")
 	f.DurationVar(&s.PastUseHalfLife, "past-use-half-life", DefaultPastUseHalfLife, "with boot, time in which the past use of a team decays by half; work beyond its team's weight or past its last useful time starts in the order of past use, so that teams that have used less over hours come first; 0 means off")
 	f.DurationVar(&s.MaxPreemptionLoss, "max-preemption-loss", DefaultMaxPreemptionLoss, "with boot, the longest checkpoint interval and stop, together, with which runs of lower priority are stopped to make room for urgent steps, as each of them loses about that much work; 0 means never")
+	f.BoolVar(&s.Admission, "admission", false, "with boot, refuse jobs beyond their team's weight at once, with the time after which to retry, if the backlog would keep them past their last useful time; otherwise they are recorded and served too late")
 }
 
 // FromEnvironment sets every flag that wasn't given on the command line from its environment variable.
