Evacuation: a move ends when a later run of the task ends

Operators would see long-running tasks stay in an evacuated data centre for as long as eight other tasks of the service stall or fail after their move. The log says "max-moves", or "moving" for the other tasks of the same step.

A moved task counted as being moved until its progress was 100 percent. A task that never gets there is chosen first, as its move makes no further task unavailable, and it then held one of the eight moves of its service for ever.

The move now also ends when a confirmed run that began after the stop has ended. The bound on unavailable tasks doesn't change: it counts tasks that are at work.

The new test has eight tasks that stall after their move and a healthy one in the same data centre.

--- a/internal/sched/evacuation_moves_test.go
+++ b/internal/sched/evacuation_moves_test.go
@@ -188,3 +188,28 @@
 	f.advanceTime(time.Second)
 	f.want("moves after the end", f.s.Counts().Moves, evacuation.MaxMoves)
 }
+
+// Guards against tasks that never get to 100 percent after their move, as their runs stall or fail: they would count as being moved for
+// ever, and with MaxMoves of them no other task of the service would leave the evacuated data centre.
+func TestMovesEndForTasksThatAreNeverAtWork(t *testing.T) {
+	f := newFixture(t, nil)
+	f.addServerIn("d1", "s1", 32)
+	m := &moveFixture{fixture: f, percent: map[TaskID]int{}, stopped: map[runKey]bool{}}
+	for n := range evacuation.MaxMoves {
+		f.addJob(ident.JobID("broken"+strconv.Itoa(n)), Step{Count: 1, Demand: cores(1), LongRunning: true})
+	}
+	f.addJob("j", Step{Count: 1, Demand: cores(1), LongRunning: true})
+	m.settle(2 * time.Second)
+	f.want("tasks in d1", m.tasksOn("s1"), evacuation.MaxMoves+1)
+	for n := range 16 {
+		f.addServerIn("d2", ServerID("t"+strconv.Itoa(n)), 32)
+	}
+	for n := range evacuation.MaxMoves {
+		m.percent[TaskID{Job: ident.JobID("broken" + strconv.Itoa(n))}] = 40
+	}
+	f.evacuate("d1")
+	m.settle(time.Second)
+	f.want("tasks left in d1 while the others are being moved", m.tasksOn("s1"), 1)
+	m.settle(20 * time.Second)
+	f.want("tasks left in d1", m.tasksOn("s1"), 0)
+}
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -95,7 +95,7 @@
 	refusedLeap     RunNumber // see skipRefusedNumbers
 	shortRuns       int       // short runs in a row, see pauseAfterShortRun
 	noStartsBefore  time.Time // no starts before this time
-	movedAt         time.Time // when a run was stopped in an evacuated data centre; zero once the task is at work again
+	movedAt         time.Time // when a run was stopped in an evacuated data centre; zero once the task is at work again or a later run has ended
 	unansweredAt    time.Time // when a start was last given up without an answer; zero once a run is confirmed
 	probedAt        time.Time // when servers were last probed for the task, see probeCommands
 	timesGivenWay   int       // runs that were stopped to make room
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -74,6 +74,10 @@
 	tm.used = tm.used.Sub(t.group.step.Demand)
 	t.runs = slices.DeleteFunc(t.runs, func(o *run) bool { return o == p })
 	t.group.running--
+	if !p.confirmedAt.IsZero() && p.startedAt.After(t.movedAt) {
+		// The task has started since it was moved. If such runs kept failing, the move would never end and would keep other tasks from moving.
+		t.movedAt = time.Time{}
+	}
 	if t.waiting() {
 		t.group.waiting++
 		t.waitingSince = s.now
