Inbound: serve a burst of more connections than the listener holds

Callers with short connections were cut when more of them arrived at once than the listener holds (479 on a host of 184 MB). The listener closed a new connection at once if all others were being served, and closed accepted ones whose request had not been read yet in favour of idle connections.

Accepting now pauses for up to 0.5 s while all connections are being served or have begun to send a request in the last 0.5 s; new ones wait in the system's queue.

--- a/internal/inbound/budget.go
+++ b/internal/inbound/budget.go
@@ -35,6 +35,9 @@
 	// stallTime is the time without progress after which an unfinished request counts as stalled. Ordinary requests arrive within
 	// milliseconds.
 	stallTime = time.Second
+	// arrivalTime is how long an unfinished request counts as one that arrives. Before, it is worth more than an idle connection: in a burst
+	// on a host with a fifth of a core, hundreds of accepted connections wait to be read.
+	arrivalTime = 500 * time.Millisecond
 	// RetryAfter is what refused callers are told to wait: after it, stalled requests have been closed.
 	RetryAfter = time.Second
 )
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -115,15 +115,21 @@
 
 // rank orders connections by their worth.
 type rank struct {
-	crowded    bool // its address has many connections, while others have few
-	unfinished bool
-	stalled    bool
-	since      time.Duration // when the stall, the request or the idle time began
+	crowded  bool // its address has many connections, while others have few
+	slow     bool // its request should have arrived by now
+	arriving bool // its request began to arrive lately
+	stalled  bool
+	since    time.Duration // when the stall, the request or the idle time began
 }
 
 func (c *Conn) rank(now time.Duration) rank {
-	r := rank{crowded: c.listener.crowded(c.address), unfinished: c.unfinished(), since: time.Duration(c.startedAt.Load())}
-	if progress := time.Duration(c.progressAt.Load()); r.unfinished && now-progress >= stallTime {
+	r := rank{crowded: c.listener.crowded(c.address), since: time.Duration(c.startedAt.Load())}
+	if !c.unfinished() {
+		return r
+	}
+	r.slow = now-r.since >= arrivalTime
+	r.arriving = !r.slow
+	if progress := time.Duration(c.progressAt.Load()); now-progress >= stallTime {
 		r.stalled, r.since = true, progress
 	}
 	return r
@@ -132,8 +138,10 @@
 // less reports whether a connection is worth less than another one.
 func (r rank) less(o rank) bool {
 	switch {
-	case r.unfinished != o.unfinished:
-		return r.unfinished
+	case r.slow != o.slow:
+		return r.slow
+	case r.arriving != o.arriving:
+		return o.arriving
 	case r.crowded != o.crowded:
 		return r.crowded
 	case r.stalled != o.stalled:
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -19,7 +19,7 @@
 	crowdShare = 4
 	// closingShare of the bound is how many closed connections may have goroutines that haven't ended.
 	closingShare = 4
-	// acceptPause is the time between two looks at connections that are being closed, and maxAcceptPause bounds the wait for them.
+	// acceptPause is the time between two looks at the connections, and maxAcceptPause bounds the wait for room.
 	acceptPause    = time.Millisecond
 	maxAcceptPause = 500 * time.Millisecond
 )
@@ -73,7 +73,7 @@
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
-		l.awaitClosing()
+		l.awaitRoom()
 		raw, err := l.Listener.Accept()
 		if err != nil {
 			return nil, err
@@ -98,7 +98,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if l.open >= l.most {
-		worst := b.worst(func(x *Conn) bool { return x.listener == l && phase(x.phase.Load()) != phaseHandled })
+		worst := b.worst(func(x *Conn) bool { return x.replaceable(l) })
 		if worst == nil {
 			b.reports.add(refusedConnection)
 			return false
@@ -112,18 +112,41 @@
 	return true
 }
 
-// awaitClosing waits while many closed connections still have goroutines, which hold memory until they run.
-func (l *Listener) awaitClosing() {
+// awaitRoom waits while many closed connections still have goroutines, which hold memory until they run, or while all connections are being
+// served or have begun to send a request. New connections then wait in the system's queue, which takes none of the process's memory.
+func (l *Listener) awaitRoom() {
 	for began := time.Now(); time.Since(began) < maxAcceptPause; time.Sleep(acceptPause) {
-		l.budget.mu.Lock()
-		closing := l.total - l.open
-		l.budget.mu.Unlock()
-		if closing <= l.most/closingShare {
+		if l.hasRoom() {
 			return
 		}
 	}
 }
 
+// hasRoom reports whether a connection can be accepted now, perhaps in place of another one.
+func (l *Listener) hasRoom() bool {
+	b := l.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if l.total-l.open > l.most/closingShare {
+		return false
+	}
+	if l.open < l.most {
+		return true
+	}
+	now := b.now()
+	for c := range b.conns {
+		if c.replaceable(l) && !c.rank(now).arriving {
+			return true
+		}
+	}
+	return false
+}
+
+// replaceable reports whether a connection may be closed for a new one of a listener.
+func (c *Conn) replaceable(l *Listener) bool {
+	return c.listener == l && !c.evicted && phase(c.phase.Load()) != phaseHandled
+}
+
 // crowded reports whether an address has many of the connections and isn't the only one with many, as behind a balancer.
 func (l *Listener) crowded(a netip.Addr) bool {
 	return len(l.perAddress) > 1 && l.perAddress[a] > l.most/crowdShare
