Inbound: close connections whose responses are not read

Callers that pipelined requests and never read the responses kept all connections of a listener for good: the server blocked in a write, where a connection counted as being served, and the listener refused all others.

A connection whose write has not returned for 1 s now counts as stalled, and may be closed for another connection or for its memory.

--- a/internal/inbound/budget.go
+++ b/internal/inbound/budget.go
@@ -148,7 +148,11 @@
 			return nil
 		}
 		for b.used-b.pending+n > b.room {
-			worst := b.worst(func(x *Conn) bool { return x == c || x.held > 0 && x.unfinished() })
+			now := b.now()
+			worst := b.worst(func(x *Conn) bool {
+				_, unread := x.unread(now)
+				return x == c || x.held > 0 && (unread || x.unfinished())
+			})
 			if worst == nil || worst == c {
 				b.mu.Unlock()
 				return ErrFull
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -27,6 +27,7 @@
 	phase      atomic.Int32
 	startedAt  atomic.Int64 // when the request began to arrive, or the connection became idle
 	progressAt atomic.Int64 // when bytes arrived last
+	writingAt  atomic.Int64 // when a write began that hasn't returned, or 0
 
 	// Used by the goroutine that serves the connection; the HTTP server reads elsewhere only while a request is being handled.
 	headerBytes int
@@ -69,6 +70,13 @@
 	return n, err
 }
 
+// Write implements net.Conn. It records since when the caller hasn't read its responses.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.writingAt.Store(max(int64(c.budget.now()), 1))
+	defer c.writingAt.Store(0)
+	return c.Conn.Write(p)
+}
+
 // Close implements net.Conn. The HTTP server calls it when it has dropped everything that belongs to the connection.
 func (c *Conn) Close() error {
 	err := c.Conn.Close()
@@ -113,6 +121,13 @@
 // unfinished reports whether a request is arriving or awaited for the first time.
 func (c *Conn) unfinished() bool { return phase(c.phase.Load()) <= phaseBody }
 
+// unread returns since when a response has been waiting for its caller to read, and whether that is long. The request has been answered, so
+// that closing the connection hides nothing from a caller that reads.
+func (c *Conn) unread(now time.Duration) (since time.Duration, long bool) {
+	since = time.Duration(c.writingAt.Load())
+	return since, since > 0 && now-since >= stallTime
+}
+
 // rank orders connections by their worth.
 type rank struct {
 	crowded  bool // its address has many connections, while others have few
@@ -124,6 +139,10 @@
 
 func (c *Conn) rank(now time.Duration) rank {
 	r := rank{crowded: c.listener.crowded(c.address), since: time.Duration(c.startedAt.Load())}
+	if since, long := c.unread(now); long {
+		r.slow, r.stalled, r.since = true, true, since
+		return r
+	}
 	if !c.unfinished() {
 		return r
 	}
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -98,7 +98,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if l.open >= l.most {
-		worst := b.worst(func(x *Conn) bool { return x.replaceable(l) })
+		now := b.now()
+		worst := b.worst(func(x *Conn) bool { return x.replaceable(l, now) })
 		if worst == nil {
 			b.reports.add(refusedConnection)
 			return false
@@ -135,7 +136,7 @@
 	}
 	now := b.now()
 	for c := range b.conns {
-		if c.replaceable(l) && !c.rank(now).arriving {
+		if c.replaceable(l, now) && !c.rank(now).arriving {
 			return true
 		}
 	}
@@ -143,8 +144,12 @@
 }
 
 // replaceable reports whether a connection may be closed for a new one of a listener.
-func (c *Conn) replaceable(l *Listener) bool {
-	return c.listener == l && !c.evicted && phase(c.phase.Load()) != phaseHandled
+func (c *Conn) replaceable(l *Listener, now time.Duration) bool {
+	if c.listener != l || c.evicted {
+		return false
+	}
+	_, unread := c.unread(now)
+	return unread || phase(c.phase.Load()) != phaseHandled
 }
 
 // crowded reports whether an address has many of the connections and isn't the only one with many, as behind a balancer.
