Inbound: time a request from its first read, not from its accept

In a burst on a busy machine an accepted connection could wait over 0.5 s for its goroutine and then count as a slow caller: 1 of 300 callers of TestBurstOfShortConnectionsIsServed got no answer (one run, load 38 on 7 cores). It now counts as arriving until its goroutine reads, and accepting pauses for up to 1 s, not 0.5 s, while there is no room.

--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -30,6 +30,7 @@
 	writingAt  atomic.Int64 // when a write began that hasn't returned, or 0
 
 	// Used by the goroutine that serves the connection; the HTTP server reads elsewhere only while a request is being handled.
+	reading     bool // has begun to read
 	headerBytes int
 	headerPaid  int   // of headerBytes
 	headerHeld  int64 // memory
@@ -43,6 +44,12 @@
 // Read implements net.Conn. It reserves memory for a header that goes on after the HTTP server's first read, which may have brought a
 // part of the body as well.
 func (c *Conn) Read(p []byte) (int, error) {
+	if !c.reading {
+		c.reading = true
+		now := int64(c.budget.now())
+		c.startedAt.Store(now)
+		c.progressAt.Store(now)
+	}
 	inHeader := phase(c.phase.Load()) == phaseHeader
 	if due := c.headerBytes - c.headerPaid - freeBytes; inHeader && due > 0 {
 		n := int64(due) * headerFactor
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"net/netip"
 	"syscall"
@@ -21,7 +22,7 @@
 	closingShare = 4
 	// acceptPause is the time between two looks at the connections, and maxAcceptPause bounds the wait for room.
 	acceptPause    = time.Millisecond
-	maxAcceptPause = 500 * time.Millisecond
+	maxAcceptPause = time.Second
 )
 
 // Listener accepts connections up to a bound. For a new one beyond it, it closes the connection that is worth least.
@@ -82,9 +83,9 @@
 		if a, ok := raw.RemoteAddr().(*net.TCPAddr); ok {
 			c.address = a.AddrPort().Addr().Unmap()
 		}
-		now := int64(l.budget.now())
-		c.startedAt.Store(now)
-		c.progressAt.Store(now)
+		// Until its goroutine reads, a connection counts as arriving: on a busy host that may take a second, which isn't the caller's delay.
+		c.startedAt.Store(math.MaxInt64)
+		c.progressAt.Store(math.MaxInt64)
 		if l.add(c) {
 			return c, nil
 		}
