Inbound: keep the connection of an unread small body

A DELETE or GET with a small body, or a submission that is answered without reading one, had its connection closed with the response, and requests pipelined behind it were cut.

Measured: of 3 pipelined requests 1 was answered; now all are. go test -race ./internal/inbound: ok, 219 s.

--- a/internal/inbound/server.go
+++ b/internal/inbound/server.go
@@ -63,7 +63,7 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		in := &body{ReadCloser: r.Body, conn: c, credit: freeBytes, step: freeBytes}
+		in := &body{ReadCloser: r.Body, conn: c, credit: freeBytes, step: freeBytes, small: r.ContentLength > 0 && r.ContentLength <= freeBytes}
 		in.begin()
 		r.Body = in
 		defer in.release()
@@ -79,6 +79,7 @@
 	credit int // bytes that may be read before more memory is reserved
 	step   int
 	held   int64
+	small  bool // announced with at most freeBytes, so that reading the rest costs less than a new connection
 	ended  bool // by its end or an error
 	failed bool
 }
@@ -135,7 +136,8 @@
 	}
 }
 
-// responseWriter closes the connection of a response that is written before the body was read, instead of reading the body first.
+// responseWriter closes the connection of a response that is written before the body was read, instead of reading the body first, unless
+// the body is small.
 type responseWriter struct {
 	http.ResponseWriter
 	body  *body
@@ -145,7 +147,9 @@
 // WriteHeader implements http.ResponseWriter.
 func (w *responseWriter) WriteHeader(status int) {
 	if !w.wrote && !w.body.ended {
-		w.Header().Set("Connection", "close")
+		if !w.body.small {
+			w.Header().Set("Connection", "close")
+		}
 		w.body.abandon()
 	}
 	w.wrote = true
