--- a/internal/pastuse/record.go
+++ b/internal/pastuse/record.go
@@ -9,8 +9,7 @@
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 )
 
-// MaxRecordBytes bounds a record. All daemons receive each record, as they watch the keys of the cell; 512 teams with names of 60 bytes
-// need 48 KB.
+// MaxRecordBytes bounds a record, which the leader writes every 10 s; 512 teams with names of 60 bytes need 48 KB.
 const MaxRecordBytes = 64 << 10
 
 // record is the stored form of a ledger. It holds totals, so that writing it again changes nothing.
