--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"net/netip"
 	"syscall"
@@ -21,7 +22,7 @@
 	closingShare = 4
 	// acceptPause is the time between two looks at the connections, and maxAcceptPause bounds the wait for room.
 	acceptPause    = time.Millisecond
-	maxAcceptPause = 500 * time.Millisecond
+	maxAcceptPause = time.Second
 )
 
 // Listener accepts connections up to a bound. For a new one beyond it, it closes the connection that is worth least.
@@ -82,9 +83,9 @@
 		if a, ok := raw.RemoteAddr().(*net.TCPAddr); ok {
 			c.address = a.AddrPort().Addr().Unmap()
 		}
-		now := int64(l.budget.now())
-		c.startedAt.Store(now)
-		c.progressAt.Store(now)
+		// Until its goroutine reads, a connection counts as arriving: on a busy host that may take a second, which isn't the caller's delay.
+		c.startedAt.Store(math.MaxInt64)
+		c.progressAt.Store(math.MaxInt64)
 		if l.add(c) {
 			return c, nil
 		}
@@ -98,7 +99,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if l.open >= l.most {
-		worst := b.worst(func(x *Conn) bool { return x.replaceable(l) })
+		now := b.now()
+		worst := b.worst(func(x *Conn) bool { return x.replaceable(l, now) })
 		if worst == nil {
 			b.reports.add(refusedConnection)
 			return false
@@ -135,7 +137,7 @@
 	}
 	now := b.now()
 	for c := range b.conns {
-		if c.replaceable(l) && !c.rank(now).arriving {
+		if c.replaceable(l, now) && !c.rank(now).arriving {
 			return true
 		}
 	}
@@ -143,8 +145,12 @@
 }
 
 // replaceable reports whether a connection may be closed for a new one of a listener.
-func (c *Conn) replaceable(l *Listener) bool {
-	return c.listener == l && !c.evicted && phase(c.phase.Load()) != phaseHandled
+func (c *Conn) replaceable(l *Listener, now time.Duration) bool {
+	if c.listener != l || c.evicted {
+		return false
+	}
+	_, unread := c.unread(now)
+	return unread || phase(c.phase.Load()) != phaseHandled
 }
 
 // crowded reports whether an address has many of the connections and isn't the only one with many, as behind a balancer.
