Past use: count no second twice when a caller read the clock before the lock

The writer of the record and explain-placement read the clock and then waited for the term's lock; a pass in between had counted up to a later time, so the overlap counted again (15 share-seconds instead of 10 in the test). The clock is read under the lock, and an older time neither counts nor decays anything.

--- a/internal/coordinator/past_use.go
+++ b/internal/coordinator/past_use.go
@@ -66,11 +66,11 @@
 	}
 }
 
-// writePastUse writes the past use if it has changed, and reports whether the write conflicted with an earlier one. The record holds totals and is expected at its known revision, so neither a repeated
-// write nor one that takes effect late counts use twice.
+// writePastUse writes the past use if it has changed, and reports whether the write conflicted with an earlier one. The record holds totals
+// and is expected at its known revision, so neither a repeated write nor one that takes effect late counts use twice.
 func (t *term) writePastUse(ctx context.Context) bool {
-	now := t.coordinator.now()
 	t.mu.Lock()
+	now := t.coordinator.now()
 	l, changes := t.scheduler.PastUse(now)
 	known := t.pastUse
 	t.mu.Unlock()
--- a/internal/coordinator/placement.go
+++ b/internal/coordinator/placement.go
@@ -52,7 +52,7 @@
 	var err error
 	if t.queries.AllowN(now, 1) {
 		t.mu.Lock()
-		r.Placement, err = t.scheduler.ExplainPlacement(now, query)
+		r.Placement, err = t.scheduler.ExplainPlacement(c.now(), query)
 		t.mu.Unlock()
 	} else {
 		err = ErrTooManyQueries
--- a/internal/sched/past_use.go
+++ b/internal/sched/past_use.go
@@ -51,8 +51,11 @@
 		return
 	}
 	d := s.now.Sub(t.usedSince)
+	if d <= 0 { // the caller read the clock before it waited for the lock
+		return
+	}
 	t.usedSince = s.now
-	if d <= 0 || t.used.IsZero() {
+	if t.used.IsZero() {
 		return
 	}
 	d = min(d, pastuse.MaxGap)
@@ -124,8 +127,10 @@
 	for _, t := range s.teams {
 		s.countUse(t)
 	}
-	u.ledger.Decay(s.now.Sub(u.updatedAt))
-	u.updatedAt = s.now
+	if d := s.now.Sub(u.updatedAt); d > 0 {
+		u.ledger.Decay(d)
+		u.updatedAt = s.now
+	}
 	s.sumCapacity()
 	s.updateLevels()
 }
--- a/internal/sched/past_use_test.go
+++ b/internal/sched/past_use_test.go
@@ -297,3 +297,17 @@
 		}
 	}
 }
+
+// Guards against use that is counted twice, and decay that is applied twice, if a caller read the clock before it waited for the lock.
+func TestUseIsCountedOnceIfTheTimeIsOlder(t *testing.T) {
+	f := pastUseFixture(t, centuries, map[ident.TeamID]float64{"blue": 0})
+	f.addServer("s1", 10)
+	f.addTeamJob("a", "blue", Step{Count: 1, Demand: cores(5)})
+	f.collectCommands()
+	f.passTime(20*time.Second, time.Second)
+	f.s.PastUse(f.now.Add(-10 * time.Second))
+	if f.s.pastUse.updatedAt != f.now {
+		t.Errorf("use has decayed up to %s, want %s", f.s.pastUse.updatedAt, f.now)
+	}
+	f.wantUse("after a call with an older time", "blue", pastuse.Use{Total: 10})
+}
