explain-placement: show what would be preempted, and why nothing is

Operators saw "preempted: nothing" for every step, also for an urgent one for which the next pass then stopped runs.

Cause: the command was written before preemption was merged.

decidePreemption is split: considerPreemption decides, without a stop, a count or a log line, and decidePreemption counts and carries out the decision as before. explain-placement makes the decision of the next pass on a copy of the state that passes keep for preemption and restores it. It counts the room that is free now as used by the step's first tasks, and the waiting steps of higher rank as work ahead, within the bound of 20,000 compared steps. The answer has the tasks in "preempted", or the reason in "not-preempted"; the text shows "nothing (REASON)". The query also restores the scheduler's counts of work done, as it would otherwise count the servers that it reads. The room of a server no longer includes what is held there for another step.

--- a/internal/command/explain_placement.go
+++ b/internal/command/explain_placement.go
@@ -169,7 +169,7 @@
 		{"order", fmt.Sprintf("%d steps with %d tasks come first, %d steps after", e.StepsFirst, e.TasksFirst, e.StepsAfter)},
 		{"now", placementVerdict(e)},
 		{"servers", countsByStatus(e.Servers)},
-		{"preempted", preempted(e.Preempted)},
+		{"preempted", preempted(e)},
 	}
 	if e.Note != "" {
 		rows = append(rows, []string{"note", e.Note})
@@ -202,13 +202,13 @@
 	return room
 }
 
-// preempted formats the tasks that would lose their runs.
-func preempted(tasks []sched.TaskID) string {
-	if len(tasks) == 0 {
-		return "nothing"
+// preempted formats the tasks that would lose their runs, or why none would.
+func preempted(e *sched.PlacementExplanation) string {
+	if len(e.Preempted) == 0 {
+		return "nothing (" + e.NotPreempted + ")"
 	}
 	var names []string
-	for _, t := range tasks {
+	for _, t := range e.Preempted {
 		names = append(names, fmt.Sprintf("%s/%d/%d/%d", t.Job, t.Occurrence, t.Step, t.Index))
 	}
 	return strings.Join(names, ", ")
--- a/internal/command/explain_placement_test.go
+++ b/internal/command/explain_placement_test.go
@@ -114,7 +114,7 @@
 	_, text, _ := explainPlacement(addresses[1], question...)
 	for _, want := range []string{
 		"3 tasks of 1.5 cores, 100 MB", "quotes, service pool, priority 2", "blue: weight 2 jobs/s, 4.0 left now; limit 6 cores, nothing in use",
-		"on time, slack", "0 steps with 0 tasks come first", "room for 3 of 3 tasks", "could take 2",
+		"on time, slack", "0 steps with 0 tasks come first", "room for 3 of 3 tasks", "could take 2", "nothing (off)",
 	} {
 		if !strings.Contains(text, want) {
 			t.Errorf("%q isn't in\n%s", want, text)
@@ -123,7 +123,7 @@
 	t.Logf("\n%s", text)
 	_, text, _ = explainPlacement(addresses[1], append(question, "-o", "json")...)
 	var e sched.PlacementExplanation
-	if err := json.Unmarshal([]byte(text), &e); err != nil || e.Room != 3 || len(e.Candidates) != 2 || e.Team.ID != "blue" {
+	if err := json.Unmarshal([]byte(text), &e); err != nil || e.Room != 3 || len(e.Candidates) != 2 || e.Team.ID != "blue" || e.NotPreempted != "off" {
 		t.Errorf("%v, %s", err, text)
 	}
 	file := func(text string) string {
@@ -195,3 +195,20 @@
 		t.Errorf("nobody listens: exit code %d, %s", code, errOut)
 	}
 }
+
+// Guards against a text that hides which tasks lose their runs, or why none does.
+func TestPreemptedText(t *testing.T) {
+	for name, c := range map[string]struct {
+		e    sched.PlacementExplanation
+		want string
+	}{
+		"none":  {sched.PlacementExplanation{NotPreempted: "too-costly"}, "nothing (too-costly)"},
+		"tasks": {sched.PlacementExplanation{Preempted: []sched.TaskID{{Job: "a", Index: 2}, {Job: "b", Step: 1}}}, "a/0/0/2, b/0/1/0"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := preempted(&c.e); got != c.want {
+				t.Errorf("got %q, want %q", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/sched/explain_placement.go
+++ b/internal/sched/explain_placement.go
@@ -61,9 +61,10 @@
 	Candidates []Candidate     `json:"candidates"`        // servers that could take a task now, the preferred ones first
 	Others     []OtherServer   `json:"others"`            // some of the servers that couldn't, with the reason
 
-	Servers   map[ServerStatus]int `json:"servers"`   // all servers of the service
-	Preempted []TaskID             `json:"preempted"` // tasks whose runs would be stopped to make room; always empty, as no run is
-	Note      string               `json:"note,omitempty"`
+	Servers      map[ServerStatus]int `json:"servers"`                 // all servers of the service
+	Preempted    []TaskID             `json:"preempted"`               // tasks whose runs would be stopped now to make room
+	NotPreempted string               `json:"not-preempted,omitempty"` // why none would
+	Note         string               `json:"note,omitempty"`
 }
 
 // QueueStanding describes a queue.
@@ -101,6 +102,8 @@
 // ExplainPlacement tells where work would go now. It starts, stops and reserves nothing.
 func (s *Scheduler) ExplainPlacement(now time.Time, query PlacementQuery) (PlacementExplanation, error) {
 	s.now = now
+	counts := s.counts
+	defer func() { s.counts = counts }()
 	var (
 		g    *group
 		err  error
@@ -125,9 +128,10 @@
 		Queue: QueueStanding{r.queue.ID, r.queue.Service, r.queue.Priority, g.job.queue.Advisor != nil},
 		Team:  s.teamStanding(g.job), Servers: map[ServerStatus]int{}, Candidates: []Candidate{}, Others: []OtherServer{}, Preempted: []TaskID{},
 	}
-	s.compareWithWaiting(&e, &r)
+	ahead := s.compareWithWaiting(&e, &r)
 	s.listServers(&e, &r)
 	e.HeldBy = s.queryHeldBy(&e, &r, query.Job != "")
+	s.explainPreemption(&e, &r, ahead)
 	return e, nil
 }
 
@@ -208,12 +212,13 @@
 	return standing
 }
 
-// compareWithWaiting counts the waiting steps of the service that come before and after a group.
-func (s *Scheduler) compareWithWaiting(e *PlacementExplanation, r *rankedGroup) {
+// compareWithWaiting counts the waiting steps of the service that come before and after a group, and returns the work of the former.
+func (s *Scheduler) compareWithWaiting(e *PlacementExplanation, r *rankedGroup) (ahead workAhead) {
+	p := pass{Scheduler: s, blocked: map[unknownInventory]bool{}}
 	for i, g := range s.groups {
 		if i >= maxRankedForQuery {
 			e.Truncated = true
-			return
+			return ahead
 		}
 		if g == r.group || g.job.queue.Service != r.queue.Service || g.finished() || g.job.state.Terminal() || !g.hasWaiting() {
 			continue
@@ -222,10 +227,12 @@
 		if o.compare(r) < 0 {
 			e.StepsFirst++
 			e.TasksFirst += g.waiting
+			ahead.add(&p, &o)
 		} else {
 			e.StepsAfter++
 		}
 	}
+	return ahead
 }
 
 // listServers finds the servers of the service that could take tasks of a group, and why not the others.
@@ -261,7 +268,7 @@
 		most = min(most, g.step.MaxPerServer-g.runsOn(v))
 	}
 	n := 0
-	for n < most && v.fits(g.step.Charge().Times(int64(n+1))) {
+	for n < most && v.admits(g, g.step.Charge().Times(int64(n+1))) {
 		n++
 	}
 	return n
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -150,40 +150,64 @@
 	return s.options.MaxStopTime + startMargin + 2*s.delay.median
 }
 
-// decidePreemption decides whether runs give way to a group, and stops them. Most steps have room in time, which shows at little cost.
+// decidePreemption decides whether runs give way to a group, and stops them.
 func (p *pass) decidePreemption(r *rankedGroup, n *servicePreemption, waiting int) {
+	g := r.group
+	d := p.considerPreemption(r, n, waiting)
+	if d.deferred {
+		p.preemption.counts.Deferred++
+		return
+	}
+	p.preemption.counts.Decisions[d.verdict.Reason]++
+	if !d.compared {
+		return
+	}
+	p.preemption.steps++
+	for i := range d.verdict.Plans {
+		p.carryOut(r, &d.verdict.Plans[i], &d.step, &d.limits)
+	}
+	if len(d.verdict.Plans) == 0 {
+		g.nextPreemption = p.now.Add(preemptionRetry)
+		p.logRefusal(g, &d.step, &d.limits, &d.verdict)
+	}
+}
+
+// consideredPreemption is a decision that isn't carried out yet.
+type consideredPreemption struct {
+	step     preemption.Step
+	limits   preemption.Limits
+	verdict  preemption.Verdict
+	deferred bool // there is time; without a verdict
+	compared bool // servers were compared: preemption.servers and preemption.candidates belong to the verdict
+}
+
+// considerPreemption decides whether runs give way to a group, without a stop. Most steps have room in time, which shows at little cost.
+func (p *pass) considerPreemption(r *rankedGroup, n *servicePreemption, waiting int) (d consideredPreemption) {
 	g := r.group
 	p.updateForecast(n, r.queue.Service)
-	step := preemption.Step{
+	d.step = preemption.Step{
 		Priority: r.rank.priority, Surplus: g.job.surplus, GaveWay: g.job.gaveWay, Charge: g.step.Charge(), Work: p.durations.expect(g.step),
 		Waiting: waiting, Slack: r.rank.slack, SafeSlack: p.safeSlack(r), Ahead: n.ahead, Released: &n.forecast,
 	}
-	limits := preemption.Limits{
+	d.limits = preemption.Limits{
 		StopTime: p.stopTime(), Stops: min(maxStopsPerPass-p.preemption.stops, maxStopping-p.preemption.stopping),
 	}
-	if step.SafeSlack > limits.StopTime+decisionLead {
-		p.preemption.counts.Deferred++
-		return
+	if d.step.SafeSlack > d.limits.StopTime+decisionLead {
+		d.deferred = true
+		return d
 	}
-	if missing, reason := preemption.Missing(&step, limits.StopTime); missing == 0 {
-		p.preemption.counts.Decisions[reason]++
-		return
+	if missing, reason := preemption.Missing(&d.step, d.limits.StopTime); missing == 0 {
+		d.verdict.Reason = reason
+		return d
 	}
-	p.preemption.steps++
-	for step.Waiting > 0 && !p.withinLimit(g, g.heldPlaces+step.Waiting) {
-		step.Waiting--
+	d.compared = true
+	for d.step.Waiting > 0 && !p.withinLimit(g, g.heldPlaces+d.step.Waiting) {
+		d.step.Waiting--
 	}
-	step.FreePlaces = p.freePlaces(r, waiting+int(share(int64(step.Ahead.CPU), int64(step.Charge.CPU))))
+	d.step.FreePlaces = p.freePlaces(r, waiting+int(share(int64(d.step.Ahead.CPU), int64(d.step.Charge.CPU))))
 	p.preemptionServers(r, waiting)
-	verdict := preemption.Decide(&step, p.preemption.servers, limits)
-	p.preemption.counts.Decisions[verdict.Reason]++
-	for i := range verdict.Plans {
-		p.carryOut(r, &verdict.Plans[i], &step, &limits)
-	}
-	if len(verdict.Plans) == 0 {
-		g.nextPreemption = p.now.Add(preemptionRetry)
-		p.logRefusal(g, &step, &limits, &verdict)
-	}
+	d.verdict = preemption.Decide(&d.step, p.preemption.servers, d.limits)
+	return d
 }
 
 // safeSlack returns the time until a step should start, see preemption.Step: its share of the job's slack, by its share of the work
