Evacuation: don't move a long-running task for room that is held for another step

The room that a move counts on ignored holds of preemption, so a long-running task was stopped and waited until the hold ended, for about 2 s.

--- a/internal/sched/evacuation_moves.go
+++ b/internal/sched/evacuation_moves.go
@@ -141,7 +141,7 @@
 	for _, v := range s.services[e.groups[0].job.queue.Service] {
 		if v.usable(s.now) && len(v.unknownRuns) == 0 {
 			servers = append(servers, v)
-			e.Servers = append(e.Servers, evacuation.Server{Free: v.info.Capacity.Sub(v.used)})
+			e.Servers = append(e.Servers, evacuation.Server{Free: v.unheld()})
 		}
 	}
 	for i, g := range e.groups {
--- a/internal/sched/evacuation_moves_test.go
+++ b/internal/sched/evacuation_moves_test.go
@@ -213,3 +213,18 @@
 	m.settle(20 * time.Second)
 	f.want("tasks left in d1", m.tasksOn("s1"), 0)
 }
+
+// Guards against a long-running task that is stopped for room that is held for an urgent step, and then waits.
+func TestLongRunningTasksStayWhileRoomIsHeld(t *testing.T) {
+	f := newMoveFixture(t, Step{Count: 1, Demand: cores(8), LongRunning: true})
+	f.addServerIn("d2", "s2", 8)
+	f.addJob("urgent", Step{Count: 1, Demand: cores(64)})
+	v := f.s.servers["s2"]
+	v.hold = &roomHold{group: f.s.jobs["urgent"].occurrences[0].groups[0], server: v, places: 1}
+	f.evacuate("d1")
+	f.settle(2 * time.Second)
+	f.want("moves while room is held", f.s.Counts().Moves, 0)
+	v.hold = nil
+	f.settle(5 * time.Second)
+	f.want("tasks in d1 in the end", f.tasksOn("s1"), 0)
+}
--- a/internal/sched/room_hold.go
+++ b/internal/sched/room_hold.go
@@ -35,6 +35,15 @@
 	return v.fits(charge)
 }
 
+// unheld returns the free capacity of a server less the room that is held. It may be negative.
+func (v *server) unheld() resource.Vector {
+	free := v.info.Capacity.Sub(v.used)
+	if v.hold != nil {
+		free = free.Sub(v.hold.room())
+	}
+	return free
+}
+
 // heldTicketDue reports whether a call has to be made now for a valid ticket when the held room is free.
 func (s *Scheduler) heldTicketDue(h *roomHold, q *Queue) bool {
 	free := latest(s.now, h.freeBy)
@@ -105,3 +114,15 @@
 		h.endsAt = s.now.Add(holdAfterEnd)
 	}
 }
+
+// heldForOthers returns the demand of the tasks of other groups of the same team for which room is held. They count against the team's limit
+// like running ones, or a run would be stopped for a task that may not start.
+func (s *Scheduler) heldForOthers(g *group) resource.Vector {
+	var held resource.Vector
+	for _, h := range s.preemption.holds {
+		if h.group != g && h.group.job.spec.Team == g.job.spec.Team {
+			held = held.Add(h.group.step.Demand.Times(int64(h.places)))
+		}
+	}
+	return held
+}
