Preemption: room that a stop frees is used by the step that it was freed for

A large urgent step of higher rank reserved the server on which room was being freed, as that looks free soonest, and the step for which the run was stopped couldn't start there: the stop was in vain. Servers with held room aren't reserved for others. And room held for other tasks of a team counts against its limit, so that no run is stopped for a task that may not start. Both tests failed before (0 starts instead of 1, 2 stops instead of 1).

--- a/internal/sched/placement.go
+++ b/internal/sched/placement.go
@@ -138,12 +138,15 @@
 }
 
 // withinLimit reports whether the team's limit admits n more tasks of a group, besides runs of former leaders that aren't known.
-func (p *pass) withinLimit(g *group, n int) bool {
+func (p *pass) withinLimit(g *group, n int) bool { return p.withinLimitBeside(g, n, resource.Vector{}) }
+
+// withinLimitBeside is like withinLimit with a further demand of the team.
+func (p *pass) withinLimitBeside(g *group, n int, further resource.Vector) bool {
 	t := p.team(g.job.spec.Team)
 	if t.Limit.IsZero() {
 		return true
 	}
-	used := t.used.Add(g.step.Demand.Times(int64(n)))
+	used := t.used.Add(further).Add(g.step.Demand.Times(int64(n)))
 	return withinLimit(used, t.Limit) && withinLimit(used.Add(p.uncountedDemand(t.ID)), t.Limit)
 }
 
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -201,7 +201,8 @@
 		return d
 	}
 	d.compared = true
-	for d.step.Waiting > 0 && !p.withinLimit(g, g.heldPlaces+d.step.Waiting) {
+	held := p.heldForOthers(g)
+	for d.step.Waiting > 0 && !p.withinLimitBeside(g, g.heldPlaces+d.step.Waiting, held) {
 		d.step.Waiting--
 	}
 	d.step.FreePlaces = p.freePlaces(r, waiting+int(share(int64(d.step.Ahead.CPU), int64(d.step.Charge.CPU))))
--- a/internal/sched/preempt_test.go
+++ b/internal/sched/preempt_test.go
@@ -344,3 +344,34 @@
 	f.want("stops after the first end", len(f.stops), 3)
 	f.want("held", f.s.HeldRoom(), 2)
 }
+
+// Guards against room that a stop has freed for a step and that it can't use, because a larger step of higher rank has reserved the server.
+func TestHeldServerIsNotReservedForOthers(t *testing.T) {
+	f := newPreemptionFixture(t, nil)
+	f.fill("s1")
+	f.add("u", f.urgent, urgentStep(1))
+	f.want("stops", len(f.stops), 1)
+	first := f.urgent
+	first.Target = 0 // less slack than u
+	large := urgentStep(1)
+	large.Demand = cores(16)
+	f.add("large", first, large)
+	f.endStopped(f.stops[0])
+	starts := f.takeStarts()
+	f.want("starts", len(starts), 1)
+	if len(starts) > 0 {
+		f.want("started job", starts[0].Task.Job, "u")
+	}
+}
+
+// Guards against a run that is stopped for a task which its team's limit doesn't admit, as room is held for another task of the team.
+func TestNoPreemptionBeyondLimitWithHeldRoom(t *testing.T) {
+	f := newPreemptionFixture(t, nil)
+	f.fill("s1", "s2")
+	f.s.team("red").Limit = resource.Vector{CPU: resource.Cores(8)}
+	for _, id := range []ident.JobID{"u1", "u2"} {
+		f.s.AddJob(f.now, &Job{ID: id, Team: "red", Queue: f.urgent, Payload: "p", Steps: []Step{urgentStep(1)}, Accepted: f.now}, Progress{}, false)
+		f.collectCommands()
+	}
+	f.want("stops", len(f.stops), 1)
+}
--- a/internal/sched/reservation.go
+++ b/internal/sched/reservation.go
@@ -201,7 +201,8 @@
 		wait time.Duration
 	)
 	for v := range p.startable(g, r.queue) {
-		if p.reserved[v.info.ID] || !large(g.step, v) {
+		// A server with held room looks free soonest, and a reservation would keep the group from it for which runs were stopped.
+		if p.reserved[v.info.ID] || v.hold != nil && v.hold.group != g || !large(g.step, v) {
 			continue
 		}
 		if w := p.untilFree(v, g.step.Charge()); w < neverFree && (best == nil || w < wait) {
