review: case 13 with durations inside those of the site

The tasks that use a part of the two workers last 14 s instead of 22 s, and a task that lasts fills the third worker.

--- a/review/lab-3/case13.go
+++ b/review/lab-3/case13.go
@@ -4,35 +4,35 @@
 
 // largeJobsAtOnce: two large urgent jobs come at once, for which no worker has room yet. Then a run of a task that lasts fails.
 func largeJobsAtOnce(c *cell, trouble bool) (bool, error) {
-	whole := newJob(step{Count: 1, CPU: 5000, Estimate: 30_000})                  // takes all of one worker
-	parts := newJob(step{Count: 2, CPU: 1000, Estimate: 22_000, AntiAffinity: 1}) // take a fifth of the other two
+	whole := newJob(step{Count: 1, CPU: 5000, Estimate: 1000, LongRunning: true}) // takes all of one worker
+	parts := newJob(step{Count: 2, CPU: 1000, Estimate: 14_000, AntiAffinity: 1}) // take a fifth of the other two
 	lasting := newJob(step{Count: 1, CPU: 500, Estimate: 1000, LongRunning: true})
 	ends := func(task string, run int) outcome {
 		switch {
-		case task == whole.task(0):
-			return outcome{second(30), "done"}
-		case task == parts.task(0), task == parts.task(1):
-			return outcome{second(22), "done"}
 		case task == lasting.task(0) && run == 1:
-			return outcome{second(4), "failed"}
-		case task == lasting.task(0):
+			return outcome{second(1.5), "failed"}
+		case task == lasting.task(0), task == whole.task(0):
 			return outcome{time.Hour, "failed"}
+		case task == parts.task(0), task == parts.task(1):
+			return outcome{second(14), "done"}
 		}
 		return outcome{second(4), "done"}
 	}
 	if err := c.prepare(3, ends, nil); err != nil {
 		return false, err
 	}
-	for _, j := range []job{whole, parts} {
-		if err := c.handIn("urgent", "blue", j); err != nil {
-			return false, err
-		}
-		time.Sleep(second(0.5))
+	if err := c.handIn("other", "blue", whole); err != nil {
+		return false, err
 	}
+	time.Sleep(second(1))
+	if err := c.handIn("urgent", "blue", parts); err != nil {
+		return false, err
+	}
+	time.Sleep(second(0.5))
 	if err := c.handIn("other", "blue", lasting); err != nil {
 		return false, err
 	}
-	time.Sleep(second(1))
+	time.Sleep(second(0.5))
 	for range 2 {
 		if !trouble {
 			break
@@ -41,5 +41,5 @@
 			return false, err
 		}
 	}
-	return c.watchLasting(lasting.task(0), lasting.Steps[0].CPU, second(35)), nil
+	return c.watchLasting(lasting.task(0), lasting.Steps[0].CPU, second(25)), nil
 }
