--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Jobs that can never be done keep all workers of their service from a task that lasts (review/lab-3/case12.go).
+# A timed job is run twice after a region was cut off and a worker there had restarted (review/lab-3/case12.go).
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/lab-3 ] && [ -x target/rosemaryspoke ] || exit 2
 exec target/review/lab-3 12 review/12
--- a/review/lab-3/caller.go
+++ b/review/lab-3/caller.go
@@ -19,6 +19,9 @@
 	ID    string `json:"-"`
 	Spec  string `json:"spec"`
 	Steps []step `json:"steps"`
+	// Of a job that runs at a set time.
+	Repetitions int   `json:"repetitions,omitempty"`
+	StartAt     int64 `json:"startAtMs,omitempty"`
 }
 
 type step struct {
@@ -29,7 +32,7 @@
 	After        []int  `json:"after,omitempty"`
 	AntiAffinity int    `json:"antiAffinity,omitempty"`
 	LongRunning  bool   `json:"longRunning,omitempty"`
-	Image        string `json:"image,omitempty"`
+	Affinity     string `json:"affinity,omitempty"`
 }
 
 // newJob returns a job of one step.
--- a/review/lab-3/case12.go
+++ b/review/lab-3/case12.go
@@ -2,46 +2,61 @@
 
 import "time"
 
-const (
-	jobsInBurst = 50
-	jobsFailing = 3  // of them, a share of 0.06
-	tasksOfOne  = 36 // of a failing job
-)
-
-// jobsThatFail: of the jobs of an urgent queue a share of 0.06 can never be done, for 3.3 s. Meanwhile a run of a task that lasts fails.
-func jobsThatFail(c *cell, trouble bool) (bool, error) {
-	lasting := newJob(step{Count: 1, CPU: 500, Estimate: 1000, LongRunning: true})
-	failing := map[string]bool{}
-	ends := func(task string, run int) outcome {
-		switch {
-		case task == lasting.task(0) && run == 1:
-			return outcome{second(6), "failed"}
-		case task == lasting.task(0):
-			return outcome{time.Hour, "failed"}
-		case c.isOf(task, failing):
-			return outcome{second(0.4), "failed"}
-		}
-		return outcome{second(0.2), "done"}
+// regionCutOff: the region of the leader loses the other one, where the store is, and a worker there crashes and starts again under its id.
+// The daemons of the other region reach neither the worker nor the leader's work, and take over. The cut ends after 9 s.
+func regionCutOff(c *cell, trouble bool) (bool, error) {
+	ends := func(string, int) outcome { return outcome{second(0.2), "done"} }
+	if err := c.addWorkers(2, ends); err != nil { // w1 in the leader's region, w2 in the other one
+		return false, err
 	}
-	if err := c.prepare(3, ends, nil); err != nil {
+	if err := c.configure(); err != nil {
 		return false, err
 	}
-	if err := c.handIn("other", "blue", lasting); err != nil {
+	if err := c.startDaemons(1, nil); err != nil { // leads, as it is the only one
 		return false, err
 	}
-	time.Sleep(second(2))
-	for n := range jobsInBurst {
-		j := newJob(step{Count: 1, CPU: 1000, Estimate: 400})
-		if trouble && n >= jobsInBurst-jobsFailing {
-			j.Steps[0].Count = tasksOfOne
-			c.mu.Lock()
-			failing[j.ID] = true
-			c.mu.Unlock()
-		}
-		if err := c.handIn("urgent", "red", j); err != nil {
+	if err := c.startDaemons(2, nil); err != nil {
+		return false, err
+	}
+	leader, near, far := c.daemons[0], c.workers[0], c.workers[1]
+	due := time.Now().Add(second(4))
+	timed := newJob(step{Count: 1, CPU: 1000, Estimate: 200, Affinity: "r1"}) // its data is on the rack of w1
+	timed.Repetitions, timed.StartAt = 1, due.UnixMilli()
+	if err := c.handIn("urgent", "blue", timed); err != nil {
+		return false, err
+	}
+	time.Sleep(time.Until(due.Add(second(-0.6))))
+	if trouble {
+		c.record.note("cut: %s and w1 are cut off from the store, the other daemons and w2", leader.name)
+		leader.store.setSilent(true)
+		near.setCutOff(func(fence uint64) bool { return fence > 1 }) // only the first leader has 1
+		far.setCutOff(func(fence uint64) bool { return fence == 1 })
+		time.Sleep(second(0.2))
+		near.restart()
+		time.Sleep(second(8.8))
+		c.record.note("cut: ended")
+		leader.store.setSilent(false)
+		near.setCutOff(nil)
+		far.setCutOff(nil)
+		if err := c.register(near); err != nil {
 			return false, err
 		}
-		time.Sleep(second(0.065))
 	}
-	return c.watchLasting(lasting.task(0), lasting.Steps[0].CPU, second(25)), nil
+	time.Sleep(second(8))
+	return c.startedTwice(timed.task(0)), nil
+}
+
+// startedTwice reports whether a task was started after a run of it had ended done, if that end was taken note of.
+func (c *cell) startedTwice(task string) bool {
+	broken := false
+	for _, e := range c.history.endsOf(task) {
+		for _, at := range c.history.startsOf(task) {
+			if e.how == "done" && !e.notedAt.IsZero() && !e.lapsed && at.After(e.at) {
+				broken = true
+				c.record.note("check: TWICE, %s started %.1f s after run %d had ended done on %s, and that end was taken note of",
+					task, at.Sub(e.at).Seconds(), e.run, e.worker.info.ID)
+			}
+		}
+	}
+	return broken
 }
--- a/review/lab-3/cell.go
+++ b/review/lab-3/cell.go
@@ -75,7 +75,9 @@
 // cell is a small deployment: the store and the workers in this process, and daemons as processes of the deploy file.
 type cell struct {
 	record  *record
+	history *history
 	dir     string
+	port    int // the first internal port of the daemons
 	store   *txstore.Store
 	workers []*worker
 	daemons []*daemon
@@ -89,7 +91,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("create a folder: %w", err)
 	}
-	return &cell{record: r, dir: dir, store: txstore.New(time.Now), cpu: map[string]int{}}, nil
+	return &cell{record: r, history: newHistory(), dir: dir, store: txstore.New(time.Now), cpu: map[string]int{}}, nil
 }
 
 // prepare starts workers and three daemons.
@@ -114,23 +116,33 @@
 // addWorkers starts and registers workers of five cores.
 func (c *cell) addWorkers(count int, ends func(task string, run int) outcome) error {
 	for i := range count {
-		w, err := newWorker(c.record, sched.Server{
-			ID: sched.ServerID(fmt.Sprintf("w%d", i+1)), Service: serviceName, DataCentre: "sfax-a", Labels: []string{"a", fmt.Sprintf("r%d", i)},
+		w, err := newWorker(c.record, c.history, sched.Server{
+			ID: sched.ServerID(fmt.Sprintf("w%d", i+1)), Service: serviceName, DataCentre: "sfax-a", Labels: []string{"a", fmt.Sprintf("r%d", i+1)},
 			Capacity: resource.Vector{CPU: workerCPU, Memory: 32768},
 		}, ends)
 		if err != nil {
 			return err
 		}
-		raw, err := standin.EncodeRegistration(w.info)
-		if err != nil {
-			return fmt.Errorf("encode the registration of %s: %w", w.info.ID, err)
-		}
-		c.store.Put("servers/"+string(w.info.ID), raw)
 		c.workers = append(c.workers, w)
+		if err := c.register(w); err != nil {
+			return err
+		}
 	}
 	return nil
 }
 
+// register writes the registration of a worker.
+func (c *cell) register(w *worker) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	raw, err := standin.EncodeRegistration(w.info)
+	if err != nil {
+		return fmt.Errorf("encode the registration of %s: %w", w.info.ID, err)
+	}
+	c.store.Put("servers/"+string(w.info.ID), raw)
+	return nil
+}
+
 // configure writes the configuration: two queues of the service, for urgent jobs and for others, and two tenants.
 func (c *cell) configure() error {
 	route := func(name string, priority int) map[string]any {
@@ -156,21 +168,24 @@
 // startDaemons starts daemons and waits until one of them has led for two seconds, or at most five seconds. Late is that of storeFront.
 func (c *cell) startDaemons(count int, late func(platform.Transaction) time.Duration) error {
 	network := fmt.Sprintf("127.%d.%d.", 64+os.Getpid()%128, 1+os.Getpid()/128%250)
-	l, err := net.Listen("tcp", network+"1:0")
-	if err != nil {
-		return fmt.Errorf("look for a free port: %w", err)
-	}
-	port := min(l.Addr().(*net.TCPAddr).Port, 65_000)
-	if err := l.Close(); err != nil {
-		return fmt.Errorf("look for a free port: %w", err)
+	if c.port == 0 {
+		l, err := net.Listen("tcp", network+"1:0")
+		if err != nil {
+			return fmt.Errorf("look for a free port: %w", err)
+		}
+		c.port = min(l.Addr().(*net.TCPAddr).Port, 65_000)
+		if err := l.Close(); err != nil {
+			return fmt.Errorf("look for a free port: %w", err)
+		}
 	}
-	for i := range count {
+	for range count {
 		front, err := newStoreFront(c.store, late)
 		if err != nil {
 			return err
 		}
+		n := len(c.daemons) + 1
 		d := &daemon{
-			record: c.record, name: fmt.Sprintf("edge-%d", i+1), ip: fmt.Sprintf("%s%d", network, i+1), port: port, ended: make(chan struct{}),
+			record: c.record, name: fmt.Sprintf("edge-%d", n), ip: fmt.Sprintf("%s%d", network, n), port: c.port, store: front, ended: make(chan struct{}),
 		}
 		c.daemons = append(c.daemons, d)
 		if err := d.begin(c.dir, front.address); err != nil {
@@ -205,6 +220,7 @@
 	name, ip string
 	port     int // of the first internal port; the port of callers is ten higher
 	settings string
+	store    *storeFront
 	log      *os.File
 	ended    chan struct{}
 
--- a/review/lab-3/main.go
+++ b/review/lab-3/main.go
@@ -22,7 +22,7 @@
 
 // cases are the cases by the name of their folder. Trouble is false for a run without the disruption.
 var cases = map[string]func(c *cell, trouble bool) (bool, error){
-	"11": crowdOfLargeBodies, "12": jobsThatFail, "13": largeJobsAtOnce, "14": lostAnswerOfPresence,
+	"11": crowdOfLargeBodies, "12": regionCutOff, "13": jobsThatFail, "14": largeJobsAtOnce, "15": lostAnswerOfPresence,
 }
 
 func main() {
--- a/review/lab-3/store.go
+++ b/review/lab-3/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -21,7 +22,8 @@
 	platform.TransactionalStore
 	address string
 
-	mu sync.Mutex
+	mu     sync.Mutex
+	silent bool // calls get no answer and aren't carried out
 	// late returns how long after its arrival a transaction is carried out, whose connection is then reset without an answer; 0 means that
 	// the transaction is served. A nil function serves all.
 	late func(platform.Transaction) time.Duration
@@ -34,11 +36,32 @@
 		return nil, fmt.Errorf("listen for the store: %w", err)
 	}
 	f := &storeFront{TransactionalStore: store, address: l.Addr().String(), late: late}
-	server := &http.Server{Handler: standin.NewStoreServer(f).Handler(), ReadHeaderTimeout: time.Minute}
+	calls := standin.NewStoreServer(f).Handler()
+	server := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if f.isSilent() {
+			_, _ = io.Copy(io.Discard, r.Body) // the context ends with the connection only once the body is read
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
+		calls.ServeHTTP(w, r)
+	})}
 	go func() { _ = server.Serve(l) }()
 	return f, nil
 }
 
+func (f *storeFront) isSilent() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.silent
+}
+
+// setSilent cuts the daemon off from the store, or ends that.
+func (f *storeFront) setSilent(silent bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.silent = silent
+}
+
 // Transact implements platform.TransactionalStore.
 func (f *storeFront) Transact(ctx context.Context, t platform.Transaction) (platform.Revision, error) {
 	f.mu.Lock()
--- a/review/lab-3/worker.go
+++ b/review/lab-3/worker.go
@@ -26,19 +26,35 @@
 
 // worker is a backend server by PROTOCOL.md, with what the cases use of it.
 type worker struct {
-	record *record
-	info   sched.Server
-	booted time.Time
-	ends   func(task string, run int) outcome // of the run-th run of a task, from 1 on
+	record  *record
+	history *history
+	info    sched.Server
+	booted  time.Time
+	ends    func(task string, run int) outcome // of the run-th run of a task, from 1 on
 
 	mu       sync.Mutex
 	fence    uint64
 	lease    time.Time
 	runs     map[string]*run
 	old      map[string]uint64 // highest run of a task that was stopped or ended
-	finished [][]any           // ends that aren't acknowledged
+	finished []*end            // that aren't acknowledged
 	last     uint64
 	changed  chan struct{} // closed at the next end
+	// cutOff reports whether the sender of a fencing token doesn't reach the worker; nil means that all do.
+	cutOff func(fence uint64) bool
+}
+
+// end is the end of a run.
+type end struct {
+	worker *worker
+	number uint64
+	task   string
+	run    uint64
+	how    string
+	at     time.Time
+	// notedAt is when the end was acknowledged. An end is lapsed if the worker's lease had lapsed by then.
+	notedAt time.Time
+	lapsed  bool
 }
 
 type run struct {
@@ -49,17 +65,15 @@
 }
 
 // newWorker serves a worker on a free loopback port.
-func newWorker(r *record, info sched.Server, ends func(string, int) outcome) (*worker, error) {
+func newWorker(r *record, h *history, info sched.Server, ends func(string, int) outcome) (*worker, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("listen for %s: %w", info.ID, err)
 	}
 	now := time.Now()
 	info.Address, info.Incarnation = l.Addr().String(), now.UnixMilli()
-	w := &worker{
-		record: r, info: info, booted: now.Add(-time.Hour), ends: ends, runs: map[string]*run{}, old: map[string]uint64{},
-		changed: make(chan struct{}),
-	}
+	w := &worker{record: r, history: h, info: info, ends: ends, changed: make(chan struct{})}
+	w.beginLife(now.Add(-time.Hour))
 	server := &http.Server{Handler: w, ReadHeaderTimeout: time.Minute}
 	go func() { _ = server.Serve(l) }()
 	go func() {
@@ -73,8 +87,34 @@
 	return w, nil
 }
 
+// beginLife begins a life of the worker, which knows nothing of the one before.
+func (w *worker) beginLife(booted time.Time) {
+	w.booted, w.fence, w.lease = booted, 0, time.Time{}
+	w.runs, w.old, w.finished, w.last = map[string]*run{}, map[string]uint64{}, nil, 0
+}
+
+// restart ends the life of the worker and begins another one under its id.
+func (w *worker) restart() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	w.beginLife(now)
+	w.info.Incarnation = now.UnixMilli()
+	w.record.note("%s: has crashed and is back under its id", w.info.ID)
+}
+
+// setCutOff sets who doesn't reach the worker.
+func (w *worker) setCutOff(cutOff func(fence uint64) bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cutOff = cutOff
+}
+
 // endRuns ends the runs that are done, stopped or without a lease.
 func (w *worker) endRuns(now time.Time) {
+	for _, e := range w.finished {
+		e.lapsed = e.lapsed || now.After(w.lease)
+	}
 	for task, r := range w.runs {
 		how := ""
 		switch {
@@ -90,7 +130,9 @@
 		delete(w.runs, task)
 		w.old[task] = max(w.old[task], r.number)
 		w.last++
-		w.finished = append(w.finished, []any{w.last, task, r.number, how, ""})
+		e := &end{worker: w, number: w.last, task: task, run: r.number, how: how, at: now}
+		w.finished = append(w.finished, e)
+		w.history.ended(e)
 		w.record.note("%s: run %d of %s ended %s", w.info.ID, r.number, task, how)
 		close(w.changed)
 		w.changed = make(chan struct{})
@@ -118,6 +160,11 @@
 		return
 	}
 	w.mu.Lock()
+	if w.cutOff != nil && w.cutOff(o.Fence) {
+		w.mu.Unlock()
+		<-in.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	status, reply := http.StatusConflict, map[string]any{}
 	if reason := w.carryOut(in, &o, reply); reason != "" {
 		reply["reason"] = reason
@@ -152,7 +199,13 @@
 			r.stopAt = now.Add(stopTime)
 		}
 	case "/hold":
-		w.finished = slices.DeleteFunc(w.finished, func(f []any) bool { return f[0].(uint64) <= o.Acked })
+		w.finished = slices.DeleteFunc(w.finished, func(e *end) bool {
+			if e.number <= o.Acked {
+				e.notedAt = now
+				w.record.note("%s: the end of run %d of %s is taken note of; lease lapsed before: %t", w.info.ID, e.run, e.task, e.lapsed)
+			}
+			return e.number <= o.Acked
+		})
 		w.extendLease(o.Deadline, now)
 		w.awaitEnd(in, now.Add(time.Duration(o.Wait)*time.Millisecond))
 		w.list(reply)
@@ -172,9 +225,10 @@
 	case r != nil || o.Run <= w.old[o.Task]:
 		return "old"
 	}
-	e := w.ends(o.Task, runsOf.count(o.Task))
+	e := w.ends(o.Task, w.history.started(o.Task, now))
 	w.runs[o.Task] = &run{number: o.Run, began: now, until: now.Add(e.after), how: e.how}
-	w.record.note("%s: run %d of %s started", w.info.ID, o.Run, o.Task)
+	w.record.note("%s: run %d of %s started by the leader with fencing token %d, lease for %.1f s",
+		w.info.ID, o.Run, o.Task, o.Fence, w.lease.Sub(now).Seconds())
 	return ""
 }
 
@@ -214,21 +268,9 @@
 		}
 		running = append(running, []any{task, r.number, "", int(percent), 0})
 	}
-	reply["born"], reply["running"], reply["finished"] = w.info.Incarnation, running, slices.Clone(w.finished[:min(len(w.finished), 500)])
-}
-
-// runCounter counts the runs of each task on all workers.
-type runCounter struct {
-	mu sync.Mutex
-	n  map[string]int
-}
-
-var runsOf = runCounter{n: map[string]int{}}
-
-// count counts a run and returns its number.
-func (c *runCounter) count(task string) int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.n[task]++
-	return c.n[task]
+	finished := [][]any{}
+	for _, e := range w.finished[:min(len(w.finished), 500)] {
+		finished = append(finished, []any{e.number, e.task, e.run, e.how, ""})
+	}
+	reply["born"], reply["running"], reply["finished"] = w.info.Incarnation, running, finished
 }
