--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Jobs that can never be done keep all workers of their service from a task that lasts (review/lab-3/case13.go).
+# Two daemons act as the leader while a region is cut off, after a machine was added in the other one (review/lab-3/case13.go).
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/lab-3 ] && [ -x target/rosemaryspoke ] || exit 2
 exec target/review/lab-3 13 review/13
--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Two large urgent jobs keep two workers with room from a task that lasts (review/lab-3/case14.go).
+# Jobs that can never be done keep all workers of their service from a task that lasts (review/lab-3/case14.go).
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/lab-3 ] && [ -x target/rosemaryspoke ] || exit 2
 exec target/review/lab-3 14 review/14
--- a/review/lab-3/case11.go
+++ b/review/lab-3/case11.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -22,7 +24,7 @@
 // its machine is killed and started again, as on the machines.
 func crowdOfLargeBodies(c *cell, trouble bool) (bool, error) {
 	ends := func(string, int) outcome { return outcome{second(1), "done"} }
-	if err := c.prepare(3, ends, nil); err != nil {
+	if err := c.prepare(3, ends); err != nil {
 		return false, err
 	}
 	memory := c.watchMemory()
--- a/review/lab-3/case13.go
+++ b/review/lab-3/case13.go
@@ -1,47 +1,69 @@
-package main
+//go:build review
 
-import "time"
+package main
 
-const (
-	jobsInBurst = 50
-	jobsFailing = 3  // of them, a share of 0.06
-	tasksOfOne  = 36 // of a failing job
+import (
+	"fmt"
+	"strings"
+	"time"
 )
 
-// jobsThatFail: of the jobs of an urgent queue a share of 0.06 can never be done, for 3.3 s. Meanwhile a run of a task that lasts fails.
-func jobsThatFail(c *cell, trouble bool) (bool, error) {
-	lasting := newJob(step{Count: 1, CPU: 500, Estimate: 1000, LongRunning: true})
-	failing := map[string]bool{}
-	ends := func(task string, run int) outcome {
-		switch {
-		case task == lasting.task(0) && run == 1:
-			return outcome{second(6), "failed"}
-		case task == lasting.task(0):
-			return outcome{time.Hour, "failed"}
-		case c.isOf(task, failing):
-			return outcome{second(0.4), "failed"}
-		}
-		return outcome{second(0.2), "done"}
+// machineAddedDuringCut: the region of the only daemon loses the other one, where the store is. A machine is added in the other region, which the
+// first daemon doesn't know. The cut ends after 11 s.
+func machineAddedDuringCut(c *cell, trouble bool) (bool, error) {
+	ends := func(string, int) outcome { return outcome{second(30), "done"} }
+	if err := c.addWorkers(6, ends); err != nil { // w1 in the first daemon's region, the others in the other one
+		return false, err
 	}
-	if err := c.prepare(3, ends, nil); err != nil {
+	if err := c.configure(); err != nil {
 		return false, err
 	}
-	if err := c.handIn("other", "blue", lasting); err != nil {
+	if err := c.startDaemons(1); err != nil {
 		return false, err
 	}
-	time.Sleep(second(2))
-	for n := range jobsInBurst {
-		j := newJob(step{Count: 1, CPU: 1000, Estimate: 400})
-		if trouble && n >= jobsInBurst-jobsFailing {
-			j.Steps[0].Count = tasksOfOne
-			c.mu.Lock()
-			failing[j.ID] = true
-			c.mu.Unlock()
-		}
-		if err := c.handIn("urgent", "red", j); err != nil {
-			return false, err
+	first := c.daemons[0]
+	work := newJob(step{Count: 3, CPU: 1000, Estimate: 30_000, Affinity: "r1"}) // its data is on the rack of w1
+	if err := c.handIn("urgent", "blue", work); err != nil {
+		return false, err
+	}
+	time.Sleep(second(1))
+	if trouble {
+		c.record.note("cut: %s and w1 are cut off from the store and the other workers", first.name)
+		first.store.setSilent(true)
+		c.cutWorkers(true)
+	}
+	time.Sleep(second(0.5))
+	c.record.note("a machine is added in the other region")
+	if err := c.startDaemons(1); err != nil {
+		return false, err
+	}
+	time.Sleep(second(8.3))
+	broken := false
+	for n := range work.Steps[0].Count {
+		broken = c.runsTwice(work.task(n)) || broken
+	}
+	if trouble {
+		c.record.note("cut: ended")
+		first.store.setSilent(false)
+		c.cutWorkers(false)
+	}
+	time.Sleep(second(3))
+	return broken, nil
+}
+
+// runsTwice reports whether a task is at work on two workers.
+func (c *cell) runsTwice(task string) bool {
+	var runs []string
+	for _, w := range c.workers {
+		w.mu.Lock()
+		if r := w.runs[task]; r != nil {
+			runs = append(runs, fmt.Sprintf("run %d on %s", r.number, w.info.ID))
 		}
-		time.Sleep(second(0.065))
+		w.mu.Unlock()
+	}
+	if len(runs) < 2 {
+		return false
 	}
-	return c.watchLasting(lasting.task(0), lasting.Steps[0].CPU, second(25)), nil
+	c.record.note("check: TWICE, %s is at work twice, %s", task, strings.Join(runs, " and "))
+	return true
 }
--- a/review/lab-3/case14.go
+++ b/review/lab-3/case14.go
@@ -1,45 +1,49 @@
+//go:build review
+
 package main
 
 import "time"
 
-// largeJobsAtOnce: two large urgent jobs come at once, for which no worker has room yet. Then a run of a task that lasts fails.
-func largeJobsAtOnce(c *cell, trouble bool) (bool, error) {
-	whole := newJob(step{Count: 1, CPU: 5000, Estimate: 1000, LongRunning: true}) // takes all of one worker
-	parts := newJob(step{Count: 2, CPU: 1000, Estimate: 14_000, AntiAffinity: 1}) // take a fifth of the other two
+const (
+	jobsInBurst = 50
+	jobsFailing = 3  // of them, a share of 0.06
+	tasksOfOne  = 36 // of a failing job
+)
+
+// jobsThatFail: of the jobs of an urgent queue a share of 0.06 can never be done, for 3.3 s. Meanwhile a run of a task that lasts fails.
+func jobsThatFail(c *cell, trouble bool) (bool, error) {
 	lasting := newJob(step{Count: 1, CPU: 500, Estimate: 1000, LongRunning: true})
+	failing := map[string]bool{}
 	ends := func(task string, run int) outcome {
 		switch {
 		case task == lasting.task(0) && run == 1:
-			return outcome{second(1.5), "failed"}
-		case task == lasting.task(0), task == whole.task(0):
+			return outcome{second(6), "failed"}
+		case task == lasting.task(0):
 			return outcome{time.Hour, "failed"}
-		case task == parts.task(0), task == parts.task(1):
-			return outcome{second(14), "done"}
+		case c.isOf(task, failing):
+			return outcome{second(0.4), "failed"}
 		}
-		return outcome{second(4), "done"}
-	}
-	if err := c.prepare(3, ends, nil); err != nil {
-		return false, err
-	}
-	if err := c.handIn("other", "blue", whole); err != nil {
-		return false, err
+		return outcome{second(0.2), "done"}
 	}
-	time.Sleep(second(1))
-	if err := c.handIn("urgent", "blue", parts); err != nil {
+	if err := c.prepare(3, ends); err != nil {
 		return false, err
 	}
-	time.Sleep(second(0.5))
 	if err := c.handIn("other", "blue", lasting); err != nil {
 		return false, err
 	}
-	time.Sleep(second(0.5))
-	for range 2 {
-		if !trouble {
-			break
+	time.Sleep(second(2))
+	for n := range jobsInBurst {
+		j := newJob(step{Count: 1, CPU: 1000, Estimate: 400})
+		if trouble && n >= jobsInBurst-jobsFailing {
+			j.Steps[0].Count = tasksOfOne
+			c.mu.Lock()
+			failing[j.ID] = true
+			c.mu.Unlock()
 		}
-		if err := c.handIn("urgent", "red", newJob(step{Count: 1, CPU: 4200, Estimate: 4000})); err != nil {
+		if err := c.handIn("urgent", "red", j); err != nil {
 			return false, err
 		}
+		time.Sleep(second(0.065))
 	}
 	return c.watchLasting(lasting.task(0), lasting.Steps[0].CPU, second(25)), nil
 }
--- a/review/lab-3/cell.go
+++ b/review/lab-3/cell.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -11,7 +13,6 @@
 	"sync"
 	"time"
 
-	"github.com/rosemaryspoke/rosemaryspoke/internal/platform"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/sched"
 	"github.com/rosemaryspoke/rosemaryspoke/internal/standin/txstore"
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/resource"
@@ -95,14 +96,14 @@
 }
 
 // prepare starts workers and three daemons.
-func (c *cell) prepare(workers int, ends func(task string, run int) outcome, late func(platform.Transaction) time.Duration) error {
+func (c *cell) prepare(workers int, ends func(task string, run int) outcome) error {
 	if err := c.addWorkers(workers, ends); err != nil {
 		return err
 	}
 	if err := c.configure(); err != nil {
 		return err
 	}
-	return c.startDaemons(3, late)
+	return c.startDaemons(3)
 }
 
 // isOf reports whether a task belongs to one of some jobs, which are guarded by mu.
@@ -165,8 +166,8 @@
 	return nil
 }
 
-// startDaemons starts daemons and waits until one of them has led for two seconds, or at most five seconds. Late is that of storeFront.
-func (c *cell) startDaemons(count int, late func(platform.Transaction) time.Duration) error {
+// startDaemons starts daemons and waits until one of them has led for two seconds, or at most five seconds.
+func (c *cell) startDaemons(count int) error {
 	network := fmt.Sprintf("127.%d.%d.", 64+os.Getpid()%128, 1+os.Getpid()/128%250)
 	if c.port == 0 {
 		l, err := net.Listen("tcp", network+"1:0")
@@ -179,7 +180,7 @@
 		}
 	}
 	for range count {
-		front, err := newStoreFront(c.store, late)
+		front, err := newStoreFront(c.store)
 		if err != nil {
 			return err
 		}
--- a/review/lab-3/lasting.go
+++ b/review/lab-3/lasting.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
--- a/review/lab-3/main.go
+++ b/review/lab-3/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command lab-3 plays the cases of the third review that are scripts: lab-3 CASE FOLDER. It exits with 1 if the rule was broken, 0 if it held
 // and 2 if the case couldn't run.
 package main
@@ -22,7 +24,7 @@
 
 // cases are the cases by the name of their folder. Trouble is false for a run without the disruption.
 var cases = map[string]func(c *cell, trouble bool) (bool, error){
-	"11": crowdOfLargeBodies, "12": regionCutOff, "13": jobsThatFail, "14": largeJobsAtOnce, "15": lostAnswerOfPresence,
+	"11": crowdOfLargeBodies, "12": regionCutOff, "13": machineAddedDuringCut, "14": jobsThatFail, "15": largeJobsAtOnce,
 }
 
 func main() {
--- a/review/lab-3/store.go
+++ b/review/lab-3/store.go
@@ -1,11 +1,15 @@
+//go:build review
+
 package main
 
 import (
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"time"
 
@@ -24,26 +28,29 @@
 
 	mu     sync.Mutex
 	silent bool // calls get no answer and aren't carried out
-	// late returns how long after its arrival a transaction is carried out, whose connection is then reset without an answer; 0 means that
-	// the transaction is served. A nil function serves all.
-	late func(platform.Transaction) time.Duration
 }
 
 // newStoreFront serves a store on a free loopback port.
-func newStoreFront(store *txstore.Store, late func(platform.Transaction) time.Duration) (*storeFront, error) {
+func newStoreFront(store *txstore.Store) (*storeFront, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("listen for the store: %w", err)
 	}
-	f := &storeFront{TransactionalStore: store, address: l.Addr().String(), late: late}
+	f := &storeFront{TransactionalStore: store, address: l.Addr().String()}
 	calls := standin.NewStoreServer(f).Handler()
 	server := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if f.isSilent() {
+		reply := httptest.NewRecorder()
+		if !f.isSilent() {
+			calls.ServeHTTP(reply, r)
+		}
+		if f.isSilent() { // also the answers to calls that have waited, such as watches
 			_, _ = io.Copy(io.Discard, r.Body) // the context ends with the connection only once the body is read
 			<-r.Context().Done()
 			panic(http.ErrAbortHandler)
 		}
-		calls.ServeHTTP(w, r)
+		maps.Copy(w.Header(), reply.Header())
+		w.WriteHeader(reply.Code)
+		_, _ = w.Write(reply.Body.Bytes()) // the daemon may have given up
 	})}
 	go func() { _ = server.Serve(l) }()
 	return f, nil
@@ -62,21 +69,6 @@
 	f.silent = silent
 }
 
-// Transact implements platform.TransactionalStore.
-func (f *storeFront) Transact(ctx context.Context, t platform.Transaction) (platform.Revision, error) {
-	f.mu.Lock()
-	delay := time.Duration(0)
-	if f.late != nil {
-		delay = f.late(t)
-	}
-	f.mu.Unlock()
-	if delay > 0 {
-		time.AfterFunc(delay, func() { _, _ = f.TransactionalStore.Transact(context.Background(), t) })
-		panic(http.ErrAbortHandler) // resets the connection
-	}
-	return f.TransactionalStore.Transact(ctx, t)
-}
-
 // Range implements platform.TransactionalStore. The project's stand-in bounds a page by the number of its items only.
 func (f *storeFront) Range(ctx context.Context, prefix, after string) (platform.Page, error) {
 	p, err := f.TransactionalStore.Range(ctx, prefix, after)
