--- a/internal/coordinator/commands.go
+++ b/internal/coordinator/commands.go
@@ -52,14 +52,18 @@
 
 // startRun sends a start command.
 func (t *term) startRun(cmd sched.StartCommand) {
+	decided := t.coordinator.now()
 	if !t.awaitConfirmation(t.ctx) {
 		return
 	}
 	sent := t.coordinator.now()
 	var clock time.Duration
-	err := t.withheldStart(&cmd)
+	err := t.withheldStart(&cmd, decided)
 	if err == nil {
-		clock, err = t.config.ServerClient.Start(t.startContext(cmd.Server.DataCentre), t.fence, cmd)
+		clock, err = t.config.ServerClient.Start(t.startContext(&cmd, decided), t.fence, cmd)
+	}
+	if errors.Is(err, ErrNotSent) && errors.Is(t.withheldStart(&cmd, decided), errStartOutdated) {
+		err = errStartOutdated
 	}
 	if t.ctx.Err() != nil {
 		return
@@ -71,6 +75,22 @@
 	t.update(func(now time.Time, s *sched.Scheduler) { applyStart(now, s, &cmd, sent, clock, err) })
 }
 
+// errStartOutdated reports that a start wasn't sent, as its server may have restarted since it was decided on.
+var errStartOutdated = errors.New("the server may have restarted")
+
+// freshStart is the age up to which a start isn't checked again before it is sent.
+const freshStart = 20 * time.Millisecond
+
+// isStartOutdated reports whether the server of a start may have restarted since the start was decided on.
+func (t *term) isStartOutdated(cmd *sched.StartCommand, decided time.Time) bool {
+	if t.coordinator.now().Sub(decided) <= freshStart {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.scheduler.IsStartOutdated(t.coordinator.now(), cmd)
+}
+
 // logStart logs the outcome of a start.
 func (t *term) logStart(cmd *sched.StartCommand, err error) {
 	if detail := t.config.Log.V(1); detail.Enabled() {
@@ -87,6 +107,8 @@
 	switch {
 	case err == nil:
 		s.Started(now, sent, id, cmd.Task, cmd.Run, clock)
+	case errors.Is(err, errStartOutdated):
+		s.StartWithheld(now, id, cmd.Task, cmd.Run)
 	case errors.Is(err, ErrInstanceMismatch):
 		s.ServerReplaced(now, cmd.Server)
 		s.StartUnanswered(now, id, cmd.Task, cmd.Run, false) // ends the start if the server has registered elsewhere
--- a/internal/coordinator/election.go
+++ b/internal/coordinator/election.go
@@ -152,7 +152,9 @@
 	c.mu.Lock()
 	c.term, c.latestEpoch = t, t.leader.Epoch
 	c.mu.Unlock()
+	c.presence.setLeading(true)
 	reason := t.run(ctx)
+	c.presence.setLeading(false)
 	c.mu.Lock()
 	c.term = nil
 	c.mu.Unlock()
--- a/internal/coordinator/evacuations.go
+++ b/internal/coordinator/evacuations.go
@@ -323,19 +323,22 @@
 	return true, reply.Items[0].Revision, nil
 }
 
-// withheldStart returns ErrNotSent for a start in an evacuated data centre, which may have waited until it was one.
-func (t *term) withheldStart(cmd *sched.StartCommand) error {
-	if t.evacuations.includes(cmd.Server.DataCentre) {
+// withheldStart returns ErrNotSent for a start that may have waited until its data centre was evacuated or its server had restarted.
+func (t *term) withheldStart(cmd *sched.StartCommand, decided time.Time) error {
+	switch {
+	case t.evacuations.includes(cmd.Server.DataCentre):
 		return fmt.Errorf("data centre evacuated: %w", ErrNotSent)
+	case t.isStartOutdated(cmd, decided):
+		return errStartOutdated
 	}
 	return nil
 }
 
-// startContext returns the context for the start of a run. A start that has waited for a connection is sent only while its data centre
-// isn't evacuated and the leader is confirmed.
-func (t *term) startContext(id ident.DataCentre) context.Context {
-	if t.serverCtx == nil || t.config.EvacuationPrefix == "" {
+// startContext returns the context for the start of a run. A start that has waited for a connection is sent only while withheldStart finds
+// nothing against it and the leader is confirmed.
+func (t *term) startContext(cmd *sched.StartCommand, decided time.Time) context.Context {
+	if t.serverCtx == nil {
 		return t.serverContext()
 	}
-	return WithSendCheck(t.ctx, func() bool { return t.mayCommand() && !t.evacuations.includes(id) })
+	return WithSendCheck(t.ctx, func() bool { return t.mayCommand() && t.withheldStart(cmd, decided) == nil })
 }
--- a/internal/coordinator/presence.go
+++ b/internal/coordinator/presence.go
@@ -13,8 +13,14 @@
 	"github.com/rosemaryspoke/rosemaryspoke/internal/platform"
 )
 
-// renewalsPerTTL is the number of renewals of the presence lease within its time to live.
-const renewalsPerTTL = 4
+const (
+	// renewalsPerTTL is the number of renewals of the presence lease within its time to live, and leaderRenewalsPerTTL that of a leader.
+	// The leader's renewals also tell it whether the store answers, see storeAnswers.
+	renewalsPerTTL       = 4
+	leaderRenewalsPerTTL = 8
+	// storeAnswerMargin is how much later than at the interval of renewals an answer of the store may come before the store counts as silent.
+	storeAnswerMargin = 100 * time.Millisecond
+)
 
 // presence keeps this daemon's presence record in the store under a lease.
 type presence struct {
@@ -26,6 +32,8 @@
 	lease         platform.LeaseID
 	revision      platform.Revision // of the presence record
 	lastRenewed   time.Time         // when the last successful renewal was sent
+	lastAnswered  time.Time         // when the last reply to a successful call came
+	leading       bool              // this daemon leads, see leaderRenewalsPerTTL
 	minRTT        time.Duration     // shortest round trip of a renewal
 	leaving       bool
 	lastSucceeded bool // whether the last attempt succeeded
@@ -67,11 +75,10 @@
 // run writes the record and renews its lease. Renewals may overlap, so that a slow store still receives one in each
 // interval.
 func (p *presence) run(ctx context.Context) error {
-	interval := p.config.PresenceTTL / renewalsPerTTL
-	inFlight := semaphore.NewWeighted(renewalsPerTTL)
+	inFlight := semaphore.NewWeighted(leaderRenewalsPerTTL)
 	var group sync.WaitGroup
 	for ctx.Err() == nil {
-		started := p.now()
+		started, interval := p.now(), p.renewalInterval()
 		if !p.hasLease() {
 			p.logTransition(ctx, p.attempt(ctx, maxWriteTimeout))
 		} else if inFlight.TryAcquire(1) {
@@ -86,6 +93,38 @@
 	return nil
 }
 
+// renewalInterval returns the pause between renewals.
+func (p *presence) renewalInterval() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.leading {
+		return p.config.PresenceTTL / leaderRenewalsPerTTL
+	}
+	return p.config.PresenceTTL / renewalsPerTTL
+}
+
+// setLeading notes whether this daemon leads.
+func (p *presence) setLeading(leading bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.leading = leading
+}
+
+// storeAnswers reports whether the store has answered the latest renewals of a leader. The time of the reply counts, so that a slow store
+// isn't taken for a silent one.
+func (p *presence) storeAnswers() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.now().Sub(p.lastAnswered) <= p.config.PresenceTTL/leaderRenewalsPerTTL+storeAnswerMargin
+}
+
+// noteAnswer notes that the store has answered another call of this daemon.
+func (p *presence) noteAnswer() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lastAnswered = p.now()
+}
+
 // hasLease reports whether the record is written, as far as this daemon knows.
 func (p *presence) hasLease() bool {
 	p.mu.Lock()
@@ -140,6 +179,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.lastAnswered = p.now()
 	if sentAt.After(p.lastRenewed) { // renewals may overlap
 		p.lastRenewed = sentAt
 	}
@@ -171,7 +211,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.lease, p.lastRenewed, p.revision = lease, sentAt, revision
+	p.lease, p.lastRenewed, p.revision, p.lastAnswered = lease, sentAt, revision, p.now()
 	return nil
 }
 
--- a/internal/coordinator/server_proxy_calls.go
+++ b/internal/coordinator/server_proxy_calls.go
@@ -74,12 +74,12 @@
 	})
 }
 
-// dropOutdated removes the polls that aren't to be sent any more, and starts in evacuated data centres. Like the commands of this daemon
-// they may have waited.
+// dropOutdated removes the polls that aren't to be sent any more, and starts in evacuated data centres or on servers that may have restarted.
+// Like the commands of this daemon they may have waited.
 func (t *term) dropOutdated(calls []*proxiedCall) []*proxiedCall {
 	kept := calls[:0]
 	var outdated []sched.PollCommand
-	var withheld []sched.StartCommand
+	var withheld, outdatedStarts []sched.StartCommand
 	t.mu.Lock()
 	for _, c := range calls {
 		start, isStart := c.command.(sched.StartCommand)
@@ -87,6 +87,8 @@
 		switch {
 		case isStart && t.evacuations.includes(start.Server.DataCentre):
 			withheld = append(withheld, start)
+		case isStart && t.scheduler.IsStartOutdated(t.coordinator.now(), &start):
+			outdatedStarts = append(outdatedStarts, start)
 		case ok && poll.Delay > 0 && !t.scheduler.IsPollCurrent(poll.Server.ID, poll.Serial):
 		case ok && t.scheduler.IsPollOutdated(poll):
 			outdated = append(outdated, poll)
@@ -95,11 +97,14 @@
 		}
 	}
 	t.mu.Unlock()
-	if len(outdated)+len(withheld) > 0 {
+	if len(outdated)+len(withheld)+len(outdatedStarts) > 0 {
 		t.update(func(now time.Time, s *sched.Scheduler) {
 			for _, start := range withheld {
 				s.StartUnanswered(now, start.Server.ID, start.Task, start.Run, false)
 			}
+			for _, start := range outdatedStarts {
+				s.StartWithheld(now, start.Server.ID, start.Task, start.Run)
+			}
 			for _, poll := range outdated {
 				s.PollFailed(now, poll.Server.ID, poll.Serial)
 			}
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -119,6 +119,10 @@
 	}
 	t.confirmed.Store(&sentAt)
 	options.LedUntil = func() time.Time { return *t.confirmed.Load() }
+	if c.presence != nil {
+		c.presence.noteAnswer() // to the takeover
+		options.StoreAnswers = c.presence.storeAnswers
+	}
 	t.scheduler = sched.New(options, c.now())
 	t.queries = rate.NewLimiter(maxQueriesPerSecond, maxQueriesPerSecond)
 	return t
--- a/internal/sched/explain.go
+++ b/internal/sched/explain.go
@@ -300,7 +300,7 @@
 		return ServerCordoned
 	case v.evacuated:
 		return ServerEvacuated
-	case v.awaitsRoster():
+	case v.awaitsRoster() || v.awaitsLongLeaseRecord():
 		return ServerUnrecorded
 	case now.Before(v.noStartsBefore):
 		return ServerPaused
--- a/internal/sched/fixture_test.go
+++ b/internal/sched/fixture_test.go
@@ -49,7 +49,7 @@
 // recordServers makes all servers count as recorded in the roster.
 func recordServers(s *Scheduler) {
 	for _, v := range s.servers {
-		v.rosterAddress = v.info.Address
+		v.rosterAddress, v.longLeaseRecorded = v.info.Address, v.longLeaseChange
 	}
 }
 
--- a/internal/sched/interrupted.go
+++ b/internal/sched/interrupted.go
@@ -16,7 +16,7 @@
 	}
 	v := p.server
 	p.startUncertain, v.incarnationInDoubt = true, true
-	if p.startAttempts < maxStartAttempts && v.attached && v.admitsRepeatedStarts() {
+	if p.startAttempts < maxStartAttempts && v.attached && v.admitsRepeatedStarts() && s.incarnationProven(v) {
 		s.sendStart(p)
 		return
 	}
--- a/internal/sched/inventory.go
+++ b/internal/sched/inventory.go
@@ -30,7 +30,7 @@
 	if !ok {
 		return
 	}
-	s.passNeeded = s.passNeeded || !v.answersPromptly()
+	s.passNeeded = s.passNeeded || !v.answersPromptly() || !s.storeAnswers() // tasks may wait for the proof of an incarnation
 	s.noteReply(v, answered, inv)
 	if serial == v.pollSerial {
 		v.polling = false
@@ -63,6 +63,7 @@
 	if !v.attached {
 		s.attach(v, inv)
 	}
+	s.stopUnrecordedRuns(v)
 	v.noteHiddenEnds()
 	s.advanceRecorded(v)
 	delay := time.Duration(0)
@@ -92,7 +93,7 @@
 	case incarnation < v.info.Incarnation:
 		return false
 	}
-	v.incarnationClaimedAt, v.incarnationSeenAt = time.Time{}, sentAt
+	v.incarnationClaimedAt, v.incarnationSeenAt = time.Time{}, latest(v.incarnationSeenAt, sentAt)
 	return true
 }
 
--- a/internal/sched/placement.go
+++ b/internal/sched/placement.go
@@ -105,6 +105,7 @@
 // placeTasks starts up to limit tasks of a group that isn't a gang. It reports whether no server has capacity for a further one.
 func (p *pass) placeTasks(r *rankedGroup, limit int) (full bool) {
 	g := r.group
+	unproven := tentative{} // tasks that wait for the proof of their server's incarnation
 	for t := range g.tasks.waiting() {
 		if limit <= 0 {
 			return false
@@ -115,13 +116,18 @@
 		if !p.withinLimit(g, 1) {
 			return false
 		}
-		v := p.pickServer(r, t, nil)
+		v := p.pickServer(r, t, unproven)
 		if v == nil {
-			return true
+			return len(unproven) == 0
 		}
 		if g.step.LongRunning && (p.awaitsCommandAnswer(r, t, v) || !p.responds(v, t.lostAt)) {
 			continue
 		}
+		if !p.proveIncarnation(v) {
+			unproven[v]++
+			limit--
+			continue
+		}
 		if p.startWindowFull() {
 			p.delayedTasks += g.waiting
 			return false
@@ -182,7 +188,7 @@
 	if other := p.assignAtOneSpeed(r, tasks, where); other != nil {
 		where = other
 	}
-	if g.step.LongRunning && (awaiting || !p.allRespond(where, g.lostAt())) {
+	if g.step.LongRunning && (awaiting || !p.allRespond(where, g.lostAt())) || !p.proveIncarnations(where) {
 		return
 	}
 	if p.startWindowFull() {
--- a/internal/sched/poll.go
+++ b/internal/sched/poll.go
@@ -183,6 +183,9 @@
 // given up after the reply that comes after its deadline.
 func (s *Scheduler) pollWait(v *server) time.Duration {
 	next := s.options.PollWait
+	if !s.storeAnswers() {
+		next = min(next, silentStorePollInterval)
+	}
 	clock := v.clock + s.now.Sub(v.clockAt)
 	if left := v.grantedUntil - clock; left > 0 && left <= startLease && v.needsLease() {
 		next = minPollWait
--- a/internal/sched/restart.go
+++ b/internal/sched/restart.go
@@ -27,9 +27,11 @@
 		s.resetIncarnation(v)
 		v.incarnationUnknown = true
 		s.decideServer(v, ServerDecision{Event: ServerRestarted, Cause: CauseClockWentBack, Runs: held})
+		s.stopUnrecordedRuns(v)
 		s.poll(v, 0, 0) // reports the new incarnation and its runs; the reply to an earlier poll is ignored
 		return
 	}
+	s.noteIncarnationAnswered(v, sent, clock)
 	if clock >= v.lowestClock(s.now) { // an older reading would shorten leases
 		v.setClock(clock, sent, s.now)
 	}
@@ -102,6 +104,7 @@
 	v.usualLease, v.usualLeaseFrom = false, time.Time{}
 	s.clearUnknownOutcomes(v)
 	s.touchRoster(v)
+	v.longLeaseChange, s.rosterUrgent = v.rosterChange, true
 	v.attached, v.formerEndsHidden, v.endsHidden, v.listedEnds = false, false, false, 0
 	v.unansweredPolls, v.polling = nil, false // their replies may be of the former incarnation
 	if s.options.RunBase > 0 {
--- a/internal/sched/roster.go
+++ b/internal/sched/roster.go
@@ -128,6 +128,9 @@
 		if !c.Removed {
 			v.rosterAddress = c.Entry.Server.Address
 		}
+		if c.Entry.LongLease {
+			v.longLeaseRecorded = max(v.longLeaseRecorded, c.change)
+		}
 		v.longLeaseTasks.noteRecorded(c.Entry)
 		if v.rosterChange == c.change && v.removed == c.Removed {
 			delete(s.rosterDirty, id)
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -204,7 +204,7 @@
 	}
 	p.startUncertain = p.startUncertain || sent
 	v.incarnationInDoubt = v.incarnationInDoubt || sent
-	if p.startAttempts < maxStartAttempts && v.attached && sent && v.admitsRepeatedStarts() {
+	if p.startAttempts < maxStartAttempts && v.attached && sent && v.admitsRepeatedStarts() && s.incarnationProven(v) {
 		s.sendStart(p)
 		return
 	}
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -103,11 +103,13 @@
 	usualLease             bool      // recorded in the roster, see RosterEntry
 	usualLeaseFrom         time.Time // when usualLease may be set; zero until the incarnation has answered a poll
 	longLeaseTakenAt       time.Time // when the roster entry with it was last taken for a write
-	longLeaseTasks         longLeaseTasks
-	incarnationClaimedAt   time.Time // when a registration named the incarnation; zero once the server itself has reported it
-	incarnationSeenAt      time.Time // when the latest poll was sent in whose reply the server named its incarnation
-	answeredAddress        string    // at which the incarnation has answered; empty until then
-	disprovedIncarnation   int64     // named by a registration, but not by the server; 0 if there was none
+	// longLeaseChange is the roster change since which longLease holds, and longLeaseRecorded the latest one with it that the store has.
+	longLeaseChange, longLeaseRecorded uint64
+	longLeaseTasks                     longLeaseTasks
+	incarnationClaimedAt               time.Time // when a registration named the incarnation; zero once the server itself has reported it
+	incarnationSeenAt                  time.Time // when the latest call was sent whose reply shows that the known incarnation answered it
+	answeredAddress                    string    // at which the incarnation has answered; empty until then
+	disprovedIncarnation               int64     // named by a registration, but not by the server; 0 if there was none
 
 	polling         bool   // the latest poll has neither a reply nor failed
 	pollSerial      uint64 // of the latest poll
@@ -165,7 +167,7 @@
 // usable reports whether new runs may be placed on the server.
 func (v *server) usable(now time.Time) bool {
 	return v.attached && v.registered && !v.info.Draining && v.failures == 0 && v.answersPromptly() &&
-		!v.evacuated && !v.cordoned && !v.cordonMayBeRecorded && !v.awaitsRoster() && !now.Before(v.noStartsBefore) &&
+		!v.evacuated && !v.cordoned && !v.cordonMayBeRecorded && !v.awaitsRoster() && !v.awaitsLongLeaseRecord() && !now.Before(v.noStartsBefore) &&
 		(v.suspicions == 0 || v.finiteRuns == 0) && !v.acknowledgementDue()
 }
 
@@ -336,6 +338,7 @@
 		v.suspicions = 0
 	}
 	s.updateLongLease(v)
+	s.stopUnrecordedRuns(v)
 	s.updateCordon(v)
 	s.resendStops(v)
 }
--- a/internal/sched/server_decision.go
+++ b/internal/sched/server_decision.go
@@ -14,6 +14,8 @@
 	// ServerAddressRefuted is that another server responds at the address of a registration, while this one has answered elsewhere.
 	ServerAddressRefuted ServerEvent = "address-refuted"
 	ServerSpeedChanged   ServerEvent = "speed-changed" // its speed is used from now on, or no longer
+	// ServerLeaseUnrecorded is that a restarted server's runs are stopped, as the next leader wouldn't know of its long lease.
+	ServerLeaseUnrecorded ServerEvent = "lease-unrecorded"
 )
 
 // Causes of server events, besides those that also release runs.
@@ -23,6 +25,7 @@
 	CauseRegisteredAgain Cause = "registered-again" // within reregistrationGrace, or while its runs were kept
 	CauseAddedAgain      Cause = "added-again"      // the id is that of a server that was removed
 	CauseUnregistered    Cause = "unregistered"     // it has neither a registration nor runs
+	CauseStoreSilent     Cause = "store-silent"     // the store doesn't answer the leader
 	CauseSilent          Cause = "silent"           // as unregistered, and it didn't answer until its leases had expired
 )
 
--- a/internal/sched/start_refused.go
+++ b/internal/sched/start_refused.go
@@ -39,7 +39,7 @@
 		g.noStartsBefore = now.Add(time.Second)
 	case RefusedLeaseExpired, RefusedOldRun, RefusedFenced:
 	}
-	if reason == RefusedLeaseExpired && p.startAttempts < maxStartAttempts && v.usable(now) {
+	if reason == RefusedLeaseExpired && p.startAttempts < maxStartAttempts && v.usable(now) && s.incarnationProven(v) {
 		p.startLeaseEnds = now
 		s.sendStart(p)
 		return
--- a/internal/sched/supervise.go
+++ b/internal/sched/supervise.go
@@ -134,7 +134,9 @@
 	if !p.withinLimit(g, 1) || !s.runNumbersLeft(t) {
 		return
 	}
-	if v := p.pickServer(&r, t, nil); v != nil {
+	if v := p.pickServer(&r, t, nil); v != nil && !s.proveIncarnation(v) {
+		return // the next check tries again
+	} else if v != nil {
 		s.start(t, v, s.nextRun(t), g.advice.ticket(v, s.now))
 	} else if q.Advisor != nil {
 		s.adviceQueue = append(s.adviceQueue, r)
