--- a/internal/coordinator/diagnostics.go
+++ b/internal/coordinator/diagnostics.go
@@ -13,7 +13,7 @@
 			"address", d.Address, "runs", d.Runs, "runs-left", d.RunsLeft, "attached", d.Attached, "registered", d.Registered,
 			"registration-age", d.RegistrationAge.String(), "poll-age", d.PollAge.String(), "failures", d.Failures,
 			"away", d.Away.String(), "former-removal", string(d.FormerRemoval),
-			"speed", d.Speed, "speed-runs", d.SpeedRuns)
+			"speed", d.Speed, "speed-runs", d.SpeedRuns, "quarantine", d.Quarantine.String(), "proven", d.Proven)
 	}
 	if dropped > 0 {
 		t.config.Log.Info("decisions not logged", "count", dropped)
--- a/internal/sched/advice_servers.go
+++ b/internal/sched/advice_servers.go
@@ -131,7 +131,7 @@
 }
 
 // selectServers selects the servers of a call: for a task whose start had no answer those that answer commands, else those known to be
-// allowed that have capacity or soon will, else those without an answer, else those that are allowed but didn't start tasks lately. Once the group has tickets, servers without an answer are selected
+// allowed that have capacity or soon will, else those without an answer, else those that are allowed but didn't start tasks lately, or for a long-running task are suspected. Once the group has tickets, servers without an answer are selected
 // only if they have free capacity.
 func (s *Scheduler) selectServers(g *group, q *Queue) []ServerID {
 	if ids := s.answeringServersToAsk(g, q); len(ids) > 0 {
@@ -154,7 +154,23 @@
 		ids, _ := s.gangServersToRenew(g, q, true)
 		return ids
 	}
-	return s.serversToRenew(g, q, true)
+	if ids := s.serversToRenew(g, q, true); len(ids) > 0 || !g.step.LongRunning {
+		return ids
+	}
+	return s.suspectsToRenew(g, q)
+}
+
+// suspectsToRenew selects the suspected servers known to be allowed for a long-running step that have capacity and no valid ticket.
+func (s *Scheduler) suspectsToRenew(g *group, q *Queue) []ServerID {
+	var renew []*server
+	for _, id := range g.advice.positive {
+		v := s.servers[id.server]
+		if v != nil && v.incarnationID() == id && v.info.Service == q.Service && v.usableFor(g.step, s.now) && eligible(g.step, v) &&
+			g.allowsAnother(v, 0) && v.fits(g.step.Charge()) && g.advice.ticket(v, s.now) == "" {
+			renew = append(renew, v)
+		}
+	}
+	return mostFree(renew, min(g.missing()+spareServers, maxServersPerCall))
 }
 
 // failedStart reports whether a server recently didn't start a task or refused a ticket of the group.
--- a/internal/sched/explain.go
+++ b/internal/sched/explain.go
@@ -302,7 +302,7 @@
 		return ServerEvacuated
 	case v.awaitsRoster() || v.awaitsLongLeaseRecord():
 		return ServerUnrecorded
-	case now.Before(v.noStartsBefore):
+	case now.Before(v.refusedUntil), now.Before(v.noStartsBefore):
 		return ServerPaused
 	case v.suspicions > 0:
 		return ServerSuspected
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -3,12 +3,6 @@
 import "time"
 
 const (
-	// failureShareDecay is the factor by which each ended run reduces the weight of earlier ones in a server's share of failures.
-	failureShareDecay = 0.9
-	// suspectFailureShare is the share of failed runs from which a server is suspected.
-	suspectFailureShare = 0.6
-	// minRecentFailures is the decayed count of failed runs that a suspicion requires.
-	minRecentFailures = 3.0
 	// quarantine is how long a suspected server gets no starts. It doubles with each consecutive suspicion, as a faulty
 	// server is empty and would attract the next tasks.
 	quarantine    = 3 * time.Second
@@ -22,8 +16,8 @@
 	slowFactor = 3.0
 	// maxRunSlowdown bounds the effect of a single run on its server's slowdown: a server counts as slow after two slow runs.
 	maxRunSlowdown = 6.0
-	// maxSuspects is the share of a service's servers that may be suspected for slow runs. Beyond it, the work itself takes
-	// longer and the servers aren't at fault.
+	// maxSuspects is the share of a service's servers that may be suspected without a proof. Beyond it, the work itself takes
+	// longer or fails, and the servers aren't at fault.
 	maxSuspects = 0.25
 	// restartGain is the remaining time, in expected durations, from which a run on a slow server is restarted elsewhere.
 	restartGain = 1.5
@@ -37,16 +31,17 @@
 // learnFromRun updates the health of a run's server, and the learned durations, when a run ends.
 func (s *Scheduler) learnFromRun(p *run, outcome Outcome) {
 	v := p.server
-	if outcome == OutcomeFailed && p.task.shortRuns >= blamedShortRuns {
+	failed := outcome == OutcomeFailed
+	if failed && p.task.group.step.LongRunning && !s.isShort(p) {
+		failed = false // it was at work, and may fail at any time
+	}
+	if failed && p.task.shortRuns >= blamedShortRuns {
 		return
 	}
-	v.recentRuns *= failureShareDecay
-	v.recentFailures *= failureShareDecay
-	v.recentRuns++
-	if outcome == OutcomeFailed {
-		v.recentFailures++
-		s.suspectFailures(v)
+	if failed || outcome == OutcomeDone || outcome == OutcomeFailed {
+		s.noteOutcome(p, failed)
 	}
+	s.noteEnding(p, failed)
 	if outcome == OutcomeDone && p.slowStart() {
 		s.endSuspicion(v)
 		return
@@ -59,13 +54,6 @@
 	}
 }
 
-// suspectFailures quarantines a server on which most runs fail.
-func (s *Scheduler) suspectFailures(v *server) {
-	if v.recentFailures >= minRecentFailures && v.recentFailures >= suspectFailureShare*v.recentRuns {
-		s.suspect(v)
-	}
-}
-
 // suspect quarantines a server. After the quarantine it gets one run at a time until one succeeds.
 func (s *Scheduler) suspect(v *server) {
 	if s.now.Before(v.noStartsBefore) {
@@ -73,6 +61,7 @@
 	}
 	v.noStartsBefore = s.now.Add(min(quarantine<<min(v.suspicions, 8), maxQuarantine))
 	v.suspicions++
+	v.endings, v.suspectedFor, v.suspectedStall = nil, nil, false
 	v.recentFailures, v.recentRuns, v.slowdown = 0, 0, 1
 }
 
@@ -89,8 +78,9 @@
 	v.slowdown += slowdownWeight * (min(ratio, maxRunSlowdown) - v.slowdown)
 	switch {
 	case v.slowdown >= slowFactor:
-		if !s.tooManySuspects(v.info.Service) {
+		if !s.tooManySuspects(v.info.Service, maxSuspects) {
 			s.suspect(v)
+			s.decideSuspicion(v, CauseRunsSlow, false)
 		}
 	case ratio < slowFactor:
 		s.endSuspicion(v)
@@ -100,17 +90,8 @@
 // endSuspicion ends the suspicion of a server after a success, unless it is still in quarantine.
 func (s *Scheduler) endSuspicion(v *server) {
 	if !s.now.Before(v.noStartsBefore) {
-		v.suspicions, v.lastSlowJob = 0, nil
-	}
-}
-
-// tooManySuspects reports whether the share of suspected servers of a service has reached maxSuspects.
-func (s *Scheduler) tooManySuspects(id ServiceID) bool {
-	n := 0
-	for _, v := range s.services[id] {
-		n += boolToInt(v.suspicions > 0)
+		v.suspicions, v.lastSlowJob, v.suspectedFor = 0, nil, nil
 	}
-	return float64(n) >= maxSuspects*float64(len(s.services[id]))
 }
 
 // predictedDuration extrapolates the total duration of an overdue run from its progress.
--- a/internal/sched/inventory.go
+++ b/internal/sched/inventory.go
@@ -191,6 +191,9 @@
 	if r.Checkpoint != "" && !p.task.done {
 		p.task.saveCheckpoint(r.Checkpoint)
 	}
+	if r.Percent >= 100 && p.progressPercent < 100 && p.task.group.step.LongRunning {
+		s.noteOutcome(p, false) // it is at work
+	}
 	if r.Percent > p.progressPercent || p.progressAt.IsZero() {
 		p.progressPercent, p.progressAt = r.Percent, s.now
 		p.samples.Note(s.now.Sub(p.startedAt), r.Percent)
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -68,10 +68,11 @@
 	readySince     time.Time
 	lastStart      time.Time // when a task was last started
 	advice         advice
-	noStartsBefore time.Time // pause after a refused start
-	waitReportedAt time.Time // when CheckWaiting last returned the group
-	isLargeVersion uint64    // fleetVersion for which isLarge was computed
-	isLarge        bool      // a task is large for some server of the service
+	outcomes       *stepOutcomes // nil until a run is done or fails
+	noStartsBefore time.Time     // pause after a refused start
+	waitReportedAt time.Time     // when CheckWaiting last returned the group
+	isLargeVersion uint64        // fleetVersion for which isLarge was computed
+	isLarge        bool          // a task is large for some server of the service
 	reservation    groupReservation
 	moveWithheld   evacuation.Reason // why no task leaves its evacuated data centre, as of the latest MoveDecision
 	moveWithheldAt time.Time
--- a/internal/sched/pick_server.go
+++ b/internal/sched/pick_server.go
@@ -4,7 +4,7 @@
 const maxPolledAtOnce = 32
 
 // pickServer returns the server with the highest score for a task, or nil. A long-running task waits briefly for the answer of a
-// server that hasn't answered recently; once one doesn't come, it takes a server that has. If its latest start had no answer, a
+// server that hasn't answered recently; once one doesn't come, it takes a server that has, and a suspected one if no other has room. If its latest start had no answer, a
 // server that has answered a command since comes first. It sets withheld, latestTask and unproven.
 func (p *pass) pickServer(r *rankedGroup, t *task, taken tentative) *server {
 	g := r.group
@@ -15,11 +15,12 @@
 		unproven []*server
 		silent   bool   // one didn't answer promptly
 		withheld choice // the best one of those that don't admit the task yet
+		suspects choice // the best one of those that are suspected; only for long-running tasks
 	)
 	rack := g.rackInUse(taken)
 	for _, v := range p.candidates(g, r.queue) {
 		p.counts.ServersRead++
-		if !v.usable(p.now) || p.reserved[v.info.ID] || !eligible(g.step, v) || !p.speeds.contains(v) {
+		if !v.usableFor(g.step, p.now) || p.reserved[v.info.ID] || !eligible(g.step, v) || !p.speeds.contains(v) {
 			continue
 		}
 		if !v.admits(g, charge.Times(int64(taken[v]+1))) {
@@ -34,6 +35,9 @@
 		case !v.admitsLongRunning(t.id()):
 			withheld.add(v, x)
 			continue
+		case v.quarantined(p.now):
+			suspects.add(v, x)
+			continue
 		case t.unansweredAt.IsZero() && p.answeredSince(v, t.lostAt), v.answersCommands(t):
 			proven.add(v, x)
 		case p.overdue(v):
@@ -55,6 +59,9 @@
 		}
 		p.allRespond(unproven[:min(len(unproven), maxPolledAtOnce)], t.lostAt)
 	}
+	if best.server == nil {
+		return suspects.server
+	}
 	return best.server
 }
 
--- a/internal/sched/placement.go
+++ b/internal/sched/placement.go
@@ -280,7 +280,7 @@
 	if g.step.Rack != "" && v.info.Rack != g.step.Rack || rack != "" && v.info.Rack != rack {
 		x -= remoteWeight
 	}
-	if t.avoidServer == v.info.ID || v.failedStart(p.now) {
+	if t.avoidServer == v.info.ID || g.outcomes.failsOn(v.info.ID) || v.failedStart(p.now) {
 		x -= failedWeight
 	}
 	if v.cold(p.now) {
--- a/internal/sched/restart.go
+++ b/internal/sched/restart.go
@@ -113,6 +113,7 @@
 		v.formerLongRunningBound = v.formerLeaderBound
 	}
 	v.suspicions, v.lastSlowJob, v.slowdown, v.recentRuns, v.recentFailures = 0, nil, 1, 0, 0
+	v.endings, v.suspectedFor, v.suspectedStall = nil, nil, false
 	v.unrecordedEnds, v.handledUpTo, v.recordedUpTo, v.acknowledgedUpTo = nil, 0, 0, 0
 	v.grantedUntil, v.answeredAddress = 0, ""
 	v.firstClockAt = time.Time{}
--- a/internal/sched/run_numbers.go
+++ b/internal/sched/run_numbers.go
@@ -42,13 +42,18 @@
 	t.refusedLeap = max(t.refusedLeap, 1) * oldRunLeap
 }
 
+// isShort reports whether a run counts as short if it ends now.
+func (s *Scheduler) isShort(p *run) bool {
+	return p.progressPercent < 100 && s.now.Sub(p.startedAt) < shortRun
+}
+
 // pauseAfterShortRun delays the next start of a task that is started again however its runs end, once several short runs have followed each
 // other. Without a pause it would be started some twenty times a second.
 func (s *Scheduler) pauseAfterShortRun(t *task, p *run) {
 	if p == nil {
 		return // nothing is known of its duration
 	}
-	if p.progressPercent >= 100 || s.now.Sub(p.startedAt) >= shortRun {
+	if !s.isShort(p) {
 		t.shortRuns = 0
 		return
 	}
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -140,7 +140,8 @@
 	incarnationInDoubt bool
 	refusals           int       // starts refused as unhealthy since the last confirmed one
 	startFailedAt      time.Time // when a start was last unanswered, or refused for the server's state, since the last confirmed one
-	noStartsBefore     time.Time // no starts before this time
+	refusedUntil       time.Time // no starts before this time, as the server refused one
+	noStartsBefore     time.Time // end of the quarantine
 	commandAnsweredAt  time.Time // when the latest command with an answer was sent
 	commandProbedAt    time.Time // when the latest probe was sent, see probeCommands
 
@@ -152,11 +153,14 @@
 	rosterChange        uint64 // version of the server's roster record
 	history             serverHistory
 
-	suspicions     int     // consecutive quarantines
-	lastSlowJob    *job    // last job with a slow run here
-	slowdown       float64 // moving average of run durations, as a multiple of the expected ones
-	recentRuns     float64 // ended runs, with exponential decay
-	recentFailures float64 // failed runs among them, with the same decay
+	suspicions     int      // consecutive quarantines
+	endings        []ending // latest ended runs since the last quarantine
+	suspectedFor   []ending // of the present quarantine; nil if it has another reason
+	suspectedStall bool     // suspectedFor is a stalled run
+	lastSlowJob    *job     // last job with a slow run here
+	slowdown       float64  // moving average of run durations, as a multiple of the expected ones
+	recentRuns     float64  // ended runs, with exponential decay
+	recentFailures float64  // failed runs among them, with the same decay
 
 	hold        *roomHold // room that is held for a group, or nil
 	recentPaces durations.Recent
@@ -169,10 +173,24 @@
 }
 
 // usable reports whether new runs may be placed on the server.
-func (v *server) usable(now time.Time) bool {
+func (v *server) usable(now time.Time) bool { return v.usableIfSuspected(now) && !v.quarantined(now) }
+
+// usableFor reports whether a run of a step may be placed on the server. A long-running task runs on a suspected one rather than nowhere, as
+// its attempts aren't limited.
+func (v *server) usableFor(step *Step, now time.Time) bool {
+	return v.usable(now) || step.LongRunning && v.usableIfSuspected(now)
+}
+
+// quarantined reports whether the server gets no further run as it is suspected.
+func (v *server) quarantined(now time.Time) bool {
+	return now.Before(v.noStartsBefore) || v.suspicions > 0 && v.finiteRuns > 0
+}
+
+// usableIfSuspected reports whether nothing but a suspicion keeps new runs from the server.
+func (v *server) usableIfSuspected(now time.Time) bool {
 	return v.attached && v.registered && !v.info.Draining && v.failures == 0 && v.answersPromptly() &&
-		!v.evacuated && !v.cordoned && !v.cordonMayBeRecorded && !v.awaitsRoster() && !v.awaitsLongLeaseRecord() && !now.Before(v.noStartsBefore) &&
-		(v.suspicions == 0 || v.finiteRuns == 0) && !v.acknowledgementDue()
+		!v.evacuated && !v.cordoned && !v.cordonMayBeRecorded && !v.awaitsRoster() && !v.awaitsLongLeaseRecord() && !now.Before(v.refusedUntil) &&
+		!v.acknowledgementDue()
 }
 
 // failedStart reports whether the server recently didn't confirm a start, although it may answer polls.
--- a/internal/sched/server_decision.go
+++ b/internal/sched/server_decision.go
@@ -14,6 +14,8 @@
 	// ServerAddressRefuted is that another server responds at the address of a registration, while this one has answered elsewhere.
 	ServerAddressRefuted ServerEvent = "address-refuted"
 	ServerSpeedChanged   ServerEvent = "speed-changed" // its speed is used from now on, or no longer
+	ServerQuarantined    ServerEvent = "quarantined"   // it is suspected
+	ServerCleared        ServerEvent = "cleared"       // a suspicion has lost its reason
 	// ServerLeaseUnrecorded is that a restarted server's runs are stopped, as the next leader wouldn't know of its long lease.
 	ServerLeaseUnrecorded ServerEvent = "lease-unrecorded"
 )
@@ -25,6 +27,10 @@
 	CauseRegisteredAgain Cause = "registered-again" // within reregistrationGrace, or while its runs were kept
 	CauseAddedAgain      Cause = "added-again"      // the id is that of a server that was removed
 	CauseUnregistered    Cause = "unregistered"     // it has neither a registration nor runs
+	CauseRunsFail        Cause = "runs-fail"        // most runs on the server
+	CauseRunStalled      Cause = "run-stalled"      // on the server
+	CauseRunsSlow        Cause = "runs-slow"        // on the server
+	CauseStepsFail       Cause = "steps-fail"       // on other servers too
 	CauseStoreSilent     Cause = "store-silent"     // the store doesn't answer the leader
 	CauseSilent          Cause = "silent"           // as unregistered, and it didn't answer until its leases had expired
 )
@@ -51,6 +57,9 @@
 	Registered bool
 	Speed      float64 // multiple of the usual speed, set for ServerSpeedChanged
 	SpeedRuns  int     // runs that it was learned from, set for ServerSpeedChanged
+	// Quarantine is how long the server gets no starts, and Proven whether its runs would have ended well elsewhere, set for ServerQuarantined.
+	Quarantine time.Duration
+	Proven     bool
 }
 
 // serverHistory is what only the log and the state dump use of a server.
--- a/internal/sched/start_refused.go
+++ b/internal/sched/start_refused.go
@@ -31,10 +31,10 @@
 	case RefusedUnhealthy:
 		v.refusals++
 		v.startFailedAt = now
-		v.noStartsBefore = now.Add(min(unhealthyPause<<min(v.refusals-1, 4), maxUnhealthyPause))
+		v.refusedUntil = now.Add(min(unhealthyPause<<min(v.refusals-1, 4), maxUnhealthyPause))
 	case RefusedCapacity:
 		v.startFailedAt = now
-		v.noStartsBefore = now.Add(unhealthyPause)
+		v.refusedUntil = now.Add(unhealthyPause)
 	case RefusedInvalid:
 		g.noStartsBefore = now.Add(time.Second)
 	case RefusedLeaseExpired, RefusedOldRun, RefusedFenced:
--- a/internal/sched/supervise.go
+++ b/internal/sched/supervise.go
@@ -34,7 +34,7 @@
 			continue
 		}
 		if s.stalled(p) {
-			s.suspect(p.server)
+			s.suspectStalled(p)
 			t.avoidServer = p.server.info.ID
 			if g.step.Speculative {
 				s.startCopy(t, p)
@@ -97,7 +97,7 @@
 		return
 	}
 	if p := s.stalledMember(g, members); p != nil {
-		s.suspect(p.server)
+		s.suspectStalled(p)
 		s.abortGang(g, "no progress")
 	}
 }
