inbound: a request that arrives while room is looked for doesn't make its connection look idle

Cause: hasRoom read the phase of each connection twice. A request that was handed to its handler in between made the connection neither served nor arriving, so that the listener saw room, accepted the next connection and closed one whose request was arriving.

Change: the phase is read once. A connection accepted for room that is taken meanwhile waits for other room before it takes the place of one whose request is arriving. TestArrivingRequestIsNotClosedAtOnce guards that; `add` has a parameter more, and its former form closed the arriving connection at once.

--- a/internal/inbound/budget.go
+++ b/internal/inbound/budget.go
@@ -149,9 +149,9 @@
 		}
 		for b.used-b.pending+n > b.room {
 			now := b.now()
-			worst := b.worst(func(x *Conn) bool {
+			worst, _ := b.worst(func(x *Conn, p phase) bool {
 				_, unread := x.unread(now)
-				return x == c || x.held > 0 && (unread || x.unfinished())
+				return x == c || x.held > 0 && (unread || p.unfinished())
 			})
 			if worst == nil || worst == c {
 				b.mu.Unlock()
@@ -222,18 +222,19 @@
 	}
 }
 
-// worst returns the open connection that is worth least among those that may be closed, or nil.
-func (b *Budget) worst(may func(*Conn) bool) *Conn {
+// worst returns the open connection that is worth least among those that may be closed in their phase, and its rank, or nil.
+func (b *Budget) worst(may func(*Conn, phase) bool) (*Conn, rank) {
 	now := b.now()
 	var worst *Conn
 	var least rank
 	for c := range b.conns {
-		if c.evicted || !may(c) {
+		p := c.currentPhase()
+		if c.evicted || !may(c, p) {
 			continue
 		}
-		if r := c.rank(now); worst == nil || r.less(least) {
+		if r := c.rank(now, p); worst == nil || r.less(least) {
 			worst, least = c, r
 		}
 	}
-	return worst
+	return worst, least
 }
--- a/internal/inbound/budget_test.go
+++ b/internal/inbound/budget_test.go
@@ -54,7 +54,7 @@
 	c.phase.Store(int32(s.phase))
 	c.startedAt.Store(int64(l.budget.now() - s.started))
 	c.progressAt.Store(int64(l.budget.now() - s.stalled))
-	if !l.add(c) {
+	if !l.add(c, true) {
 		t.Fatal("connection not added")
 	}
 	return c
@@ -114,11 +114,29 @@
 	b := newBudget(t, Config{})
 	l := testListener(b, 1)
 	served := state{"10.0.0.1", phaseHandled, time.Hour, time.Hour}.open(t, l)
-	if l.add(&Conn{budget: b, listener: l}) || served.evicted {
+	if l.add(&Conn{budget: b, listener: l}, true) || served.evicted {
 		t.Error("a connection was added in place of a served one")
 	}
 }
 
+// Guards against an ordinary caller that gets no answer: when a new connection came, one looked idle whose request had just arrived, so that
+// another accepted connection was closed before its request was read.
+func TestArrivingRequestIsNotClosedAtOnce(t *testing.T) {
+	b := newBudget(t, Config{})
+	l := testListener(b, 2)
+	served := state{"10.0.0.1", phaseHandled, time.Hour, time.Hour}.open(t, l)
+	arriving := state{"10.0.0.1", phaseHeader, 0, 0}.open(t, l)
+	near, far := net.Pipe()
+	defer far.Close()
+	next := &Conn{Conn: near, budget: b, listener: l}
+	if l.add(next, false) || served.evicted || arriving.evicted {
+		t.Fatal("a connection was added in place of one whose request is arriving")
+	}
+	if !l.add(next, true) || served.evicted || !arriving.evicted {
+		t.Error("no connection was added after the longest wait")
+	}
+}
+
 // Guards against memory that is given to others before its reader has ended, that is given back twice, or never.
 func TestReservedMemoryIsGivenBackOnce(t *testing.T) {
 	b := newBudget(t, Config{Memory: 4 << 20})
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -125,8 +125,10 @@
 	c.headerBytes, c.headerPaid, c.headerHeld = 0, 0, 0
 }
 
+func (c *Conn) currentPhase() phase { return phase(c.phase.Load()) }
+
 // unfinished reports whether a request is arriving or awaited for the first time.
-func (c *Conn) unfinished() bool { return phase(c.phase.Load()) <= phaseBody }
+func (p phase) unfinished() bool { return p <= phaseBody }
 
 // unread returns since when a response has been waiting for its caller to read, and whether that is long. The request has been answered, so
 // that closing the connection hides nothing from a caller that reads.
@@ -144,13 +146,14 @@
 	since    time.Duration // when the stall, the request or the idle time began
 }
 
-func (c *Conn) rank(now time.Duration) rank {
+// rank returns the worth of a connection in a phase.
+func (c *Conn) rank(now time.Duration, p phase) rank {
 	r := rank{crowded: c.listener.crowded(c.address), since: time.Duration(c.startedAt.Load())}
 	if since, long := c.unread(now); long {
 		r.slow, r.stalled, r.since = true, true, since
 		return r
 	}
-	if !c.unfinished() {
+	if !p.unfinished() {
 		return r
 	}
 	r.slow = now-r.since >= arrivalTime
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -74,7 +74,7 @@
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
-		l.awaitRoom()
+		roomKnown := l.awaitRoom()
 		raw, err := l.Listener.Accept()
 		if err != nil {
 			return nil, err
@@ -86,23 +86,29 @@
 		// Until its goroutine reads, a connection counts as arriving: on a busy host that may take a second, which isn't the caller's delay.
 		c.startedAt.Store(math.MaxInt64)
 		c.progressAt.Store(math.MaxInt64)
-		if l.add(c) {
+		added := l.add(c, !roomKnown)
+		for roomKnown && !added { // the room that was seen is taken, as a request has arrived there meanwhile
+			roomKnown = l.awaitRoom()
+			added = l.add(c, !roomKnown)
+		}
+		if added {
 			return c, nil
 		}
+		l.budget.reports.add(refusedConnection)
 		_ = raw.Close()
 	}
 }
 
-// add adds a connection, in place of another one if necessary. It returns false if all others are being served.
-func (l *Listener) add(c *Conn) bool {
+// add adds a connection, in place of another one if necessary. It returns false if all others are being served, or have begun to send a
+// request lately and this one hasn't waited for long.
+func (l *Listener) add(c *Conn, waited bool) bool {
 	b := l.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if l.open >= l.most {
 		now := b.now()
-		worst := b.worst(func(x *Conn) bool { return x.replaceable(l, now) })
-		if worst == nil {
-			b.reports.add(refusedConnection)
+		worst, r := b.worst(func(x *Conn, p phase) bool { return x.replaceable(l, now, p) })
+		if worst == nil || r.arriving && !waited {
 			return false
 		}
 		b.evict(worst, closedForConnection)
@@ -115,13 +121,15 @@
 }
 
 // awaitRoom waits while many closed connections still have goroutines, which hold memory until they run, or while all connections are being
-// served or have begun to send a request. New connections then wait in the system's queue, which takes none of the process's memory.
-func (l *Listener) awaitRoom() {
+// served or have begun to send a request. New connections then wait in the system's queue, which takes none of the process's memory. It
+// reports whether there is room.
+func (l *Listener) awaitRoom() bool {
 	for began := time.Now(); time.Since(began) < maxAcceptPause; time.Sleep(acceptPause) {
 		if l.hasRoom() {
-			return
+			return true
 		}
 	}
+	return false
 }
 
 // hasRoom reports whether a connection can be accepted now, perhaps in place of another one.
@@ -137,20 +145,21 @@
 	}
 	now := b.now()
 	for c := range b.conns {
-		if c.replaceable(l, now) && !c.rank(now).arriving {
+		// The phase is read once: a request that arrives between two looks would make the connection look like an idle one.
+		if p := c.currentPhase(); c.replaceable(l, now, p) && !c.rank(now, p).arriving {
 			return true
 		}
 	}
 	return false
 }
 
-// replaceable reports whether a connection may be closed for a new one of a listener.
-func (c *Conn) replaceable(l *Listener, now time.Duration) bool {
+// replaceable reports whether a connection in a phase may be closed for a new one of a listener.
+func (c *Conn) replaceable(l *Listener, now time.Duration, p phase) bool {
 	if c.listener != l || c.evicted {
 		return false
 	}
 	_, unread := c.unread(now)
-	return unread || phase(c.phase.Load()) != phaseHandled
+	return unread || p != phaseHandled
 }
 
 // crowded reports whether an address has many of the connections and isn't the only one with many, as behind a balancer.
