--- a/internal/sched/pick_server.go
+++ b/internal/sched/pick_server.go
@@ -1,10 +1,12 @@
 package sched
 
+import "time"
+
 // maxPolledAtOnce bounds the idle servers that are polled in one pass for a task because another one is silent.
 const maxPolledAtOnce = 32
 
 // pickServer returns the server with the highest score for a task, or nil. A long-running task waits briefly for the answer of a
-// server that hasn't answered recently; once one doesn't come, it takes a server that has, and a suspected one if no other has room. If its latest start had no answer, a
+// server that hasn't answered recently; once one doesn't come, it takes a server that has, and a suspected one, or after a while a reserved one, if no other has room. If its latest start had no answer, a
 // server that has answered a command since comes first. It sets withheld, latestTask and unproven.
 func (p *pass) pickServer(r *rankedGroup, t *task, taken tentative) *server {
 	g := r.group
@@ -15,12 +17,14 @@
 		unproven []*server
 		silent   bool   // one didn't answer promptly
 		withheld choice // the best one of those that don't admit the task yet
-		suspects choice // the best one of those that are suspected; only for long-running tasks
+		// lastResort is the best one of those that are suspected or reserved; only for long-running tasks.
+		lastResort choice
 	)
 	rack := g.rackInUse(taken)
 	for _, v := range p.candidates(g, r.queue) {
 		p.counts.ServersRead++
-		if !v.usableFor(g.step, p.now) || p.reserved[v.info.ID] || !eligible(g.step, v) || !p.speeds.contains(v) {
+		reserved := p.reserved[v.info.ID]
+		if !v.usableFor(g.step, p.now) || reserved && !p.waitsLong(t) || !eligible(g.step, v) || !p.speeds.contains(v) {
 			continue
 		}
 		if !v.admits(g, charge.Times(int64(taken[v]+1))) {
@@ -35,8 +39,8 @@
 		case !v.admitsLongRunning(t.id()):
 			withheld.add(v, x)
 			continue
-		case v.quarantined(p.now):
-			suspects.add(v, x)
+		case reserved || v.quarantined(p.now):
+			lastResort.add(v, x)
 			continue
 		case t.unansweredAt.IsZero() && p.answeredSince(v, t.lostAt), v.answersCommands(t):
 			proven.add(v, x)
@@ -60,11 +64,20 @@
 		p.allRespond(unproven[:min(len(unproven), maxPolledAtOnce)], t.lostAt)
 	}
 	if best.server == nil {
-		return suspects.server
+		return lastResort.server
 	}
 	return best.server
 }
 
+// reservationPatience is how long a long-running task leaves servers to large tasks that wait for room there. Callers count it as lost once it
+// has had no run for 9 s.
+const reservationPatience = 2 * time.Second
+
+// waitsLong reports whether a long-running task has waited for reservationPatience.
+func (s *Scheduler) waitsLong(t *task) bool {
+	return t.group.step.LongRunning && s.now.Sub(latest(t.waitingSince, t.group.readySince)) >= reservationPatience
+}
+
 // choice is the server with the highest score so far.
 type choice struct {
 	server *server
--- a/internal/sched/reservation_test.go
+++ b/internal/sched/reservation_test.go
@@ -1,11 +1,13 @@
 package sched
 
 import (
+	"slices"
 	"strconv"
 	"testing"
 	"time"
 
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
+	"github.com/rosemaryspoke/rosemaryspoke/pkg/resource"
 )
 
 // Guards against a long-running task that never runs although a server has capacity: the server stayed reserved for a large
@@ -163,3 +165,47 @@
 	}
 	t.Error("the task wasn't started after the end of the reservation")
 }
+
+// Guards against a long-running task without a run for as long as large tasks wait for room (review/15): they reserve two servers, also if it
+// takes long until these have room for them.
+func TestLongRunningTaskTakesAReservedServer(t *testing.T) {
+	for name, largeJobs := range map[string]int{"two large jobs": 2, "eight large jobs": 8} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, nil)
+			urgent, other := testQueue(), testQueue()
+			urgent.ID, other.ID, other.Priority = "urgent", "other", 1
+			f.s.Configure(f.now, Config{Queues: map[ident.QueueID]Queue{"urgent": urgent, "other": other}, Teams: map[ident.TeamID]Team{"blue": {ID: "blue"}}})
+			add := func(id ident.JobID, q Queue, step Step) {
+				f.s.AddJob(f.now, &Job{ID: id, Team: "blue", Queue: q, Payload: "p", Steps: []Step{step}, Accepted: f.now}, Progress{}, false)
+				f.collectCommands()
+			}
+			f.addServer("s1", 5)
+			f.addServer("s2", 5)
+			f.addServer("s3", 5)
+			add("whole", other, Step{Count: 1, Demand: cores(5), LongRunning: true})
+			f.takeStarts()
+			add("parts", other, Step{Count: 2, Demand: resource.Vector{CPU: 2300, Memory: 100}, MaxPerServer: 1, Estimate: 11 * time.Second})
+			f.want("starts of the parts", len(f.takeStarts()), 2)
+			for n := range largeJobs {
+				add(ident.JobID("large"+strconv.Itoa(n)), urgent, Step{Count: 1, Demand: resource.Vector{CPU: 2850, Memory: 100}, Estimate: 1800 * time.Millisecond})
+			}
+			add("lasting", other, Step{Count: 1, Demand: resource.Vector{CPU: 500, Memory: 100}, LongRunning: true})
+			for began := f.now; f.now.Sub(began) < 6*time.Second; {
+				f.advanceTime(100 * time.Millisecond)
+				for _, id := range []ServerID{"s1", "s2", "s3"} {
+					if _, polled := f.polls[id]; polled {
+						rows := f.running(id, TaskID{}, 0)
+						for i := range rows {
+							rows[i].Percent = int(100 * f.now.Sub(began) / (11 * time.Second))
+						}
+						f.answerPoll(id, Inventory{Running: rows})
+					}
+				}
+				if slices.ContainsFunc(f.takeStarts(), func(cmd StartCommand) bool { return cmd.Task.Job == "lasting" }) {
+					return
+				}
+			}
+			t.Error("the task that lasts wasn't started in 6 s")
+		})
+	}
+}
