coordinator: presence records are written on a condition, so that a late write replaces none

What callers saw: after the other daemons were removed, a daemon never led and no job ran (LOST), if the answer to a write of its presence record had been lost and the write was carried out 0.3 to 1.25 s late.

Cause: the write had no condition. Carried out late, it replaced the record that the daemon had written since by one under a lease that nobody renewed. The daemon counted itself as present, and its takeovers, which depend on the record's revision, conflicted for ever.

Change: each write depends on the revision of the key that was last seen, and is repeated with the one that a conflict names.

--- a/internal/coordinator/presence.go
+++ b/internal/coordinator/presence.go
@@ -31,6 +31,7 @@
 	mu            sync.Mutex
 	lease         platform.LeaseID
 	revision      platform.Revision // of the presence record
+	present       platform.Revision // of the key in the store when it was last seen, 0 without it; the condition of the next write
 	lastRenewed   time.Time         // when the last successful renewal was sent
 	lastAnswered  time.Time         // when the last reply to a successful call came
 	leading       bool              // this daemon leads, see leaderRenewalsPerTTL
@@ -170,7 +171,7 @@
 	if errors.Is(err, platform.ErrNotFound) {
 		p.mu.Lock()
 		if p.lease == lease {
-			p.lease = 0 // the next attempt writes the record again
+			p.lease, p.present = 0, 0 // the record has gone with its lease; the next attempt writes it again
 		}
 		p.mu.Unlock()
 	}
@@ -189,6 +190,9 @@
 	return nil
 }
 
+// maxPresenceWrites bounds the writes of an attempt to create the record, as others may write the key as well.
+const maxPresenceWrites = 3
+
 // create writes the record under a new lease. It replaces the record of a former incarnation on the same host.
 func (p *presence) create(ctx context.Context) error {
 	c := p.config
@@ -204,8 +208,7 @@
 	if err != nil {
 		return fmt.Errorf("encode presence record: %w", err)
 	}
-	write := platform.Transaction{Writes: []platform.Write{{Key: presencePrefix + string(c.Member), Value: value, Lease: lease}}}
-	revision, err := c.Store.Transact(ctx, write)
+	revision, err := p.write(ctx, platform.Write{Key: presencePrefix + string(c.Member), Value: value, Lease: lease})
 	if err != nil {
 		return fmt.Errorf("write presence record: %w", err)
 	}
@@ -215,6 +218,41 @@
 	return nil
 }
 
+// write writes the record on condition that the key is as it was last seen. A write without an answer may be carried out late; without the
+// condition it would replace the record by one under a lease that nobody renews.
+func (p *presence) write(ctx context.Context, w platform.Write) (platform.Revision, error) {
+	var revision platform.Revision
+	err := errors.New("not tried")
+	for range maxPresenceWrites {
+		p.mu.Lock()
+		condition := platform.Precondition{Key: w.Key, Revision: p.present}
+		p.mu.Unlock()
+		revision, err = p.config.Store.Transact(ctx, platform.Transaction{
+			Preconditions: []platform.Precondition{condition}, Writes: []platform.Write{w},
+		})
+		var conflict *platform.ConflictError
+		if !errors.As(err, &conflict) {
+			break
+		}
+		present := platform.Revision(0)
+		for _, it := range conflict.Items {
+			if it.Key == w.Key {
+				present = it.Revision
+			}
+		}
+		p.mu.Lock()
+		p.present = present
+		p.mu.Unlock()
+	}
+	if err != nil {
+		return 0, fmt.Errorf("transaction: %w", err)
+	}
+	p.mu.Lock()
+	p.present = revision
+	p.mu.Unlock()
+	return revision, nil
+}
+
 // leave revokes the lease, so that other daemons need not wait for it to expire.
 func (p *presence) leave(ctx context.Context) {
 	p.mu.Lock()
