--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -103,8 +103,7 @@
 	view        *view
 	presence    *presence
 	sessions    callerSessions
-	// acquaintance is the latest leader that is known to know this daemon.
-	acquaintance acquaintance
+	knownTo     knownTo // the latest leader that has said so
 
 	mu      sync.Mutex
 	term    *term // nil unless this daemon leads; it may still be loading
@@ -147,7 +146,7 @@
 	g.Go(func() error { return c.presence.run(ctx) })
 	g.Go(func() error { return c.view.run(ctx) })
 	g.Go(func() error { return c.runElections(ctx) })
-	g.Go(func() error { return c.introduce(ctx) })
+	g.Go(func() error { return c.askLeaders(ctx) })
 	return g.Wait()
 }
 
--- a/internal/coordinator/election.go
+++ b/internal/coordinator/election.go
@@ -138,7 +138,7 @@
 		sleep(ctx, watchRetryDelay)
 		return nil
 	}
-	former := v.formerLeaders(recorded && c.acquaintance.holds(v.leader.Epoch, own.Revision))
+	former := v.formerLeaders(recorded && c.knownTo.holds(v.leader.Epoch, own.Revision))
 	c.config.Log.Info("took over", "epoch", uint64(record.Epoch), "former", string(v.leader.Member), "former-leaders", former.String(),
 		"view-age", c.now().Sub(v.confirmedAt).String())
 	m := newTerm(c, record, revision, sentAt, former)
--- a/internal/coordinator/former_leaders_test.go
+++ b/internal/coordinator/former_leaders_test.go
@@ -35,15 +35,15 @@
 }
 
 // Guards against a daemon that counts as known to a leader which has seen an earlier presence record of it, or to another leader.
-func TestAcquaintanceIsWithOneLeaderAndRecord(t *testing.T) {
-	var a acquaintance
-	a.set(5, 70)
+func TestKnownToOneLeaderByOneRecord(t *testing.T) {
+	var k knownTo
+	k.set(5, 70)
 	for name, play := range map[string]struct {
 		epoch    ident.Epoch
 		revision platform.Revision
 		want     bool
 	}{"the same": {5, 70, true}, "another leader": {6, 70, false}, "another record": {5, 90, false}, "no leader": {0, 70, false}} {
-		if got := a.holds(play.epoch, play.revision); got != play.want {
+		if got := k.holds(play.epoch, play.revision); got != play.want {
 			t.Errorf("%s: %t, want %t", name, got, play.want)
 		}
 	}
--- a/internal/coordinator/known_to_leader.go
+++ b/internal/coordinator/known_to.go
@@ -10,40 +10,40 @@
 	"github.com/rosemaryspoke/rosemaryspoke/pkg/ident"
 )
 
-// acquaintance is a leader's answer that its view has a presence record of this daemon. From then on that leader doesn't go on without the
+// knownTo is a leader's answer that its view has the presence record of this daemon. From then on that leader doesn't go on without the
 // store unless this daemon denies to lead. It is safe for concurrent use.
-type acquaintance struct {
+type knownTo struct {
 	mu       sync.Mutex
 	epoch    ident.Epoch       // of the leader
 	revision platform.Revision // of the presence record
 }
 
-func (a *acquaintance) set(e ident.Epoch, r platform.Revision) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.epoch, a.revision = e, r
+func (k *knownTo) set(e ident.Epoch, r platform.Revision) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.epoch, k.revision = e, r
 }
 
 // holds reports whether the leader of an epoch knows the presence record with a revision.
-func (a *acquaintance) holds(e ident.Epoch, r platform.Revision) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return e > 0 && a.epoch == e && a.revision == r
+func (k *knownTo) holds(e ident.Epoch, r platform.Revision) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return e > 0 && k.epoch == e && k.revision == r
 }
 
-// acquaintanceInterval is the interval at which this daemon checks whether the present leader knows it.
-const acquaintanceInterval = 250 * time.Millisecond
+// knownToInterval is the interval at which this daemon checks whether the present leader knows it.
+const knownToInterval = 250 * time.Millisecond
 
-// introduce asks each leader whether it knows this daemon, until the context ends.
-func (c *Coordinator) introduce(ctx context.Context) error {
+// askLeaders asks each leader once whether it knows this daemon, and again after a new presence record, until the context ends.
+func (c *Coordinator) askLeaders(ctx context.Context) error {
 	for ctx.Err() == nil {
 		v := c.view.get()
 		revision, _, recorded := c.presence.lastRenewal()
 		if recorded && revision > 0 && v.leader.Epoch > 0 && !v.leader.Vacant && v.leader.Member != c.config.Member &&
-			!c.acquaintance.holds(v.leader.Epoch, revision) && c.isKnownTo(ctx, &v.leader, revision) {
-			c.acquaintance.set(v.leader.Epoch, revision)
+			!c.knownTo.holds(v.leader.Epoch, revision) && c.isKnownTo(ctx, &v.leader, revision) {
+			c.knownTo.set(v.leader.Epoch, revision)
 		}
-		sleep(ctx, acquaintanceInterval)
+		sleep(ctx, knownToInterval)
 	}
 	return nil
 }
--- a/internal/coordinator/presence.go
+++ b/internal/coordinator/presence.go
@@ -79,13 +79,14 @@
 	inFlight := semaphore.NewWeighted(leaderRenewalsPerTTL)
 	var group sync.WaitGroup
 	for ctx.Err() == nil {
-		started, interval := p.now(), p.renewalInterval()
+		// A renewal may take as long for a leader as for others.
+		started, interval, shortest := p.now(), p.renewalInterval(), p.config.PresenceTTL/renewalsPerTTL
 		if !p.hasLease() {
 			p.logTransition(ctx, p.attempt(ctx, maxWriteTimeout))
 		} else if inFlight.TryAcquire(1) {
 			group.Go(func() {
 				defer inFlight.Release(1)
-				p.logTransition(ctx, p.attempt(ctx, p.config.StoreTimeout.Timeout(interval, p.config.PresenceTTL)))
+				p.logTransition(ctx, p.attempt(ctx, p.config.StoreTimeout.Timeout(shortest, p.config.PresenceTTL)))
 			})
 		}
 		sleep(ctx, interval-p.now().Sub(started))
--- a/internal/coordinator/view.go
+++ b/internal/coordinator/view.go
@@ -77,7 +77,8 @@
 	return ok && a.Incarnation == s.leader.Incarnation && !s.leader.Vacant, a.revision
 }
 
-// formerLeaders returns whether former leaders may go on once this daemon takes over, which the latest one may know.
+// formerLeaders returns whether former leaders may go on once this daemon takes over. Known tells whether the latest one has seen its
+// presence record.
 func (s *cellState) formerLeaders(known bool) formerLeaders {
 	switch {
 	case s.leader.Epoch == 0:
--- a/internal/sched/pick_server.go
+++ b/internal/sched/pick_server.go
@@ -6,8 +6,9 @@
 const maxPolledAtOnce = 32
 
 // pickServer returns the server with the highest score for a task, or nil. A long-running task waits briefly for the answer of a
-// server that hasn't answered recently; once one doesn't come, it takes a server that has, and a suspected one, or after a while a reserved one, if no other has room. If its latest start had no answer, a
-// server that has answered a command since comes first. It sets withheld, latestTask and unproven.
+// server that hasn't answered recently; once one doesn't come, it takes a server that has. If its latest start had no answer, a
+// server that has answered a command since comes first. If no other server has room, it takes a suspected one, and after
+// reservationPatience a reserved one. It sets withheld, latestTask and unproven.
 func (p *pass) pickServer(r *rankedGroup, t *task, taken tentative) *server {
 	g := r.group
 	charge := g.step.Charge()
@@ -75,7 +76,7 @@
 
 // waitsLong reports whether a long-running task has waited for reservationPatience.
 func (s *Scheduler) waitsLong(t *task) bool {
-	return t.group.step.LongRunning && s.now.Sub(latest(t.waitingSince, t.group.readySince)) >= reservationPatience
+	return t.group.step.LongRunning && t.waiting() && s.now.Sub(latest(t.waitingSince, t.group.readySince)) >= reservationPatience
 }
 
 // choice is the server with the highest score so far.
