sched: a late answer of the store under load isn't taken for its silence; less work for each start

The 0.26 s after which the store counts as silent had no room for a leader that reads all replies late, so that its starts on idle servers would wait for a poll. Twice the common delay of replies comes on top now, and the answers to the leader's writes count as well. Other work for each start goes: a map for each step in a pass, a lookup for each server that isn't usable, and clock readings.

Measured: go test ./internal/sched passes.

--- a/internal/coordinator/presence.go
+++ b/internal/coordinator/presence.go
@@ -15,11 +15,9 @@
 
 const (
 	// renewalsPerTTL is the number of renewals of the presence lease within its time to live, and leaderRenewalsPerTTL that of a leader.
-	// The leader's renewals also tell it whether the store answers, see storeAnswers.
+	// The leader's renewals also tell it whether the store answers, see sched.Options.StoreAnsweredAt.
 	renewalsPerTTL       = 4
 	leaderRenewalsPerTTL = 8
-	// storeAnswerMargin is how much later than at the interval of renewals an answer of the store may come before the store counts as silent.
-	storeAnswerMargin = 100 * time.Millisecond
 )
 
 // presence keeps this daemon's presence record in the store under a lease.
@@ -112,12 +110,12 @@
 	p.leading = leading
 }
 
-// storeAnswers reports whether the store has answered the latest renewals of a leader. The time of the reply counts, so that a slow store
-// isn't taken for a silent one.
-func (p *presence) storeAnswers() bool {
+// answeredAt returns when the latest reply of the store came. Its time counts, not that of the call, so that a slow store isn't taken for a
+// silent one.
+func (p *presence) answeredAt() time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.now().Sub(p.lastAnswered) <= p.config.PresenceTTL/leaderRenewalsPerTTL+storeAnswerMargin
+	return p.lastAnswered
 }
 
 // noteAnswer notes that the store has answered another call of this daemon.
--- a/internal/coordinator/progress.go
+++ b/internal/coordinator/progress.go
@@ -46,7 +46,11 @@
 func (t *term) commit(ctx context.Context, tx platform.Transaction) (platform.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, t.config.StoreTimeout.Timeout(minWriteTimeout, maxWriteTimeout))
 	defer cancel()
-	return t.config.Store.Transact(ctx, tx)
+	revision, err := t.config.Store.Transact(ctx, tx)
+	if p := t.coordinator.presence; err == nil && p != nil {
+		p.noteAnswer()
+	}
+	return revision, err
 }
 
 // progressRevisions holds the revision of each progress record.
--- a/internal/coordinator/server_proxy_calls.go
+++ b/internal/coordinator/server_proxy_calls.go
@@ -80,6 +80,7 @@
 	kept := calls[:0]
 	var outdated []sched.PollCommand
 	var withheld, outdatedStarts []sched.StartCommand
+	now := t.coordinator.now()
 	t.mu.Lock()
 	for _, c := range calls {
 		start, isStart := c.command.(sched.StartCommand)
@@ -87,7 +88,7 @@
 		switch {
 		case isStart && t.evacuations.includes(start.Server.DataCentre):
 			withheld = append(withheld, start)
-		case isStart && t.scheduler.IsStartOutdated(t.coordinator.now(), &start):
+		case isStart && t.scheduler.IsStartOutdated(now, &start):
 			outdatedStarts = append(outdatedStarts, start)
 		case ok && poll.Delay > 0 && !t.scheduler.IsPollCurrent(poll.Server.ID, poll.Serial):
 		case ok && t.scheduler.IsPollOutdated(poll):
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -135,7 +135,7 @@
 	options.LedUntil = func() time.Time { return *t.confirmed.Load() }
 	if c.presence != nil {
 		c.presence.noteAnswer() // to the takeover
-		options.StoreAnswers = c.presence.storeAnswers
+		options.StoreAnsweredAt, options.StoreInterval = c.presence.answeredAt, c.config.PresenceTTL/leaderRenewalsPerTTL
 	}
 	t.scheduler = sched.New(options, c.now())
 	t.queries = rate.NewLimiter(maxQueriesPerSecond, maxQueriesPerSecond)
--- a/internal/sched/incarnation_proof.go
+++ b/internal/sched/incarnation_proof.go
@@ -10,15 +10,19 @@
 // Otherwise a start needs a recent proof that the server hasn't restarted, and nothing runs under such a lease that isn't recorded.
 
 const (
+	// storeAnswerMargin is how much later than at its interval an answer of the store may come before the store counts as silent.
+	storeAnswerMargin = 100 * time.Millisecond
 	// incarnationProofAge is how old the proof may be when a start is decided on, beyond the delay of the server's replies.
 	incarnationProofAge = 200 * time.Millisecond
 	// silentStorePollInterval is the interval of polls of all servers while the store doesn't answer, and the longest wait of a poll then.
 	silentStorePollInterval = 400 * time.Millisecond
 )
 
-// storeAnswers reports whether the store has answered this leader recently, so that the roster can be written.
+// storeAnswers reports whether the store has answered this leader recently, so that the roster can be written. What makes the replies of all
+// servers late, as an overloaded leader does, makes those of the store late as well.
 func (s *Scheduler) storeAnswers() bool {
-	return s.options.StoreAnswers == nil || s.options.StoreAnswers()
+	return s.options.StoreAnsweredAt == nil ||
+		s.now.Sub(s.options.StoreAnsweredAt()) <= s.options.StoreInterval+storeAnswerMargin+replyTimeoutFactor*s.delay.median
 }
 
 // incarnationProven reports whether a start on a server can't reach an unknown incarnation without being recorded.
--- a/internal/sched/incarnation_proof_test.go
+++ b/internal/sched/incarnation_proof_test.go
@@ -9,8 +9,13 @@
 func newStoreFixture(t *testing.T) (f *fixture, storeAnswers *bool) {
 	answers := true
 	f = newFixture(t, func(o *Options) {
-		o.MaxRunLease = 10 * time.Second
-		o.StoreAnswers = func() bool { return answers }
+		o.MaxRunLease, o.StoreInterval = 10*time.Second, 150*time.Millisecond
+		o.StoreAnsweredAt = func() time.Time {
+			if answers {
+				return f.now
+			}
+			return f.now.Add(-time.Second)
+		}
 	})
 	f.addServer("s1", 16)
 	f.advanceTime(5 * time.Second)
--- a/internal/sched/pick_server.go
+++ b/internal/sched/pick_server.go
@@ -24,8 +24,11 @@
 	rack := g.rackInUse(taken)
 	for _, v := range p.candidates(g, r.queue) {
 		p.counts.ServersRead++
+		if !v.usableFor(g.step, p.now) {
+			continue
+		}
 		reserved := p.reserved[v.info.ID]
-		if !v.usableFor(g.step, p.now) || reserved && !p.waitsLong(t) || !eligible(g.step, v) || !p.speeds.contains(v) {
+		if reserved && !p.waitsLong(t) || !eligible(g.step, v) || !p.speeds.contains(v) {
 			continue
 		}
 		if !v.admits(g, charge.Times(int64(taken[v]+1))) {
--- a/internal/sched/placement.go
+++ b/internal/sched/placement.go
@@ -105,7 +105,7 @@
 // placeTasks starts up to limit tasks of a group that isn't a gang. It reports whether no server has capacity for a further one.
 func (p *pass) placeTasks(r *rankedGroup, limit int) (full bool) {
 	g := r.group
-	unproven := tentative{} // tasks that wait for the proof of their server's incarnation
+	var unproven tentative // tasks that wait for the proof of their server's incarnation; nil while there are none
 	for t := range g.tasks.waiting() {
 		if limit <= 0 {
 			return false
@@ -124,6 +124,9 @@
 			continue
 		}
 		if !p.proveIncarnation(v) {
+			if unproven == nil {
+				unproven = tentative{}
+			}
 			unproven[v]++
 			limit--
 			continue
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -37,9 +37,10 @@
 	MaxSendDelay time.Duration
 	// LedUntil returns the latest known time at which certainly no other leader had taken over; nil means that there can't be one.
 	LedUntil func() time.Time
-	// StoreAnswers reports whether the store has just answered this leader, so that a restart of a server can be recorded; nil means
-	// that it always does.
-	StoreAnswers func() bool
+	// StoreAnsweredAt returns when the store last answered this leader; nil means that it always does. It is asked at least every
+	// StoreInterval.
+	StoreAnsweredAt func() time.Time
+	StoreInterval   time.Duration
 	// PollWait is how long a server may delay its reply to a poll until a run ends.
 	PollWait time.Duration
 	// MaxStopTime bounds the time that a server needs to stop a run.
